--- /dev/null
+++ b/Makefile
@@ -0,0 +1,55 @@
+# Each target sets up a virtual environment of its own; nothing is global.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+SEED ?= 1
+STAMP := $(VENV)/.installed
+
+.PHONY: test demo check format measure measure-flows measure-requests \
+	measure-config measure-forward measure-slopes thrift lock
+
+test: $(STAMP)
+	$(BIN)/python -m pytest
+
+demo: $(STAMP)
+	$(BIN)/python -m sapphire_lab.demo.main
+
+check: $(STAMP)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy packages
+
+format: $(STAMP)
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+measure: measure-flows measure-requests measure-config measure-forward \
+	measure-slopes
+
+measure-flows measure-requests measure-config measure-forward \
+	measure-slopes: measure-%: $(STAMP)
+	$(BIN)/python -m sapphire_lab.$*.measure --seed $(SEED)
+
+# Regenerates the committed thrift code; needs the thrift compiler 0.17 or newer.
+thrift:
+	rm -rf packages/wire/sapphire_wire/gen
+	mkdir -p packages/wire/sapphire_wire/gen
+	for idl in packages/wire/idl/*.thrift; do \
+	  thrift --gen py:package_prefix=sapphire_wire.gen. \
+	    -out packages/wire/sapphire_wire/gen $$idl; done
+	find packages/wire/sapphire_wire/gen -name '*-remote' -delete
+
+# Resolves again; the lock holds versions and hashes and names no index.
+lock:
+	$(BIN)/uv lock
+	$(BIN)/uv export --all-groups --no-emit-workspace --no-header \
+	  --no-annotate --format requirements-txt -o requirements.lock
+
+$(STAMP): requirements.lock pyproject.toml $(wildcard packages/*/pyproject.toml)
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet uv==0.13.9
+	$(BIN)/uv pip install --quiet --python $(BIN)/python --require-hashes \
+	  -r requirements.lock
+	$(BIN)/uv pip install --quiet --python $(BIN)/python --no-deps \
+	  $(foreach p,$(wildcard packages/*/pyproject.toml),-e $(dir $(p)))
+	touch $(STAMP)
--- /dev/null
+++ b/packages/core/sapphire_core/__init__.py
@@ -0,0 +1,1 @@
+"""Decision logic without input or output."""
--- /dev/null
+++ b/packages/ctl/sapphire_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The command line of the operators."""
--- /dev/null
+++ b/packages/data/sapphire_data/__init__.py
@@ -0,0 +1,1 @@
+"""Records, typed failures and the clock that all packages share."""
--- /dev/null
+++ b/packages/lab/sapphire_lab/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, builders, measurements and the demonstration."""
--- /dev/null
+++ b/packages/net/sapphire_net/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, store client, TLS, logs and metrics round the core."""
--- /dev/null
+++ b/packages/node/sapphire_node/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon of an entry host."""
--- /dev/null
+++ b/packages/wire/sapphire_wire/__init__.py
@@ -0,0 +1,1 @@
+"""Thrift records and validated models at the border."""
--- /dev/null
+++ b/packages/wire/sapphire_wire/message_kind.py
@@ -0,0 +1,13 @@
+"""The types of control messages between hosts."""
+
+import enum
+
+
+class MessageKind(enum.IntEnum):
+    """The body that a sealed envelope carries.
+
+    Values are part of the wire format and are never used again.
+    """
+
+    RELAYED_PACKET = 1
+    GOSSIP = 2
