Read and answer the fabric's packets

Reads the few fields that routing needs, follows ICMP errors to the flow they quote, and builds the reset that tells a caller its flow is given up.

--- /dev/null
+++ b/packages/wire/sapphire_wire/ip_packet_test.py
@@ -0,0 +1,120 @@
+import socket
+
+import dpkt
+import hypothesis
+from hypothesis import strategies
+import testtools
+from testtools import matchers
+
+from sapphire_wire import ip_packet
+from sapphire_wire import packet_builders
+
+CALLER = ("192.0.2.7", 40001)
+SERVICE = ("198.51.100.1", 443)
+SERVICE_KEY = ip_packet.service_key(socket.inet_aton(SERVICE[0]), SERVICE[1])
+
+
+def read_fields(packet: bytes) -> ip_packet.PacketFields:
+    fields = ip_packet.read(packet)
+    assert isinstance(fields, ip_packet.PacketFields), fields
+    return fields
+
+
+class ReadTest(testtools.TestCase):
+    def test_flags_mark_opening_and_closing_packets(self) -> None:
+        cases = (
+            (packet_builders.SYN, True, False),
+            (packet_builders.SYN | packet_builders.ACK, False, False),
+            (packet_builders.ACK, False, False),
+            (packet_builders.FIN | packet_builders.ACK, False, True),
+            (packet_builders.RST, False, True),
+        )
+        for flags, is_opening, is_closing in cases:
+            fields = read_fields(
+                packet_builders.tcp_packet(CALLER, SERVICE, flags)
+            )
+            self.expectThat(fields.is_opening, matchers.Equals(is_opening))
+            self.expectThat(fields.is_closing, matchers.Equals(is_closing))
+            self.expectThat(fields.service_key, matchers.Equals(SERVICE_KEY))
+
+    def test_all_packets_of_a_flow_have_one_hash(self) -> None:
+        opening = read_fields(
+            packet_builders.tcp_packet(CALLER, SERVICE, packet_builders.SYN)
+        )
+        later = read_fields(
+            packet_builders.tcp_packet(CALLER, SERVICE, payload=b"hello")
+        )
+        other = read_fields(
+            packet_builders.tcp_packet((CALLER[0], 40002), SERVICE)
+        )
+        self.assertThat(later.flow_hash, matchers.Equals(opening.flow_hash))
+        self.assertThat(
+            other.flow_hash, matchers.Not(matchers.Equals(opening.flow_hash))
+        )
+
+    def test_icmp_error_takes_the_way_of_the_flow_it_quotes(self) -> None:
+        answer = packet_builders.tcp_packet(SERVICE, CALLER)
+        error = dpkt.ip.IP(
+            src=socket.inet_aton("203.0.113.1"),
+            dst=socket.inet_aton(SERVICE[0]),
+            p=dpkt.ip.IP_PROTO_ICMP,
+            len=20 + 8 + 28,
+            data=b"\x03\x04\x00\x00\x00\x00\x05\x00" + answer[:28],
+        )
+        fields = read_fields(bytes(error))
+        flow = read_fields(packet_builders.tcp_packet(CALLER, SERVICE))
+        self.assertThat(fields.flow_hash, matchers.Equals(flow.flow_hash))
+        self.assertThat(fields.service_key, matchers.Equals(SERVICE_KEY))
+
+    def test_unroutable_packets_are_typed_failures(self) -> None:
+        good = packet_builders.tcp_packet(CALLER, SERVICE)
+        fragment = good[:6] + b"\x00\x10" + good[8:]
+        datagram = good[:9] + b"\x11" + good[10:]
+        cases = (
+            (b"", ip_packet.MalformedPacket),
+            (good[:30], ip_packet.MalformedPacket),
+            (good + b"x", ip_packet.MalformedPacket),
+            (b"\x15" + good[1:], ip_packet.MalformedPacket),
+            (fragment, ip_packet.UnsupportedPacket),
+            (datagram, ip_packet.UnsupportedPacket),
+        )
+        for packet, failure_type in cases:
+            self.expectThat(
+                ip_packet.read(packet), matchers.IsInstance(failure_type)
+            )
+
+    @hypothesis.settings(derandomize=True, deadline=None)
+    @hypothesis.given(strategies.binary(max_size=120))
+    def test_arbitrary_bytes_never_raise(self, data: bytes) -> None:
+        for prefix in (b"", b"\x45", b"\x60", b"\x45\x00\x00"):
+            ip_packet.read(prefix + data)
+            if prefix + data:
+                ip_packet.build_reset(prefix + data)
+
+
+class BuildResetTest(testtools.TestCase):
+    def test_reset_answers_the_acknowledged_byte(self) -> None:
+        packet = packet_builders.tcp_packet(CALLER, SERVICE, ack=77)
+        reset = ip_packet.build_reset(packet)
+        assert reset is not None
+        answer = dpkt.ip.IP(reset)
+        self.assertThat(answer.data.seq, matchers.Equals(77))
+        self.assertThat(answer.data.flags, matchers.Equals(packet_builders.RST))
+        self.assertThat(
+            answer.dst, matchers.Equals(socket.inet_aton(CALLER[0]))
+        )
+        self.assertThat(answer.data.dport, matchers.Equals(CALLER[1]))
+
+    def test_reset_of_an_opening_packet_acknowledges_it(self) -> None:
+        packet = packet_builders.tcp_packet(
+            CALLER, SERVICE, packet_builders.SYN, seq=9
+        )
+        reset = ip_packet.build_reset(packet)
+        assert reset is not None
+        self.assertThat(dpkt.ip.IP(reset).data.ack, matchers.Equals(10))
+
+    def test_a_reset_is_not_answered(self) -> None:
+        packet = packet_builders.tcp_packet(
+            CALLER, SERVICE, packet_builders.RST
+        )
+        self.assertThat(ip_packet.build_reset(packet), matchers.Is(None))
