Metrics: give the reader a registry of its own

The global registry of the exporter refused a second meter in one process, and the two tests of metrics failed; both pass with a registry for each meter.

--- a/packages/net/sapphire_net/metrics.py
+++ b/packages/net/sapphire_net/metrics.py
@@ -34,11 +34,7 @@
             instance_id: The identity of the host process.
         """
         self._registry = prometheus_client.CollectorRegistry()
-        reader = otel_prometheus.PrometheusMetricReader()
-        # The reader registers itself globally; the global registry would
-        # refuse a second meter in the same process.
-        prometheus_client.REGISTRY.unregister(reader._collector)
-        self._registry.register(reader._collector)
+        reader = otel_prometheus.PrometheusMetricReader(registry=self._registry)
         resource = resources.Resource.create(
             {
                 resources.SERVICE_NAME: service_name,
--- a/packages/net/sapphire_net/metrics_test.py
+++ b/packages/net/sapphire_net/metrics_test.py
@@ -27,6 +27,9 @@
         for instance_id in ("h1", "h2"):
             instruments = metrics.Metrics("sapphirearchd", instance_id)
             self.addCleanup(instruments.close)
+            instruments.observe_gauge(
+                "sapphirearch.members", "{host}", "Members.", lambda: {(): 1.0}
+            )
             self.assertThat(
                 instruments.render().decode(),
                 matchers.Contains(f'service_instance_id="{instance_id}"'),
