--- /dev/null
+++ b/packages/wire/sapphire_wire/settings.py
@@ -0,0 +1,127 @@
+"""The settings of the daemon: validated models of JSON with comments."""
+
+import ipaddress
+from typing import Annotated
+from typing import Literal
+
+import pydantic
+
+from sapphire_wire import validation
+
+MAX_PORT = 65_535
+
+Port = Annotated[int, pydantic.Field(ge=1, le=MAX_PORT)]
+Name = Annotated[
+    str, pydantic.Field(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$", max_length=63)
+]
+
+
+class PeerSettings(validation.StrictModel):
+    """A host to contact first.
+
+    Attributes:
+        address: Its IP number.
+        control_port: Its UDP port of control messages.
+    """
+
+    address: ipaddress.IPv4Address | ipaddress.IPv6Address
+    control_port: Port
+
+
+class PortSettings(validation.StrictModel):
+    """The ports that a host listens on.
+
+    Attributes:
+        fabric: The UDP port of encapsulated packets.
+        control: The UDP port of control messages.
+        api: The TCP port of the control API.
+        requests: The TCP port of requests.
+    """
+
+    fabric: Port = 6080
+    control: Port = 7400
+    api: Port = 7401
+    requests: Port = 8080
+
+
+class StoreSettings(validation.StrictModel):
+    """How to reach the platform's key-value service.
+
+    Attributes:
+        endpoints: Base URLs, tried in order.
+        prefix: The prefix of the environment's keys.
+    """
+
+    endpoints: list[pydantic.AnyHttpUrl] = pydantic.Field(min_length=1)
+    prefix: str = pydantic.Field(
+        default="/sapphirearch/production/", pattern=r"^/.+/$"
+    )
+
+
+class TlsSettings(validation.StrictModel):
+    """The files of the process's certificate, given by the platform.
+
+    Attributes:
+        certificate_file: The PEM chain of this process.
+        key_file: The PEM private key.
+        authority_file: The PEM certificates of trusted authorities.
+    """
+
+    certificate_file: str
+    key_file: str
+    authority_file: str
+
+
+class TrustSettings(validation.StrictModel):
+    """Keys of control messages and certificates of the API.
+
+    Attributes:
+        key_ring_file: The JSON file of keys that seal control messages.
+        tls: The certificates of the API; without them the API is only served
+            on a loopback address.
+    """
+
+    key_ring_file: str
+    tls: TlsSettings | None = None
+
+
+class Settings(validation.StrictModel):
+    """The settings of one daemon.
+
+    Attributes:
+        data_centre: The name of the host's data centre.
+        address: The IP number that the host listens on and is reached at.
+        ports: The ports that the host listens on.
+        seeds: Hosts to contact first.
+        store: How to reach the platform's key-value service.
+        trust: Keys and certificates.
+        drain_timeout_ms: The longest time that a graceful shutdown waits.
+        log_level: The lowest level that is logged.
+    """
+
+    data_centre: Name
+    address: ipaddress.IPv4Address | ipaddress.IPv6Address
+    ports: PortSettings = PortSettings()
+    seeds: tuple[PeerSettings, ...] = ()
+    store: StoreSettings
+    trust: TrustSettings
+    drain_timeout_ms: int = pydantic.Field(default=30_000, ge=0, le=600_000)
+    log_level: Literal["debug", "info", "warning", "error"] = "info"
+
+    @pydantic.model_validator(mode="after")
+    def _check_ports(self) -> "Settings":
+        """Rejects two listeners of one protocol on one port."""
+        if self.ports.fabric == self.ports.control:
+            raise ValueError("ports.fabric and ports.control must differ")
+        if self.ports.api == self.ports.requests:
+            raise ValueError("ports.api and ports.requests must differ")
+        return self
+
+    @pydantic.model_validator(mode="after")
+    def _check_exposure(self) -> "Settings":
+        """Rejects an API without TLS that others can reach."""
+        if self.trust.tls is None and not self.address.is_loopback:
+            raise ValueError(
+                "trust.tls is required unless address is a loopback address"
+            )
+        return self
