Flow routing: bucket tables, keepers, barrier by revision, start ramp and handover

A first whole router: settled buckets are answered from a table, ambiguous ones by their keepers. Tests replace all three hosts in the midst of a pool change and find every flow at its upstream.

--- /dev/null
+++ b/packages/core/sapphire_core/flows/__init__.py
@@ -0,0 +1,1 @@
+"""Flow routing: bucket tables, keepers, barriers, start ramp and drain."""
--- /dev/null
+++ b/packages/core/sapphire_core/flows/exceptions_table.py
@@ -0,0 +1,113 @@
+"""Placements of flows that the base owner of their bucket does not tell.
+
+Three dictionaries of decreasing age give idle expiry without a time stamp for
+each flow: an entry lives for two to three periods after it was last touched.
+"""
+
+from collections.abc import Iterator
+
+PERIOD_MS = 1_800_000
+CLOSING_PERIOD_MS = 30_000
+
+
+class ExceptionsTable:
+    """The upstream of each recorded flow of one service.
+
+    Args:
+        now_ms: The current time.
+    """
+
+    def __init__(self, now_ms: int) -> None:
+        self._young: dict[int, str] = {}
+        self._middle: dict[int, str] = {}
+        self._old: dict[int, str] = {}
+        self._closing: dict[int, str] = {}
+        self._closed: dict[int, str] = {}
+        self._rotated_ms = now_ms
+        self._closing_rotated_ms = now_ms
+
+    def __len__(self) -> int:
+        tables = (self._young, self._middle, self._old)
+        return sum(map(len, tables)) + len(self._closing) + len(self._closed)
+
+    def get(self, flow_hash: int) -> str | None:
+        """Returns the recorded upstream of a flow without touching it."""
+        for table in (self._young, self._middle, self._old):
+            upstream = table.get(flow_hash)
+            if upstream is not None:
+                return upstream
+        return self._closing.get(flow_hash) or self._closed.get(flow_hash)
+
+    def is_closing(self, flow_hash: int) -> bool:
+        """Returns whether a recorded flow has sent its last data."""
+        return flow_hash in self._closing or flow_hash in self._closed
+
+    def touch(self, flow_hash: int) -> bool:
+        """Extends the life of a recorded flow.
+
+        Args:
+            flow_hash: The flow.
+
+        Returns:
+            Whether this was the first touch of the present period, so that
+            the other keeper should be reminded too.
+        """
+        if flow_hash in self._young:
+            return False
+        for table in (self._middle, self._old):
+            upstream = table.pop(flow_hash, None)
+            if upstream is not None:
+                self._young[flow_hash] = upstream
+                return True
+        return False
+
+    def record(self, flow_hash: int, upstream: str) -> None:
+        """Records the placement of a flow, replacing an earlier one."""
+        self.forget(flow_hash)
+        self._young[flow_hash] = upstream
+
+    def close(self, flow_hash: int) -> None:
+        """Keeps a flow for a short time only, since it is closing."""
+        if self.is_closing(flow_hash):
+            return
+        upstream = self.get(flow_hash)
+        if upstream is None:
+            return
+        self.forget(flow_hash)
+        self._closing[flow_hash] = upstream
+
+    def forget(self, flow_hash: int) -> None:
+        """Removes a flow if it is recorded."""
+        for table in self._tables():
+            table.pop(flow_hash, None)
+
+    def items(self) -> Iterator[tuple[int, str]]:
+        """Yields the recorded flows and their upstreams."""
+        for table in self._tables():
+            yield from table.items()
+
+    def expire(self, now_ms: int) -> None:
+        """Drops flows that were not touched for long.
+
+        Args:
+            now_ms: The current time.
+        """
+        while now_ms - self._rotated_ms >= PERIOD_MS:
+            self._old = self._middle
+            self._middle = self._young
+            self._young = {}
+            self._rotated_ms += PERIOD_MS
+        while now_ms - self._closing_rotated_ms >= CLOSING_PERIOD_MS:
+            self._closed = self._closing
+            self._closing = {}
+            self._closing_rotated_ms += CLOSING_PERIOD_MS
+
+    def _tables(self) -> tuple[dict[int, str], ...]:
+        """Returns all dictionaries, the youngest first."""
+        return (
+            self._young,
+            self._middle,
+            self._old,
+            self._closing,
+            self._closed,
+        )
--- /dev/null
+++ b/packages/core/sapphire_core/flows/handover.py
@@ -0,0 +1,360 @@
+"""Full records for hosts that have just become keepers.
+
+A new keeper asks the hosts that follow it in the rendezvous order for their
+recorded placements, page by page. Losing a request or a page costs a repeat
+only. Both sides stay within a byte rate. Until a keeper has a full record of
+a bucket it passes on packets of flows that it does not know, so that the
+handover saves relays and guards against deaths but is not needed for routing.
+"""
+
+import dataclasses
+
+from sapphire_core.flows import data
+from sapphire_core.flows import exceptions_table
+from sapphire_core.flows import keeper_role
+from sapphire_core.flows import keepers as keepers_lib
+from sapphire_core.flows import route_tables
+from sapphire_data import clock
+
+PAGE_FLOWS = 100
+MAX_BUCKETS_PER_REQUEST = 128
+REQUEST_PACE_MS = 500
+REQUEST_TIMEOUT_MS = 1_500
+BYTES_PER_SECOND = 2_000
+BURST_BYTES = 2_400
+PAGE_OVERHEAD_BYTES = 120
+FLOW_BYTES = 10
+BUCKET_BYTES = 3
+# Every open flow has been seen within this time, so that a keeper of that age
+# has a full record without any handover.
+COMPLETE_BY_AGE_MS = 2 * exceptions_table.PERIOD_MS
+RELEASE_MIN_MS = 4_000
+RELEASE_QUIET_MS = 3_000
+RELEASE_MAX_MS = 30_000
+
+
+@dataclasses.dataclass(slots=True)
+class _Inquiry:
+    """A request that awaits its page."""
+
+    host_id: str
+    request: data.HandoverRequest
+    sent_ms: int
+
+
+class Handover:
+    """Tracks which buckets this host has a full record of, and asks.
+
+    Args:
+        host_id: The identity of this host.
+        keepers: The rendezvous orders.
+        tables: The routes.
+        role: Holds the records.
+    """
+
+    def __init__(
+        self,
+        host_id: str,
+        keepers: keepers_lib.Keepers,
+        tables: route_tables.RouteTables,
+        role: keeper_role.KeeperRole,
+    ) -> None:
+        self._host_id = host_id
+        self._keepers = keepers
+        self._tables = tables
+        self._role = role
+        self._ambiguous_by_service: dict[str, set[int]] = {}
+        self._former_by_service: dict[str, set[int]] = {}
+        self._asked_by_bucket: dict[tuple[str, int], set[str]] = {}
+        self._routes_seen: dict[str, route_tables.Routes] = {}
+        self._inquiry: _Inquiry | None = None
+        self._continuation: _Inquiry | None = None
+        self._next_request_ms = 0
+        self._budget_bytes = float(BURST_BYTES)
+        self._budget_ms = 0
+        self._leaving_since_ms: int | None = None
+        self._last_asked_ms = 0
+        self._expired_ms = 0
+
+    def note_routes(self, now_ms: int, is_trusted: bool) -> None:
+        """Notes which buckets are ambiguous now.
+
+        Args:
+            now_ms: The current time.
+            is_trusted: Whether no host can have placed a flow of a newly
+                ambiguous bucket before this host knew of the change.
+        """
+        for routes in self._tables.routes_by_key.values():
+            if not routes.inputs.is_active:
+                continue
+            if self._routes_seen.get(routes.name) is routes:
+                continue
+            self._routes_seen[routes.name] = routes
+            self._note_service(routes, now_ms, is_trusted)
+        names = {routes.name for routes in self._tables.routes_by_key.values()}
+        for name in self._routes_seen.keys() - names:
+            del self._routes_seen[name]
+            self._ambiguous_by_service.pop(name, None)
+            self._former_by_service.pop(name, None)
+        self._role.forget_services(frozenset(names))
+
+    def note_members(self, is_leaving: bool, now_ms: int) -> None:
+        """Notes a change of membership.
+
+        Args:
+            is_leaving: Whether this host is leaving.
+            now_ms: The current time.
+        """
+        if is_leaving and self._leaving_since_ms is None:
+            self._leaving_since_ms = now_ms
+        for service, ambiguous in self._ambiguous_by_service.items():
+            placements = self._role.placements(service, now_ms)
+            former = self._former_by_service.setdefault(service, set())
+            for bucket in ambiguous:
+                if self._is_keeper(service, bucket):
+                    placements.kept_since_ms_by_bucket.setdefault(
+                        bucket, now_ms
+                    )
+                    continue
+                placements.kept_since_ms_by_bucket.pop(bucket, None)
+                if bucket in placements.complete_buckets:
+                    placements.complete_buckets.discard(bucket)
+                    former.add(bucket)
+        self._asked_by_bucket.clear()
+        self._continuation = None
+
+    def tick(self, now_ms: int) -> list[data.Action]:
+        """Expires idle records and asks for missing ones.
+
+        Args:
+            now_ms: The current time.
+
+        Returns:
+            At most one request.
+        """
+        if now_ms - self._expired_ms >= clock.MS_PER_SECOND:
+            self._expired_ms = now_ms
+            self._expire(now_ms)
+        if self._inquiry is not None:
+            if now_ms - self._inquiry.sent_ms < REQUEST_TIMEOUT_MS:
+                return []
+            # Another host may answer; this one is asked again later.
+            self._mark_asked(self._inquiry)
+            self._inquiry = None
+        if now_ms < self._next_request_ms or self._leaving_since_ms is not None:
+            return []
+        self._next_request_ms = now_ms + REQUEST_PACE_MS
+        inquiry = self._next_inquiry(now_ms)
+        if inquiry is None:
+            return []
+        self._inquiry = inquiry
+        return [data.SendHandoverRequest(inquiry.host_id, inquiry.request)]
+
+    def answer(
+        self, host_id: str, request: data.HandoverRequest, now_ms: int
+    ) -> data.HandoverPage | None:
+        """Answers a request.
+
+        Args:
+            host_id: The host that asks.
+            request: The request.
+            now_ms: The current time.
+
+        Returns:
+            A page; None if the rate limit is used up for now.
+        """
+        self._last_asked_ms = now_ms
+        elapsed_ms = now_ms - self._budget_ms
+        self._budget_ms = now_ms
+        earned = elapsed_ms * BYTES_PER_SECOND / clock.MS_PER_SECOND
+        self._budget_bytes = min(BURST_BYTES, self._budget_bytes + earned)
+        page = self._page(host_id, request, now_ms)
+        cost = page_bytes(page)
+        if cost > self._budget_bytes:
+            return None
+        self._budget_bytes -= cost
+        return page
+
+    def accept(
+        self, host_id: str, page: data.HandoverPage, now_ms: int
+    ) -> None:
+        """Takes a page and asks for the next one or notes the end.
+
+        Args:
+            host_id: The host that sent it.
+            page: The page.
+            now_ms: The current time.
+        """
+        inquiry = self._inquiry
+        if inquiry is None or inquiry.host_id != host_id:
+            return
+        request = inquiry.request
+        if (page.service, page.buckets) != (request.service, request.buckets):
+            return
+        placements = self._role.placements(page.service, now_ms)
+        for flow_hash, index in zip(
+            page.flow_hashes, page.upstream_indices, strict=False
+        ):
+            if placements.exceptions.get(flow_hash) is not None:
+                continue
+            if index < len(page.upstreams):
+                placements.exceptions.record(flow_hash, page.upstreams[index])
+        if not page.is_last and page.flow_hashes:
+            following = dataclasses.replace(
+                request, after_flow_hash=page.flow_hashes[-1]
+            )
+            self._inquiry = None
+            self._continuation = _Inquiry(host_id, following, now_ms)
+            return
+        self._inquiry = None
+        for bucket in page.complete_buckets:
+            if bucket in placements.kept_since_ms_by_bucket:
+                placements.complete_buckets.add(bucket)
+        self._mark_asked(inquiry)
+
+    def is_released(self, now_ms: int) -> bool:
+        """Returns whether a leaving host is no longer asked for records.
+
+        Args:
+            now_ms: The current time.
+        """
+        if self._leaving_since_ms is None:
+            return False
+        left_ms = now_ms - self._leaving_since_ms
+        if left_ms >= RELEASE_MAX_MS:
+            return True
+        if left_ms < RELEASE_MIN_MS:
+            return False
+        return now_ms - self._last_asked_ms >= RELEASE_QUIET_MS
+
+    def _note_service(
+        self, routes: route_tables.Routes, now_ms: int, is_trusted: bool
+    ) -> None:
+        """Compares the ambiguous buckets of a service with the last ones."""
+        ambiguous = set()
+        for bucket, decision in enumerate(routes.decisions):
+            if decision is None:
+                ambiguous.add(bucket)
+        before = self._ambiguous_by_service.get(routes.name, set())
+        self._ambiguous_by_service[routes.name] = ambiguous
+        placements = self._role.placements(routes.name, now_ms)
+        former = self._former_by_service.setdefault(routes.name, set())
+        for bucket in before - ambiguous:
+            placements.complete_buckets.discard(bucket)
+            placements.kept_since_ms_by_bucket.pop(bucket, None)
+            former.discard(bucket)
+        for bucket in ambiguous - before:
+            if not self._is_keeper(routes.name, bucket):
+                continue
+            placements.kept_since_ms_by_bucket[bucket] = now_ms
+            if is_trusted:
+                placements.complete_buckets.add(bucket)
+
+    def _is_keeper(self, service: str, bucket: int) -> bool:
+        """Returns whether this host is a keeper of a bucket."""
+        return self._host_id in self._keepers.keepers(service, bucket)
+
+    def _next_inquiry(self, now_ms: int) -> _Inquiry | None:
+        """Returns the next request to send, None if nothing is missing."""
+        if self._continuation is not None:
+            inquiry = self._continuation
+            self._continuation = None
+            inquiry.sent_ms = now_ms
+            return inquiry
+        for service in self._ambiguous_by_service:
+            placements = self._role.placements(service, now_ms)
+            buckets_by_host: dict[str, list[int]] = {}
+            for bucket in sorted(placements.kept_since_ms_by_bucket):
+                if bucket in placements.complete_buckets:
+                    continue
+                source = self._source(service, bucket)
+                if source is not None:
+                    buckets_by_host.setdefault(source, []).append(bucket)
+            for host_id, buckets in buckets_by_host.items():
+                chosen = tuple(buckets[:MAX_BUCKETS_PER_REQUEST])
+                request = data.HandoverRequest(service, chosen, -1)
+                return _Inquiry(host_id, request, now_ms)
+        return None
+
+    def _source(self, service: str, bucket: int) -> str | None:
+        """Returns the next host to ask about a bucket."""
+        asked = self._asked_by_bucket.get((service, bucket), set())
+        for host_id in self._keepers.order(service, bucket):
+            if host_id != self._host_id and host_id not in asked:
+                return host_id
+        return None
+
+    def _mark_asked(self, inquiry: _Inquiry) -> None:
+        """Notes that a host has nothing more to say about buckets."""
+        for bucket in inquiry.request.buckets:
+            key = (inquiry.request.service, bucket)
+            self._asked_by_bucket.setdefault(key, set()).add(inquiry.host_id)
+
+    def _page(
+        self, host_id: str, request: data.HandoverRequest, now_ms: int
+    ) -> data.HandoverPage:
+        """Collects the next recorded flows of a request."""
+        placements = self._role.placements(request.service, now_ms)
+        routes = self._routes_seen.get(request.service)
+        bucket_count = routes.bucket_count if routes is not None else 1
+        wanted = set(request.buckets)
+        found = []
+        for flow_hash, upstream in placements.exceptions.items():
+            if flow_hash <= request.after_flow_hash:
+                continue
+            if flow_hash % bucket_count in wanted:
+                found.append((flow_hash, upstream))
+        found.sort()
+        chosen = found[:PAGE_FLOWS]
+        names = sorted({upstream for _, upstream in chosen})
+        index_by_name = {name: index for index, name in enumerate(names)}
+        return data.HandoverPage(
+            service=request.service,
+            buckets=request.buckets,
+            complete_buckets=self._complete(host_id, request, placements),
+            upstreams=tuple(names),
+            flow_hashes=tuple(flow_hash for flow_hash, _ in chosen),
+            upstream_indices=tuple(index_by_name[name] for _, name in chosen),
+            is_last=len(found) <= PAGE_FLOWS,
+        )
+
+    def _complete(
+        self,
+        host_id: str,
+        request: data.HandoverRequest,
+        placements: keeper_role.Placements,
+    ) -> tuple[int, ...]:
+        """Returns the buckets that the asking host knows all about then.
+
+        Placements that this host makes from now on must reach the asking
+        host, hence this host has to know it as a keeper.
+        """
+        former = self._former_by_service.get(request.service, set())
+        known = placements.complete_buckets | former
+        complete = []
+        for bucket in request.buckets:
+            if bucket not in known:
+                continue
+            if host_id in self._keepers.keepers(request.service, bucket):
+                complete.append(bucket)
+        return tuple(complete)
+
+    def _expire(self, now_ms: int) -> None:
+        """Drops idle flows and notes keepers that are old enough."""
+        for service in self._ambiguous_by_service:
+            placements = self._role.placements(service, now_ms)
+            placements.exceptions.expire(now_ms)
+            for bucket, since in placements.kept_since_ms_by_bucket.items():
+                if now_ms - since >= COMPLETE_BY_AGE_MS:
+                    placements.complete_buckets.add(bucket)
+
+
+def page_bytes(page: data.HandoverPage) -> int:
+    """Returns the bytes that a page takes on the wire, about.
+
+    Args:
+        page: The page.
+    """
+    flows = FLOW_BYTES * len(page.flow_hashes)
+    buckets = BUCKET_BYTES * (len(page.buckets) + len(page.complete_buckets))
+    return PAGE_OVERHEAD_BYTES + flows + buckets
--- /dev/null
+++ b/packages/core/sapphire_core/flows/keeper_role.py
@@ -0,0 +1,351 @@
+"""The decisions of a host about packets of ambiguous buckets."""
+
+import dataclasses
+
+from sapphire_core.flows import data
+from sapphire_core.flows import exceptions_table
+from sapphire_core.flows import failures
+from sapphire_core.flows import keepers as keepers_lib
+from sapphire_core.flows import placement
+from sapphire_core.flows import routes as routes_lib
+from sapphire_core.flows import start_ramp
+from sapphire_data import failures as data_failures
+
+MAX_VISITED = 7
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Packet:
+    """What a decision depends on, beside the bucket.
+
+    Attributes:
+        flow_hash: The hash of the flow.
+        is_opening: Whether it opens the flow.
+        is_closing: Whether it ends the flow.
+        visited: The hosts that saw it before this one.
+        revision: The newest revision that any of them has prepared.
+    """
+
+    flow_hash: int
+    is_opening: bool
+    is_closing: bool
+    visited: tuple[str, ...]
+    revision: int
+
+
+class Placements:
+    """What this host remembers of a service.
+
+    Attributes:
+        exceptions: The recorded flows.
+        complete_buckets: The buckets all of whose exceptions are recorded.
+        kept_since_ms_by_bucket: Since when this host is a keeper.
+    """
+
+    __slots__ = ("complete_buckets", "exceptions", "kept_since_ms_by_bucket")
+
+    def __init__(self, now_ms: int) -> None:
+        self.exceptions = exceptions_table.ExceptionsTable(now_ms)
+        self.complete_buckets: set[int] = set()
+        self.kept_since_ms_by_bucket: dict[int, int] = {}
+
+
+class KeeperRole:
+    """Answers packets of ambiguous buckets, or passes them on.
+
+    Attributes:
+        prepared_revision: The newest revision that this host has prepared.
+        is_provisional: Whether the first configuration awaits its barrier.
+        suspects: Hosts that do not answer but are not yet dead.
+
+    Args:
+        host_id: The identity of this host.
+        keepers: The rendezvous orders.
+        ramp: Admission to cold upstreams.
+    """
+
+    def __init__(
+        self,
+        host_id: str,
+        keepers: keepers_lib.Keepers,
+        ramp: start_ramp.StartRamp,
+    ) -> None:
+        self.prepared_revision = 0
+        self.is_provisional = False
+        self.suspects: frozenset[str] = frozenset()
+        self._host_id = host_id
+        self._keepers = keepers
+        self._ramp = ramp
+        self._placements_by_service: dict[str, Placements] = {}
+
+    def placements(self, service: str, now_ms: int) -> Placements:
+        """Returns what this host remembers of a service."""
+        placements = self._placements_by_service.get(service)
+        if placements is None:
+            placements = Placements(now_ms)
+            self._placements_by_service[service] = placements
+        return placements
+
+    def forget_services(self, names: frozenset[str]) -> None:
+        """Drops all records of services other than the named ones."""
+        for name in self._placements_by_service.keys() - names:
+            del self._placements_by_service[name]
+
+    def enter(
+        self,
+        routes: routes_lib.Routes,
+        packet: Packet,
+        is_fresh: bool,
+        now_ms: int,
+    ) -> data.Decision:
+        """Decides about a packet that the fabric handed to this host.
+
+        Args:
+            routes: The routes of the service.
+            packet: The packet.
+            is_fresh: Whether peers confirmed this host recently.
+            now_ms: The current time.
+
+        Returns:
+            The decision.
+        """
+        if not routes.inputs.is_active:
+            return data.Drop(failures.BarrierPending(routes.name))
+        bucket = packet.flow_hash % routes.bucket_count
+        keepers = self._keepers.keepers(routes.name, bucket)
+        if not keepers or self._host_id in keepers:
+            return self.answer(routes, packet, is_fresh, now_ms)
+        target = keepers[0]
+        if target in self.suspects and not packet.is_opening:
+            target = keepers[-1]
+        return self._relay(target, packet, None)
+
+    def answer(
+        self,
+        routes: routes_lib.Routes,
+        packet: Packet,
+        is_fresh: bool,
+        now_ms: int,
+    ) -> data.Decision:
+        """Decides about a packet that has no placement yet, as a keeper.
+
+        Args:
+            routes: The routes of the service.
+            packet: The packet.
+            is_fresh: Whether peers confirmed this host recently.
+            now_ms: The current time.
+
+        Returns:
+            The decision.
+        """
+        bucket = packet.flow_hash % routes.bucket_count
+        settled = routes.decisions[bucket]
+        if settled is not None and packet.revision <= self.prepared_revision:
+            return settled
+        placements = self.placements(routes.name, now_ms)
+        if packet.is_opening:
+            return self._open(routes, placements, packet, is_fresh, now_ms)
+        recorded = placements.exceptions.get(packet.flow_hash)
+        if recorded is not None:
+            return self._known(routes, placements, packet, recorded)
+        return self._miss(routes, placements, packet)
+
+    def accept(
+        self,
+        routes: routes_lib.Routes,
+        packet: Packet,
+        upstream: str,
+        now_ms: int,
+    ) -> data.Decision:
+        """Records a placement that came with a packet and forwards it.
+
+        Args:
+            routes: The routes of the service.
+            packet: The packet.
+            upstream: The placement.
+            now_ms: The current time.
+
+        Returns:
+            The decision; the earlier record wins if there is another.
+        """
+        decision = routes.decision_by_upstream.get(upstream)
+        if decision is None:
+            return data.Drop(failures.ForeignUpstream(upstream))
+        exceptions = self.placements(routes.name, now_ms).exceptions
+        recorded = exceptions.get(packet.flow_hash)
+        if packet.is_closing and recorded == upstream:
+            exceptions.close(packet.flow_hash)
+            return decision
+        if recorded == upstream:
+            exceptions.touch(packet.flow_hash)
+            return decision
+        is_answer = self._host_id in packet.visited
+        if (
+            recorded is None
+            or is_answer
+            or not self._is_usable(routes, exceptions, packet, recorded)
+        ):
+            exceptions.record(packet.flow_hash, upstream)
+            return decision
+        return self._relay(packet.visited[-1], packet, recorded)
+
+    def _open(
+        self,
+        routes: routes_lib.Routes,
+        placements: Placements,
+        packet: Packet,
+        is_fresh: bool,
+        now_ms: int,
+    ) -> data.Decision:
+        """Places a new flow, or hands it to the first keeper."""
+        bucket = packet.flow_hash % routes.bucket_count
+        first = self._keepers.first(routes.name, bucket) or self._host_id
+        if first != self._host_id and self._may_visit(first, packet):
+            return self._relay(first, packet, None)
+        exceptions = placements.exceptions
+        upstream: str | data_failures.Failure | None
+        upstream = exceptions.get(packet.flow_hash)
+        if upstream is None or not self._is_usable(
+            routes, exceptions, packet, upstream
+        ):
+            upstream = self._place(routes, packet, is_fresh, now_ms)
+            if isinstance(upstream, data_failures.Failure):
+                return data.Drop(upstream)
+            self._record_new(routes, placements, packet, upstream)
+        is_complete = bucket in placements.complete_buckets
+        if is_complete and routes.is_told_by_base(bucket, upstream):
+            return routes.decision_by_upstream[upstream]
+        # An incomplete keeper lets the other one object, which may hold an
+        # earlier placement of the same flow.
+        other = self._other_keeper(routes.name, bucket)
+        if other is None:
+            return routes.decision_by_upstream[upstream]
+        return self._relay(other, packet, upstream)
+
+    def _place(
+        self,
+        routes: routes_lib.Routes,
+        packet: Packet,
+        is_fresh: bool,
+        now_ms: int,
+    ) -> str | data_failures.Failure:
+        """Chooses the upstream of a new flow."""
+        bucket = packet.flow_hash % routes.bucket_count
+
+        def admits(name: str) -> bool:
+            return self._ramp.admits(name, is_fresh, now_ms)
+
+        if self.is_provisional:
+            return placement.place_at_base(routes, bucket, admits)
+        return placement.place(
+            routes, bucket, packet.flow_hash, not is_fresh, admits
+        )
+
+    def _record_new(
+        self,
+        routes: routes_lib.Routes,
+        placements: Placements,
+        packet: Packet,
+        upstream: str,
+    ) -> None:
+        """Records a placement unless it is what any host would choose."""
+        bucket = packet.flow_hash % routes.bucket_count
+        preferred = routes.generations[-1].owner(bucket)
+        is_base = routes.is_told_by_base(bucket, upstream)
+        if is_base and upstream == preferred:
+            placements.exceptions.forget(packet.flow_hash)
+            return
+        # A deferred flow is recorded though it is at the base owner, so that
+        # a repeated opening packet does not start it at another upstream.
+        placements.exceptions.record(packet.flow_hash, upstream)
+
+    def _known(
+        self,
+        routes: routes_lib.Routes,
+        placements: Placements,
+        packet: Packet,
+        recorded: str,
+    ) -> data.Decision:
+        """Answers for a recorded flow and reminds the other keeper."""
+        decision = routes.decision_by_upstream.get(recorded)
+        if decision is None:
+            decision = data.GiveUp(failures.UpstreamGone(recorded))
+        if not isinstance(decision, data.Forward):
+            placements.exceptions.forget(packet.flow_hash)
+            return decision
+        if packet.is_closing:
+            placements.exceptions.close(packet.flow_hash)
+            is_due = True
+        else:
+            is_due = placements.exceptions.touch(packet.flow_hash)
+        bucket = packet.flow_hash % routes.bucket_count
+        if packet.visited:
+            asking = packet.visited[-1]
+            if asking in self._keepers.keepers(routes.name, bucket):
+                return self._relay(asking, packet, recorded)
+        other = self._other_keeper(routes.name, bucket)
+        if is_due and other is not None and self._may_visit(other, packet):
+            return self._relay(other, packet, recorded)
+        return decision
+
+    def _miss(
+        self,
+        routes: routes_lib.Routes,
+        placements: Placements,
+        packet: Packet,
+    ) -> data.Decision:
+        """Answers for a flow that is not recorded here, or asks on."""
+        bucket = packet.flow_hash % routes.bucket_count
+        is_complete = bucket in placements.complete_buckets
+        if not is_complete or packet.revision > self.prepared_revision:
+            for host_id in self._keepers.order(routes.name, bucket):
+                if host_id == self._host_id:
+                    continue
+                if self._may_visit(host_id, packet):
+                    return self._relay(host_id, packet, None)
+        base = routes.base_owner(bucket)
+        if base is None:
+            return data.GiveUp(failures.NoUpstream(routes.name))
+        decision = routes.decision_by_upstream.get(base)
+        if decision is None:
+            return data.GiveUp(failures.UpstreamGone(base))
+        return decision
+
+    def _is_usable(
+        self,
+        routes: routes_lib.Routes,
+        exceptions: exceptions_table.ExceptionsTable,
+        packet: Packet,
+        recorded: str,
+    ) -> bool:
+        """Returns whether an opening packet may follow an earlier record."""
+        if packet.is_opening and exceptions.is_closing(packet.flow_hash):
+            return False
+        if packet.is_opening and recorded not in routes.eligible:
+            return False
+        decision = routes.decision_by_upstream.get(recorded)
+        return isinstance(decision, data.Forward)
+
+    def _other_keeper(self, service: str, bucket: int) -> str | None:
+        """Returns a keeper of a bucket beside this host."""
+        for host_id in self._keepers.keepers(service, bucket):
+            if host_id != self._host_id:
+                return host_id
+        return None
+
+    def _may_visit(self, host_id: str, packet: Packet) -> bool:
+        """Returns whether a packet may still go to a host."""
+        if len(packet.visited) >= MAX_VISITED:
+            return False
+        return host_id not in packet.visited
+
+    def _relay(
+        self, host_id: str, packet: Packet, upstream: str | None
+    ) -> data.Relay:
+        """Hands a packet to another host."""
+        return data.Relay(
+            host_id=host_id,
+            visited=(*packet.visited, self._host_id),
+            upstream=upstream,
+            revision=max(packet.revision, self.prepared_revision),
+        )
--- /dev/null
+++ b/packages/core/sapphire_core/flows/route_tables.py
@@ -0,0 +1,106 @@
+"""The routes of all service addresses, rebuilt only where inputs change."""
+
+from sapphire_core.flows import failures
+from sapphire_core.flows import overlays as overlays_lib
+from sapphire_core.flows import revisions as revisions_lib
+from sapphire_core.flows import routes as routes_lib
+from sapphire_core.flows import service_views
+from sapphire_data import failures as data_failures
+from sapphire_data import records
+
+Routes = routes_lib.Routes
+
+
+class RouteTables:
+    """The routes of a host by service key.
+
+    Attributes:
+        routes_by_key: The routes of each service address in use.
+
+    Args:
+        revisions: The known configurations.
+        overlays: The known overlays.
+    """
+
+    def __init__(
+        self,
+        revisions: revisions_lib.Revisions,
+        overlays: overlays_lib.Overlays,
+    ) -> None:
+        self.routes_by_key: dict[bytes, Routes] = {}
+        self._moving_keys: set[bytes] = set()
+        self._revisions = revisions
+        self._overlays = overlays
+        self._spread: frozenset[str] = frozenset()
+
+    def find(self, service_key: bytes) -> Routes | data_failures.Failure:
+        """Returns the routes of a service address, or why it has none."""
+        routes = self.routes_by_key.get(service_key)
+        if routes is not None:
+            return routes
+        if service_key in self._moving_keys:
+            return failures.ServiceAddressMoving()
+        return failures.UnknownService()
+
+    def has_overlay_spread(self, now_ms: int) -> bool:
+        """Returns whether an overlay passed its barrier since the rebuild."""
+        return self._overlays.spread(now_ms) != self._spread
+
+    def rebuild(self, cold: frozenset[str], now_ms: int) -> None:
+        """Computes the routes whose inputs changed.
+
+        Args:
+            cold: The upstreams on their start ramp.
+            now_ms: The current time.
+        """
+        configurations = self._revisions.known()
+        if not configurations:
+            return
+        self._spread = self._overlays.spread(now_ms)
+        unsettled = self._overlays.unsettled() | cold
+        failed = self._overlays.failed()
+        lost = service_views.lost_upstreams(configurations)
+        closed = _out(configurations[:1])
+        out = _out(configurations)
+        routes_by_key: dict[bytes, Routes] = {}
+        self._moving_keys = set()
+        for key, found in service_views.by_key(configurations).items():
+            if found.is_moving:
+                self._moving_keys.add(key)
+                continue
+            service = found.views[0]
+            names = frozenset(
+                name for view in found.views for name in view.upstreams_by_name
+            )
+            inputs = routes_lib.ServiceInputs(
+                views=found.views,
+                is_active=found.is_active,
+                retired=self._retired(service.name),
+                closed_data_centres=closed,
+                out_data_centres=out,
+                unsettled=unsettled & names,
+                spread=self._spread & names,
+                refused=failed & names,
+                lost=lost.get(service.name, frozenset()),
+            )
+            routes = self.routes_by_key.get(key)
+            if routes is None or routes.inputs != inputs:
+                routes = routes_lib.build(inputs)
+            routes_by_key[key] = routes
+        self.routes_by_key = routes_by_key
+
+    def _retired(self, name: str) -> records.Service | None:
+        """Returns a service in the previous active configuration."""
+        if self._revisions.retired is None:
+            return None
+        return self._revisions.retired.services_by_name.get(name)
+
+
+def _out(configurations: list[records.Configuration]) -> frozenset[str]:
+    """Returns the data centres that are out in any configuration."""
+    names = set()
+    for configuration in configurations:
+        for name, data_centre in configuration.data_centres_by_name.items():
+            if data_centre.state is records.DataCentreState.OUT:
+                names.add(name)
+    return frozenset(names)
--- /dev/null
+++ b/packages/core/sapphire_core/flows/router.py
@@ -0,0 +1,303 @@
+"""Routing of packets on one host; see `docs/design/0002-flow-routing.md`."""
+
+from sapphire_core.flows import data
+from sapphire_core.flows import failures
+from sapphire_core.flows import handover
+from sapphire_core.flows import keeper_role
+from sapphire_core.flows import keepers as keepers_lib
+from sapphire_core.flows import overlays as overlays_lib
+from sapphire_core.flows import ramp_driver
+from sapphire_core.flows import revisions as revisions_lib
+from sapphire_core.flows import route_tables
+from sapphire_data import records
+
+# A membership view holds for this long; together with the 1,500 ms within
+# which peers must have confirmed this host it stays under the activation time.
+VIEW_VALID_MS = 800
+# A host that knows of a newer revision but cannot fetch it stops to decide
+# alone after this time.
+NEWER_GRACE_MS = 1_000
+
+_Settled = tuple[list[data.Decision | None], int]
+
+
+class Router:
+    """The routing decisions of one host.
+
+    The daemon calls `set_view` at least every 500 ms and `tick` every 100 ms.
+
+    Args:
+        host_id: The identity of this host.
+    """
+
+    def __init__(self, host_id: str) -> None:
+        self._revisions = revisions_lib.Revisions()
+        self._overlays = overlays_lib.Overlays()
+        self._keepers = keepers_lib.Keepers()
+        self._tables = route_tables.RouteTables(self._revisions, self._overlays)
+        self._ramp = ramp_driver.RampDriver(
+            host_id, self._revisions, self._keepers
+        )
+        self._role = keeper_role.KeeperRole(
+            host_id, self._keepers, self._ramp.ramp
+        )
+        self._handover = handover.Handover(
+            host_id, self._keepers, self._tables, self._role
+        )
+        self._host_id = host_id
+        self._fresh_until_ms = -1
+        self._newer_since_ms: int | None = None
+        self._prepared_everywhere = 0
+        self._settled_by_key: dict[bytes, _Settled] = {}
+        self._pending_actions: list[data.Action] = []
+
+    @property
+    def prepared_revision(self) -> int:
+        """The newest revision that this host has prepared."""
+        return self._revisions.newest_revision
+
+    @property
+    def active_revision(self) -> int:
+        """The revision whose placements this host makes, 0 for none."""
+        active = self._revisions.active
+        return active.revision if active is not None else 0
+
+    def overlays(self) -> list[data.Overlay]:
+        """Returns all known overlays."""
+        return self._overlays.all()
+
+    def prepare(
+        self, configuration: records.Configuration, now_ms: int
+    ) -> None:
+        """Takes a configuration; an old one is ignored.
+
+        Args:
+            configuration: The configuration.
+            now_ms: The current time.
+        """
+        is_first = self._revisions.active is None
+        if not self._revisions.prepare(configuration, now_ms):
+            return
+        is_trusted = not is_first and self._is_fresh(now_ms)
+        if self._newer_since_ms is not None:
+            late_ms = now_ms - self._newer_since_ms
+            is_trusted = is_trusted and late_ms < NEWER_GRACE_MS
+        self._newer_since_ms = None
+        self._advance(now_ms, is_trusted, is_forced=True)
+
+    def note_newer_revision(self, revision: int, now_ms: int) -> None:
+        """Notes that a revision exists, before it could be fetched.
+
+        Args:
+            revision: The revision that a peer knows.
+            now_ms: The current time.
+        """
+        if revision <= self.prepared_revision:
+            return
+        if self._newer_since_ms is None:
+            self._newer_since_ms = now_ms
+            limit_ms = now_ms + NEWER_GRACE_MS
+            self._fresh_until_ms = min(self._fresh_until_ms, limit_ms)
+
+    def set_view(self, view: records.MemberView, now_ms: int) -> None:
+        """Takes the membership as this host knows it.
+
+        Args:
+            view: The membership.
+            now_ms: The current time.
+        """
+        self._fresh_until_ms = -1
+        if view.is_fresh:
+            self._fresh_until_ms = now_ms + VIEW_VALID_MS
+            if self._newer_since_ms is not None:
+                limit_ms = self._newer_since_ms + NEWER_GRACE_MS
+                self._fresh_until_ms = min(self._fresh_until_ms, limit_ms)
+        suspects = set()
+        for host_id, member in view.members_by_id.items():
+            if member.state is records.MemberState.SUSPECT:
+                suspects.add(host_id)
+        self._role.suspects = frozenset(suspects)
+        self._prepared_everywhere = view.prepared_everywhere
+        if self._keepers.set_members(view.members_by_id):
+            own = view.members_by_id.get(self._host_id)
+            is_leaving = (
+                own is not None and own.state is records.MemberState.LEAVING
+            )
+            self._handover.note_members(is_leaving, now_ms)
+            self._ramp.note_view(now_ms)
+        self._advance(now_ms, view.is_fresh, is_forced=False)
+
+    def apply_overlay(self, overlay: data.Overlay, now_ms: int) -> bool:
+        """Takes the observed state of an upstream.
+
+        Args:
+            overlay: The overlay.
+            now_ms: The current time.
+
+        Returns:
+            Whether it is news, so that it has to be spread on.
+        """
+        before = self._overlays.get(overlay.upstream)
+        if not self._overlays.apply(overlay, now_ms):
+            return False
+        self._ramp.note_overlay(before, overlay, now_ms)
+        self._rebuild(now_ms, self._is_fresh(now_ms))
+        return True
+
+    def route(
+        self,
+        service_key: bytes,
+        flow_hash: int,
+        is_opening: bool,
+        is_closing: bool,
+        now_ms: int,
+    ) -> data.Decision:
+        """Decides about a packet that the fabric handed to this host.
+
+        Args:
+            service_key: The destination address bytes and two port bytes.
+            flow_hash: The hash of the flow's addresses and ports.
+            is_opening: Whether the packet opens the flow.
+            is_closing: Whether the packet ends the flow.
+            now_ms: The current time.
+
+        Returns:
+            The decision; that of a settled bucket is not a new object.
+        """
+        if now_ms <= self._fresh_until_ms:
+            settled = self._settled_by_key.get(service_key)
+            if settled is not None:
+                decision = settled[0][flow_hash % settled[1]]
+                if decision is not None:
+                    return decision
+        return self._route_slowly(
+            service_key,
+            keeper_role.Packet(flow_hash, is_opening, is_closing, (), 0),
+            now_ms,
+        )
+
+    def route_relayed(  # noqa: PLR0917 - one argument per field of a packet.
+        self,
+        relay: data.RelayHeader,
+        service_key: bytes,
+        flow_hash: int,
+        is_opening: bool,
+        is_closing: bool,
+        now_ms: int,
+    ) -> data.Decision:
+        """Decides about a packet that another host relayed.
+
+        Args:
+            relay: What came with the packet.
+            service_key: The destination address bytes and two port bytes.
+            flow_hash: The hash of the flow's addresses and ports.
+            is_opening: Whether the packet opens the flow.
+            is_closing: Whether the packet ends the flow.
+            now_ms: The current time.
+
+        Returns:
+            The decision.
+        """
+        self.note_newer_revision(relay.revision, now_ms)
+        packet = keeper_role.Packet(
+            flow_hash, is_opening, is_closing, relay.visited, relay.revision
+        )
+        routes = self._tables.find(service_key)
+        if not isinstance(routes, route_tables.Routes):
+            return data.Drop(routes)
+        if relay.upstream is not None:
+            return self._role.accept(routes, packet, relay.upstream, now_ms)
+        if not routes.inputs.is_active:
+            return data.Drop(failures.BarrierPending(routes.name))
+        return self._role.answer(routes, packet, self._is_fresh(now_ms), now_ms)
+
+    def answer_handover(
+        self, host_id: str, request: data.HandoverRequest, now_ms: int
+    ) -> data.HandoverPage | None:
+        """Answers a new keeper's request for recorded placements.
+
+        Args:
+            host_id: The host that asks.
+            request: The request.
+            now_ms: The current time.
+
+        Returns:
+            A page; None if the rate limit is used up for now.
+        """
+        return self._handover.answer(host_id, request, now_ms)
+
+    def accept_handover(
+        self, host_id: str, page: data.HandoverPage, now_ms: int
+    ) -> None:
+        """Takes a page of recorded placements.
+
+        Args:
+            host_id: The host that sent it.
+            page: The page.
+            now_ms: The current time.
+        """
+        self._handover.accept(host_id, page, now_ms)
+
+    def is_released(self, now_ms: int) -> bool:
+        """Returns whether a leaving host has handed over its records.
+
+        Args:
+            now_ms: The current time.
+        """
+        return self._handover.is_released(now_ms)
+
+    def tick(self, now_ms: int) -> list[data.Action]:
+        """Advances timers.
+
+        Args:
+            now_ms: The current time.
+
+        Returns:
+            What the daemon has to carry out.
+        """
+        has_warmed = self._ramp.ramp.tick(now_ms)
+        self._advance(now_ms, self._is_fresh(now_ms), is_forced=has_warmed)
+        if self._tables.has_overlay_spread(now_ms):
+            self._rebuild(now_ms, self._is_fresh(now_ms))
+        actions = self._pending_actions
+        self._pending_actions = []
+        actions.extend(self._handover.tick(now_ms))
+        return actions
+
+    def _route_slowly(
+        self, service_key: bytes, packet: keeper_role.Packet, now_ms: int
+    ) -> data.Decision:
+        """Decides about a packet of a bucket that is not settled."""
+        routes = self._tables.find(service_key)
+        if not isinstance(routes, route_tables.Routes):
+            return data.Drop(routes)
+        return self._role.enter(routes, packet, self._is_fresh(now_ms), now_ms)
+
+    def _is_fresh(self, now_ms: int) -> bool:
+        """Returns whether this host may decide alone."""
+        return now_ms <= self._fresh_until_ms
+
+    def _advance(
+        self, now_ms: int, is_trusted: bool, *, is_forced: bool
+    ) -> None:
+        """Activates what has passed its barrier and rebuilds the tables."""
+        before = self._revisions.active
+        changed = self._revisions.advance(self._prepared_everywhere, now_ms)
+        self._role.is_provisional = self._revisions.is_provisional
+        self._role.prepared_revision = self._revisions.newest_revision
+        active = self._revisions.active
+        if active is not None and active is not self._ramp.noted:
+            self._ramp.note_activation(active, now_ms)
+        if active is not None and active is not before:
+            self._pending_actions.append(data.Activated(active.revision))
+        if changed or is_forced:
+            self._rebuild(now_ms, is_trusted)
+
+    def _rebuild(self, now_ms: int, is_trusted: bool) -> None:
+        """Computes the routes again where anything changed."""
+        self._tables.rebuild(self._ramp.ramp.cold_upstreams(), now_ms)
+        self._handover.note_routes(now_ms, is_trusted)
+        self._settled_by_key = {
+            key: (routes.decisions, routes.bucket_count)
+            for key, routes in self._tables.routes_by_key.items()
+        }
--- /dev/null
+++ b/packages/core/sapphire_core/flows/router_test.py
@@ -0,0 +1,172 @@
+import testtools
+from testtools import matchers
+
+from sapphire_core.flows import data
+from sapphire_core.flows import failures
+from sapphire_core.flows import router
+from sapphire_data import records
+from sapphire_lab.flows import builders
+from sapphire_lab.flows import fabric as fabric_lib
+
+HOSTS = ("h1", "h2", "h3")
+HOME = {"h1": "tacoma", "h2": "salem", "h3": "spokane"}
+FLOWS = range(1_000, 1_600)
+
+
+def members(
+    hosts: tuple[str, ...] = HOSTS,
+) -> list[records.Member]:
+    return [builders.member(host, HOME.get(host, "salem")) for host in hosts]
+
+
+class Cluster:
+    """Three hosts that all know the same, unless a test says otherwise."""
+
+    def __init__(self) -> None:
+        self.fabric = fabric_lib.Fabric()
+        self.now_ms = 10_000
+        self.prepared = 0
+        for host in HOSTS:
+            self.fabric.routers_by_id[host] = router.Router(host)
+        self.see()
+
+    def see(self, hosts: tuple[str, ...] | None = None) -> None:
+        names = hosts or tuple(self.fabric.routers_by_id)
+        view = builders.view(members(names), self.prepared)
+        for item in self.fabric.routers_by_id.values():
+            item.set_view(view, self.now_ms)
+
+    def prepare(
+        self, configuration: records.Configuration, *hosts: str
+    ) -> None:
+        for host in hosts or tuple(self.fabric.routers_by_id):
+            self.fabric.routers_by_id[host].prepare(configuration, self.now_ms)
+
+    def pass_barrier(self, revision: int) -> None:
+        self.prepared = revision
+        self.see()
+
+    def advance(self, delta_ms: int) -> None:
+        for _ in range(delta_ms // 100):
+            self.now_ms += 100
+            self.see()
+            self.fabric.carry_ticks(self.now_ms)
+
+    def send(
+        self,
+        host: str,
+        flow: int,
+        is_opening: bool = False,
+        key: bytes | None = None,
+    ) -> fabric_lib.Outcome:
+        return self.fabric.send(
+            host,
+            key or KEY,
+            flow,
+            is_opening=is_opening,
+            is_closing=False,
+            now_ms=self.now_ms,
+        )
+
+    def open_all(self, flows: range = FLOWS) -> dict[int, str]:
+        placed = {}
+        for flow in flows:
+            outcome = self.send(HOSTS[flow % 3], flow, is_opening=True)
+            if isinstance(outcome, data.Forward):
+                placed[flow] = outcome.upstream.name
+        return placed
+
+    def broken(self, placed: dict[int, str]) -> list[int]:
+        broken = []
+        for flow, name in placed.items():
+            for host in self.fabric.routers_by_id:
+                outcome = self.send(host, flow)
+                kept = (
+                    isinstance(outcome, data.Forward)
+                    and outcome.upstream.name == name
+                )
+                if not kept:
+                    broken.append(flow)
+        return broken
+
+
+def rota(*generations: str, **options: object) -> records.Service:
+    names = sorted(set("".join(generations)))
+    centres = ("tacoma", "salem", "spokane")
+    upstreams = [
+        builders.upstream(name, centres[ord(name) % 3]) for name in names
+    ]
+    return builders.service("rota", upstreams, generations)
+
+
+KEY = builders.key_of(rota("a"))
+
+
+class SettledTest(testtools.TestCase):
+    def test_settled_bucket_needs_no_relay_and_no_new_object(self) -> None:
+        cluster = Cluster()
+        cluster.prepare(builders.configuration(1, [rota("abc")]))
+        cluster.pass_barrier(1)
+        placed = cluster.open_all()
+        self.assertThat(placed, matchers.HasLength(len(FLOWS)))
+        self.assertEqual([], cluster.broken(placed))
+        self.assertThat(cluster.fabric.hops, matchers.Equals(0))
+        one = cluster.fabric.routers_by_id["h1"]
+        first = one.route(KEY, 7, False, False, cluster.now_ms)
+        second = one.route(KEY, 7, False, False, cluster.now_ms)
+        self.assertIs(first, second)
+
+    def test_unknown_address_is_dropped(self) -> None:
+        cluster = Cluster()
+        cluster.prepare(builders.configuration(1, [rota("abc")]))
+        outcome = cluster.send("h1", 5, key=b"\1\1\1\1\0\1")
+        assert isinstance(outcome, data.Drop)
+        self.assertIsInstance(outcome.reason, failures.UnknownService)
+
+
+class BarrierTest(testtools.TestCase):
+    def test_flows_survive_a_change_that_hosts_learn_one_by_one(self) -> None:
+        cluster = Cluster()
+        cluster.prepare(builders.configuration(1, [rota("abc")]))
+        cluster.pass_barrier(1)
+        placed = cluster.open_all()
+        second = builders.configuration(2, [rota("abc", "bcd")])
+        for step, host in enumerate(HOSTS):
+            cluster.prepare(second, host)
+            flows = range(2_000 + 1_000 * step, 2_300 + 1_000 * step)
+            placed.update(cluster.open_all(flows))
+            self.assertEqual([], cluster.broken(placed))
+        cluster.pass_barrier(2)
+        cluster.advance(40_000)
+        later = cluster.open_all(range(9_000, 9_600))
+        self.assertIn("d", later.values())
+        self.assertNotIn("a", later.values())
+        placed.update(later)
+        self.assertEqual([], cluster.broken(placed))
+
+
+class HostChangeTest(testtools.TestCase):
+    def test_flows_survive_replacement_of_all_hosts_amid_a_change(
+        self,
+    ) -> None:
+        cluster = Cluster()
+        cluster.prepare(builders.configuration(1, [rota("abc")]))
+        cluster.pass_barrier(1)
+        placed = cluster.open_all()
+        second = builders.configuration(2, [rota("abc", "bcd")])
+        cluster.prepare(second)
+        cluster.pass_barrier(2)
+        cluster.advance(40_000)
+        placed.update(cluster.open_all(range(9_000, 9_600)))
+        for number, leaver in enumerate(HOSTS):
+            joiner = f"n{number}"
+            cluster.fabric.routers_by_id[joiner] = router.Router(joiner)
+            cluster.prepare(second, joiner)
+            cluster.see()
+            self.assertEqual([], cluster.broken(placed))
+            cluster.advance(20_000)
+            del cluster.fabric.routers_by_id[leaver]
+            cluster.see()
+            self.assertEqual([], cluster.broken(placed))
+            cluster.advance(20_000)
+        self.assertEqual([], cluster.broken(placed))
--- /dev/null
+++ b/packages/lab/sapphire_lab/flows/__init__.py
@@ -0,0 +1,1 @@
+"""Builders, the small fabric and the measurement of flow routing."""
--- /dev/null
+++ b/packages/lab/sapphire_lab/flows/builders.py
@@ -0,0 +1,107 @@
+"""Builders of configurations and memberships for flow routing."""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+
+from sapphire_core.flows import service_views
+from sapphire_data import records
+
+BUCKETS = 251
+PACKET_PORT = 6080
+SERVICE_PORT = 443
+
+
+def upstream(
+    name: str,
+    data_centre: str = "tacoma",
+    *,
+    intent: records.UpstreamIntent = records.UpstreamIntent.SERVE,
+    address: str | None = None,
+    cold: float = 10.0,
+    warm_up_ms: int = 30_000,
+) -> records.Upstream:
+    """Returns an upstream whose address follows from its name."""
+    digits = sum(ord(letter) * 31 for letter in name) % 250
+    return records.Upstream(
+        name=name,
+        data_centre=data_centre,
+        address=address or f"10.1.{len(name)}.{digits}",
+        packet_port=PACKET_PORT,
+        request_port=8080,
+        cold_flows_per_second=cold,
+        warm_up_ms=warm_up_ms,
+        intent=intent,
+    )
+
+
+def service(
+    name: str,
+    upstreams: Iterable[records.Upstream],
+    generations: Iterable[Iterable[str]],
+    *,
+    address: str = "192.0.2.1",
+    bucket_count: int = BUCKETS,
+    first_number: int = 1,
+) -> records.Service:
+    """Returns a service with numbered generations."""
+    pools = []
+    for number, names in enumerate(generations, start=first_number):
+        pools.append(records.PoolGeneration(number, tuple(sorted(names))))
+    return records.Service(
+        name=name,
+        address=address,
+        port=SERVICE_PORT,
+        bucket_count=bucket_count,
+        upstreams_by_name={item.name: item for item in upstreams},
+        generations=tuple(pools),
+    )
+
+
+def configuration(
+    revision: int,
+    services: Iterable[records.Service],
+    data_centres: Iterable[str] = ("tacoma", "salem", "spokane"),
+    out: Iterable[str] = (),
+) -> records.Configuration:
+    """Returns a configuration with some data centres taken out."""
+    taken_out = set(out)
+    centres = {}
+    for name in data_centres:
+        state = records.DataCentreState.IN
+        if name in taken_out:
+            state = records.DataCentreState.OUT
+        centres[name] = records.DataCentre(name, state)
+    return records.Configuration(
+        revision=revision,
+        digest=f"{revision:064x}",
+        services_by_name={item.name: item for item in services},
+        data_centres_by_name=centres,
+    )
+
+
+def member(
+    host_id: str,
+    data_centre: str = "tacoma",
+    state: records.MemberState = records.MemberState.ALIVE,
+    prepared: int = 0,
+) -> records.Member:
+    """Returns a member."""
+    host = records.HostAddress(host_id, data_centre, "127.0.0.1", 7000, 7001)
+    return records.Member(host, 0, state, prepared, 0)
+
+
+def view(
+    members: Iterable[records.Member],
+    prepared_everywhere: int = 0,
+    is_fresh: bool = True,
+) -> records.MemberView:
+    """Returns a membership view."""
+    by_id: Mapping[str, records.Member] = {
+        item.host.host_id: item for item in members
+    }
+    return records.MemberView(by_id, is_fresh, prepared_everywhere)
+
+
+def key_of(item: records.Service) -> bytes:
+    """Returns the key of a service."""
+    return service_views.service_key(item.address, item.port)
