--- /dev/null
+++ b/packages/lab/sapphire_lab/trust/__init__.py
@@ -0,0 +1,1 @@
+"""Builders and measurements for the authentication of hosts."""
--- /dev/null
+++ b/packages/net/sapphire_net/trust/__init__.py
@@ -0,0 +1,1 @@
+"""Authentication of hosts and operators."""
--- /dev/null
+++ b/packages/net/sapphire_net/trust/sealing.py
@@ -0,0 +1,260 @@
+"""Sealing and opening of the control datagrams between hosts.
+
+The tag is HMAC-SHA-256 over the recipient's control address and all fields of
+the envelope. The recipient is not sent: both ends know it. A datagram recorded
+on its way to one host is thus refused by all others.
+"""
+
+import dataclasses
+import hmac
+import struct
+
+import expression
+
+from sapphire_net.trust import failures
+from sapphire_net.trust import keys
+from sapphire_net.trust import replay
+from sapphire_wire import codec
+from sapphire_wire import message_kind
+from sapphire_wire.gen.envelope import ttypes as envelope_types
+
+DEFAULT_TIME_WINDOW_MS = 30_000
+MAX_RECIPIENTS = 32_768
+_DIGEST = "sha256"
+
+# Lengths of recipient and sender, key, kind, sequence, sending time.
+_HEADER = struct.Struct(">HHihqq")
+
+OpenFailure = (
+    failures.MalformedEnvelope
+    | failures.UnknownKey
+    | failures.BadTag
+    | failures.OutsideTimeWindow
+    | failures.ReplayedDatagram
+    | failures.TooManySenders
+    | failures.UnknownKind
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Opened:
+    """An authentic, fresh control datagram.
+
+    Attributes:
+        sender: The host identity of the sender.
+        kind: The type of the body.
+        sent_ms: The sender's wall time in milliseconds.
+        body: The encoded body.
+    """
+
+    sender: str
+    kind: message_kind.MessageKind
+    sent_ms: int
+    body: bytes
+
+
+def recipient_name(address: str, port: int) -> str:
+    """Names the recipient of a datagram as both ends of it compute it.
+
+    Args:
+        address: The IP number of the recipient's control port.
+        port: The UDP port.
+
+    Returns:
+        The name that the tag covers.
+    """
+    return f"{address}|{port}"
+
+
+def _tag(
+    secret: bytes, recipient: bytes, sealed: envelope_types.Sealed
+) -> bytes:
+    """Computes the tag of an envelope; the lengths keep the fields apart.
+
+    Args:
+        secret: The key.
+        recipient: The name of the recipient.
+        sealed: The envelope; its tag is ignored.
+
+    Returns:
+        The tag.
+
+    Raises:
+        struct.error: When a field is out of the range of its type.
+        UnicodeError: When the sender has no encoding.
+    """
+    sender = sealed.sender.encode()
+    header = _HEADER.pack(
+        len(recipient),
+        len(sender),
+        sealed.key_id,
+        sealed.kind,
+        sealed.sequence,
+        sealed.sent_ms,
+    )
+    return hmac.digest(
+        secret, header + recipient + sender + sealed.body, _DIGEST
+    )
+
+
+class Sealer:
+    """Seals the datagrams of one host process."""
+
+    def __init__(self, host_id: str, ring: keys.KeyRing) -> None:
+        """Creates a sealer.
+
+        Args:
+            host_id: The identity of the host process, new at each start, so
+                that sequences begin again without being refused.
+            ring: The keys.
+        """
+        self._host_id = host_id
+        self._ring = ring
+        self._last_sequences_by_recipient: dict[str, int] = {}
+        self._sequence_floor = 0
+
+    def replace_ring(self, ring: keys.KeyRing) -> None:
+        """Seals with the signing key of another ring from now on."""
+        self._ring = ring
+
+    def seal(
+        self,
+        recipient: str,
+        kind: message_kind.MessageKind,
+        body: bytes,
+        wall_ms: int,
+    ) -> bytes:
+        """Seals a body for one recipient.
+
+        Args:
+            recipient: The name of the recipient; see `recipient_name`.
+            kind: The type of the body.
+            body: The encoded body.
+            wall_ms: The wall time in milliseconds.
+
+        Returns:
+            The datagram.
+        """
+        ring = self._ring
+        key_id = ring.signing_id
+        sealed = envelope_types.Sealed(
+            key_id=key_id,
+            sender=self._host_id,
+            sequence=self._next_sequence(recipient),
+            sent_ms=wall_ms,
+            kind=kind,
+            body=body,
+        )
+        sealed.tag = _tag(
+            ring.secrets_by_id[key_id], recipient.encode(), sealed
+        )
+        return codec.encode(sealed)
+
+    def _next_sequence(self, recipient: str) -> int:
+        """Returns the next sequence for a recipient."""
+        last = self._last_sequences_by_recipient.get(recipient)
+        if last is None:
+            last = self._sequence_floor
+            if len(self._last_sequences_by_recipient) >= MAX_RECIPIENTS:
+                # A recipient that is met again continues above all others.
+                last = max(self._last_sequences_by_recipient.values())
+                self._sequence_floor = last
+                self._last_sequences_by_recipient.clear()
+        sequence = last + 1
+        self._last_sequences_by_recipient[recipient] = sequence
+        return sequence
+
+
+class Opener:
+    """Opens the datagrams that one host receives."""
+
+    def __init__(
+        self,
+        own_name: str,
+        ring: keys.KeyRing,
+        time_window_ms: int = DEFAULT_TIME_WINDOW_MS,
+        max_senders: int = replay.DEFAULT_MAX_SENDERS,
+    ) -> None:
+        """Creates an opener.
+
+        Args:
+            own_name: The name of this host as recipient; see
+                `recipient_name`.
+            ring: The keys.
+            time_window_ms: The largest difference between the wall times of
+                sender and receiver.
+            max_senders: The number of senders remembered at most.
+        """
+        self._recipient = own_name.encode()
+        self._ring = ring
+        self._time_window_ms = time_window_ms
+        self._replays = replay.ReplayWindow(max_senders)
+
+    def replace_ring(self, ring: keys.KeyRing) -> None:
+        """Verifies with the keys of another ring from now on."""
+        self._ring = ring
+
+    def open(
+        self, data: bytes, wall_ms: int
+    ) -> expression.Result[Opened, OpenFailure]:
+        """Verifies a datagram.
+
+        Args:
+            data: The datagram as received; it may hold anything.
+            wall_ms: The wall time in milliseconds.
+
+        Returns:
+            The authentic body, or why the datagram does not count.
+        """
+        decoded = codec.decode(envelope_types.Sealed, data)
+        if decoded.is_error():
+            return expression.Error(
+                failures.MalformedEnvelope(decoded.error.problem)
+            )
+        sealed = decoded.ok
+        secret = self._ring.secrets_by_id.get(sealed.key_id)
+        if secret is None:
+            return expression.Error(failures.UnknownKey(sealed.key_id))
+        if not self._is_authentic(sealed, secret):
+            return expression.Error(failures.BadTag(sealed.key_id))
+        failure = self._check_freshness(sealed, wall_ms)
+        if failure is not None:
+            return expression.Error(failure)
+        try:
+            kind = message_kind.MessageKind(sealed.kind)
+        except ValueError:
+            return expression.Error(
+                failures.UnknownKind(sealed.sender, sealed.kind)
+            )
+        return expression.Ok(
+            Opened(sealed.sender, kind, sealed.sent_ms, sealed.body)
+        )
+
+    def _is_authentic(
+        self, sealed: envelope_types.Sealed, secret: bytes
+    ) -> bool:
+        """Says whether the tag fits the other fields."""
+        try:
+            expected = _tag(secret, self._recipient, sealed)
+        except (struct.error, UnicodeError):
+            return False
+        return hmac.compare_digest(expected, sealed.tag)
+
+    def _check_freshness(
+        self, sealed: envelope_types.Sealed, wall_ms: int
+    ) -> OpenFailure | None:
+        """Returns why an authentic datagram is not fresh, if it is not."""
+        age_ms = wall_ms - sealed.sent_ms
+        if abs(age_ms) > self._time_window_ms:
+            return failures.OutsideTimeWindow(sealed.sender, age_ms)
+        verdict = self._replays.check(
+            sealed.sender,
+            sealed.sequence,
+            sealed.sent_ms,
+            wall_ms - self._time_window_ms,
+        )
+        if verdict is replay.Verdict.REPLAYED:
+            return failures.ReplayedDatagram(sealed.sender, sealed.sequence)
+        if verdict is replay.Verdict.FULL:
+            return failures.TooManySenders(self._replays.max_senders)
+        return None
--- /dev/null
+++ b/packages/net/sapphire_net/trust/sealing_test.py
@@ -0,0 +1,162 @@
+import hypothesis
+from hypothesis import strategies
+import testtools
+from testtools import matchers
+
+from sapphire_lab.trust import builders
+from sapphire_net.trust import failures
+from sapphire_net.trust import sealing
+from sapphire_wire import codec
+from sapphire_wire import message_kind
+from sapphire_wire.gen.envelope import ttypes as envelope_types
+
+_GOSSIP = message_kind.MessageKind.GOSSIP
+
+
+def _sealer() -> sealing.Sealer:
+    return sealing.Sealer("h1", builders.ring(1))
+
+
+def _opener(max_senders: int = 100) -> sealing.Opener:
+    return sealing.Opener(
+        builders.OWN_NAME, builders.ring(1), max_senders=max_senders
+    )
+
+
+def _seal(sealer: sealing.Sealer, wall_ms: int = builders.WALL_MS) -> bytes:
+    return sealer.seal(builders.OWN_NAME, _GOSSIP, b"body", wall_ms)
+
+
+class SealingTest(testtools.TestCase):
+    def _assert_refused(
+        self,
+        opener: sealing.Opener,
+        data: bytes,
+        failure_type: type,
+        wall_ms: int = builders.WALL_MS,
+    ) -> None:
+        opened = opener.open(data, wall_ms)
+        self.assertThat(opened.is_error(), matchers.Equals(True))
+        self.assertThat(opened.error, matchers.IsInstance(failure_type))
+
+    def test_opened_datagram_carries_what_was_sealed(self) -> None:
+        opened = _opener().open(_seal(_sealer()), builders.WALL_MS + 5)
+        self.assertThat(
+            opened.ok,
+            matchers.Equals(
+                sealing.Opened("h1", _GOSSIP, builders.WALL_MS, b"body")
+            ),
+        )
+
+    def test_replay_is_refused(self) -> None:
+        opener = _opener()
+        data = _seal(_sealer())
+        opener.open(data, builders.WALL_MS)
+        self._assert_refused(opener, data, failures.ReplayedDatagram)
+
+    def test_replay_to_another_host_is_refused(self) -> None:
+        other = sealing.Opener(builders.OTHER_NAME, builders.ring(1))
+        self._assert_refused(other, _seal(_sealer()), failures.BadTag)
+
+    def test_reordered_datagrams_are_each_accepted_once(self) -> None:
+        opener = _opener()
+        sealer = _sealer()
+        datagrams = [_seal(sealer) for _ in range(50)]
+        for data in reversed(datagrams):
+            self.assertThat(
+                opener.open(data, builders.WALL_MS).is_ok(),
+                matchers.Equals(True),
+            )
+        for data in datagrams:
+            self._assert_refused(opener, data, failures.ReplayedDatagram)
+
+    def test_datagram_outside_the_time_window_is_refused(self) -> None:
+        for skew_ms in (-30_001, 30_001):
+            self._assert_refused(
+                _opener(),
+                _seal(_sealer()),
+                failures.OutsideTimeWindow,
+                builders.WALL_MS + skew_ms,
+            )
+
+    def test_each_altered_field_is_refused(self) -> None:
+        changes: list[tuple[str, object]] = [
+            ("sender", "h2"),
+            ("sequence", 9),
+            ("sent_ms", builders.WALL_MS + 1),
+            ("kind", 1),
+            ("body", b"bodY"),
+            ("tag", b""),
+        ]
+        for field, value in changes:
+            sealed = codec.decode(envelope_types.Sealed, _seal(_sealer())).ok
+            setattr(sealed, field, value)
+            self._assert_refused(
+                _opener(), codec.encode(sealed), failures.BadTag
+            )
+
+    def test_keys_rotate_without_a_refusal(self) -> None:
+        sealer = _sealer()
+        opener = _opener()
+        for ring in (
+            builders.ring(1, 2, signing_id=1),
+            builders.ring(1, 2),
+            builders.ring(2),
+        ):
+            opener.replace_ring(ring)
+            sealer.replace_ring(ring)
+            opened = opener.open(_seal(sealer), builders.WALL_MS)
+            self.assertThat(opened.is_ok(), matchers.Equals(True))
+        self._assert_refused(opener, _seal(_sealer()), failures.UnknownKey)
+
+    def test_unknown_kind_is_refused_by_type(self) -> None:
+        data = _sealer().seal(
+            builders.OWN_NAME,
+            30_000,  # type: ignore[arg-type]
+            b"",
+            builders.WALL_MS,
+        )
+        self._assert_refused(_opener(), data, failures.UnknownKind)
+
+    def test_memory_is_bounded_and_freed_by_time(self) -> None:
+        opener = _opener(max_senders=2)
+        for host_id in ("h1", "h2"):
+            sealer = sealing.Sealer(host_id, builders.ring(1))
+            opener.open(_seal(sealer), builders.WALL_MS)
+        late = sealing.Sealer("h3", builders.ring(1))
+        self._assert_refused(opener, _seal(late), failures.TooManySenders)
+        later_ms = builders.WALL_MS + sealing.DEFAULT_TIME_WINDOW_MS + 1
+        opened = opener.open(_seal(late, later_ms), later_ms)
+        self.assertThat(opened.is_ok(), matchers.Equals(True))
+
+    def test_forgotten_sender_is_not_replayed_by_a_clock_set_back(
+        self,
+    ) -> None:
+        opener = _opener(max_senders=1)
+        data = _seal(_sealer())
+        opener.open(data, builders.WALL_MS)
+        later_ms = builders.WALL_MS + sealing.DEFAULT_TIME_WINDOW_MS + 1
+        second = sealing.Sealer("h2", builders.ring(1))
+        opener.open(_seal(second, later_ms), later_ms)
+        self._assert_refused(opener, data, failures.ReplayedDatagram)
+
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=200)
+    @hypothesis.given(strategies.binary(max_size=300))
+    def test_arbitrary_bytes_are_refused_and_never_raise(
+        self, data: bytes
+    ) -> None:
+        opened = _opener().open(data, builders.WALL_MS)
+        self.assertThat(opened.is_error(), matchers.Equals(True))
+
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=200)
+    @hypothesis.given(
+        strategies.integers(min_value=0),
+        strategies.integers(min_value=1, max_value=255),
+    )
+    def test_altered_byte_is_refused_and_never_raises(
+        self, position: int, change: int
+    ) -> None:
+        data = bytearray(_seal(_sealer()))
+        data[position % len(data)] ^= change
+        opened = _opener().open(bytes(data), builders.WALL_MS)
+        self.assertThat(opened.is_error(), matchers.Equals(True))
