Open control datagrams without a Result object

Cause: two Result objects and the enum's constructor took half of the time of each opened datagram. Conclusion: the path of each datagram returns a plain union; all else keeps Result.

--- a/packages/lab/sapphire_lab/trust/measure_sealing.py
+++ b/packages/lab/sapphire_lab/trust/measure_sealing.py
@@ -38,7 +38,8 @@
     sealed_ns = time.perf_counter_ns()
     accepted = 0
     for data in datagrams:
-        accepted += opener.open(data, builders.WALL_MS).is_ok()
+        opened = opener.open(data, builders.WALL_MS)
+        accepted += isinstance(opened, sealing.Opened)
     opened_ns = time.perf_counter_ns()
     return {
         "body_bytes": body_bytes,
--- a/packages/net/sapphire_net/trust/sealing.py
+++ b/packages/net/sapphire_net/trust/sealing.py
@@ -9,8 +9,7 @@
 import hmac
 import struct
 
-import expression
-
+from sapphire_data import failures as data_failures
 from sapphire_net.trust import failures
 from sapphire_net.trust import keys
 from sapphire_net.trust import replay
@@ -25,6 +24,8 @@
 # Lengths of recipient and sender, key, kind, sequence, sending time.
 _HEADER = struct.Struct(">HHihqq")
 
+_KINDS_BY_NUMBER = {int(kind): kind for kind in message_kind.MessageKind}
+
 OpenFailure = (
     failures.MalformedEnvelope
     | failures.UnknownKey
@@ -194,11 +195,12 @@
         """Verifies with the keys of another ring from now on."""
         self._ring = ring
 
-    def open(
-        self, data: bytes, wall_ms: int
-    ) -> expression.Result[Opened, OpenFailure]:
+    def open(self, data: bytes, wall_ms: int) -> Opened | OpenFailure:
         """Verifies a datagram.
 
+        The outcome is a plain union: `expression.Result` would cost as much
+        as the verification itself, for each packet.
+
         Args:
             data: The datagram as received; it may hold anything.
             wall_ms: The wall time in milliseconds.
@@ -206,29 +208,21 @@
         Returns:
             The authentic body, or why the datagram does not count.
         """
-        decoded = codec.decode(envelope_types.Sealed, data)
-        if decoded.is_error():
-            return expression.Error(
-                failures.MalformedEnvelope(decoded.error.problem)
-            )
-        sealed = decoded.ok
+        sealed = codec.decode_plain(envelope_types.Sealed, data)
+        if isinstance(sealed, data_failures.UnreadableInput):
+            return failures.MalformedEnvelope(sealed.problem)
         secret = self._ring.secrets_by_id.get(sealed.key_id)
         if secret is None:
-            return expression.Error(failures.UnknownKey(sealed.key_id))
+            return failures.UnknownKey(sealed.key_id)
         if not self._is_authentic(sealed, secret):
-            return expression.Error(failures.BadTag(sealed.key_id))
+            return failures.BadTag(sealed.key_id)
         failure = self._check_freshness(sealed, wall_ms)
         if failure is not None:
-            return expression.Error(failure)
-        try:
-            kind = message_kind.MessageKind(sealed.kind)
-        except ValueError:
-            return expression.Error(
-                failures.UnknownKind(sealed.sender, sealed.kind)
-            )
-        return expression.Ok(
-            Opened(sealed.sender, kind, sealed.sent_ms, sealed.body)
-        )
+            return failure
+        kind = _KINDS_BY_NUMBER.get(sealed.kind)
+        if kind is None:
+            return failures.UnknownKind(sealed.sender, sealed.kind)
+        return Opened(sealed.sender, kind, sealed.sent_ms, sealed.body)
 
     def _is_authentic(
         self, sealed: envelope_types.Sealed, secret: bytes
--- a/packages/net/sapphire_net/trust/sealing_test.py
+++ b/packages/net/sapphire_net/trust/sealing_test.py
@@ -1,8 +1,8 @@
 import hypothesis
 from hypothesis import strategies
 import testtools
-from testtools import matchers
 
+from sapphire_data import failures as data_failures
 from sapphire_lab.trust import builders
 from sapphire_net.trust import failures
 from sapphire_net.trust import sealing
@@ -35,17 +35,12 @@
         failure_type: type,
         wall_ms: int = builders.WALL_MS,
     ) -> None:
-        opened = opener.open(data, wall_ms)
-        self.assertThat(opened.is_error(), matchers.Equals(True))
-        self.assertThat(opened.error, matchers.IsInstance(failure_type))
+        self.assertIsInstance(opener.open(data, wall_ms), failure_type)
 
     def test_opened_datagram_carries_what_was_sealed(self) -> None:
         opened = _opener().open(_seal(_sealer()), builders.WALL_MS + 5)
-        self.assertThat(
-            opened.ok,
-            matchers.Equals(
-                sealing.Opened("h1", _GOSSIP, builders.WALL_MS, b"body")
-            ),
+        self.assertEqual(
+            sealing.Opened("h1", _GOSSIP, builders.WALL_MS, b"body"), opened
         )
 
     def test_replay_is_refused(self) -> None:
@@ -63,10 +58,8 @@
         sealer = _sealer()
         datagrams = [_seal(sealer) for _ in range(50)]
         for data in reversed(datagrams):
-            self.assertThat(
-                opener.open(data, builders.WALL_MS).is_ok(),
-                matchers.Equals(True),
-            )
+            opened = opener.open(data, builders.WALL_MS)
+            self.assertIsInstance(opened, sealing.Opened)
         for data in datagrams:
             self._assert_refused(opener, data, failures.ReplayedDatagram)
 
@@ -106,7 +99,7 @@
             opener.replace_ring(ring)
             sealer.replace_ring(ring)
             opened = opener.open(_seal(sealer), builders.WALL_MS)
-            self.assertThat(opened.is_ok(), matchers.Equals(True))
+            self.assertIsInstance(opened, sealing.Opened)
         self._assert_refused(opener, _seal(_sealer()), failures.UnknownKey)
 
     def test_unknown_kind_is_refused_by_type(self) -> None:
@@ -127,7 +120,7 @@
         self._assert_refused(opener, _seal(late), failures.TooManySenders)
         later_ms = builders.WALL_MS + sealing.DEFAULT_TIME_WINDOW_MS + 1
         opened = opener.open(_seal(late, later_ms), later_ms)
-        self.assertThat(opened.is_ok(), matchers.Equals(True))
+        self.assertIsInstance(opened, sealing.Opened)
 
     def test_forgotten_sender_is_not_replayed_by_a_clock_set_back(
         self,
@@ -146,7 +139,7 @@
         self, data: bytes
     ) -> None:
         opened = _opener().open(data, builders.WALL_MS)
-        self.assertThat(opened.is_error(), matchers.Equals(True))
+        self.assertIsInstance(opened, data_failures.Failure)
 
     @hypothesis.settings(derandomize=True, deadline=None, max_examples=200)
     @hypothesis.given(
@@ -159,4 +152,4 @@
         data = bytearray(_seal(_sealer()))
         data[position % len(data)] ^= change
         opened = _opener().open(bytes(data), builders.WALL_MS)
-        self.assertThat(opened.is_error(), matchers.Equals(True))
+        self.assertIsInstance(opened, data_failures.Failure)
--- a/packages/wire/sapphire_wire/codec.py
+++ b/packages/wire/sapphire_wire/codec.py
@@ -3,6 +3,7 @@
 import struct
 from typing import Any
 from typing import TypeVar
+from typing import cast
 
 import expression
 from thrift import Thrift
@@ -52,6 +53,27 @@
 ) -> expression.Result[RecordT, failures.UnreadableInput]:
     """Decodes a generated thrift record.
 
+    Args:
+        record_type: The generated class.
+        data: The bytes as received; they may hold anything.
+
+    Returns:
+        The validated record, or why the bytes cannot be read.
+    """
+    decoded = decode_plain(record_type, data)
+    if isinstance(decoded, failures.UnreadableInput):
+        return expression.Error(decoded)
+    return expression.Ok(decoded)
+
+
+def decode_plain(
+    record_type: type[RecordT], data: bytes
+) -> RecordT | failures.UnreadableInput:
+    """Decodes like `decode`, without the cost of a `Result`.
+
+    It is meant for the path of each datagram, where a `Result` costs more
+    than the decoder itself.
+
     Args:
         record_type: The generated class.
         data: The bytes as received; they may hold anything.
@@ -73,13 +95,13 @@
         record.validate()
     except _DECODE_ERRORS as error:
         return _unreadable(record_type, repr(error))
-    return expression.Ok(record)
+    return cast(RecordT, record)
 
 
 def _unreadable(
     record_type: type[RecordT], problem: str
-) -> expression.Result[RecordT, failures.UnreadableInput]:
+) -> failures.UnreadableInput:
     """Returns the failure for a record that cannot be decoded."""
-    return expression.Error(
-        failures.UnreadableInput(source=record_type.__name__, problem=problem)
+    return failures.UnreadableInput(
+        source=record_type.__name__, problem=problem
     )
