--- /dev/null
+++ b/packages/net/sapphire_net/trust/roles.py
@@ -0,0 +1,75 @@
+"""Roles of the peers of a TLS connection, taken from their certificates.
+
+The organizational unit of a certificate's subject is the role, its common name
+the name of the host or operator.
+"""
+
+from collections.abc import Mapping
+import dataclasses
+import enum
+from typing import Any
+
+import expression
+
+from sapphire_net.trust import failures
+
+
+class Role(enum.StrEnum):
+    """What a peer may do."""
+
+    HOST = "host"
+    OPERATOR = "operator"
+
+
+ANY_ROLE = frozenset(Role)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Identity:
+    """An authenticated peer.
+
+    Attributes:
+        name: The common name of its certificate.
+        role: Its role.
+    """
+
+    name: str
+    role: Role
+
+
+def identify(
+    certificate: Mapping[str, Any] | None, permitted: frozenset[Role]
+) -> expression.Result[Identity, failures.RoleRefused]:
+    """Reads the identity from a verified certificate.
+
+    Args:
+        certificate: The answer of `ssl.SSLObject.getpeercert`.
+        permitted: The roles of which the peer needs one.
+
+    Returns:
+        The identity, or why the peer may not go on.
+    """
+    names = _subject_values(certificate, "commonName")
+    units = _subject_values(certificate, "organizationalUnitName")
+    name = names[0] if len(names) == 1 else ""
+    # A subject with several units is ambiguous, and has none.
+    unit = units[0] if len(units) == 1 else ""
+    if not name or unit not in permitted:
+        return expression.Error(
+            failures.RoleRefused(
+                subject=name, role=unit, required=tuple(sorted(permitted))
+            )
+        )
+    return expression.Ok(Identity(name=name, role=Role(unit)))
+
+
+def _subject_values(
+    certificate: Mapping[str, Any] | None, wanted: str
+) -> list[str]:
+    """Returns the values of one attribute of a certificate's subject."""
+    values: list[str] = []
+    for relative_name in (certificate or {}).get("subject", ()):
+        for attribute, value in relative_name:
+            if attribute == wanted:
+                values.append(value)
+    return values
