--- /dev/null
+++ b/packages/core/sapphire_core/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' intent: merging, spreading and leases, without I/O."""
--- /dev/null
+++ b/packages/core/sapphire_core/configuration/merge.py
@@ -0,0 +1,338 @@
+"""Computes the next configuration from the previous one and new intent."""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+import dataclasses
+
+from sapphire_core.configuration import data
+from sapphire_core.configuration import failures as config_failures
+from sapphire_data import failures
+from sapphire_data import records
+
+EMPTY = records.Configuration(
+    revision=0, digest="", services_by_name={}, data_centres_by_name={}
+)
+
+
+def next_configuration(
+    previous: records.Configuration,
+    document: data.Document,
+    bindings: data.Bindings,
+) -> tuple[records.Configuration, list[failures.Failure]]:
+    """Merges new intent into the configuration in force.
+
+    Flows keep their upstreams because earlier pool generations and their
+    upstreams are carried on; `cut_history` drops them.
+
+    Args:
+        previous: The configuration in force, or `EMPTY`.
+        document: The new document.
+        bindings: The addresses of this environment.
+
+    Returns:
+        The next configuration, and all failures. The configuration may be
+        published only if there are none.
+    """
+    errors: list[failures.Failure] = []
+    data_centres_by_name = _merge_data_centres(previous, document)
+    services_by_name: dict[str, records.Service] = {}
+    for name, intent in sorted(document.services_by_name.items()):
+        address = bindings.services_by_name.get(name)
+        if address is None:
+            errors.append(config_failures.UnboundName(path=f"services.{name}"))
+            continue
+        upstreams_by_name = _bind_pool(intent, bindings, errors)
+        service = _merge_service(
+            previous.services_by_name.get(name),
+            intent,
+            address,
+            upstreams_by_name,
+            data_centres_by_name,
+        )
+        services_by_name[name] = service
+    configuration = records.Configuration(
+        revision=previous.revision + 1,
+        digest=document.digest,
+        services_by_name=services_by_name,
+        data_centres_by_name=data_centres_by_name,
+    )
+    errors.extend(_check_buckets(previous, configuration))
+    errors.extend(_check_names(previous, configuration))
+    errors.extend(_check_upstream_addresses(previous, configuration))
+    errors.extend(_check_service_addresses(previous, configuration))
+    return configuration, errors
+
+
+def cut_history(
+    previous: records.Configuration,
+    oldest_kept_by_service: Mapping[str, int],
+) -> records.Configuration:
+    """Drops retired pool generations as a new revision.
+
+    The current generation always stays. An upstream goes with the last
+    generation that names it, if operators no longer want it to serve.
+
+    Args:
+        previous: The configuration in force.
+        oldest_kept_by_service: For each service to cut, the number of the
+            oldest generation that may still hold flows.
+
+    Returns:
+        The next configuration.
+    """
+    services_by_name = dict(previous.services_by_name)
+    for name, oldest in oldest_kept_by_service.items():
+        service = services_by_name.get(name)
+        if service is None:
+            continue
+        services_by_name[name] = _cut_service(service, oldest)
+    return dataclasses.replace(
+        previous,
+        revision=previous.revision + 1,
+        services_by_name=services_by_name,
+    )
+
+
+def eligible_upstreams(
+    upstreams: Iterable[records.Upstream],
+    data_centres_by_name: Mapping[str, records.DataCentre],
+) -> tuple[str, ...]:
+    """Names the upstreams that may take new flows.
+
+    Args:
+        upstreams: The upstreams of a service.
+        data_centres_by_name: The data centres of the configuration.
+
+    Returns:
+        The names of those that serve and whose data centre is in, sorted.
+    """
+    names: list[str] = []
+    for upstream in upstreams:
+        if upstream.intent is not records.UpstreamIntent.SERVE:
+            continue
+        data_centre = data_centres_by_name.get(upstream.data_centre)
+        if data_centre is None:
+            continue
+        if data_centre.state is not records.DataCentreState.IN:
+            continue
+        names.append(upstream.name)
+    return tuple(sorted(names))
+
+
+def _cut_service(service: records.Service, oldest: int) -> records.Service:
+    """Returns the service without the generations before `oldest`."""
+    last = service.generations[-1]
+    kept = tuple(
+        generation
+        for generation in service.generations
+        if generation.number >= oldest or generation is last
+    )
+    named = {name for generation in kept for name in generation.upstreams}
+    upstreams_by_name = {
+        name: upstream
+        for name, upstream in service.upstreams_by_name.items()
+        if name in named or upstream.intent is records.UpstreamIntent.SERVE
+    }
+    return dataclasses.replace(
+        service, generations=kept, upstreams_by_name=upstreams_by_name
+    )
+
+
+def _merge_data_centres(
+    previous: records.Configuration, document: data.Document
+) -> dict[str, records.DataCentre]:
+    """Returns the document's data centres and those that are carried.
+
+    A data centre that left the document stays as out, because carried
+    upstreams still name it.
+    """
+    merged: dict[str, records.DataCentre] = {}
+    for name in previous.data_centres_by_name:
+        merged[name] = records.DataCentre(
+            name=name, state=records.DataCentreState.OUT
+        )
+    merged.update(document.data_centres_by_name)
+    return merged
+
+
+def _bind_pool(
+    intent: data.ServiceIntent,
+    bindings: data.Bindings,
+    errors: list[failures.Failure],
+) -> dict[str, records.Upstream]:
+    """Returns the pool with addresses; adds a failure for each unbound one."""
+    upstreams_by_name: dict[str, records.Upstream] = {}
+    for name, member in sorted(intent.pool_by_name.items()):
+        address = bindings.upstreams_by_name.get(name)
+        if address is None:
+            errors.append(config_failures.UnboundName(path=f"upstreams.{name}"))
+            continue
+        upstreams_by_name[name] = records.Upstream(
+            name=name,
+            data_centre=member.data_centre,
+            address=address.address,
+            packet_port=address.packet_port,
+            request_port=address.request_port,
+            slots=member.slots,
+            cold_flows_per_second=member.cold_flows_per_second,
+            warm_up_ms=member.warm_up_ms,
+            intent=member.intent,
+        )
+    return upstreams_by_name
+
+
+def _merge_service(
+    previous: records.Service | None,
+    intent: data.ServiceIntent,
+    address: data.ServiceAddress,
+    upstreams_by_name: dict[str, records.Upstream],
+    data_centres_by_name: Mapping[str, records.DataCentre],
+) -> records.Service:
+    """Returns the service with its pool history carried on."""
+    eligible = eligible_upstreams(
+        upstreams_by_name.values(), data_centres_by_name
+    )
+    generations: tuple[records.PoolGeneration, ...] = ()
+    carried_by_name: dict[str, records.Upstream] = {}
+    if previous is not None:
+        generations = previous.generations
+        carried_by_name = _carried_upstreams(previous)
+    if not generations or generations[-1].upstreams != eligible:
+        number = generations[-1].number + 1 if generations else 1
+        generations = (
+            *generations,
+            records.PoolGeneration(number=number, upstreams=eligible),
+        )
+    carried_by_name.update(upstreams_by_name)
+    return records.Service(
+        name=intent.name,
+        address=address.address,
+        port=address.port,
+        bucket_count=intent.bucket_count,
+        upstreams_by_name=carried_by_name,
+        generations=generations,
+        limits=intent.limits,
+        objectives=intent.objectives,
+    )
+
+
+def _carried_upstreams(service: records.Service) -> dict[str, records.Upstream]:
+    """Returns the upstreams that a generation names, all as draining."""
+    named = {
+        name
+        for generation in service.generations
+        for name in generation.upstreams
+    }
+    carried: dict[str, records.Upstream] = {}
+    for name, upstream in service.upstreams_by_name.items():
+        if name not in named:
+            continue
+        carried[name] = dataclasses.replace(
+            upstream, intent=records.UpstreamIntent.DRAIN
+        )
+    return carried
+
+
+def _check_buckets(
+    previous: records.Configuration, proposed: records.Configuration
+) -> list[failures.Failure]:
+    """Returns a failure for each service whose bucket count changes."""
+    errors: list[failures.Failure] = []
+    for name, service in proposed.services_by_name.items():
+        before = previous.services_by_name.get(name)
+        if before is None or before.bucket_count == service.bucket_count:
+            continue
+        errors.append(
+            config_failures.BucketCountChanged(
+                service=name,
+                current=before.bucket_count,
+                proposed=service.bucket_count,
+            )
+        )
+    return errors
+
+
+def _check_names(
+    previous: records.Configuration, proposed: records.Configuration
+) -> list[failures.Failure]:
+    """Returns a failure for each upstream name that changes its meaning."""
+    held_by_name = _places_by_name(previous)
+    errors: list[failures.Failure] = []
+    for service in proposed.services_by_name.values():
+        for upstream in service.upstreams_by_name.values():
+            place = _place(service, upstream)
+            held = held_by_name.setdefault(upstream.name, place)
+            if held == place:
+                continue
+            errors.append(
+                config_failures.UpstreamNameReused(
+                    upstream=upstream.name, held_as=held, proposed=place
+                )
+            )
+    return errors
+
+
+def _places_by_name(configuration: records.Configuration) -> dict[str, str]:
+    """Returns the service and address of each upstream."""
+    places: dict[str, str] = {}
+    for service in configuration.services_by_name.values():
+        for upstream in service.upstreams_by_name.values():
+            places[upstream.name] = _place(service, upstream)
+    return places
+
+
+def _place(service: records.Service, upstream: records.Upstream) -> str:
+    """Returns what an upstream's name must keep standing for."""
+    return (
+        f"{service.name} {upstream.data_centre} {upstream.address}"
+        f" {upstream.packet_port} {upstream.request_port}"
+    )
+
+
+def _check_upstream_addresses(
+    previous: records.Configuration, proposed: records.Configuration
+) -> list[failures.Failure]:
+    """Returns a failure for each packet address with two upstreams."""
+    holder_by_address: dict[str, str] = {}
+    for service in previous.services_by_name.values():
+        for upstream in service.upstreams_by_name.values():
+            holder_by_address[_packet_address(upstream)] = upstream.name
+    errors: list[failures.Failure] = []
+    for service in proposed.services_by_name.values():
+        for upstream in service.upstreams_by_name.values():
+            address = _packet_address(upstream)
+            holder = holder_by_address.setdefault(address, upstream.name)
+            if holder == upstream.name:
+                continue
+            errors.append(
+                config_failures.UpstreamAddressHeld(
+                    upstream=upstream.name, holder=holder, address=address
+                )
+            )
+    return errors
+
+
+def _packet_address(upstream: records.Upstream) -> str:
+    """Returns the address that packets are sent to."""
+    return f"{upstream.address} {upstream.packet_port}"
+
+
+def _check_service_addresses(
+    previous: records.Configuration, proposed: records.Configuration
+) -> list[failures.Failure]:
+    """Returns a failure for each service address with two services."""
+    holder_by_address: dict[str, str] = {}
+    for service in previous.services_by_name.values():
+        holder_by_address[f"{service.address} {service.port}"] = service.name
+    errors: list[failures.Failure] = []
+    for service in proposed.services_by_name.values():
+        address = f"{service.address} {service.port}"
+        holder = holder_by_address.setdefault(address, service.name)
+        if holder == service.name:
+            continue
+        errors.append(
+            config_failures.ServiceAddressHeld(
+                service=service.name, holder=holder, address=address
+            )
+        )
+    return errors
--- /dev/null
+++ b/packages/net/sapphire_net/store/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the store, and what is published through it."""
--- /dev/null
+++ b/packages/net/sapphire_net/store/client.py
@@ -0,0 +1,234 @@
+"""Client of the store by the HTTP/JSON gateway of etcd v3."""
+
+import collections
+from collections.abc import Callable
+from collections.abc import Sequence
+import json
+import ssl
+from typing import Any
+from typing import TypeVar
+
+import expression
+import httpx
+
+from sapphire_data import clock
+from sapphire_net.store import data
+from sapphire_net.store import failures
+from sapphire_net.store import gateway
+from sapphire_net.store import protocol
+
+DEFAULT_TIMEOUT_MS = 2_000
+MAX_ANSWER_LINE_BYTES = 8_388_608
+_HTTP_OK = 200
+_HTTP_TOO_MANY_REQUESTS = 429
+_HTTP_SERVER_ERROR = 500
+
+AnswerT = TypeVar("AnswerT")
+
+# The transport reports these before a request has left this host.
+_NEVER_SENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
+
+
+def open_client(
+    base_url: str,
+    timeout_ms: int = DEFAULT_TIMEOUT_MS,
+    ssl_context: ssl.SSLContext | None = None,
+) -> httpx.AsyncClient:
+    """Makes the HTTP client that a `GatewayStore` uses.
+
+    Args:
+        base_url: The address of the store, such as `https://10.0.0.1:2379`.
+        timeout_ms: The longest wait for one answer.
+        ssl_context: How to authenticate; none for the library's default.
+
+    Returns:
+        The client, to be used as a context manager.
+    """
+    return httpx.AsyncClient(
+        base_url=base_url,
+        timeout=timeout_ms / clock.MS_PER_SECOND,
+        verify=ssl_context if ssl_context is not None else True,
+        trust_env=False,
+    )
+
+
+class GatewayStore(protocol.Store):
+    """A store behind the HTTP/JSON gateway of etcd v3.
+
+    Attributes:
+        calls_by_path: The calls made so far; a watch counts as one.
+    """
+
+    def __init__(self, http: httpx.AsyncClient) -> None:
+        self._http = http
+        self.calls_by_path: collections.Counter[str] = collections.Counter()
+
+    async def get(
+        self, key: str, *, is_prefix: bool = False, limit: int = 0
+    ) -> expression.Result[data.RangeAnswer, failures.StoreFailure]:
+        """Reads one key, or all keys with a prefix; see `protocol.Store`."""
+        return await self._call(
+            gateway.RANGE_PATH,
+            gateway.range_request(key, is_prefix, limit),
+            gateway.decode_range,
+            is_write=False,
+        )
+
+    async def transact(
+        self,
+        compares: Sequence[data.Compare],
+        writes: Sequence[data.Put | data.Delete],
+    ) -> expression.Result[data.TransactionAnswer, failures.StoreFailure]:
+        """Writes if all conditions hold; see `protocol.Store`."""
+        return await self._call(
+            gateway.TRANSACTION_PATH,
+            gateway.transaction_request(compares, writes),
+            gateway.decode_transaction,
+            is_write=True,
+        )
+
+    async def grant_lease(
+        self, time_to_live_ms: int
+    ) -> expression.Result[data.LeaseAnswer, failures.StoreFailure]:
+        """Opens a lease; see `protocol.Store`."""
+        seconds = -(-time_to_live_ms // clock.MS_PER_SECOND)
+        return await self._call(
+            gateway.LEASE_GRANT_PATH,
+            {"TTL": str(seconds)},
+            gateway.decode_lease,
+            is_write=True,
+        )
+
+    async def renew_lease(
+        self, lease_id: int
+    ) -> expression.Result[data.LeaseAnswer, failures.StoreFailure]:
+        """Extends a lease; see `protocol.Store`."""
+        return await self._call(
+            gateway.LEASE_KEEP_ALIVE_PATH,
+            {"ID": str(lease_id)},
+            lambda body: gateway.decode_lease(body["result"]),
+            is_write=True,
+        )
+
+    async def revoke_lease(
+        self, lease_id: int
+    ) -> expression.Result[None, failures.StoreFailure]:
+        """Ends a lease; see `protocol.Store`."""
+        return await self._call(
+            gateway.LEASE_REVOKE_PATH,
+            {"ID": str(lease_id)},
+            lambda _: None,
+            is_write=True,
+        )
+
+    async def watch(
+        self,
+        key: str,
+        from_store_revision: int,
+        events: protocol.EventSender,
+        *,
+        is_prefix: bool = False,
+    ) -> failures.StoreFailure:
+        """Sends the changes of a key; see `protocol.Store`."""
+        self.calls_by_path[gateway.WATCH_PATH] += 1
+        request = self._http.build_request(
+            "POST",
+            gateway.WATCH_PATH,
+            json=gateway.watch_request(key, is_prefix, from_store_revision),
+            # A watch waits for as long as nothing changes.
+            timeout=httpx.Timeout(
+                connect=self._http.timeout.connect,
+                write=self._http.timeout.write,
+                pool=self._http.timeout.pool,
+                read=None,
+            ),
+        )
+        try:
+            response = await self._http.send(request, stream=True)
+        except httpx.HTTPError as error:
+            return failures.StoreUnavailable(repr(error))
+        try:
+            if response.status_code != _HTTP_OK:
+                await response.aread()
+                return _status_failure(response, is_write=False)
+            return await _relay_events(response, events)
+        except httpx.HTTPError as error:
+            return failures.WatchEnded(repr(error))
+        finally:
+            await response.aclose()
+
+    async def _call(
+        self,
+        path: str,
+        body: dict[str, Any],
+        decode: Callable[[Any], AnswerT],
+        *,
+        is_write: bool,
+    ) -> expression.Result[AnswerT, failures.StoreFailure]:
+        """Makes one call and types its outcome."""
+        self.calls_by_path[path] += 1
+        try:
+            response = await self._http.post(path, json=body)
+        except _NEVER_SENT as error:
+            return expression.Error(failures.StoreUnavailable(repr(error)))
+        except httpx.HTTPError as error:
+            if is_write:
+                return expression.Error(
+                    failures.StoreOutcomeUnknown(repr(error))
+                )
+            return expression.Error(failures.StoreUnavailable(repr(error)))
+        if response.status_code != _HTTP_OK:
+            return expression.Error(_status_failure(response, is_write))
+        try:
+            return expression.Ok(decode(json.loads(response.content)))
+        except gateway.DECODE_ERRORS as error:
+            if is_write:
+                return expression.Error(
+                    failures.StoreOutcomeUnknown(repr(error))
+                )
+            return expression.Error(failures.StoreAnswerInvalid(repr(error)))
+
+
+def _status_failure(
+    response: httpx.Response, is_write: bool
+) -> failures.StoreFailure:
+    """Returns the failure for an answer whose status is not 200."""
+    problem = f"status {response.status_code}: {response.text[:200]}"
+    if response.status_code == _HTTP_TOO_MANY_REQUESTS:
+        return failures.StoreThrottled(problem)
+    if response.status_code < _HTTP_SERVER_ERROR:
+        return failures.StoreRejected(problem, status=response.status_code)
+    if is_write:
+        # A store that gave up waiting may still apply the write later.
+        return failures.StoreOutcomeUnknown(problem)
+    return failures.StoreUnavailable(problem)
+
+
+async def _relay_events(
+    response: httpx.Response, events: protocol.EventSender
+) -> failures.StoreFailure:
+    """Sends the events of an open watch until it ends."""
+    async for line in response.aiter_lines():
+        if not line:
+            continue
+        if len(line) > MAX_ANSWER_LINE_BYTES:
+            return failures.WatchEnded(f"a line of {len(line)} bytes")
+        try:
+            body = json.loads(line)
+            result = body["result"]
+            if int(result.get("compact_revision", 0)):
+                return failures.WatchCompacted(line[:200])
+            if result.get("canceled", False):
+                return failures.WatchEnded(line[:200])
+            decoded = [
+                gateway.decode_event(event)
+                for event in result.get("events", ())
+            ]
+            store_revision = int(result["header"]["revision"])
+        except gateway.DECODE_ERRORS as error:
+            return failures.WatchEnded(repr(error))
+        if result.get("created", False):
+            await events.send(data.WatchStarted(store_revision))
+        for event in decoded:
+            await events.send(event)
+    return failures.WatchEnded("the store closed the watch")
--- /dev/null
+++ b/packages/net/sapphire_net/store/protocol.py
@@ -0,0 +1,109 @@
+"""What the rest of the project asks of a store."""
+
+from collections.abc import Sequence
+from typing import Protocol
+
+import expression
+
+from sapphire_net.store import data
+from sapphire_net.store import failures
+
+MAX_VALUE_BYTES = 1_048_576
+
+
+class EventSender(Protocol):
+    """Takes the events of a watch, such as a memory object send stream."""
+
+    async def send(self, item: data.WatchEvent, /) -> None:
+        """Takes one event; blocks while the receiver is behind."""
+
+
+class Store(Protocol):
+    """A key-value service with compare-and-swap, leases and watches."""
+
+    async def get(
+        self, key: str, *, is_prefix: bool = False, limit: int = 0
+    ) -> expression.Result[data.RangeAnswer, failures.StoreFailure]:
+        """Reads one key, or all keys with a prefix in order.
+
+        Args:
+            key: The key or prefix.
+            is_prefix: Whether to read all keys that start with it.
+            limit: The most keys to return; 0 for all.
+
+        Returns:
+            The keys found, perhaps none; or why they cannot be read.
+        """
+
+    async def transact(
+        self,
+        compares: Sequence[data.Compare],
+        writes: Sequence[data.Put | data.Delete],
+    ) -> expression.Result[data.TransactionAnswer, failures.StoreFailure]:
+        """Writes all keys at once if all conditions hold.
+
+        Args:
+            compares: The conditions.
+            writes: The writes; no key twice.
+
+        Returns:
+            Whether it took effect; `StoreOutcomeUnknown` if the answer was
+            lost; another failure if it had no effect.
+        """
+
+    async def grant_lease(
+        self, time_to_live_ms: int
+    ) -> expression.Result[data.LeaseAnswer, failures.StoreFailure]:
+        """Opens a lease.
+
+        Args:
+            time_to_live_ms: Its length, rounded up to seconds.
+
+        Returns:
+            The lease, or why there is none.
+        """
+
+    async def renew_lease(
+        self, lease_id: int
+    ) -> expression.Result[data.LeaseAnswer, failures.StoreFailure]:
+        """Extends a lease by its length.
+
+        Args:
+            lease_id: The lease.
+
+        Returns:
+            The lease, with no time left if it has lapsed.
+        """
+
+    async def revoke_lease(
+        self, lease_id: int
+    ) -> expression.Result[None, failures.StoreFailure]:
+        """Ends a lease and deletes its keys.
+
+        Args:
+            lease_id: The lease.
+
+        Returns:
+            Nothing, or why the outcome is not known.
+        """
+
+    async def watch(
+        self,
+        key: str,
+        from_store_revision: int,
+        events: EventSender,
+        *,
+        is_prefix: bool = False,
+    ) -> failures.StoreFailure:
+        """Sends the changes of a key until the watch ends.
+
+        Args:
+            key: The key or prefix.
+            from_store_revision: The first store revision to report; 0 for
+                the changes from now on.
+            events: Takes the events.
+            is_prefix: Whether to watch all keys that start with it.
+
+        Returns:
+            Why the watch ended.
+        """
--- /dev/null
+++ b/packages/wire/sapphire_wire/documents/__init__.py
@@ -0,0 +1,1 @@
+"""Border models of the document and bindings, and the stored records."""
--- /dev/null
+++ b/packages/wire/sapphire_wire/documents/models.py
@@ -0,0 +1,177 @@
+"""Validated models of the operators' document and of the bindings."""
+
+import ipaddress
+from typing import Annotated
+from typing import Any
+
+import pydantic
+
+from sapphire_data import records
+
+DEFAULT_BUCKET_COUNT = 1_021
+MAX_BUCKET_COUNT = 65_537
+MAX_SLOTS = 100_000
+MAX_WARM_UP_MS = 3_600_000
+MAX_COLD_FLOWS_PER_SECOND = 1_000_000.0
+MAX_QUEUE = 1_000_000
+MAX_BODY_BYTES = 1_073_741_824
+MAX_REQUEST_TIMEOUT_MS = 3_600_000
+NAME_PATTERN = r"^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$"
+
+
+def _require_prime(value: int) -> int:
+    """Returns the value if it is a prime."""
+    divisor = 2
+    while divisor * divisor <= value:
+        if value % divisor == 0:
+            raise ValueError("must be a prime number")
+        divisor += 1
+    return value
+
+
+def _require_ip_number(value: str) -> str:
+    """Returns the address in its canonical form."""
+    return str(ipaddress.ip_address(value))
+
+
+Name = Annotated[
+    str, pydantic.StringConstraints(pattern=NAME_PATTERN, strict=True)
+]
+Address = Annotated[str, pydantic.AfterValidator(_require_ip_number)]
+Port = Annotated[int, pydantic.Field(ge=1, le=65_535, strict=True)]
+Share = Annotated[float, pydantic.Field(gt=0.0, lt=1.0)]
+BucketCount = Annotated[
+    int,
+    pydantic.Field(ge=2, le=MAX_BUCKET_COUNT, strict=True),
+    pydantic.AfterValidator(_require_prime),
+]
+
+
+class _Model(pydantic.BaseModel):
+    """A model in which unknown keys are errors."""
+
+    model_config = pydantic.ConfigDict(
+        extra="forbid", frozen=True, allow_inf_nan=False
+    )
+
+
+class DataCentreModel(_Model):
+    """A data centre: `{state: "in"}` or `{state: "out"}`."""
+
+    state: records.DataCentreState = records.DataCentreState.IN
+
+
+class UpstreamModel(_Model):
+    """An upstream of a pool."""
+
+    data_centre: Name
+    slots: Annotated[int, pydantic.Field(ge=1, le=MAX_SLOTS, strict=True)] = 1
+    cold_flows_per_second: Annotated[
+        float, pydantic.Field(gt=0.0, le=MAX_COLD_FLOWS_PER_SECOND)
+    ] = 10.0
+    warm_up_ms: Annotated[
+        int, pydantic.Field(ge=0, le=MAX_WARM_UP_MS, strict=True)
+    ] = 30_000
+    intent: records.UpstreamIntent = records.UpstreamIntent.SERVE
+
+
+class LimitsModel(_Model):
+    """The limits of a service."""
+
+    max_queue: Annotated[
+        int, pydantic.Field(ge=0, le=MAX_QUEUE, strict=True)
+    ] = 64
+    max_body_bytes: Annotated[
+        int, pydantic.Field(ge=0, le=MAX_BODY_BYTES, strict=True)
+    ] = 8_388_608
+    request_timeout_ms: Annotated[
+        int, pydantic.Field(ge=1, le=MAX_REQUEST_TIMEOUT_MS, strict=True)
+    ] = 10_000
+    retry_share: Annotated[float, pydantic.Field(ge=0.0, le=1.0)] = 0.1
+
+
+class ObjectivesModel(_Model):
+    """The service-level objectives of a service."""
+
+    flows_kept: Share = 0.9999
+    requests_answered: Share = 0.999
+    move_service: Share = 0.999
+
+
+class ServiceModel(_Model):
+    """A service with its pool."""
+
+    buckets: BucketCount = DEFAULT_BUCKET_COUNT
+    pool: dict[Name, UpstreamModel]
+    limits: LimitsModel = LimitsModel()
+    objectives: ObjectivesModel = ObjectivesModel()
+
+
+class DocumentModel(_Model):
+    """The operators' document."""
+
+    data_centres: dict[Name, DataCentreModel]
+    services: dict[Name, ServiceModel]
+
+
+class ServiceAddressModel(_Model):
+    """The address of a service."""
+
+    address: Address
+    port: Port
+
+
+class UpstreamAddressModel(_Model):
+    """The address of an upstream."""
+
+    address: Address
+    packet_port: Port
+    request_port: Port
+
+
+class BindingsModel(_Model):
+    """The addresses of one environment.
+
+    Names that the document does not hold are allowed, so that addresses can
+    be bound before the document that uses them is promoted.
+    """
+
+    services: dict[Name, ServiceAddressModel]
+    upstreams: dict[Name, UpstreamAddressModel]
+
+
+def expected_of(error: Any) -> str:
+    """Says what a correct value looks like.
+
+    Args:
+        error: One item of `pydantic.ValidationError.errors()`.
+
+    Returns:
+        A phrase in English.
+    """
+    context = error.get("ctx") or {}
+    expected = _EXPECTED_BY_TYPE.get(error["type"])
+    if expected is not None:
+        return expected.format(**context)
+    return str(error["msg"])
+
+
+_EXPECTED_BY_TYPE = {
+    "missing": "this key with a value",
+    "extra_forbidden": "no such key",
+    "string_pattern_mismatch": (
+        "1 to 63 lower-case letters, digits, dots and hyphens, with a"
+        " letter or digit at each end"
+    ),
+    "greater_than": "a number greater than {gt}",
+    "greater_than_equal": "a number of at least {ge}",
+    "less_than": "a number less than {lt}",
+    "less_than_equal": "a number of at most {le}",
+    "enum": "one of {expected}",
+    "int_type": "a whole number",
+    "float_type": "a number",
+    "dict_type": "an object",
+    "model_type": "an object",
+    "string_type": "a string",
+    "finite_number": "a finite number",
+}
--- /dev/null
+++ b/packages/wire/sapphire_wire/documents/packing.py
@@ -0,0 +1,382 @@
+"""Packs a configuration into a head and parts, and unpacks it again.
+
+Parts are split by data centre and by shard of services, and in chunks, so
+that no part exceeds the store's limit and a change touches few of them.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+import dataclasses
+import hashlib
+from typing import Any
+import zlib
+
+import expression
+import xxhash
+
+from sapphire_core.configuration import data
+from sapphire_data import failures
+from sapphire_data import records
+from sapphire_wire import codec
+from sapphire_wire.gen.configuration import ttypes
+
+DIGEST_BYTES = 16
+# A part of this many records is about 6 KB when compressed.
+RECORDS_PER_PART = 256
+# 4,096 records of at most about 200 bytes stay under 1 MB uncompressed.
+MAX_RECORDS_PER_CHUNK = 4_096
+MAX_PART_BYTES = 1_000_000
+COMPRESSION_LEVEL = 6
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """Who made a revision and from what.
+
+    Attributes:
+        writer_id: Unique to this change; recognises a write whose answer was
+            lost.
+        author: The operator or host.
+        action: What was done, such as `apply`.
+        written_ms: The wall time in milliseconds.
+        document_digest: The digest of the document's bytes.
+        bindings_digest: The digest of the bindings' bytes.
+        document_chunks: The number of stored chunks of the document.
+        bindings_chunks: The number of stored chunks of the bindings.
+    """
+
+    writer_id: str
+    author: str
+    action: str
+    written_ms: int
+    document_digest: str
+    bindings_digest: str
+    document_chunks: int = 0
+    bindings_chunks: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Head:
+    """The decoded head of a revision.
+
+    Attributes:
+        version: The revision and the digest of the encoded head.
+        change: Who made it and from what.
+        shard_count: The number of shards of services.
+        data_centres_by_name: The data centres.
+        part_digests: The digest of each part.
+    """
+
+    version: data.Version
+    change: Change
+    shard_count: int
+    data_centres_by_name: Mapping[str, records.DataCentre]
+    part_digests: tuple[bytes, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Packed:
+    """An encoded configuration.
+
+    Attributes:
+        version: The revision and the digest of the head.
+        head: The encoded head.
+        parts_by_digest: The compressed parts.
+    """
+
+    version: data.Version
+    head: bytes
+    parts_by_digest: Mapping[bytes, bytes]
+
+
+def part_digest(content: bytes) -> bytes:
+    """Returns the digest that names a part or a head."""
+    return hashlib.blake2b(content, digest_size=DIGEST_BYTES).digest()
+
+
+def pack(
+    configuration: records.Configuration,
+    change: Change,
+    min_shard_count: int = 1,
+) -> Packed:
+    """Encodes a configuration.
+
+    Args:
+        configuration: The configuration.
+        change: Who made it and from what.
+        min_shard_count: The shard count of the previous head. The count
+            never shrinks, because another count changes every part.
+
+    Returns:
+        The head and its parts.
+    """
+    shard_count = _shard_count(configuration, min_shard_count)
+    parts_by_digest: dict[bytes, bytes] = {}
+    digests: list[bytes] = []
+    for part in _parts(configuration, shard_count):
+        content = zlib.compress(codec.encode(part), COMPRESSION_LEVEL)
+        digest = part_digest(content)
+        digests.append(digest)
+        parts_by_digest[digest] = content
+    head = codec.encode(
+        ttypes.Head(
+            revision=configuration.revision,
+            shard_count=shard_count,
+            data_centres=[
+                ttypes.DataCentreRecord(
+                    name=name,
+                    is_out=item.state is records.DataCentreState.OUT,
+                )
+                for name, item in sorted(
+                    configuration.data_centres_by_name.items()
+                )
+            ],
+            parts=digests,
+            **dataclasses.asdict(change),
+        )
+    )
+    version = data.Version(
+        revision=configuration.revision, digest=part_digest(head).hex()
+    )
+    return Packed(version=version, head=head, parts_by_digest=parts_by_digest)
+
+
+def unpack_head(
+    content: bytes,
+) -> expression.Result[Head, failures.UnreadableInput]:
+    """Decodes a head.
+
+    Args:
+        content: The encoded head.
+
+    Returns:
+        The head, or why it cannot be read.
+    """
+    return codec.decode(ttypes.Head, content).map(
+        lambda record: _head_of(record, content)
+    )
+
+
+def unpack(
+    head: Head, parts_by_digest: Mapping[bytes, bytes]
+) -> expression.Result[records.Configuration, failures.UnreadableInput]:
+    """Decodes a configuration; every part must match its digest.
+
+    Args:
+        head: The decoded head.
+        parts_by_digest: The compressed parts, perhaps more than are needed.
+
+    Returns:
+        The configuration, or why it cannot be read.
+    """
+    services: list[Any] = []
+    upstreams: list[Any] = []
+    for digest in head.part_digests:
+        content = parts_by_digest.get(digest)
+        if content is None or part_digest(content) != digest:
+            return _unreadable(f"part {digest.hex()} is missing or altered")
+        try:
+            plain = zlib.decompressobj().decompress(
+                content, codec.MAX_RECORD_BYTES
+            )
+        except zlib.error as error:
+            return _unreadable(f"part {digest.hex()}: {error}")
+        part: Any = codec.decode(ttypes.Part, plain)
+        if part.is_error():
+            return part  # type: ignore[no-any-return]
+        services.extend(part.ok.services)
+        upstreams.extend(part.ok.upstreams)
+    return _configuration_of(head, services, upstreams)
+
+
+def _unreadable(problem: str) -> expression.Result[Any, Any]:
+    """Returns the failure for a configuration that cannot be read."""
+    return expression.Error(
+        failures.UnreadableInput(source="configuration", problem=problem)
+    )
+
+
+def _shard_count(configuration: records.Configuration, minimum: int) -> int:
+    """Returns the smallest power of two that keeps parts small on average."""
+    record_count = 0
+    for service in configuration.services_by_name.values():
+        record_count += 1 + len(service.upstreams_by_name)
+    groups = 1 + len(configuration.data_centres_by_name)
+    count = max(minimum, 1)
+    while record_count > count * groups * RECORDS_PER_PART:
+        count *= 2
+    return count
+
+
+def _parts(
+    configuration: records.Configuration, shard_count: int
+) -> Iterable[Any]:
+    """Yields the parts in a fixed order."""
+    services_by_shard: dict[int, list[Any]] = {}
+    upstreams_by_place: dict[tuple[str, int], list[Any]] = {}
+    for name in sorted(configuration.services_by_name):
+        service = configuration.services_by_name[name]
+        shard = xxhash.xxh64_intdigest(name.encode()) % shard_count
+        services_by_shard.setdefault(shard, []).append(_service_record(service))
+        for record in _upstream_records(service):
+            place = (record.data_centre, shard)
+            upstreams_by_place.setdefault(place, []).append(record)
+    for _, services in sorted(services_by_shard.items()):
+        for chunk in _chunks(services):
+            yield ttypes.Part(services=chunk, upstreams=[])
+    for _, upstreams in sorted(upstreams_by_place.items()):
+        for chunk in _chunks(upstreams):
+            yield ttypes.Part(services=[], upstreams=chunk)
+
+
+def _chunks(items: list[Any]) -> Iterable[list[Any]]:
+    """Yields runs of items that fit into one part."""
+    for start in range(0, len(items), MAX_RECORDS_PER_CHUNK):
+        yield items[start : start + MAX_RECORDS_PER_CHUNK]
+
+
+def _service_record(service: records.Service) -> Any:
+    """Returns the thrift record of a service without its pool."""
+    return ttypes.ServiceRecord(
+        name=service.name,
+        address=service.address,
+        port=service.port,
+        bucket_count=service.bucket_count,
+        generations=[item.number for item in service.generations],
+        **dataclasses.asdict(service.limits),
+        **dataclasses.asdict(service.objectives),
+    )
+
+
+def _upstream_records(service: records.Service) -> Iterable[Any]:
+    """Yields the thrift records of a service's upstreams, by name."""
+    numbers_by_name: dict[str, list[int]] = {}
+    for generation in service.generations:
+        for name in generation.upstreams:
+            numbers_by_name.setdefault(name, []).append(generation.number)
+    for name, upstream in sorted(service.upstreams_by_name.items()):
+        yield ttypes.UpstreamRecord(
+            service_name=service.name,
+            name=name,
+            data_centre=upstream.data_centre,
+            address=upstream.address,
+            packet_port=upstream.packet_port,
+            request_port=upstream.request_port,
+            slots=upstream.slots,
+            cold_flows_per_second=upstream.cold_flows_per_second,
+            warm_up_ms=upstream.warm_up_ms,
+            drains=upstream.intent is records.UpstreamIntent.DRAIN,
+            generations=numbers_by_name.get(name, []),
+        )
+
+
+def _head_of(record: Any, content: bytes) -> Head:
+    """Returns the head of a thrift record."""
+    return Head(
+        version=data.Version(
+            revision=record.revision, digest=part_digest(content).hex()
+        ),
+        change=Change(
+            writer_id=record.writer_id,
+            author=record.author,
+            action=record.action,
+            written_ms=record.written_ms,
+            document_digest=record.document_digest,
+            bindings_digest=record.bindings_digest,
+            document_chunks=record.document_chunks,
+            bindings_chunks=record.bindings_chunks,
+        ),
+        shard_count=record.shard_count,
+        data_centres_by_name={
+            item.name: records.DataCentre(
+                name=item.name,
+                state=records.DataCentreState.OUT
+                if item.is_out
+                else records.DataCentreState.IN,
+            )
+            for item in record.data_centres
+        },
+        part_digests=tuple(record.parts),
+    )
+
+
+def _configuration_of(
+    head: Head, services: list[Any], upstreams: list[Any]
+) -> expression.Result[records.Configuration, failures.UnreadableInput]:
+    """Returns the configuration of decoded records."""
+    upstreams_by_service: dict[str, dict[str, records.Upstream]] = {}
+    names_by_generation: dict[tuple[str, int], list[str]] = {}
+    for record in upstreams:
+        pool = upstreams_by_service.setdefault(record.service_name, {})
+        pool[record.name] = _upstream_of(record)
+        for number in record.generations:
+            key = (record.service_name, number)
+            names_by_generation.setdefault(key, []).append(record.name)
+    services_by_name: dict[str, records.Service] = {}
+    for record in services:
+        if not record.generations:
+            return _unreadable(f"service {record.name} has no generation")
+        generations = tuple(
+            records.PoolGeneration(
+                number=number,
+                upstreams=tuple(
+                    sorted(names_by_generation.get((record.name, number), []))
+                ),
+            )
+            for number in record.generations
+        )
+        services_by_name[record.name] = records.Service(
+            name=record.name,
+            address=record.address,
+            port=record.port,
+            bucket_count=record.bucket_count,
+            upstreams_by_name=upstreams_by_service.get(record.name, {}),
+            generations=generations,
+            limits=_limits_of(record),
+            objectives=_objectives_of(record),
+        )
+    return expression.Ok(
+        records.Configuration(
+            revision=head.version.revision,
+            digest=head.change.document_digest,
+            services_by_name=services_by_name,
+            data_centres_by_name=head.data_centres_by_name,
+        )
+    )
+
+
+def _upstream_of(record: Any) -> records.Upstream:
+    """Returns the upstream of a thrift record."""
+    intent = records.UpstreamIntent.SERVE
+    if record.drains:
+        intent = records.UpstreamIntent.DRAIN
+    return records.Upstream(
+        name=record.name,
+        data_centre=record.data_centre,
+        address=record.address,
+        packet_port=record.packet_port,
+        request_port=record.request_port,
+        slots=record.slots,
+        cold_flows_per_second=record.cold_flows_per_second,
+        warm_up_ms=record.warm_up_ms,
+        intent=intent,
+    )
+
+
+def _limits_of(record: Any) -> records.Limits:
+    """Returns the limits of a service's thrift record."""
+    return records.Limits(
+        max_queue=record.max_queue,
+        max_body_bytes=record.max_body_bytes,
+        request_timeout_ms=record.request_timeout_ms,
+        retry_share=record.retry_share,
+    )
+
+
+def _objectives_of(record: Any) -> records.Objectives:
+    """Returns the objectives of a service's thrift record."""
+    return records.Objectives(
+        flows_kept=record.flows_kept,
+        requests_answered=record.requests_answered,
+        move_service=record.move_service,
+    )
