Requests: life cycle engine, claims, HTTP/1.1 carriage and stand-in upstream

A first path from the ASGI application over httpx to a stand-in upstream over a real socket: slots respected, whole answers, truthful not-run and unknown, claims by create-if-absent grouped into few store calls.

--- /dev/null
+++ b/packages/core/sapphire_core/requests/backoff.py
@@ -0,0 +1,28 @@
+"""Jittered exponential backoff."""
+
+from typing import Any
+from typing import cast
+
+import tenacity
+
+from sapphire_data import clock
+
+
+def delay_ms(attempt: int, base_ms: int, max_ms: int) -> int:
+    """Returns a random delay before an attempt is repeated.
+
+    Args:
+        attempt: The number of failures in a row, from 1.
+        base_ms: The largest delay after the first failure.
+        max_ms: The largest delay at all.
+
+    Returns:
+        The delay in milliseconds, at least 1.
+    """
+    wait = tenacity.wait_random_exponential(
+        multiplier=base_ms / clock.MS_PER_SECOND,
+        max=max_ms / clock.MS_PER_SECOND,
+    )
+    state = tenacity.RetryCallState(cast(Any, None), None, (), {})
+    state.attempt_number = attempt
+    return max(1, round(wait(state) * clock.MS_PER_SECOND))
--- /dev/null
+++ b/packages/lab/sapphire_lab/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Builders, fakes and the measurement of requests."""
--- /dev/null
+++ b/packages/node/sapphire_node/requests/fields.py
@@ -0,0 +1,86 @@
+"""The header fields of the request carriage, and their values."""
+
+import expression
+
+from sapphire_core.requests import failures
+from sapphire_node.requests import data
+
+HOST = b"host"
+CONTENT_LENGTH = b"content-length"
+IDEMPOTENCY_KEY = b"idempotency-key"
+DEADLINE = b"x-request-deadline-ms"
+RETRIES_LEFT = b"x-retry-attempts-left"
+REQUEST_ID = b"x-request-id"
+BOOT_ID = b"x-boot-id"
+RETRY_AFTER = b"retry-after"
+OUTCOME = b"sapphire-outcome"
+
+IDEMPOTENT_METHODS = frozenset(
+    {"GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE"}
+)
+MAX_KEY_CHARACTERS = 200
+MAX_DEADLINE_MS = 600_000
+DEFAULT_RETRIES = 2
+MAX_RETRIES = 10
+
+# Fields that concern one connection only (RFC 9110, section 7.6.1).
+HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+OWN_FIELDS = frozenset({DEADLINE, RETRIES_LEFT, REQUEST_ID, OUTCOME})
+
+
+def find(headers: data.RawHeaders, name: bytes) -> str | None:
+    """Returns the value of the first field of a name, or None."""
+    for field, value in headers:
+        if field.lower() == name:
+            return value.decode("latin-1").strip()
+    return None
+
+
+def whole_number(
+    headers: data.RawHeaders, name: bytes, default: int, maximum: int
+) -> expression.Result[int, failures.InvalidRequest]:
+    """Reads a field that holds a whole number.
+
+    Args:
+        headers: The header fields.
+        name: The name of the field, in lower case.
+        default: The value if the field is absent.
+        maximum: Greater values count as this one.
+
+    Returns:
+        The number, or InvalidRequest.
+    """
+    text = find(headers, name)
+    if text is None:
+        return expression.Ok(default)
+    if not (text.isascii() and text.isdigit()):
+        field = name.decode()
+        problem = "expected a whole number"
+        return expression.Error(failures.InvalidRequest(field, problem))
+    return expression.Ok(min(maximum, int(text[:18])))
+
+
+def without_hop_fields(headers: data.RawHeaders) -> list[tuple[bytes, bytes]]:
+    """Returns the fields that go on to the next hop."""
+    named = {
+        token.strip().lower().encode("latin-1")
+        for token in (find(headers, b"connection") or "").split(",")
+    }
+    dropped = HOP_BY_HOP | named
+    return [
+        (name.lower(), value)
+        for name, value in headers
+        if name.lower() not in dropped
+    ]
--- /dev/null
+++ b/packages/node/sapphire_node/requests/service.py
@@ -0,0 +1,312 @@
+"""The task that owns the requests of a host."""
+
+from collections.abc import Iterator
+from collections.abc import Mapping
+import contextlib
+import dataclasses
+import logging
+import math
+import random
+
+import anyio
+import anyio.abc
+import anyio.streams.memory
+
+from sapphire_core.requests import claims
+from sapphire_core.requests import data as core_data
+from sapphire_core.requests import engine
+from sapphire_core.requests import memory_budget
+from sapphire_data import clock
+from sapphire_data import records
+from sapphire_node.requests import answer_memory
+from sapphire_node.requests import data
+from sapphire_node.requests import upstream_client
+
+UPLOAD_MEMORY_BYTES = 33_554_432
+ANSWER_MEMORY_BYTES = 33_554_432
+CLAIM_TIMEOUT_MS = 500
+IDLE_POLL_S = 0.05
+
+logger = logging.getLogger(__name__)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Submit:
+    """A whole request and where its outcome goes.
+
+    Attributes:
+        request: The record for the core.
+        http: The request itself.
+        reply: Takes the one outcome.
+    """
+
+    request: core_data.Request
+    http: data.HttpRequest
+    reply: anyio.streams.memory.MemoryObjectSendStream[core_data.Finish]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SetConfiguration:
+    """A configuration came into force."""
+
+    configuration: records.Configuration
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SetView:
+    """The membership changed."""
+
+    view: records.MemberView
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BeginDrain:
+    """The host takes no new requests."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AttemptEnded:
+    """An attempt ended.
+
+    Attributes:
+        service: The name of the service.
+        event: How it ended.
+    """
+
+    service: str
+    event: upstream_client.AttemptEvent
+
+
+Message = (
+    Submit
+    | SetConfiguration
+    | SetView
+    | BeginDrain
+    | AttemptEnded
+    | core_data.Event
+)
+
+
+class RequestService:
+    """Runs the core of one host over HTTP/1.1.
+
+    `run` must be running for anything to happen. The other methods may be
+    called at any time from the same event loop.
+
+    Attributes:
+        upload_memory: The memory of request bodies.
+        answer_memory: The memory of answers.
+        services_by_name: The services of the configuration in force.
+        clock: The clock.
+    """
+
+    def __init__(
+        self,
+        host_id: str,
+        claim_store: claims.ClaimStore,
+        service_clock: clock.Clock,
+        *,
+        rng: random.Random | None = None,
+        upload_memory_bytes: int = UPLOAD_MEMORY_BYTES,
+        answer_memory_bytes: int = ANSWER_MEMORY_BYTES,
+    ) -> None:
+        self.clock = service_clock
+        self.upload_memory = memory_budget.MemoryBudget(upload_memory_bytes)
+        self.answer_memory = answer_memory.AnswerMemory(answer_memory_bytes)
+        self.services_by_name: Mapping[str, records.Service] = {}
+        self._claim_store = claim_store
+        self._engine = engine.Engine(host_id, rng or random.Random())
+        self._submits_by_serial: dict[int, Submit] = {}
+        self._configuration: records.Configuration | None = None
+        self._scopes_by_attempt: dict[str, anyio.CancelScope] = {}
+        self._open_exchanges = 0
+        self._serial = 0
+        self._send, self._receive = anyio.create_memory_object_stream[Message](
+            math.inf
+        )
+
+    def next_serial(self) -> int:
+        """Returns the number of the next arrival."""
+        self._serial += 1
+        return self._serial
+
+    @property
+    def is_draining(self) -> bool:
+        """Whether the host takes no new requests."""
+        return self._engine.is_draining
+
+    def post(self, message: Message) -> None:
+        """Hands a message to the task that owns the requests."""
+        self._send.send_nowait(message)
+
+    def set_configuration(self, configuration: records.Configuration) -> None:
+        """Takes in the configuration in force."""
+        self.services_by_name = configuration.services_by_name
+        self.post(SetConfiguration(configuration))
+
+    def set_view(self, view: records.MemberView) -> None:
+        """Takes in the membership."""
+        self.post(SetView(view))
+
+    def begin_drain(self) -> None:
+        """Refuses new requests as not run; those in flight are finished."""
+        self.post(BeginDrain())
+
+    @contextlib.contextmanager
+    def exchange(self) -> Iterator[None]:
+        """Counts a caller's exchange from its head to the end of its answer."""
+        self._open_exchanges += 1
+        try:
+            yield
+        finally:
+            self._open_exchanges -= 1
+
+    async def wait_idle(self) -> None:
+        """Waits until the host drains and no request is in flight."""
+        while not self._is_idle():
+            await anyio.sleep(IDLE_POLL_S)
+
+    def _is_idle(self) -> bool:
+        if not self.is_draining or self._open_exchanges:
+            return False
+        return self._engine.is_idle and not self._scopes_by_attempt
+
+    def counters(self) -> Mapping[str, int]:
+        """Returns the counts of events by name."""
+        counts = dict(self._engine.counters)
+        counts["store_calls"] = self._engine.claims.calls
+        counts["upload_memory_bytes"] = self.upload_memory.used_bytes
+        return counts
+
+    async def run(
+        self,
+        *,
+        task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Owns the requests until it is cancelled."""
+        async with (
+            upstream_client.create_client() as http,
+            anyio.create_task_group() as tasks,
+        ):
+            client = upstream_client.UpstreamClient(http, self.answer_memory)
+            task_status.started()
+            while True:
+                message = await self._next_message()
+                now_ms = self.clock.now_ms()
+                for action in self._take(message, now_ms):
+                    self._perform(action, client, tasks)
+
+    async def _next_message(self) -> Message:
+        now_ms = self.clock.now_ms()
+        wakeup_ms = self._engine.next_wakeup_ms(now_ms)
+        timeout_s = math.inf
+        if wakeup_ms is not None:
+            timeout_s = max(0, wakeup_ms - now_ms) / clock.MS_PER_SECOND
+        with anyio.move_on_after(timeout_s):
+            return await self._receive.receive()
+        return core_data.Tick()
+
+    def _take(self, message: Message, now_ms: int) -> list[core_data.Action]:
+        match message:
+            case Submit(request):
+                self._submits_by_serial[request.serial] = message
+                arrived = core_data.RequestArrived(request)
+                return self._engine.handle(arrived, now_ms)
+            case SetConfiguration(configuration):
+                self._configuration = configuration
+                return self._engine.set_configuration(configuration, now_ms)
+            case SetView(view):
+                return self._engine.set_view(view, now_ms)
+            case BeginDrain():
+                self._engine.begin_drain()
+                return []
+            case AttemptEnded(service, event):
+                if isinstance(event, core_data.AnswerArrived):
+                    return self._take_answer(service, event, now_ms)
+                return self._engine.handle(event, now_ms)
+            case _:
+                return self._engine.handle(message, now_ms)
+
+    def _take_answer(
+        self, service: str, event: core_data.AnswerArrived, now_ms: int
+    ) -> list[core_data.Action]:
+        actions = self._engine.handle(event, now_ms)
+        for action in actions:
+            if not isinstance(action, core_data.Finish):
+                continue
+            if action.answer is event.answer:
+                return actions
+        # Nobody waits for this answer any more.
+        self._release_answer(service, event.answer)
+        return actions
+
+    def _release_answer(self, service: str, answer: object) -> None:
+        if isinstance(answer, data.HttpAnswer):
+            self.answer_memory.release(service, answer.reserved_bytes)
+
+    def _perform(
+        self,
+        action: core_data.Action,
+        client: upstream_client.UpstreamClient,
+        tasks: anyio.abc.TaskGroup,
+    ) -> None:
+        match action:
+            case core_data.Send():
+                self._start_attempt(action, client, tasks)
+            case core_data.CancelAttempt(attempt_id):
+                scope = self._scopes_by_attempt.get(attempt_id)
+                if scope is not None:
+                    scope.cancel()
+            case core_data.Finish(serial):
+                submit = self._submits_by_serial.pop(serial)
+                self._reply(submit, action)
+            case core_data.ApplyClaims(batch):
+                tasks.start_soon(self._apply, batch)
+
+    def _reply(self, submit: Submit, finish: core_data.Finish) -> None:
+        try:
+            submit.reply.send_nowait(finish)
+        except anyio.BrokenResourceError:
+            self._release_answer(submit.request.service, finish.answer)
+
+    def _start_attempt(
+        self,
+        send: core_data.Send,
+        client: upstream_client.UpstreamClient,
+        tasks: anyio.abc.TaskGroup,
+    ) -> None:
+        submit = self._submits_by_serial[send.serial]
+        if self._configuration is None:
+            return
+        services_by_name = self._configuration.services_by_name
+        service = services_by_name[submit.request.service]
+        upstream = service.upstreams_by_name[send.upstream]
+        self._scopes_by_attempt[send.attempt_id] = anyio.CancelScope()
+        tasks.start_soon(self._attempt, send, submit, upstream, client)
+
+    async def _attempt(
+        self,
+        send: core_data.Send,
+        submit: Submit,
+        upstream: records.Upstream,
+        client: upstream_client.UpstreamClient,
+    ) -> None:
+        service = submit.request.service
+        try:
+            with self._scopes_by_attempt[send.attempt_id]:
+                event = await client.attempt(
+                    send, service, upstream, submit.http
+                )
+                self.post(AttemptEnded(service, event))
+        finally:
+            del self._scopes_by_attempt[send.attempt_id]
+
+    async def _apply(self, batch: core_data.ClaimBatch) -> None:
+        timeout_s = CLAIM_TIMEOUT_MS / clock.MS_PER_SECOND
+        with anyio.move_on_after(timeout_s):
+            result = await self._claim_store.apply(batch)
+            if result.is_ok():
+                self.post(result.ok)
+                return
+        logger.warning("event=claims_failed batch=%d", batch.batch_id)
+        self.post(core_data.ClaimsFailed(batch.batch_id))
--- /dev/null
+++ b/packages/node/sapphire_node/requests/upstream_client.py
@@ -0,0 +1,226 @@
+"""One attempt at an upstream over HTTP/1.1."""
+
+import logging
+
+import anyio
+import httpx
+
+from sapphire_core.requests import data as core_data
+from sapphire_data import clock
+from sapphire_data import records
+from sapphire_node.requests import answer_memory
+from sapphire_node.requests import data
+from sapphire_node.requests import fields
+
+MAX_ANSWER_BYTES = 8_388_608
+CONNECT_TIMEOUT_MS = 1_000
+# Shorter than the idle timeout of usual servers, so that a connection is
+# seldom reused just while the upstream closes it.
+KEEPALIVE_EXPIRY_S = 2.0
+STATUS_SHED = 503
+BODILESS_STATUSES = (204, 304)
+
+logger = logging.getLogger(__name__)
+
+AttemptEvent = core_data.AnswerArrived | core_data.AttemptFailed
+
+
+def create_client() -> httpx.AsyncClient:
+    """Returns a client that neither retries nor follows redirects."""
+    limits = httpx.Limits(
+        max_connections=None,
+        max_keepalive_connections=None,
+        keepalive_expiry=KEEPALIVE_EXPIRY_S,
+    )
+    timeout = httpx.Timeout(
+        None, connect=CONNECT_TIMEOUT_MS / clock.MS_PER_SECOND
+    )
+    return httpx.AsyncClient(
+        limits=limits, timeout=timeout, trust_env=False, http2=False
+    )
+
+
+class UpstreamClient:
+    """Sends attempts; each ends in exactly one event."""
+
+    def __init__(
+        self, client: httpx.AsyncClient, memory: answer_memory.AnswerMemory
+    ) -> None:
+        self._client = client
+        self._memory = memory
+
+    async def attempt(
+        self,
+        send: core_data.Send,
+        service: str,
+        upstream: records.Upstream,
+        request: data.HttpRequest,
+    ) -> AttemptEvent:
+        """Makes an attempt.
+
+        Args:
+            send: The action of the core.
+            service: The name of the service.
+            upstream: The upstream.
+            request: The request.
+
+        Returns:
+            The whole answer, or how the attempt failed.
+        """
+        outgoing = self._outgoing(send, upstream, request)
+        attempt_id = send.attempt_id
+        try:
+            response = await self._client.send(outgoing, stream=True)
+        except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout):
+            # No connection was made, so the upstream saw nothing.
+            fault = core_data.AttemptFault.UNREACHABLE
+            return core_data.AttemptFailed(attempt_id, fault)
+        except httpx.HTTPError as error:
+            logger.info(
+                "event=attempt_lost attempt=%s upstream=%s error=%s",
+                attempt_id,
+                upstream.name,
+                type(error).__name__,
+            )
+            fault = core_data.AttemptFault.CONNECTION_LOST
+            return core_data.AttemptFailed(attempt_id, fault)
+        try:
+            return await self._receive(attempt_id, service, request, response)
+        finally:
+            # A response that was not read to its end closes its connection.
+            with anyio.CancelScope(shield=True):
+                await response.aclose()
+
+    def _outgoing(
+        self,
+        send: core_data.Send,
+        upstream: records.Upstream,
+        request: data.HttpRequest,
+    ) -> httpx.Request:
+        headers = [
+            (name, value)
+            for name, value in fields.without_hop_fields(request.headers)
+            if name not in fields.OWN_FIELDS and name != fields.CONTENT_LENGTH
+        ]
+        headers.append((fields.REQUEST_ID, send.attempt_id.encode()))
+        headers.append((fields.DEADLINE, str(send.remaining_ms).encode()))
+        headers.append((fields.RETRIES_LEFT, str(send.retries_left).encode()))
+        has_length = fields.find(request.headers, fields.CONTENT_LENGTH)
+        if request.body or has_length is not None:
+            length = str(len(request.body)).encode()
+            headers.append((fields.CONTENT_LENGTH, length))
+        url = httpx.URL(
+            scheme="http",
+            host=upstream.address,
+            port=upstream.request_port,
+            raw_path=request.raw_target,
+        )
+        return httpx.Request(
+            request.method,
+            url,
+            headers=headers,
+            stream=httpx.ByteStream(request.body),
+        )
+
+    async def _receive(
+        self,
+        attempt_id: str,
+        service: str,
+        request: data.HttpRequest,
+        response: httpx.Response,
+    ) -> AttemptEvent:
+        raw = response.headers.raw
+        echoed_id = fields.find(raw, fields.REQUEST_ID)
+        boot_id = fields.find(raw, fields.BOOT_ID)
+        retry_after = fields.find(raw, fields.RETRY_AFTER)
+        if response.status_code == STATUS_SHED and retry_after is not None:
+            # By contract an upstream that sheds has not started the request.
+            shed = core_data.AttemptFault.SHED
+            with anyio.move_on_after(CONNECT_TIMEOUT_MS / clock.MS_PER_SECOND):
+                await self._discard(response)
+            return core_data.AttemptFailed(attempt_id, shed, boot_id, echoed_id)
+        if echoed_id is not None and echoed_id != attempt_id:
+            return core_data.AnswerArrived(attempt_id, echoed_id, boot_id, None)
+        size_bytes = self._size_bytes(request, response)
+        if size_bytes is None:
+            # An answer delimited by the close of its connection cannot be
+            # told from a truncated one.
+            fault = core_data.AttemptFault.TRUNCATED
+            return core_data.AttemptFailed(attempt_id, fault)
+        if size_bytes > MAX_ANSWER_BYTES or not self._memory.fits(size_bytes):
+            fault = core_data.AttemptFault.TOO_LARGE
+            return core_data.AttemptFailed(attempt_id, fault)
+        await self._memory.reserve(service, size_bytes)
+        is_kept = False
+        try:
+            result = await self._read(response, size_bytes)
+            if isinstance(result, core_data.AttemptFault):
+                return core_data.AttemptFailed(attempt_id, result)
+            answer = data.HttpAnswer(
+                response.status_code,
+                self._answer_headers(response, request, len(result)),
+                result,
+                size_bytes,
+            )
+            is_kept = True
+            return core_data.AnswerArrived(
+                attempt_id, echoed_id, boot_id, answer
+            )
+        finally:
+            if not is_kept:
+                self._memory.release(service, size_bytes)
+
+    async def _discard(self, response: httpx.Response) -> None:
+        try:
+            async for _ in response.aiter_raw():
+                pass
+        except httpx.HTTPError:
+            return
+
+    def _size_bytes(
+        self, request: data.HttpRequest, response: httpx.Response
+    ) -> int | None:
+        if request.method == "HEAD":
+            return 0
+        if response.status_code in BODILESS_STATUSES:
+            return 0
+        length = response.headers.get("content-length")
+        if length is not None:
+            return int(length)
+        if "chunked" in response.headers.get("transfer-encoding", "").lower():
+            return MAX_ANSWER_BYTES
+        return None
+
+    async def _read(
+        self, response: httpx.Response, limit_bytes: int
+    ) -> bytes | core_data.AttemptFault:
+        parts = []
+        size_bytes = 0
+        try:
+            async for part in response.aiter_raw():
+                size_bytes += len(part)
+                if size_bytes > limit_bytes:
+                    return core_data.AttemptFault.TOO_LARGE
+                parts.append(part)
+        except httpx.HTTPError:
+            return core_data.AttemptFault.TRUNCATED
+        return b"".join(parts)
+
+    def _answer_headers(
+        self,
+        response: httpx.Response,
+        request: data.HttpRequest,
+        size_bytes: int,
+    ) -> data.RawHeaders:
+        headers = [
+            (name, value)
+            for name, value in fields.without_hop_fields(response.headers.raw)
+            if name not in (fields.OUTCOME, fields.REQUEST_ID)
+        ]
+        if request.method == "HEAD":
+            return headers
+        headers = [h for h in headers if h[0] != fields.CONTENT_LENGTH]
+        if response.status_code not in BODILESS_STATUSES:
+            length = str(size_bytes).encode()
+            headers.append((fields.CONTENT_LENGTH, length))
+        return headers
