Membership as a state machine, gossip messages on the wire and their fault tables

Probes with indirect probes and suspicion per data centre, relays between data centres, versioned facts, the barrier of prepared revisions, freshness and the exchange of the whole state in pages.

--- /dev/null
+++ b/packages/core/sapphire_core/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Membership of hosts: probes, suspicion, gossip and versioned facts."""
--- /dev/null
+++ b/packages/core/sapphire_core/membership/detector.py
@@ -0,0 +1,258 @@
+"""Probes, indirect probes and the verdicts that follow from them."""
+
+import dataclasses
+
+from sapphire_core.membership import contacts
+from sapphire_core.membership import data
+from sapphire_core.membership import probing
+from sapphire_core.membership import state
+from sapphire_data import records
+
+# A host that hears from nobody doubts its own link before it doubts others.
+_ISOLATED_SUSPICION_FACTOR = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Forward:
+    """A probe in place of another host.
+
+    Attributes:
+        requester_id: The host that asked for it.
+        number: The number of that host's probe.
+    """
+
+    requester_id: str
+    number: int
+
+
+class Detector:
+    """Finds which hosts answer, and answers their probes."""
+
+    def __init__(self, shared: state.State) -> None:
+        self._state = shared
+        self._probes = probing.ProbeTable()
+        self._order = probing.ProbeOrder(shared.rng)
+        self._contacts = contacts.Contacts(shared)
+        self._forwards_by_number: dict[int, _Forward] = {}
+        self._heard_ms_by_id: dict[str, int] = {}
+        self._heard_ms: int | None = None
+        self._next_probe_ms = 0
+
+    def pause(self, pause_ms: int) -> None:
+        """Drops the probes of before a pause of this host.
+
+        Args:
+            pause_ms: The length of the pause in milliseconds.
+        """
+        self._probes.drop_all()
+        self._forwards_by_number.clear()
+        self._state.suspicions.extend_all(pause_ms)
+
+    def on_message(self, message: data.GossipMessage, now_ms: int) -> None:
+        """Takes a message whose entries have been merged.
+
+        Args:
+            message: The message.
+            now_ms: The time in milliseconds.
+        """
+        origin_id = message.origin.host.host_id
+        self._heard_ms_by_id[origin_id] = now_ms
+        self._heard_ms = now_ms
+        if message.kind is data.MessageKind.PING:
+            self._answer(message, now_ms)
+            return
+        self._tell_if_doubted(message.origin, now_ms)
+        if message.kind is data.MessageKind.INDIRECT_PING:
+            self._forward(message, now_ms)
+            return
+        if message.kind is data.MessageKind.ACK:
+            self._on_ack(message, now_ms)
+
+    def tick(self, now_ms: int) -> None:
+        """Sends the probes that are due and draws the verdicts.
+
+        Args:
+            now_ms: The time in milliseconds.
+        """
+        settings = self._state.settings
+        for probe in self._probes.due_indirect(now_ms, settings.ack_timeout_ms):
+            self._ask_others(probe, now_ms)
+        for probe in self._probes.close_failed(
+            now_ms, settings.probe_interval_ms
+        ):
+            self._forwards_by_number.pop(probe.number, None)
+            if probe.is_local:
+                self._on_failed(probe, now_ms)
+        for host_id in self._state.suspicions.due(now_ms):
+            self._on_suspicion_due(host_id, now_ms)
+        self._state.rejoin_if_due(now_ms)
+        if now_ms >= self._next_probe_ms:
+            self._next_probe_ms = now_ms + settings.probe_interval_ms
+            self._probe_next(now_ms)
+        for contact in self._contacts.due(now_ms):
+            self._contact(contact, now_ms)
+
+    def _probe_next(self, now_ms: int) -> None:
+        """Probes the next host of the own data centre."""
+        host_id = self._order.next_id(self._state.local_peer_ids())
+        if host_id is None:
+            return
+        probe = self._probes.open(host_id, now_ms, is_local=True)
+        self._ping(self._state.hosts.entries_by_id[host_id], probe, now_ms)
+
+    def _contact(self, contact: contacts.Contact, now_ms: int) -> None:
+        """Probes a host elsewhere or an address of no known host."""
+        probe = self._probes.open(contact.host_id, now_ms, is_local=False)
+        entry = self._state.hosts.entries_by_id.get(contact.host_id)
+        if entry is not None:
+            self._ping(entry, probe, now_ms)
+            return
+        message = self._state.message(data.MessageKind.PING, probe.number)
+        self._state.outbox.send_plain(
+            contact.seed.address, contact.seed.control_port, message
+        )
+
+    def _ping(
+        self, target: data.MemberEntry, probe: probing.Probe, now_ms: int
+    ) -> None:
+        """Sends a probe that tells the target of a doubt about it."""
+        message = self._state.message(data.MessageKind.PING, probe.number)
+        message = self._with_doubt(message, target)
+        self._state.outbox.send(target.host, message, now_ms)
+
+    def _answer(self, message: data.GossipMessage, now_ms: int) -> None:
+        """Answers a probe."""
+        origin = message.origin
+        known = self._state.hosts.entries_by_id.get(origin.host.host_id)
+        answer = self._state.message(data.MessageKind.ACK, message.number)
+        answer = self._with_doubt(answer, known or origin)
+        self._state.outbox.send(origin.host, answer, now_ms)
+
+    def _tell_if_doubted(self, origin: data.MemberEntry, now_ms: int) -> None:
+        """Tells a host that is heard that it is not held as live."""
+        known = self._state.hosts.entries_by_id.get(origin.host.host_id)
+        if known is None or not _is_doubted(known):
+            return
+        probe = self._probes.open(known.host.host_id, now_ms, is_local=False)
+        self._ping(known, probe, now_ms)
+
+    def _forward(self, message: data.GossipMessage, now_ms: int) -> None:
+        """Probes a host in place of another one."""
+        target = self._state.hosts.live_entry(message.subject)
+        if target is None:
+            return
+        probe = self._probes.open(message.subject, now_ms, is_local=False)
+        self._forwards_by_number[probe.number] = _Forward(
+            message.origin.host.host_id, message.number
+        )
+        self._ping(target, probe, now_ms)
+
+    def _on_ack(self, message: data.GossipMessage, now_ms: int) -> None:
+        """Takes the answer to a probe."""
+        current = self._state
+        probe = self._probes.probes_by_number.get(message.number)
+        if probe is None:
+            return
+        if message.subject and message.subject != probe.target_id:
+            return
+        own_id = current.own.host.host_id
+        is_doubted = any(
+            entry.host.host_id == own_id and _is_doubted(entry)
+            for entry in message.members
+        )
+        if not is_doubted:
+            current.freshness.confirm(probe.sent_ms)
+        if current.is_remote(message.origin):
+            data_centre = message.origin.host.data_centre
+            current.reachability.on_answer(data_centre, now_ms)
+        del self._probes.probes_by_number[message.number]
+        if message.subject:
+            self._heard_ms_by_id[message.subject] = now_ms
+        forward = self._forwards_by_number.pop(message.number, None)
+        if forward is None:
+            return
+        requester = current.hosts.live_entry(forward.requester_id)
+        if requester is None:
+            return
+        answer = current.message(
+            data.MessageKind.ACK, forward.number, subject=probe.target_id
+        )
+        answer = self._with_doubt(answer, requester)
+        current.outbox.send(requester.host, answer, now_ms)
+
+    def _ask_others(self, probe: probing.Probe, now_ms: int) -> None:
+        """Asks other hosts to probe one that has not answered."""
+        current = self._state
+        helper_ids = current.pick_local(
+            current.settings.indirect_probes, excluded_id=probe.target_id
+        )
+        for helper_id in helper_ids:
+            message = current.message(
+                data.MessageKind.INDIRECT_PING,
+                probe.number,
+                subject=probe.target_id,
+            )
+            helper = current.hosts.entries_by_id[helper_id].host
+            current.outbox.send(helper, message, now_ms)
+
+    def _on_failed(self, probe: probing.Probe, now_ms: int) -> None:
+        """Suspects a host that did not answer, directly or indirectly."""
+        current = self._state
+        entry = current.hosts.live_entry(probe.target_id)
+        if entry is None:
+            return
+        if self._heard_ms_by_id.get(probe.target_id, -1) > probe.sent_ms:
+            return
+        if entry.state is records.MemberState.LEAVING:
+            self._declare(entry, records.MemberState.DEAD, now_ms)
+            return
+        if entry.state is records.MemberState.SUSPECT:
+            return
+        self._declare(entry, records.MemberState.SUSPECT, now_ms)
+        is_isolated = self._heard_ms is None or self._heard_ms < probe.sent_ms
+        if is_isolated:
+            delay_ms = current.settings.suspicion_ms
+            delay_ms *= _ISOLATED_SUSPICION_FACTOR - 1
+            current.suspicions.extend(probe.target_id, delay_ms)
+
+    def _on_suspicion_due(self, host_id: str, now_ms: int) -> None:
+        """Declares a suspected host dead unless it was heard since."""
+        current = self._state
+        entry = current.hosts.entries_by_id[host_id]
+        since_ms = current.hosts.since_ms_by_id[host_id]
+        heard_ms = self._heard_ms_by_id.get(host_id, -1)
+        if heard_ms > max(since_ms, now_ms - current.settings.suspicion_ms):
+            # The host lives but has not learned of the suspicion yet.
+            delay_ms = heard_ms + current.settings.suspicion_ms - now_ms
+            current.suspicions.extend(host_id, delay_ms)
+            probe = self._probes.open(host_id, now_ms, is_local=False)
+            self._ping(entry, probe, now_ms)
+            return
+        self._declare(entry, records.MemberState.DEAD, now_ms)
+        self._heard_ms_by_id.pop(host_id, None)
+
+    def _declare(
+        self,
+        entry: data.MemberEntry,
+        member_state: records.MemberState,
+        now_ms: int,
+    ) -> None:
+        """Changes the state of a host and passes it on."""
+        changed = dataclasses.replace(entry, state=member_state)
+        self._state.merge_member(changed, now_ms, is_remote=False)
+
+    def _with_doubt(
+        self, message: data.GossipMessage, target: data.MemberEntry
+    ) -> data.GossipMessage:
+        """Adds the entry of the receiver if it is not held as live."""
+        if not _is_doubted(target):
+            return message
+        return dataclasses.replace(message, members=(target,))
+
+
+def _is_doubted(entry: data.MemberEntry) -> bool:
+    """Returns whether a host has to hear what is said of it."""
+    return entry.state in (
+        records.MemberState.SUSPECT,
+        records.MemberState.DEAD,
+    )
--- /dev/null
+++ b/packages/core/sapphire_core/membership/membership_test.py
@@ -0,0 +1,400 @@
+from collections.abc import Callable
+import dataclasses
+
+import testtools
+from testtools import matchers
+
+from sapphire_core.membership import data
+from sapphire_core.membership import failures
+from sapphire_core.membership import membership
+from sapphire_core.membership import message_size
+from sapphire_data import records
+from sapphire_lab.membership import builders
+from sapphire_lab.membership import network
+
+_ALL = frozenset(
+    f"h{centre}-{index}" for centre in range(3) for index in range(3)
+)
+_DC0 = frozenset(name for name in _ALL if name.startswith("h0"))
+
+
+def _seen(net: network.Network, host_id: str) -> frozenset[str]:
+    view = net.nodes_by_id[host_id].core.view()
+    return frozenset(view.members_by_id)
+
+
+def _lose_share(net: network.Network) -> None:
+    def link(source: str, target: str, now_ms: int) -> tuple[int, ...]:
+        return () if net.rng.random() < 0.1 else (1,)
+
+    net.link = link
+
+
+def _delay_and_repeat(net: network.Network) -> None:
+    def link(source: str, target: str, now_ms: int) -> tuple[int, ...]:
+        return (1 + net.rng.randrange(100), 1 + net.rng.randrange(2_000))
+
+    net.link = link
+
+
+def _cut_one_way(net: network.Network) -> None:
+    def link(source: str, target: str, now_ms: int) -> tuple[int, ...]:
+        return () if (source, target) == ("h0-0", "h0-1") else (1,)
+
+    net.link = link
+
+
+def _cut_data_centre(net: network.Network) -> None:
+    def link(source: str, target: str, now_ms: int) -> tuple[int, ...]:
+        return () if (source in _DC0) != (target in _DC0) else (1,)
+
+    net.link = link
+
+
+def _cut_host(net: network.Network) -> None:
+    def link(source: str, target: str, now_ms: int) -> tuple[int, ...]:
+        return () if "h0-0" in (source, target) else (1,)
+
+    net.link = link
+
+
+def _stop(*host_ids: str) -> Callable[[network.Network], None]:
+    def fault(net: network.Network) -> None:
+        for host_id in host_ids:
+            net.stop(host_id)
+
+    return fault
+
+
+def _leave(net: network.Network) -> None:
+    net.perform("h0-0", net.nodes_by_id["h0-0"].core.leave(net.now_ms))
+    net.run(200)
+    net.stop("h0-0")
+
+
+def _restart(net: network.Network) -> None:
+    net.stop("h0-0")
+    old = builders.addresses(3, 3)[0]
+    seeds = builders.seeds(builders.addresses(3, 3)[1:2])
+    net.start(dataclasses.replace(old, host_id="new"), seeds)
+
+
+def _restart_with_clock_back(net: network.Network) -> None:
+    later = dataclasses.replace(builders.addresses(3, 3)[0], host_id="later")
+    net.stop("h0-0")
+    seeds = builders.seeds(builders.addresses(3, 3)[1:2])
+    node = net.start(later, seeds)
+    node.core = membership.Membership(later, 1, seeds, 5)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Case:
+    name: str
+    fault: Callable[[network.Network], None]
+    after_ms: int
+    seen_by_id: dict[str, frozenset[str]]
+
+
+def _by_rest(rest: frozenset[str]) -> dict[str, frozenset[str]]:
+    return dict.fromkeys(rest, rest)
+
+
+# Promise of each line: who sees whom, the given time after the fault.
+_CASES = (
+    _Case("a tenth lost", _lose_share, 10_000, _by_rest(_ALL)),
+    _Case("delayed, repeated", _delay_and_repeat, 10_000, _by_rest(_ALL)),
+    _Case("one way cut", _cut_one_way, 10_000, _by_rest(_ALL)),
+    _Case("one dead", _stop("h0-0"), 5_000, _by_rest(_ALL - {"h0-0"})),
+    _Case(
+        "three dead",
+        _stop("h0-0", "h1-1", "h2-2"),
+        5_000,
+        _by_rest(_ALL - {"h0-0", "h1-1", "h2-2"}),
+    ),
+    _Case(
+        "two of one data centre dead",
+        _stop("h0-0", "h0-1"),
+        6_000,
+        _by_rest(_ALL - {"h0-0", "h0-1"}),
+    ),
+    _Case("data centre dead", _stop(*_DC0), 5_000, _by_rest(_ALL - _DC0)),
+    _Case(
+        "data centre cut",
+        _cut_data_centre,
+        5_000,
+        _by_rest(_ALL - _DC0) | _by_rest(_DC0),
+    ),
+    _Case(
+        "host cut",
+        _cut_host,
+        8_000,
+        _by_rest(_ALL - {"h0-0"}) | {"h0-0": frozenset({"h0-0"})},
+    ),
+    _Case("leaving", _leave, 2_500, _by_rest(_ALL - {"h0-0"})),
+    _Case("restart", _restart, 2_000, _by_rest(_ALL - {"h0-0"} | {"new"})),
+    _Case(
+        "restart, clock back",
+        _restart_with_clock_back,
+        3_000,
+        _by_rest(_ALL - {"h0-0"} | {"later"}),
+    ),
+)
+
+
+class FaultTableTest(testtools.TestCase):
+    def test_each_fault_leads_to_the_promised_views(self) -> None:
+        for case in _CASES:
+            for seed in (1, 2):
+                net = builders.fleet(seed)
+                case.fault(net)
+                net.run(case.after_ms)
+                for host_id, expected in case.seen_by_id.items():
+                    seen = _seen(net, host_id)
+                    reason = f"{case.name}, seed {seed}, {host_id}: {seen}"
+                    self.assertThat(
+                        seen == expected, matchers.Equals(True), reason
+                    )
+
+    def test_all_see_all_again_after_the_fault_ends(self) -> None:
+        for fault in (_cut_data_centre, _cut_host, _lose_share):
+            net = builders.fleet(3)
+            fault(net)
+            net.run(20_000)
+            net.link = lambda source, target, now_ms: (1,)
+            net.run(8_000)
+            for host_id in _ALL:
+                self.assertThat(_seen(net, host_id), matchers.Equals(_ALL))
+
+    def test_loss_and_one_way_cuts_never_remove_a_live_host(self) -> None:
+        for fault in (_lose_share, _cut_one_way):
+            net = builders.fleet(4)
+            fault(net)
+            net.run(30_000)
+            for node in net.nodes_by_id.values():
+                for time_ms, view in node.views:
+                    if time_ms < 5_000:
+                        continue
+                    seen = frozenset(view.members_by_id)
+                    self.assertThat(seen, matchers.Equals(_ALL))
+
+
+class PauseTest(testtools.TestCase):
+    def test_paused_host_is_stale_at_once_and_returns(self) -> None:
+        net = builders.fleet(1)
+        core = net.nodes_by_id["h0-0"].core
+        net.stop("h0-0")
+        net.run(10_000)
+        self.assertThat(
+            core.fresh_until_ms(net.now_ms), matchers.LessThan(net.now_ms)
+        )
+        actions = core.tick(net.now_ms)
+        views = [a.view for a in actions if isinstance(a, data.ViewChanged)]
+        self.assertThat(views[0].is_fresh, matchers.Equals(False))
+        net.perform("h0-0", actions)
+        net.resume("h0-0")
+        net.run(3_000)
+        self.assertThat(core.view().is_fresh, matchers.Equals(True))
+        for host_id in _ALL:
+            self.assertThat(_seen(net, host_id), matchers.Equals(_ALL))
+
+    def test_answer_to_a_probe_of_before_the_pause_confirms_nothing(
+        self,
+    ) -> None:
+        net = builders.fleet(1)
+        core = net.nodes_by_id["h0-0"].core
+        net.stop("h0-0")
+        net.run(1_200)
+        origin = data.MemberEntry(
+            builders.addresses(3, 3)[1], 2_000_000, records.MemberState.ALIVE
+        )
+        for number in range(60):
+            ack = data.GossipMessage(data.MessageKind.ACK, number, origin)
+            core.receive(ack, "h0-1", net.now_ms)
+        self.assertThat(core.view().is_fresh, matchers.Equals(False))
+
+    def test_host_that_pauses_often_returns_later_each_time(self) -> None:
+        net = builders.fleet(1)
+        delays: list[int] = []
+        for _ in range(3):
+            net.stop("h0-0")
+            net.run(6_000)
+            net.resume("h0-0")
+            resumed_ms = net.now_ms
+            while "h0-0" not in _seen(net, "h0-1"):
+                net.run(50)
+            delays.append(net.now_ms - resumed_ms)
+            net.run(500)
+        self.assertThat(delays[2] - delays[1], matchers.GreaterThan(500))
+
+
+class FreshnessTest(testtools.TestCase):
+    def test_cut_host_is_stale_before_others_declare_it_dead(self) -> None:
+        net = builders.fleet(1)
+        core = net.nodes_by_id["h0-0"].core
+        _cut_host(net)
+        while "h0-0" in _seen(net, "h0-1"):
+            net.run(10)
+        self.assertThat(
+            core.fresh_until_ms(net.now_ms), matchers.LessThan(net.now_ms)
+        )
+
+    def test_host_alone_waits_only_if_others_are_listed(self) -> None:
+        host = builders.addresses(1, 1)[0]
+        other = data.Seed("10.9.9.9", 7_000)
+        table = (((), 0, True), ((other,), 0, False), ((other,), 3_000, True))
+        for seeds, after_ms, expected in table:
+            net = network.Network(1)
+            node = net.start(host, seeds)
+            net.run(200 + after_ms)
+            self.assertThat(
+                node.core.view().is_fresh, matchers.Equals(expected)
+            )
+
+
+class ListTest(testtools.TestCase):
+    def test_listed_live_host_that_nobody_knew_is_found(self) -> None:
+        net = builders.fleet(1)
+        lone = network.host_address("lone", "dc0", "10.7.0.1")
+        net.start(lone)
+        net.run(1_000)
+        core = net.nodes_by_id["h2-2"].core
+        listed = (data.Seed("10.7.0.1", 7_000), data.Seed("10.7.0.2", 7_000))
+        net.perform("h2-2", core.set_host_list(listed, net.now_ms))
+        net.run(15_000)
+        for host_id in _ALL | {"lone"}:
+            self.assertThat(
+                _seen(net, host_id), matchers.Equals(_ALL | {"lone"})
+            )
+
+    def test_list_that_misses_live_hosts_removes_none(self) -> None:
+        net = builders.fleet(1)
+        for host_id, node in net.nodes_by_id.items():
+            net.perform(host_id, node.core.set_host_list((), net.now_ms))
+        net.run(5_000)
+        self.assertThat(_seen(net, "h0-0"), matchers.Equals(_ALL))
+
+
+class FactTest(testtools.TestCase):
+    def test_newest_version_is_known_to_all_within_a_second(self) -> None:
+        net = builders.fleet(1)
+        _lose_share(net)
+        for host_id, version in (("h0-0", 3), ("h2-1", 4), ("h1-1", 2)):
+            core = net.nodes_by_id[host_id].core
+            actions = core.set_fact("head", version, b"x", net.now_ms)
+            net.perform(host_id, actions.ok)
+        net.run(1_000)
+        for node in net.nodes_by_id.values():
+            fact = node.core.facts(net.now_ms)["head"]
+            self.assertThat(fact.version, matchers.Equals(4))
+
+    def test_expired_fact_is_forgotten_everywhere(self) -> None:
+        net = builders.fleet(1)
+        core = net.nodes_by_id["h0-0"].core
+        actions = core.set_fact("o", 1, b"x", net.now_ms, ttl_ms=2_000)
+        net.perform("h0-0", actions.ok)
+        net.run(1_000)
+        self.assertThat(
+            "o" in net.nodes_by_id["h2-2"].core.facts(net.now_ms),
+            matchers.Equals(True),
+        )
+        net.run(2_000)
+        for node in net.nodes_by_id.values():
+            self.assertThat(
+                "o" in node.core.facts(net.now_ms), matchers.Equals(False)
+            )
+
+    def test_unusable_facts_are_typed_failures(self) -> None:
+        core = builders.fleet(1).nodes_by_id["h0-0"].core
+        core.set_fact("k", 5, b"", 9_000)
+        stale = core.set_fact("k", 5, b"", 9_000)
+        self.assertThat(stale.error, matchers.IsInstance(failures.StaleFact))
+        large = core.set_fact("k", 6, b"x" * 2_000, 9_000)
+        self.assertThat(large.error, matchers.IsInstance(failures.FactTooLarge))
+
+    def test_fact_crosses_a_cut_between_two_data_centres(self) -> None:
+        net = builders.fleet(1)
+
+        def link(source: str, target: str, now_ms: int) -> tuple[int, ...]:
+            ends = {source[:2], target[:2]}
+            return () if ends == {"h0", "h1"} else (1,)
+
+        net.link = link
+        core = net.nodes_by_id["h0-0"].core
+        net.perform("h0-0", core.set_fact("head", 1, b"", net.now_ms).ok)
+        net.run(4_000)
+        for node in net.nodes_by_id.values():
+            self.assertThat(
+                "head" in node.core.facts(net.now_ms), matchers.Equals(True)
+            )
+
+
+class PreparedTest(testtools.TestCase):
+    def test_barrier_waits_for_the_last_live_host(self) -> None:
+        net = builders.fleet(1)
+        for host_id in sorted(_ALL - {"h2-2"}):
+            core = net.nodes_by_id[host_id].core
+            actions = core.set_prepared_revision(7, net.now_ms)
+            net.perform(host_id, actions)
+        net.run(2_000)
+        for node in net.nodes_by_id.values():
+            prepared = node.core.view().prepared_everywhere
+            self.assertThat(prepared, matchers.Equals(0))
+        core = net.nodes_by_id["h2-2"].core
+        net.perform("h2-2", core.set_prepared_revision(7, net.now_ms))
+        net.run(1_000)
+        for node in net.nodes_by_id.values():
+            prepared = node.core.view().prepared_everywhere
+            self.assertThat(prepared, matchers.Equals(7))
+
+    def test_dead_host_does_not_hold_the_barrier(self) -> None:
+        net = builders.fleet(1)
+        net.stop("h2-2")
+        for host_id, node in net.running().items():
+            actions = node.core.set_prepared_revision(7, net.now_ms)
+            net.perform(host_id, actions)
+        net.run(5_000)
+        for node in net.running().values():
+            prepared = node.core.view().prepared_everywhere
+            self.assertThat(prepared, matchers.Equals(7))
+
+
+class MessageTest(testtools.TestCase):
+    def test_sender_other_than_the_origin_is_rejected(self) -> None:
+        core = builders.fleet(1).nodes_by_id["h0-0"].core
+        origin = data.MemberEntry(
+            builders.addresses(3, 3)[1], 9, records.MemberState.ALIVE
+        )
+        ping = data.GossipMessage(data.MessageKind.PING, 1, origin)
+        actions = core.receive(ping, "h2-2", 5_010)
+        self.assertThat(
+            actions,
+            matchers.Equals(
+                (data.Rejected(failures.SenderMismatch("h2-2", "h0-1")),)
+            ),
+        )
+
+    def test_no_message_exceeds_the_limit(self) -> None:
+        net = builders.fleet(1, data_centres=2, hosts_each=20)
+        sizes: list[int] = []
+
+        def link(source: str, target: str, now_ms: int) -> tuple[int, ...]:
+            return (1,)
+
+        for index, host_id in enumerate(sorted(net.nodes_by_id)[:12]):
+            core = net.nodes_by_id[host_id].core
+            actions = core.set_fact(f"f{index}", 1, b"x" * 500, net.now_ms).ok
+            sizes.extend(
+                message_size.message_bytes(action.message)
+                for action in actions
+                if isinstance(action, data.SendGossip)
+            )
+            net.perform(host_id, actions)
+        net.link = link
+        for _ in range(40):
+            net.run(50)
+            for node in net.nodes_by_id.values():
+                for action in node.core.tick(net.now_ms):
+                    if isinstance(action, data.SendGossip):
+                        size = message_size.message_bytes(action.message)
+                        sizes.append(size)
+        self.assertThat(max(sizes), matchers.LessThan(1_201))
--- /dev/null
+++ b/packages/core/sapphire_core/membership/news.py
@@ -0,0 +1,132 @@
+"""What has changed lately and how often each change was passed on."""
+
+from collections.abc import Callable
+import dataclasses
+import enum
+
+
+class NewsKind(enum.Enum):
+    """What a piece of news is about."""
+
+    MEMBER = "member"
+    FACT = "fact"
+    PREPARED = "prepared"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NewsKey:
+    """The subject of a piece of news; a later change replaces an earlier.
+
+    Attributes:
+        kind: What it is about.
+        name: The host, the fact, or empty.
+    """
+
+    kind: NewsKind
+    name: str
+
+
+@dataclasses.dataclass(slots=True)
+class _Item:
+    """How often a piece of news was passed on."""
+
+    transmissions: int
+    pushes_left: int
+    is_remote: bool
+
+
+class NewsQueue:
+    """The pieces of news that are still passed on."""
+
+    def __init__(self, push_rounds: int) -> None:
+        self._push_rounds = push_rounds
+        self._items_by_key: dict[NewsKey, _Item] = {}
+        self._hot_keys: dict[NewsKey, None] = {}
+
+    def __len__(self) -> int:
+        return len(self._items_by_key)
+
+    @property
+    def has_hot(self) -> bool:
+        """Whether some news still has to be pushed."""
+        return bool(self._hot_keys)
+
+    def add(self, key: NewsKey, is_remote: bool) -> None:
+        """Adds a piece of news, or starts it again after a change.
+
+        Args:
+            key: Its subject.
+            is_remote: Whether another data centre told it.
+        """
+        self._items_by_key.pop(key, None)
+        self._items_by_key[key] = _Item(0, self._push_rounds, is_remote)
+        self._hot_keys[key] = None
+
+    def is_remote(self, key: NewsKey) -> bool:
+        """Returns whether another data centre told a piece of news.
+
+        Args:
+            key: Its subject.
+        """
+        item = self._items_by_key.get(key)
+        return item is not None and item.is_remote
+
+    def pick(
+        self,
+        budget_bytes: int,
+        size_of: Callable[[NewsKey], int | None],
+        hot_only: bool = False,
+    ) -> list[NewsKey]:
+        """Picks the news of one message, the least passed on first.
+
+        Args:
+            budget_bytes: The room in the message.
+            size_of: The size of a piece of news, or None if it does not go
+                to this receiver.
+            hot_only: Whether to pick only news that has to be pushed.
+
+        Returns:
+            The subjects that fit.
+        """
+        items = self._items_by_key
+        keys = list(self._hot_keys) if hot_only else list(items)
+        keys.sort(key=lambda key: items[key].transmissions)
+        picked: list[NewsKey] = []
+        for key in keys:
+            size = size_of(key)
+            if size is None or size > budget_bytes:
+                continue
+            budget_bytes -= size
+            picked.append(key)
+        return picked
+
+    def count(self, keys: list[NewsKey], limit: int) -> None:
+        """Counts a transmission and drops what was passed on enough.
+
+        Args:
+            keys: The subjects that a message carried.
+            limit: The transmissions after which news is dropped.
+        """
+        for key in keys:
+            item = self._items_by_key.get(key)
+            if item is None:
+                continue
+            item.transmissions += 1
+            if item.transmissions < limit or key in self._hot_keys:
+                continue
+            del self._items_by_key[key]
+
+    def end_push(self, keys: list[NewsKey]) -> None:
+        """Ends one round of pushes.
+
+        Args:
+            keys: The subjects that the round carried.
+        """
+        for key in keys:
+            item = self._items_by_key.get(key)
+            if item is None:
+                self._hot_keys.pop(key, None)
+                continue
+            item.pushes_left -= 1
+            if item.pushes_left <= 0:
+                self._hot_keys.pop(key, None)
--- /dev/null
+++ b/packages/core/sapphire_core/membership/outbox.py
@@ -0,0 +1,217 @@
+"""The messages of one event, filled up with news."""
+
+from collections.abc import Callable
+
+from sapphire_core.membership import data
+from sapphire_core.membership import fact_table
+from sapphire_core.membership import message_size
+from sapphire_core.membership import news
+from sapphire_core.membership import prepared
+from sapphire_core.membership import rate_limit
+from sapphire_core.membership import reachability
+from sapphire_core.membership import roster
+from sapphire_data import records
+
+_PREPARED_KEY = news.NewsKey(news.NewsKind.PREPARED, "")
+
+
+class Outbox:
+    """Collects the actions of an event and the news that messages carry."""
+
+    def __init__(
+        self,
+        settings: data.Settings,
+        own_data_centre: str,
+        hosts: roster.Roster,
+        facts: fact_table.FactTable,
+        prepared_table: prepared.PreparedTable,
+    ) -> None:
+        self._settings = settings
+        self._own_data_centre = own_data_centre
+        self._hosts = hosts
+        self._facts = facts
+        self._prepared = prepared_table
+        self._actions: list[data.Action] = []
+        self.news = news.NewsQueue(settings.push_rounds)
+        self.rate = rate_limit.RateLimit(
+            settings.news_bytes_per_second, settings.news_burst_bytes
+        )
+
+    def add(self, action: data.Action) -> None:
+        """Adds an action that is not a message."""
+        self._actions.append(action)
+
+    def drain(self) -> tuple[data.Action, ...]:
+        """Returns the actions since the last call."""
+        actions = tuple(self._actions)
+        self._actions.clear()
+        return actions
+
+    def add_member_news(self, host_id: str, is_remote: bool) -> None:
+        """Notes that the entry of a host has changed."""
+        key = news.NewsKey(news.NewsKind.MEMBER, host_id)
+        self.news.add(key, is_remote)
+
+    def add_fact_news(self, fact_key: str, is_remote: bool) -> None:
+        """Notes that a fact has changed."""
+        key = news.NewsKey(news.NewsKind.FACT, fact_key)
+        self.news.add(key, is_remote)
+
+    def add_prepared_news(self) -> None:
+        """Notes that more hosts are known to have prepared a revision."""
+        self.news.add(_PREPARED_KEY, False)
+
+    def send_plain(
+        self, address: str, port: int, message: data.GossipMessage
+    ) -> None:
+        """Sends a message without news."""
+        self._actions.append(data.SendGossip(address, port, message))
+
+    def send(
+        self,
+        target: records.HostAddress,
+        message: data.GossipMessage,
+        now_ms: int,
+    ) -> None:
+        """Sends a message with as much news as fits.
+
+        Args:
+            target: The receiver.
+            message: The message; entries that it already carries stay first.
+            now_ms: The time in milliseconds.
+        """
+        keys: list[news.NewsKey] = []
+        if len(self.news) and self.rate.has_tokens(now_ms):
+            keys = self._pick(target, message, False, now_ms)
+            plain_bytes = message_size.message_bytes(message)
+            message = self._fill(message, keys, now_ms)
+            news_bytes = message_size.message_bytes(message) - plain_bytes
+            self.rate.charge(news_bytes)
+        self.send_plain(target.address, target.control_port, message)
+        self.news.count(keys, self._transmission_limit())
+
+    def push(
+        self,
+        targets: list[records.HostAddress],
+        message: data.GossipMessage,
+        now_ms: int,
+    ) -> None:
+        """Sends the news that is due to several hosts.
+
+        Args:
+            targets: The receivers.
+            message: The message without news.
+            now_ms: The time in milliseconds.
+        """
+        pushed: dict[news.NewsKey, None] = {}
+        for target in targets:
+            keys = self._pick(target, message, True, now_ms)
+            if not keys:
+                continue
+            filled = self._fill(message, keys, now_ms)
+            size = message_size.message_bytes(filled)
+            self.rate.charge(size + message_size.DATAGRAM_OVERHEAD_BYTES)
+            self.send_plain(target.address, target.control_port, filled)
+            pushed.update(dict.fromkeys(keys))
+        self.news.end_push(list(pushed))
+
+    def _pick(
+        self,
+        target: records.HostAddress,
+        message: data.GossipMessage,
+        hot_only: bool,
+        now_ms: int,
+    ) -> list[news.NewsKey]:
+        """Picks the news for a receiver."""
+        room = self._settings.max_message_bytes
+        room -= message_size.message_bytes(message)
+        is_local = target.data_centre == self._own_data_centre
+        size_of = self._size_of_local(now_ms)
+        if not is_local:
+            size_of = self._size_of_remote(now_ms, hot_only)
+        return self.news.pick(room, size_of, hot_only)
+
+    def _size_of_local(
+        self, now_ms: int
+    ) -> Callable[[news.NewsKey], int | None]:
+        """Returns the sizes of news for the own data centre."""
+
+        def size_of(key: news.NewsKey) -> int | None:
+            if key.kind is news.NewsKind.PREPARED:
+                sizes = [
+                    message_size.prepared_bytes(entry)
+                    for entry in self._prepared.entries()
+                ]
+                return sum(sizes) or None
+            if key.kind is news.NewsKind.FACT:
+                fact = self._facts.get(key.name, now_ms)
+                return message_size.fact_bytes(fact) if fact else None
+            entry = self._hosts.entries_by_id.get(key.name)
+            return message_size.member_bytes(entry) if entry else None
+
+        return size_of
+
+    def _size_of_remote(
+        self, now_ms: int, is_push: bool
+    ) -> Callable[[news.NewsKey], int | None]:
+        """Returns the sizes of the news that concerns other data centres.
+
+        What came from another data centre is not pushed to a third, which
+        has it from the first; probes carry it, for cuts between pairs.
+        """
+        local = self._size_of_local(now_ms)
+
+        def size_of(key: news.NewsKey) -> int | None:
+            if is_push and self.news.is_remote(key):
+                return None
+            if key.kind is news.NewsKind.PREPARED:
+                return None
+            if key.kind is news.NewsKind.FACT:
+                if key.name.startswith(reachability.KEY_PREFIX):
+                    return None
+                return local(key)
+            entry = self._hosts.entries_by_id.get(key.name)
+            if entry is None or entry.state is records.MemberState.SUSPECT:
+                return None
+            return local(key)
+
+        return size_of
+
+    def _fill(
+        self,
+        message: data.GossipMessage,
+        keys: list[news.NewsKey],
+        now_ms: int,
+    ) -> data.GossipMessage:
+        """Returns the message with the news added."""
+        members = list(message.members)
+        facts = list(message.facts)
+        prepared_entries = list(message.prepared)
+        for key in keys:
+            if key.kind is news.NewsKind.PREPARED:
+                prepared_entries.extend(self._prepared.entries())
+                continue
+            if key.kind is news.NewsKind.FACT:
+                fact = self._facts.get(key.name, now_ms)
+                if fact is not None:
+                    facts.append(fact)
+                continue
+            members.append(self._hosts.entries_by_id[key.name])
+        return data.GossipMessage(
+            kind=message.kind,
+            number=message.number,
+            origin=message.origin,
+            subject=message.subject,
+            digest=message.digest,
+            members=tuple(members),
+            facts=tuple(facts),
+            prepared=tuple(prepared_entries),
+            bucket_digests=message.bucket_digests,
+            cursor=message.cursor,
+        )
+
+    def _transmission_limit(self) -> int:
+        """Returns how often news is passed on, by the size of the group."""
+        size = len(self._hosts.live_ids(self._own_data_centre))
+        factor = self._settings.retransmit_factor
+        return factor * max(1, size.bit_length())
--- /dev/null
+++ b/packages/core/sapphire_core/membership/rate_limit.py
@@ -0,0 +1,31 @@
+"""A token bucket that bounds the bytes of news."""
+
+
+class RateLimit:
+    """A token bucket of bytes that a last message may put into debt."""
+
+    def __init__(self, bytes_per_second: int, burst_bytes: int) -> None:
+        self._bytes_per_second = bytes_per_second
+        self._burst_bytes = burst_bytes
+        self._tokens = float(burst_bytes)
+        self._updated_ms = 0
+
+    def has_tokens(self, now_ms: int) -> bool:
+        """Returns whether news may be sent.
+
+        Args:
+            now_ms: The time in milliseconds.
+        """
+        elapsed_ms = max(0, now_ms - self._updated_ms)
+        self._updated_ms = now_ms
+        self._tokens += elapsed_ms * self._bytes_per_second / 1_000
+        self._tokens = min(self._tokens, float(self._burst_bytes))
+        return self._tokens > 0
+
+    def charge(self, size: int) -> None:
+        """Takes the bytes of a message that is sent.
+
+        Args:
+            size: The size in bytes.
+        """
+        self._tokens = max(self._tokens - size, -float(self._burst_bytes))
--- /dev/null
+++ b/packages/core/sapphire_core/membership/roster.py
@@ -0,0 +1,230 @@
+"""The table of hosts and the rules by which statements about them merge."""
+
+import dataclasses
+
+import xxhash
+
+from sapphire_core.membership import data
+from sapphire_data import records
+
+BUCKET_COUNT = 32
+
+# At the same incarnation the later state in this order replaces the earlier.
+_RANK_BY_STATE = {
+    records.MemberState.ALIVE: 0,
+    records.MemberState.SUSPECT: 1,
+    records.MemberState.LEAVING: 2,
+    records.MemberState.DEAD: 3,
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """A host whose entry was replaced.
+
+    Attributes:
+        entry: The new entry.
+        previous: The state before, or None for a host that was not known.
+    """
+
+    entry: data.MemberEntry
+    previous: records.MemberState | None
+
+
+class Roster:
+    """All hosts that are known, the dead included while remembered.
+
+    Attributes:
+        entries_by_id: The entries.
+        since_ms_by_id: When the state of each was first known here.
+        live_ids_by_data_centre: The hosts that are not dead.
+        digest: The digest of all entries that are not dead.
+        revision: Increases with each change.
+    """
+
+    def __init__(self) -> None:
+        self.entries_by_id: dict[str, data.MemberEntry] = {}
+        self.since_ms_by_id: dict[str, int] = {}
+        self.live_ids_by_data_centre: dict[str, set[str]] = {}
+        self.digest = 0
+        self.revision = 0
+        self._ids_by_endpoint: dict[tuple[str, int], str] = {}
+        self._bucket_digests = [0] * BUCKET_COUNT
+        self._ids_by_bucket: list[set[str]] = [
+            set() for _ in range(BUCKET_COUNT)
+        ]
+        self._dead_ids: set[str] = set()
+
+    def merge(
+        self, entry: data.MemberEntry, now_ms: int, is_direct: bool = False
+    ) -> list[Change]:
+        """Merges a statement about a host.
+
+        Args:
+            entry: The statement.
+            now_ms: The time in milliseconds.
+            is_direct: Whether the host itself sent it just now.
+
+        Returns:
+            The changes, the host that it replaced at its address included.
+        """
+        known = self.entries_by_id.get(entry.host.host_id)
+        if known is None:
+            return self._add(entry, now_ms, is_direct)
+        if not replaces(entry, known):
+            return []
+        return [self._replace(entry, known.state, now_ms)]
+
+    def forget_dead(self, before_ms: int) -> None:
+        """Forgets the hosts that have been dead since before a time.
+
+        Args:
+            before_ms: The time in milliseconds.
+        """
+        for host_id in sorted(self._dead_ids):
+            if self.since_ms_by_id[host_id] >= before_ms:
+                continue
+            self._remove(host_id)
+
+    def live_entry(self, host_id: str) -> data.MemberEntry | None:
+        """Returns the entry of a host unless it is dead or unknown."""
+        entry = self.entries_by_id.get(host_id)
+        if entry is None or entry.state is records.MemberState.DEAD:
+            return None
+        return entry
+
+    def live_ids(self, data_centre: str) -> set[str]:
+        """Returns the hosts of a data centre that are not dead."""
+        return self.live_ids_by_data_centre.get(data_centre, set())
+
+    def id_at(self, address: str, port: int) -> str | None:
+        """Returns the live host at an address and control port."""
+        host_id = self._ids_by_endpoint.get((address, port))
+        if host_id is None or self.live_entry(host_id) is None:
+            return None
+        return host_id
+
+    def bucket_digests(self) -> tuple[int, ...]:
+        """Returns the digest of each bucket of live entries."""
+        return tuple(self._bucket_digests)
+
+    def bucket_ids(self, bucket: int) -> list[str]:
+        """Returns the hosts of a bucket in order, the dead included."""
+        return sorted(self._ids_by_bucket[bucket])
+
+    def _add(
+        self, entry: data.MemberEntry, now_ms: int, is_direct: bool
+    ) -> list[Change]:
+        """Adds an unknown host, unless a newer one has its address."""
+        endpoint = (entry.host.address, entry.host.control_port)
+        holder_id = self.id_at(*endpoint)
+        changes: list[Change] = []
+        if entry.state is records.MemberState.DEAD:
+            # Deaths of unknown hosts are not kept: hosts that join would
+            # otherwise pass them on for ever.
+            return changes
+        if holder_id is not None:
+            holder = self.entries_by_id[holder_id]
+            if is_direct or _is_newer_process(entry, holder):
+                dead = dataclasses.replace(
+                    holder, state=records.MemberState.DEAD
+                )
+                changes.append(self._replace(dead, holder.state, now_ms))
+            else:
+                entry = dataclasses.replace(
+                    entry, state=records.MemberState.DEAD
+                )
+                changes.append(self._replace(entry, None, now_ms))
+                return changes
+        changes.append(self._replace(entry, None, now_ms))
+        return changes
+
+    def _replace(
+        self,
+        entry: data.MemberEntry,
+        previous: records.MemberState | None,
+        now_ms: int,
+    ) -> Change:
+        """Puts an entry in place and keeps the indexes and digests."""
+        host_id = entry.host.host_id
+        old = self.entries_by_id.get(host_id)
+        if old is not None:
+            self._apply_digest(old)
+        self.entries_by_id[host_id] = entry
+        self.since_ms_by_id[host_id] = now_ms
+        self._apply_digest(entry)
+        self._ids_by_bucket[bucket_of(host_id)].add(host_id)
+        live_ids = self.live_ids_by_data_centre.setdefault(
+            entry.host.data_centre, set()
+        )
+        if entry.state is records.MemberState.DEAD:
+            live_ids.discard(host_id)
+            self._dead_ids.add(host_id)
+        else:
+            live_ids.add(host_id)
+            self._dead_ids.discard(host_id)
+            endpoint = (entry.host.address, entry.host.control_port)
+            self._ids_by_endpoint[endpoint] = host_id
+        self.revision += 1
+        return Change(entry=entry, previous=previous)
+
+    def _remove(self, host_id: str) -> None:
+        """Forgets a dead host."""
+        entry = self.entries_by_id.pop(host_id)
+        del self.since_ms_by_id[host_id]
+        self._dead_ids.discard(host_id)
+        self._ids_by_bucket[bucket_of(host_id)].discard(host_id)
+        endpoint = (entry.host.address, entry.host.control_port)
+        if self._ids_by_endpoint.get(endpoint) == host_id:
+            del self._ids_by_endpoint[endpoint]
+
+    def _apply_digest(self, entry: data.MemberEntry) -> None:
+        """Adds an entry to the digests, or removes one that was added."""
+        if entry.state is records.MemberState.DEAD:
+            return
+        digest = _entry_digest(entry)
+        self.digest ^= digest
+        self._bucket_digests[bucket_of(entry.host.host_id)] ^= digest
+
+
+def replaces(entry: data.MemberEntry, known: data.MemberEntry) -> bool:
+    """Returns whether a statement replaces the known one."""
+    if entry.incarnation != known.incarnation:
+        return entry.incarnation > known.incarnation
+    return _RANK_BY_STATE[entry.state] > _RANK_BY_STATE[known.state]
+
+
+def bucket_of(host_id: str) -> int:
+    """Returns the bucket of a host for the comparison of rosters."""
+    return int(xxhash.xxh64_intdigest(host_id.encode())) % BUCKET_COUNT
+
+
+def rendezvous_order(host_ids: set[str], salt: str) -> list[str]:
+    """Returns hosts by descending rendezvous score.
+
+    Args:
+        host_ids: The hosts.
+        salt: What the order is for, so that orders differ by purpose.
+    """
+    scored = [
+        (xxhash.xxh64_intdigest(f"{salt}/{host_id}".encode()), host_id)
+        for host_id in host_ids
+    ]
+    scored.sort(reverse=True)
+    return [host_id for _, host_id in scored]
+
+
+def _is_newer_process(
+    entry: data.MemberEntry, holder: data.MemberEntry
+) -> bool:
+    """Returns whether an entry is of a later process at the same address."""
+    if entry.incarnation != holder.incarnation:
+        return entry.incarnation > holder.incarnation
+    return entry.host.host_id > holder.host.host_id
+
+
+def _entry_digest(entry: data.MemberEntry) -> int:
+    """Returns the digest of an entry; a suspicion does not change it."""
+    is_leaving = entry.state is records.MemberState.LEAVING
+    text = f"{entry.host.host_id}/{entry.incarnation}/{is_leaving}"
+    return int(xxhash.xxh64_intdigest(text.encode()))
--- /dev/null
+++ b/packages/lab/sapphire_lab/membership/__init__.py
@@ -0,0 +1,1 @@
+"""A small network that drives membership cores, and its measurement."""
--- /dev/null
+++ b/packages/lab/sapphire_lab/membership/builders.py
@@ -0,0 +1,49 @@
+"""Builders of small fleets for tests and measurements."""
+
+from sapphire_core.membership import data
+from sapphire_data import records
+from sapphire_lab.membership import network
+
+_CONTROL_PORT = 7_000
+
+
+def addresses(data_centres: int, hosts_each: int) -> list[records.HostAddress]:
+    """Returns the addresses of a fleet, data centre by data centre.
+
+    Args:
+        data_centres: The number of data centres.
+        hosts_each: The hosts of each.
+    """
+    hosts: list[records.HostAddress] = []
+    for centre in range(data_centres):
+        for index in range(hosts_each):
+            address = f"10.{centre}.{index >> 8}.{index & 255}"
+            hosts.append(
+                network.host_address(
+                    f"h{centre}-{index}", f"dc{centre}", address
+                )
+            )
+    return hosts
+
+
+def seeds(hosts: list[records.HostAddress]) -> tuple[data.Seed, ...]:
+    """Returns the addresses of hosts as seeds."""
+    return tuple(data.Seed(host.address, _CONTROL_PORT) for host in hosts)
+
+
+def fleet(
+    seed: int, data_centres: int = 3, hosts_each: int = 3
+) -> network.Network:
+    """Returns a fleet that has joined and settled.
+
+    Args:
+        seed: The seed of all random choices.
+        data_centres: The number of data centres.
+        hosts_each: The hosts of each.
+    """
+    net = network.Network(seed)
+    hosts = addresses(data_centres, hosts_each)
+    for host in hosts:
+        net.start(host, seeds(hosts[::hosts_each]))
+    net.run(5_000)
+    return net
--- /dev/null
+++ b/packages/wire/sapphire_wire/gossip/__init__.py
@@ -0,0 +1,1 @@
+"""Gossip messages on the wire."""
