--- /dev/null
+++ b/packages/lab/sapphire_lab/slo/__init__.py
@@ -0,0 +1,1 @@
+"""Builders and measurements for service-level counts."""
--- /dev/null
+++ b/packages/lab/sapphire_lab/slo/builders.py
@@ -0,0 +1,43 @@
+"""Builders of service-level counts for tests."""
+
+from sapphire_core.slo import counters
+from sapphire_core.slo import data
+from sapphire_core.slo import merge
+
+SERVICE = "rota"
+KEY = data.SeriesKey(SERVICE, data.Objective.REQUESTS_ANSWERED)
+# A whole number of the widest intervals, so that windows start on a boundary.
+NOW_MS = 1_800_000_000_000 // data.MS_PER_DAY * data.MS_PER_DAY
+
+
+def steady_counters(
+    from_ms: int,
+    until_ms: int,
+    bad_from_ms: int,
+    bad_per_thousand: int,
+    step_ms: int = data.MS_PER_MINUTE,
+) -> counters.SloCounters:
+    """Builds counters of a service that turns bad at one moment.
+
+    Args:
+        from_ms: The wall time of the first thousand requests.
+        until_ms: The wall time at which requests end.
+        bad_from_ms: The wall time from which some requests are bad.
+        bad_per_thousand: The bad requests of each thousand from then on.
+        step_ms: The time between each thousand.
+
+    Returns:
+        The counters.
+    """
+    built = counters.SloCounters(from_ms)
+    for wall_ms in range(from_ms, until_ms, step_ms):
+        bad = bad_per_thousand if wall_ms >= bad_from_ms else 0
+        built.record_requests(SERVICE, 1_000 - bad, 1_000, wall_ms)
+    return built
+
+
+def series_of(
+    built: counters.SloCounters, now_ms: int = NOW_MS
+) -> data.SeriesCounts:
+    """Returns the series of requests that counters hold."""
+    return merge.merge_series(built.snapshot(now_ms))[KEY]
