--- /dev/null
+++ b/packages/lab/sapphire_lab/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The demonstration: both deployments in miniature, under change."""
--- /dev/null
+++ b/packages/lab/sapphire_lab/demo/deployment.py
@@ -0,0 +1,160 @@
+"""The two deployments of the demonstration: names, sizes and addresses."""
+
+import dataclasses
+import ipaddress
+
+FABRIC_PORT = 6080
+CONTROL_PORT = 7400
+API_PORT = 7401
+REQUEST_PORT = 8080
+PACKET_PORT = 6082
+UPSTREAM_REQUEST_PORT = 8081
+STORE_PORT = 2379
+ENTRY_HOSTS = 9
+SERVICE_PORT = 443
+BUCKET_COUNT = 1_021
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServicePlan:
+    """A service of a deployment.
+
+    Attributes:
+        name: The name of the service.
+        address: The virtual IP number.
+        targets: The number of upstreams.
+        slots: The requests that each upstream runs at a time.
+    """
+
+    name: str
+    address: str
+    targets: int
+    slots: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HostPlan:
+    """An entry host.
+
+    Attributes:
+        address: Its IP number.
+        data_centre: The name of its data centre.
+    """
+
+    address: str
+    data_centre: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamPlan:
+    """An upstream.
+
+    Attributes:
+        name: Its name.
+        service: The name of its service.
+        data_centre: The name of its data centre.
+        address: Its IP number.
+        slots: The requests that it runs at a time.
+    """
+
+    name: str
+    service: str
+    data_centre: str
+    address: str
+    slots: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Deployment:
+    """One deployment with all that runs in it.
+
+    Attributes:
+        name: The name of the deployment.
+        network: The second byte of its loopback addresses.
+        data_centres: The names of the data centres.
+        services: The services.
+    """
+
+    name: str
+    network: int
+    data_centres: tuple[str, ...]
+    services: tuple[ServicePlan, ...]
+
+    @property
+    def store_address(self) -> str:
+        """The IP number of the stand-in store."""
+        return self._address(1, 1)
+
+    @property
+    def caller_address(self) -> str:
+        """The IP number that callers share."""
+        return self._address(2, 1)
+
+    def hosts(self) -> tuple[HostPlan, ...]:
+        """Returns the entry hosts, spread evenly over the data centres."""
+        return tuple(self.host(number) for number in range(ENTRY_HOSTS))
+
+    def host(self, number: int) -> HostPlan:
+        """Returns an entry host.
+
+        Args:
+            number: Its number; numbers from `ENTRY_HOSTS` on are
+                replacements.
+
+        Returns:
+            The host.
+        """
+        data_centre = self.data_centres[number % len(self.data_centres)]
+        return HostPlan(self._address(3, number + 1), data_centre)
+
+    def upstreams(self) -> tuple[UpstreamPlan, ...]:
+        """Returns the upstreams of all services."""
+        plans: list[UpstreamPlan] = []
+        for service in self.services:
+            for number in range(service.targets):
+                plans.append(self.upstream(service, number))
+        return tuple(plans)
+
+    def upstream(self, service: ServicePlan, number: int) -> UpstreamPlan:
+        """Returns an upstream of a service.
+
+        Args:
+            service: The service.
+            number: Its number; numbers from `service.targets` on are joiners.
+
+        Returns:
+            The upstream.
+        """
+        block = 4 + self.services.index(service)
+        return UpstreamPlan(
+            name=f"{service.name}-{number + 1}",
+            service=service.name,
+            data_centre=self.data_centres[number % len(self.data_centres)],
+            address=self._address(block, number + 1),
+            slots=service.slots,
+        )
+
+    def _address(self, block: int, number: int) -> str:
+        """Returns a loopback address of this deployment."""
+        text = f"127.{self.network}.{block}.{number}"
+        return str(ipaddress.IPv4Address(text))
+
+
+CASCADIA = Deployment(
+    name="cascadia",
+    network=11,
+    data_centres=("tacoma", "salem", "spokane"),
+    services=(
+        ServicePlan("rota-board", "198.51.100.1", targets=7, slots=3),
+        ServicePlan("plan-intake", "198.51.100.2", targets=3, slots=3),
+    ),
+)
+KALNINS = Deployment(
+    name="kalnins",
+    network=12,
+    data_centres=("riga-1", "riga-2", "riga-3", "riga-4"),
+    services=(
+        ServicePlan("quoting-stock", "203.0.113.1", targets=7, slots=2),
+        ServicePlan("floor-plans", "203.0.113.2", targets=4, slots=2),
+    ),
+)
--- /dev/null
+++ b/packages/lab/sapphire_lab/demo/fabric.py
@@ -0,0 +1,58 @@
+"""A stand-in fabric: hands each packet to any entry host that it lists."""
+
+import socket
+
+import anyio
+from anyio import abc
+import numpy as np
+
+from sapphire_lab.demo import deployment
+
+
+class Fabric:
+    """Sprays packets over entry hosts from a socket of its own."""
+
+    def __init__(self, udp: abc.UDPSocket, seed: int) -> None:
+        """Creates the fabric.
+
+        Args:
+            udp: The socket that hosts see packets come from.
+            seed: Seeds the choice of hosts.
+        """
+        self._udp = udp
+        self._random = np.random.default_rng(seed)
+        self.addresses: list[str] = []
+
+    async def spray(self, packet: bytes) -> None:
+        """Sends a packet to any entry host.
+
+        Args:
+            packet: The IP packet of a caller.
+        """
+        if not self.addresses:
+            return
+        index = int(self._random.integers(len(self.addresses)))
+        await self._udp.sendto(
+            packet, self.addresses[index], deployment.FABRIC_PORT
+        )
+
+    def pick(self) -> str | None:
+        """Returns any listed entry host, for a connection of its own."""
+        if not self.addresses:
+            return None
+        return self.addresses[int(self._random.integers(len(self.addresses)))]
+
+
+async def open_socket(address: str, port: int) -> abc.UDPSocket:
+    """Opens a UDP socket on a loopback address.
+
+    Args:
+        address: The IP number.
+        port: The port.
+
+    Returns:
+        The socket; the caller closes it.
+    """
+    return await anyio.create_udp_socket(
+        family=socket.AF_INET, local_host=address, local_port=port
+    )
--- /dev/null
+++ b/packages/lab/sapphire_lab/forward/__init__.py
@@ -0,0 +1,1 @@
+"""The measurement of the forwarding path."""
--- /dev/null
+++ b/packages/lab/sapphire_lab/forward/builders.py
@@ -0,0 +1,154 @@
+"""Builders of a router with held flows, and of the packets of these."""
+
+import socket
+
+from sapphire_core.flows import data as flow_data
+from sapphire_core.flows import router as flow_router
+from sapphire_data import clock
+from sapphire_data import records
+from sapphire_wire import ip_packet
+from sapphire_wire import packet_builders
+
+HOST_ID = "host-1"
+SERVICE = ("198.51.100.1", 443)
+SERVICE_KEY = ip_packet.service_key(socket.inet_aton(SERVICE[0]), SERVICE[1])
+UPSTREAMS = 8
+BUCKETS = 4_093
+SETTLE_MS = 20_000
+STEP_MS = 100
+VIEW_STEP_MS = 400
+PORTS_PER_CALLER = 60_000
+FIRST_PORT = 1_024
+PAYLOAD = b"x" * 64
+
+
+def build_configuration(
+    revision: int, address: str, port: int, pools: tuple[int, ...]
+) -> records.Configuration:
+    """Builds a configuration with one service.
+
+    Args:
+        revision: The revision.
+        address: The IP number that all upstreams share.
+        port: The UDP port that all upstreams share.
+        pools: The number of upstreams of each generation, oldest first.
+
+    Returns:
+        The configuration.
+    """
+    names = [f"u{number}" for number in range(max(pools))]
+    upstreams_by_name = {
+        name: records.Upstream(
+            name, "tacoma", address, port, port, warm_up_ms=0
+        )
+        for name in names
+    }
+    generations = tuple(
+        records.PoolGeneration(number, tuple(sorted(names[:size])))
+        for number, size in enumerate(pools)
+    )
+    service = records.Service(
+        name="rota",
+        address=SERVICE[0],
+        port=SERVICE[1],
+        bucket_count=BUCKETS,
+        upstreams_by_name=upstreams_by_name,
+        generations=generations,
+    )
+    return records.Configuration(
+        revision,
+        f"digest-{revision}",
+        {"rota": service},
+        {"tacoma": records.DataCentre("tacoma")},
+    )
+
+
+def build_view(revision: int) -> records.MemberView:
+    """Builds the view of a host that is alone.
+
+    Args:
+        revision: The revision that it has prepared.
+
+    Returns:
+        The view.
+    """
+    host = records.HostAddress(HOST_ID, "tacoma", "127.0.0.1", 1, 2)
+    member = records.Member(host, 1, records.MemberState.ALIVE, revision, 0)
+    return records.MemberView({HOST_ID: member}, True, revision)
+
+
+def build_router(
+    time: clock.ManualClock, address: str, port: int
+) -> flow_router.Router:
+    """Builds a router with a part of its buckets ambiguous.
+
+    Args:
+        time: The clock; it is moved past all timers.
+        address: The IP number that all upstreams share.
+        port: The UDP port that all upstreams share.
+
+    Returns:
+        The router, with a view that is fresh at the time of the clock.
+    """
+    router = flow_router.Router(HOST_ID)
+    for revision, pools in ((1, (UPSTREAMS,)), (2, (UPSTREAMS, UPSTREAMS + 1))):
+        configuration = build_configuration(revision, address, port, pools)
+        router.prepare(configuration, time.now_ms())
+        settle(router, time, revision)
+    return router
+
+
+def settle(
+    router: flow_router.Router, time: clock.ManualClock, revision: int
+) -> None:
+    """Moves the clock past all timers of a router.
+
+    Args:
+        router: The router.
+        time: The clock.
+        revision: The revision that every host has prepared.
+    """
+    end_ms = time.now_ms() + SETTLE_MS
+    while time.now_ms() < end_ms:
+        time.advance(STEP_MS)
+        if time.now_ms() % VIEW_STEP_MS == 0:
+            router.set_view(build_view(revision), time.now_ms())
+        router.tick(time.now_ms())
+    router.set_view(build_view(revision), time.now_ms())
+
+
+def build_packet(number: int, flags: int) -> bytes:
+    """Builds a packet of one of many flows.
+
+    Args:
+        number: The number of the flow.
+        flags: The TCP flags.
+
+    Returns:
+        The IP packet.
+    """
+    caller, port = divmod(number, PORTS_PER_CALLER)
+    return packet_builders.tcp_packet(
+        (f"10.0.{caller >> 8}.{caller & 255}", FIRST_PORT + port),
+        SERVICE,
+        flags,
+        payload=b"" if flags & packet_builders.SYN else PAYLOAD,
+    )
+
+
+def is_recorded(router: flow_router.Router, packet: bytes, now_ms: int) -> bool:
+    """Returns whether a flow's bucket is answered from the records.
+
+    Args:
+        router: The router.
+        packet: A packet of the flow.
+        now_ms: The time.
+
+    Returns:
+        Whether the bucket of the flow is ambiguous.
+    """
+    fields = ip_packet.read(packet)
+    assert isinstance(fields, ip_packet.PacketFields)
+    first = router.route(*fields, now_ms)
+    second = router.route(*fields, now_ms)
+    return isinstance(first, flow_data.Forward) and first is not second
--- /dev/null
+++ b/packages/net/sapphire_net/http_server.py
@@ -0,0 +1,76 @@
+"""Serving an ASGI application on one address until told to stop."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import ssl
+from typing import Any
+
+import hypercorn.asyncio
+import hypercorn.config
+
+MS_PER_SECOND = 1_000
+DEFAULT_KEEP_ALIVE_MS = 60_000
+DEFAULT_GRACE_MS = 30_000
+BACKLOG_CONNECTIONS = 1_024
+
+AsgiApp = Callable[[Any, Any, Any], Awaitable[None]]
+
+
+class _ServerConfig(hypercorn.config.Config):
+    """A configuration that takes a live TLS context.
+
+    The library builds its context from files once; a context that others
+    keep up to date allows certificates to change without a restart.
+    """
+
+    tls_context: ssl.SSLContext | None = None
+
+    def create_ssl_context(self) -> ssl.SSLContext | None:
+        """Returns the context that the caller keeps up to date."""
+        return self.tls_context
+
+    @property
+    def ssl_enabled(self) -> bool:
+        """Whether connections are encrypted."""
+        return self.tls_context is not None
+
+
+async def serve(
+    app: AsgiApp,
+    address: str,
+    port: int,
+    wait_for_stop: Callable[[], Awaitable[None]],
+    *,
+    tls_context: ssl.SSLContext | None = None,
+    grace_ms: int = DEFAULT_GRACE_MS,
+) -> None:
+    """Serves HTTP/1.1 until told to stop, then finishes open requests.
+
+    Args:
+        app: The application.
+        address: The IP number to listen on.
+        port: The TCP port to listen on.
+        wait_for_stop: Returns when no more requests are to be accepted.
+        tls_context: The context for TLS; none serves in the clear.
+        grace_ms: The longest time that open requests get to finish.
+
+    Raises:
+        OSError: When the port cannot be bound.
+    """
+    config = _ServerConfig()
+    config.tls_context = tls_context
+    host = f"[{address}]" if ":" in address else address
+    config.bind = [f"{host}:{port}"]
+    config.backlog = BACKLOG_CONNECTIONS
+    config.alpn_protocols = ["http/1.1"]
+    config.include_server_header = False
+    config.keep_alive_timeout = DEFAULT_KEEP_ALIVE_MS / MS_PER_SECOND
+    config.graceful_timeout = grace_ms / MS_PER_SECOND
+    config.accesslog = None
+    config.errorlog = None
+    await hypercorn.asyncio.serve(
+        app,
+        config,
+        shutdown_trigger=wait_for_stop,
+        mode="asgi",
+    )
--- /dev/null
+++ b/packages/node/sapphire_node/departure.py
@@ -0,0 +1,151 @@
+"""The graceful shutdown of a host, from the first signal to the exit."""
+
+from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+import enum
+import logging
+import signal
+
+import anyio
+
+from sapphire_data import clock
+from sapphire_net import event_log
+from sapphire_node import lifecycle
+
+_LOGGER = logging.getLogger(__name__)
+
+POLL_MS = 50
+
+
+class Result(enum.Enum):
+    """How a departure ended."""
+
+    FINISHED = "finished"
+    UNFINISHED = "unfinished"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Steps:
+    """What a departure asks of the tasks of the daemon.
+
+    Attributes:
+        announce: Tells the other hosts that this one leaves.
+        refuse_requests: Refuses new requests from now on.
+        is_handed_over: Whether other keepers hold what this one recorded.
+        is_idle: Whether no request is in flight.
+        last_packet_ms: When the fabric last handed a packet to this host.
+    """
+
+    announce: Callable[[], Awaitable[None]]
+    refuse_requests: Callable[[], None]
+    is_handed_over: Callable[[], bool]
+    is_idle: Callable[[], bool]
+    last_packet_ms: Callable[[], int]
+
+
+class Departure:
+    """Waits for the signal and takes the host out of service."""
+
+    def __init__(
+        self,
+        state: lifecycle.Lifecycle,
+        steps: Steps,
+        time: clock.Clock,
+        *,
+        notice_ms: int,
+        quiet_ms: int,
+        timeout_ms: int,
+    ) -> None:
+        """Creates the departure.
+
+        Args:
+            state: What the process says of its readiness.
+            steps: What the tasks of the daemon do for it.
+            time: The clock.
+            notice_ms: How long new work is still accepted, while the
+                platform's list of hosts lags.
+            quiet_ms: The silence of the fabric after which no more packets
+                are expected.
+            timeout_ms: The longest time of the whole departure.
+        """
+        self._state = state
+        self._steps = steps
+        self._time = time
+        self._notice_ms = notice_ms
+        self._quiet_ms = quiet_ms
+        self._timeout_ms = timeout_ms
+        self._is_urgent = False
+
+    async def run(self, signals: AsyncIterator[signal.Signals]) -> Result:
+        """Waits for the first signal and leaves.
+
+        Args:
+            signals: SIGTERM and SIGINT as they arrive.
+
+        Returns:
+            Whether everything open was finished.
+        """
+        await anext(signals)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._watch_second, signals)
+            result = await self._leave()
+            tasks.cancel_scope.cancel()
+        return result
+
+    async def _watch_second(
+        self, signals: AsyncIterator[signal.Signals]
+    ) -> None:
+        """Makes the departure urgent at the second signal."""
+        await anext(signals)
+        self._is_urgent = True
+        event_log.log(_LOGGER, logging.INFO, "departure_urgent")
+
+    async def _leave(self) -> Result:
+        """Leaves, step by step."""
+        started_ms = self._time.now_ms()
+        deadline_ms = started_ms + self._timeout_ms
+        self._state.phase = lifecycle.Phase.LEAVING
+        event_log.log(_LOGGER, logging.INFO, "departure_started")
+        await self._steps.announce()
+        notice_end_ms = min(started_ms + self._notice_ms, deadline_ms)
+        await self._wait(
+            lambda: self._time.now_ms() >= notice_end_ms, deadline_ms
+        )
+        self._steps.refuse_requests()
+        await self._wait(self._is_quiet, deadline_ms)
+        is_idle = await self._wait_idle(deadline_ms)
+        event_log.log(
+            _LOGGER,
+            logging.INFO,
+            "departure_ended",
+            duration_ms=self._time.now_ms() - started_ms,
+            idle=is_idle,
+            handed_over=self._steps.is_handed_over(),
+        )
+        if is_idle and self._steps.is_handed_over():
+            return Result.FINISHED
+        return Result.UNFINISHED
+
+    def _is_quiet(self) -> bool:
+        """Returns whether neither fabric nor keepers need this host."""
+        silent_ms = self._time.now_ms() - self._steps.last_packet_ms()
+        return silent_ms >= self._quiet_ms and self._steps.is_handed_over()
+
+    async def _wait(
+        self, is_done: Callable[[], bool], deadline_ms: int
+    ) -> None:
+        """Waits for a condition, the deadline or the second signal."""
+        while not is_done() and not self._is_urgent:
+            if self._time.now_ms() >= deadline_ms:
+                return
+            await anyio.sleep(POLL_MS / clock.MS_PER_SECOND)
+
+    async def _wait_idle(self, deadline_ms: int) -> bool:
+        """Waits for the requests in flight, also when it is urgent."""
+        while not self._steps.is_idle():
+            if self._time.now_ms() >= deadline_ms:
+                return False
+            await anyio.sleep(POLL_MS / clock.MS_PER_SECOND)
+        return True
--- /dev/null
+++ b/packages/node/sapphire_node/departure_test.py
@@ -0,0 +1,98 @@
+from collections.abc import AsyncIterator
+import dataclasses
+import signal
+
+import anyio
+from anyio.streams import memory
+import testtools
+from testtools import matchers
+
+from sapphire_data import clock
+from sapphire_node import departure
+from sapphire_node import lifecycle
+
+
+@dataclasses.dataclass(slots=True)
+class FakeHost:
+    """The tasks of a daemon, as a departure sees them."""
+
+    steps: list[str] = dataclasses.field(default_factory=list)
+    polls_until_idle: int = 0
+    is_handed_over: bool = True
+    last_packet_ms: int = 0
+
+    async def announce(self) -> None:
+        self.steps.append("announce")
+
+    def is_idle(self) -> bool:
+        self.polls_until_idle -= 1
+        return self.polls_until_idle < 0
+
+    def as_steps(self) -> departure.Steps:
+        return departure.Steps(
+            announce=self.announce,
+            refuse_requests=lambda: self.steps.append("refuse"),
+            is_handed_over=lambda: self.is_handed_over,
+            is_idle=self.is_idle,
+            last_packet_ms=lambda: self.last_packet_ms,
+        )
+
+
+class SteppingClock:
+    """A clock that moves by one poll at each reading."""
+
+    def __init__(self) -> None:
+        self._time_ms = 0
+
+    def now_ms(self) -> int:
+        self._time_ms += departure.POLL_MS
+        return self._time_ms
+
+
+async def leave(
+    host: FakeHost, signal_count: int, state: lifecycle.Lifecycle
+) -> departure.Result:
+    time: clock.Clock = SteppingClock()
+    leaving = departure.Departure(
+        state,
+        host.as_steps(),
+        time,
+        notice_ms=400,
+        quiet_ms=200,
+        timeout_ms=4_000,
+    )
+    send, receive = anyio.create_memory_object_stream[signal.Signals](2)
+    for _ in range(signal_count):
+        send.send_nowait(signal.SIGTERM)
+    return await leaving.run(iterate(receive))
+
+
+async def iterate(
+    receive: memory.MemoryObjectReceiveStream[signal.Signals],
+) -> AsyncIterator[signal.Signals]:
+    async for item in receive:
+        yield item
+
+
+class DepartureTest(testtools.TestCase):
+    def test_requests_in_flight_are_finished_before_the_exit(self) -> None:
+        for signal_count in (1, 2):
+            host = FakeHost(polls_until_idle=5)
+            state = lifecycle.Lifecycle(lifecycle.Phase.SERVING, True)
+            result = anyio.run(leave, host, signal_count, state)
+            self.expectThat(result, matchers.Equals(departure.Result.FINISHED))
+            self.expectThat(host.polls_until_idle, matchers.LessThan(0))
+            self.assertEqual(["announce", "refuse"], host.steps)
+            self.assertEqual(
+                lifecycle.NotReadyReason.LEAVING, state.not_ready_reason()
+            )
+
+    def test_a_departure_that_cannot_hand_over_says_so(self) -> None:
+        host = FakeHost(is_handed_over=False)
+        result = anyio.run(leave, host, 1, lifecycle.Lifecycle())
+        self.assertThat(result, matchers.Equals(departure.Result.UNFINISHED))
+
+    def test_a_request_that_never_ends_does_not_hold_the_host(self) -> None:
+        host = FakeHost(polls_until_idle=10_000)
+        result = anyio.run(leave, host, 1, lifecycle.Lifecycle())
+        self.assertThat(result, matchers.Equals(departure.Result.UNFINISHED))
--- /dev/null
+++ b/packages/node/sapphire_node/forwarder.py
@@ -0,0 +1,329 @@
+"""The task that owns the fabric socket and the router.
+
+Packets come from the fabric or, relayed, from other hosts. The router decides;
+this task carries the decision out. The path of a settled packet awaits only the
+two socket calls.
+"""
+
+import collections
+import dataclasses
+import logging
+
+import anyio
+from anyio import abc
+from anyio.streams import memory
+
+from sapphire_core.flows import data as flow_data
+from sapphire_core.flows import failures as flow_failures
+from sapphire_core.flows import router as flow_router
+from sapphire_core.slo import counters as slo_counters
+from sapphire_data import clock
+from sapphire_data import failures
+from sapphire_data import records
+from sapphire_net import event_log
+from sapphire_node import change_log
+from sapphire_node import messages
+from sapphire_wire import flow_messages
+from sapphire_wire import ip_packet
+from sapphire_wire import message_kind
+
+_LOGGER = logging.getLogger(__name__)
+
+TICK_MS = 100
+
+_Kind = message_kind.MessageKind
+
+
+@dataclasses.dataclass(slots=True)
+class Counters:
+    """What the forwarder counts; read when metrics are collected.
+
+    Attributes:
+        forwarded: Packets sent to an upstream.
+        relayed: Packets sent to a keeper.
+        given_up: Packets answered by a reset.
+        dropped_by_type: Dropped packets by the type of their failure.
+    """
+
+    forwarded: int = 0
+    relayed: int = 0
+    given_up: int = 0
+    dropped_by_type: dict[str, int] = dataclasses.field(default_factory=dict)
+
+    def drop(self, failure: failures.Failure) -> None:
+        """Counts a dropped packet.
+
+        Args:
+            failure: Why it was dropped.
+        """
+        code = failure.code
+        self.dropped_by_type[code] = self.dropped_by_type.get(code, 0) + 1
+
+
+class Forwarder:
+    """Carries out the decisions of a router on a socket of its own."""
+
+    def __init__(
+        self,
+        router: flow_router.Router,
+        fabric: abc.UDPSocket,
+        outbox: memory.MemoryObjectSendStream[messages.ToControl],
+        time: clock.Clock,
+    ) -> None:
+        """Creates the forwarder.
+
+        Args:
+            router: The router; only this task changes it.
+            fabric: The socket on which packets of the fabric arrive.
+            outbox: Takes messages for the control task.
+            time: The clock.
+        """
+        self.counters = Counters()
+        self.router = router
+        self._fabric = fabric
+        self._outbox = outbox
+        self._time = time
+        self.last_packet_ms = 0
+        self.levels = slo_counters.SloCounters(clock.wall_time_ms())
+        self.opened_by_upstream: collections.Counter[str] = (
+            collections.Counter()
+        )
+        self.changes = change_log.ChangeLog()
+        self._hosts_by_id: dict[str, records.HostAddress] = {}
+
+    async def serve_fabric(self) -> None:
+        """Routes packets from the fabric until cancelled."""
+        now_ms = self._time.now_ms
+        route = self.router.route
+        read = ip_packet.read
+        sendto = self._fabric.sendto
+        counters = self.counters
+        async for packet, source in self._fabric:
+            fields = read(packet)
+            if not isinstance(fields, ip_packet.PacketFields):
+                counters.drop(fields)
+                continue
+            key, flow_hash, is_opening, is_closing = fields
+            self.last_packet_ms = time_ms = now_ms()
+            decision = route(key, flow_hash, is_opening, is_closing, time_ms)
+            if type(decision) is flow_data.Forward:
+                counters.forwarded += 1
+                upstream = decision.upstream
+                if is_opening or is_closing:
+                    self._note_boundary(upstream.name, is_opening)
+                await sendto(packet, upstream.address, upstream.packet_port)
+                continue
+            await self._carry_out(decision, packet, source)
+
+    async def serve_inbox(
+        self, inbox: memory.MemoryObjectReceiveStream[messages.ToForwarder]
+    ) -> None:
+        """Handles messages of other tasks until the stream ends.
+
+        Args:
+            inbox: The messages.
+        """
+        async for message in inbox:
+            await self._handle(message)
+
+    async def tick(self) -> None:
+        """Gives the router the time at regular intervals until cancelled."""
+        while True:
+            actions = self.router.tick(self._time.now_ms())
+            await self._send_actions(actions)
+            await anyio.sleep(TICK_MS / clock.MS_PER_SECOND)
+
+    async def _handle(self, message: messages.ToForwarder) -> None:
+        """Handles one message."""
+        now_ms = self._time.now_ms()
+        if isinstance(message, messages.ControlReceived):
+            await self._handle_control(message, now_ms)
+            return
+        if isinstance(message, messages.ViewChanged):
+            self._hosts_by_id = {
+                host_id: member.host
+                for host_id, member in message.view.members_by_id.items()
+            }
+            self.router.set_view(message.view, now_ms)
+            return
+        if isinstance(message, messages.ConfigurationAccepted):
+            configuration = message.configuration
+            self.changes.note_prepared(configuration, now_ms)
+            self.router.prepare(configuration, now_ms)
+            await self._outbox.send(
+                messages.PublishPrepared(configuration.revision)
+            )
+            return
+        if isinstance(message, messages.NewerRevisionKnown):
+            self.changes.note_newer(message.revision, now_ms)
+            self.router.note_newer_revision(message.revision, now_ms)
+            return
+        if isinstance(message, messages.OverlayLearned):
+            self.router.apply_overlay(message.overlay, now_ms)
+
+    async def _handle_control(
+        self, message: messages.ControlReceived, now_ms: int
+    ) -> None:
+        """Handles a body that another host sent."""
+        if message.kind is _Kind.RELAYED_PACKET:
+            await self._route_relayed(message.body, now_ms)
+            return
+        if message.kind is _Kind.HANDOVER_REQUEST:
+            request = flow_messages.decode_handover_request(message.body)
+            if request.is_error():
+                self.counters.drop(request.error)
+                return
+            page = self.router.answer_handover(
+                message.sender, request.ok, now_ms
+            )
+            if page is None:
+                return
+            await self._send_to(
+                message.sender,
+                _Kind.HANDOVER_PAGE,
+                flow_messages.encode_handover_page(page),
+            )
+            return
+        if message.kind is _Kind.HANDOVER_PAGE:
+            decoded = flow_messages.decode_handover_page(message.body)
+            if decoded.is_error():
+                self.counters.drop(decoded.error)
+                return
+            self.router.accept_handover(message.sender, decoded.ok, now_ms)
+
+    async def _route_relayed(self, body: bytes, now_ms: int) -> None:
+        """Routes a packet that another host handed over."""
+        decoded = flow_messages.decode_relay(body)
+        if decoded.is_error():
+            self.counters.drop(decoded.error)
+            return
+        header, packet = decoded.ok
+        fields = ip_packet.read(packet)
+        if not isinstance(fields, ip_packet.PacketFields):
+            self.counters.drop(fields)
+            return
+        decision = self.router.route_relayed(header, *fields, now_ms)
+        if isinstance(decision, flow_data.Forward) and (
+            fields.is_opening or fields.is_closing
+        ):
+            self._note_boundary(decision.upstream.name, fields.is_opening)
+        await self._carry_out(decision, packet, None)
+
+    async def _carry_out(
+        self,
+        decision: flow_data.Decision,
+        packet: bytes,
+        source: tuple[str, int] | None,
+    ) -> None:
+        """Carries out a decision.
+
+        Args:
+            decision: The decision of the router.
+            packet: The caller's packet.
+            source: The fabric's address, or None for a relayed packet.
+        """
+        if isinstance(decision, flow_data.Forward):
+            self.counters.forwarded += 1
+            upstream = decision.upstream
+            await self._fabric.sendto(
+                packet, upstream.address, upstream.packet_port
+            )
+            return
+        if isinstance(decision, flow_data.Relay):
+            self.counters.relayed += 1
+            await self._send_to(
+                decision.host_id,
+                _Kind.RELAYED_PACKET,
+                flow_messages.encode_relay(decision, packet),
+            )
+            return
+        if isinstance(decision, flow_data.GiveUp):
+            self.counters.given_up += 1
+            self._note_given_up(decision.reason)
+            await self._send_reset(packet, source)
+            return
+        self.counters.drop(decision.reason)
+
+    async def _send_reset(
+        self, packet: bytes, source: tuple[str, int] | None
+    ) -> None:
+        """Tells a caller through the fabric that its flow is given up.
+
+        A keeper does not know the fabric's address; the entry host gives the
+        same flow up by itself once it knows what the keeper knows.
+        """
+        if source is None:
+            return
+        reset = ip_packet.build_reset(packet)
+        if reset is not None:
+            await self._fabric.sendto(reset, *source)
+
+    async def _send_actions(self, actions: list[flow_data.Action]) -> None:
+        """Carries out the actions of the router."""
+        for action in actions:
+            if isinstance(action, flow_data.SendHandoverRequest):
+                await self._send_to(
+                    action.host_id,
+                    _Kind.HANDOVER_REQUEST,
+                    flow_messages.encode_handover_request(action.request),
+                )
+                continue
+            if isinstance(action, flow_data.Activated):
+                self._note_activated(action.revision)
+
+    def _note_activated(self, revision: int) -> None:
+        """Marks that a revision is in force here."""
+        is_move = self.changes.note_activated(revision)
+        self.levels.note_change(
+            revision, clock.wall_time_ms(), moves_data_centre=is_move
+        )
+        event_log.log(
+            _LOGGER,
+            logging.INFO,
+            "revision_activated",
+            revision=revision,
+            digest=self.changes.active_digest,
+            moves_data_centre=is_move,
+        )
+
+    def _note_boundary(self, upstream: str, is_opening: bool) -> None:
+        """Counts the begin or the regular end of a flow."""
+        if is_opening:
+            self.opened_by_upstream[upstream] += 1
+            return
+        service = self.changes.service_by_upstream.get(upstream)
+        if service is not None:
+            self.levels.record_flows(service, 1, 1, clock.wall_time_ms())
+
+    def _note_given_up(self, reason: failures.Failure) -> None:
+        """Counts a flow that ends because its upstream is gone.
+
+        Flows of a data centre that operators took out are given up on their
+        behalf and do not count against the objective.
+        """
+        if not isinstance(reason, flow_failures.UpstreamGone):
+            return
+        service = self.changes.service_by_upstream.get(reason.upstream)
+        if service is not None:
+            self.levels.record_flows(service, 0, 1, clock.wall_time_ms())
+
+    async def _send_to(self, host_id: str, kind: _Kind, body: bytes) -> None:
+        """Sends a body to a host by way of the control task."""
+        host = self._hosts_by_id.get(host_id)
+        if host is None:
+            self.counters.drop(UnknownHost(host_id))
+            return
+        await self._outbox.send(
+            messages.SendControl(host.address, host.control_port, kind, body)
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UnknownHost(failures.Failure):
+    """A host that is no longer a member.
+
+    Attributes:
+        host_id: Its identity.
+    """
+
+    host_id: str
--- /dev/null
+++ b/packages/node/sapphire_node/main.py
@@ -0,0 +1,132 @@
+"""The command line of the daemon `sapphirearchd`."""
+
+import enum
+import json
+import pathlib
+from typing import Annotated
+
+import anyio
+import typer
+
+from sapphire_data import failures
+from sapphire_net import event_log
+from sapphire_net.trust import keys
+from sapphire_node import daemon
+from sapphire_wire import settings as settings_lib
+from sapphire_wire import validation
+
+app = typer.Typer(
+    help="Runs one entry host of the sapphirearch load balancer.",
+    no_args_is_help=True,
+)
+
+SettingsArgument = Annotated[
+    pathlib.Path,
+    typer.Argument(
+        exists=True,
+        dir_okay=False,
+        readable=True,
+        help="The settings file, JSON with comments.",
+    ),
+]
+JsonOption = Annotated[
+    bool, typer.Option("--json", help="Write the report as JSON.")
+]
+
+
+class ExitStatus(enum.IntEnum):
+    """The exit statuses of the daemon.
+
+    Attributes:
+        OK: The settings are valid, or the host left the fleet cleanly.
+        INVALID: The settings or the key file are not valid.
+        FAILED: The host could not start or had to stop.
+        UNFINISHED: The host stopped at the end of its drain timeout with
+            work still open.
+    """
+
+    OK = 0
+    FAILED = 1
+    INVALID = 2
+    UNFINISHED = 3
+
+
+@app.command()
+def check(path: SettingsArgument, as_json: JsonOption = False) -> None:
+    """Reports every error of a settings file.
+
+    Example: sapphirearchd check host.json --json
+
+    Exit status: 0 valid, 2 not valid.
+    """
+    _, errors = _load(path)
+    if as_json:
+        typer.echo(json.dumps({"errors": [_as_dict(e) for e in errors]}))
+    else:
+        for line in validation.describe(errors):
+            typer.echo(line, err=True)
+    raise typer.Exit(ExitStatus.INVALID if errors else ExitStatus.OK)
+
+
+@app.command()
+def run(path: SettingsArgument) -> None:
+    """Runs the host until SIGTERM.
+
+    The first SIGTERM or SIGINT leaves the fleet, hands over and finishes what
+    is open. A second one no longer waits for the fabric, but still finishes
+    requests.
+
+    Example: sapphirearchd run host.json
+
+    Exit status: 0 left cleanly, 1 failed, 2 settings not valid, 3 stopped
+    with work still open.
+    """
+    loaded, errors = _load(path)
+    if loaded is None or errors:
+        for line in validation.describe(errors):
+            typer.echo(line, err=True)
+        raise typer.Exit(ExitStatus.INVALID)
+    event_log.configure(loaded.settings.log_level)
+    outcome = anyio.run(
+        daemon.run,
+        loaded,
+        backend="asyncio",
+        backend_options={"use_uvloop": True},
+    )
+    raise typer.Exit(_EXIT_STATUS_BY_OUTCOME[outcome])
+
+
+_EXIT_STATUS_BY_OUTCOME = {
+    daemon.Outcome.LEFT: ExitStatus.OK,
+    daemon.Outcome.UNFINISHED: ExitStatus.UNFINISHED,
+    daemon.Outcome.FAILED: ExitStatus.FAILED,
+}
+
+
+def _load(
+    path: pathlib.Path,
+) -> tuple[daemon.LoadedSettings | None, list[failures.Failure]]:
+    """Reads the settings and the key file that they name."""
+    parsed, errors = validation.parse(
+        settings_lib.Settings, path.read_bytes(), str(path)
+    )
+    if parsed is None:
+        return None, errors
+    key_file = path.parent / parsed.trust.key_ring_file
+    ring = keys.load_key_ring(key_file)
+    if ring.is_error():
+        return None, [*errors, ring.error]
+    return daemon.LoadedSettings(parsed, path.parent, ring.ok), errors
+
+
+def _as_dict(failure: failures.Failure) -> dict[str, str]:
+    """Returns a failure with the name of its type, for JSON."""
+    fields = {
+        name: str(getattr(failure, name))
+        for name in getattr(failure, "__slots__", ())
+    }
+    return {"type": failure.code, **fields}
+
+
+if __name__ == "__main__":
+    app()
--- /dev/null
+++ b/packages/node/sapphire_node/messages.py
@@ -0,0 +1,155 @@
+"""The messages by which the tasks of the daemon talk."""
+
+import dataclasses
+
+from sapphire_core.flows import data as flow_data
+from sapphire_data import records
+from sapphire_wire import message_kind
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigurationAccepted:
+    """A newer revision of the configuration.
+
+    Attributes:
+        configuration: The whole configuration.
+    """
+
+    configuration: records.Configuration
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NewerRevisionKnown:
+    """A revision exists that this host has not fetched yet.
+
+    Attributes:
+        revision: The revision.
+    """
+
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ViewChanged:
+    """A new view of the membership.
+
+    Attributes:
+        view: The view.
+    """
+
+    view: records.MemberView
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OverlayLearned:
+    """The state of an upstream that some host observed.
+
+    Attributes:
+        overlay: The state.
+    """
+
+    overlay: flow_data.Overlay
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PublishFact:
+    """A fact that this host publishes to all others.
+
+    Attributes:
+        key: The key of the fact.
+        version: The version; the highest one wins.
+        value: The encoded value.
+    """
+
+    key: str
+    version: int
+    value: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PublishPrepared:
+    """The newest revision that this host has prepared.
+
+    Attributes:
+        revision: The revision.
+    """
+
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendControl:
+    """A body to seal and send to another host.
+
+    Attributes:
+        address: The IP number of the host.
+        port: Its control port.
+        kind: The type of the body.
+        body: The encoded body.
+    """
+
+    address: str
+    port: int
+    kind: message_kind.MessageKind
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigurationFact:
+    """What a host published about the configuration that it knows.
+
+    Attributes:
+        key: The key of the fact.
+        version: The revision.
+        value: The encoded value.
+    """
+
+    key: str
+    version: int
+    value: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ControlReceived:
+    """An authentic body from another host.
+
+    Attributes:
+        sender: The host identity of the sender.
+        kind: The type of the body.
+        body: The encoded body.
+    """
+
+    sender: str
+    kind: message_kind.MessageKind
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamProbed:
+    """The result of one probe of an upstream.
+
+    Attributes:
+        upstream: The name of the upstream.
+        is_reachable: Whether it answered in time.
+        boot_id: The boot identity that it stated, or an empty text.
+    """
+
+    upstream: str
+    is_reachable: bool
+    boot_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BeginLeave:
+    """The host leaves: it hands over and finishes what is open."""
+
+
+ToForwarder = (
+    ConfigurationAccepted
+    | NewerRevisionKnown
+    | ViewChanged
+    | OverlayLearned
+    | ControlReceived
+    | UpstreamProbed
+)
+ToControl = PublishFact | PublishPrepared | SendControl | BeginLeave
--- /dev/null
+++ b/packages/node/sapphire_node/prober_test.py
@@ -0,0 +1,40 @@
+import collections
+
+import testtools
+from testtools import matchers
+
+from sapphire_data import records
+from sapphire_node import prober
+
+
+def member(host_id: str, data_centre: str) -> records.Member:
+    host = records.HostAddress(host_id, data_centre, "127.0.0.1", 1, 2)
+    return records.Member(host, 0, records.MemberState.ALIVE, 0, 0)
+
+
+class AssignedUpstreamsTest(testtools.TestCase):
+    def test_two_hosts_of_its_data_centre_probe_each_upstream(self) -> None:
+        members_by_id = {
+            f"{data_centre}-{number}": member(
+                f"{data_centre}-{number}", data_centre
+            )
+            for data_centre in ("salem", "tacoma")
+            for number in range(4)
+        }
+        upstreams = [
+            records.Upstream(f"u{n}", data_centre, "127.0.0.1", 1, 2)
+            for n, data_centre in enumerate(("salem", "tacoma", "spokane") * 5)
+        ]
+        probers: collections.Counter[str] = collections.Counter()
+        for host_id, known in members_by_id.items():
+            for upstream in prober.assigned_upstreams(
+                host_id, upstreams, members_by_id
+            ):
+                probers[upstream.name] += 1
+                if upstream.data_centre != "spokane":
+                    self.expectThat(
+                        known.host.data_centre,
+                        matchers.Equals(upstream.data_centre),
+                    )
+        self.assertThat(set(probers.values()), matchers.Equals({2}))
+        self.assertThat(len(probers), matchers.Equals(15))
--- a/packages/node/sapphire_node/requests/service.py
+++ b/packages/node/sapphire_node/requests/service.py
@@ -163,10 +163,11 @@
 
     async def wait_idle(self) -> None:
         """Waits until the host drains and no request is in flight."""
-        while not self._is_idle():
+        while not self.is_idle():
             await anyio.sleep(IDLE_POLL_S)
 
-    def _is_idle(self) -> bool:
+    def is_idle(self) -> bool:
+        """Returns whether the host drains and no request is in flight."""
         if not self.is_draining or self._open_exchanges:
             return False
         return self._engine.is_idle and not self._scopes_by_attempt
--- /dev/null
+++ b/packages/node/sapphire_node/status.py
@@ -0,0 +1,155 @@
+"""The answers of the API for operators, built from the tasks' state."""
+
+import dataclasses
+
+from sapphire_core.slo import counters as slo_counters
+from sapphire_data import clock
+from sapphire_data import records
+from sapphire_node import forwarder
+from sapphire_node import lifecycle
+from sapphire_wire import api
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigurationStatus:
+    """What the configuration task tells operators.
+
+    Attributes:
+        known_revision: The newest revision that it has heard of.
+        is_store_reachable: Whether its last call of the store succeeded;
+            None where it does not call the store.
+        configuration: The newest configuration, or None before the first.
+    """
+
+    known_revision: int
+    is_store_reachable: bool | None
+    configuration: records.Configuration | None
+
+
+def read(
+    own: records.HostAddress,
+    state: lifecycle.Lifecycle,
+    packets: forwarder.Forwarder,
+    view: records.MemberView,
+    *,
+    known: ConfigurationStatus,
+    service: str | None,
+    now_ms: int,
+) -> api.HostStatus:
+    """Returns the status of a host.
+
+    Args:
+        own: The identity and addresses of the host.
+        state: What it says of its readiness.
+        packets: The forwarding task.
+        view: The membership as it knows it.
+        known: What it knows of the configuration.
+        service: The only service to report upstreams of; None for all.
+        now_ms: The monotonic time.
+
+    Returns:
+        The status.
+    """
+    router = packets.router
+    active = router.active_revision
+    return api.HostStatus(
+        host_id=own.host_id,
+        data_centre=own.data_centre,
+        address=own.address,
+        api_port=own.api_port,
+        state=api.HostState(state.phase.value),
+        active_revision=active,
+        prepared_revision=router.prepared_revision,
+        known_revision=max(known.known_revision, router.prepared_revision),
+        active_digest=packets.changes.active_digest,
+        lag_ms=packets.changes.lag_ms(now_ms),
+        is_fresh=view.is_fresh,
+        is_store_reachable=known.is_store_reachable,
+        members=tuple(_member(item) for item in view.members_by_id.values()),
+        upstreams=_upstreams(packets, known.configuration, service),
+    )
+
+
+def read_slo(
+    own: records.HostAddress,
+    levels: slo_counters.SloCounters,
+    service: str | None,
+) -> api.SloReport:
+    """Returns the counts of service levels of a host.
+
+    Args:
+        own: The identity of the host.
+        levels: The counts.
+        service: The only service to report; None for all.
+
+    Returns:
+        The counts.
+    """
+    now_ms = clock.wall_time_ms()
+    series = []
+    for counts in levels.snapshot(now_ms, service):
+        tiers = []
+        for width_ms, by_index in counts.tiers_by_width_ms.items():
+            buckets = tuple(
+                api.SloBucket(index=index, good=item.good, total=item.total)
+                for index, item in by_index.items()
+            )
+            tiers.append(api.SloTier(width_ms=width_ms, buckets=buckets))
+        series.append(
+            api.SloSeries(
+                service=counts.key.service,
+                objective=counts.key.objective.value,
+                tiers=tuple(tiers),
+            )
+        )
+    marks = tuple(
+        api.ChangeMark(revision=mark.revision, activated_ms=mark.at_ms)
+        for mark in levels.marks()
+    )
+    return api.SloReport(
+        host_id=own.host_id,
+        data_centre=own.data_centre,
+        since_ms=levels.since_ms,
+        now_ms=now_ms,
+        series=tuple(series),
+        marks=marks,
+    )
+
+
+def _member(member: records.Member) -> api.MemberStatus:
+    """Returns what the status says of a member."""
+    return api.MemberStatus(
+        host_id=member.host.host_id,
+        data_centre=member.host.data_centre,
+        address=member.host.address,
+        api_port=member.host.api_port,
+        state=member.state.value,
+        prepared_revision=member.prepared_revision,
+    )
+
+
+def _upstreams(
+    packets: forwarder.Forwarder,
+    configuration: records.Configuration | None,
+    service: str | None,
+) -> tuple[api.UpstreamStatus, ...]:
+    """Returns what the status says of the upstreams."""
+    if configuration is None:
+        return ()
+    upstreams = []
+    for name, known in configuration.services_by_name.items():
+        if service is not None and name != service:
+            continue
+        for upstream in known.upstreams_by_name.values():
+            is_draining = upstream.intent is records.UpstreamIntent.DRAIN
+            upstreams.append(
+                api.UpstreamStatus(
+                    service=name,
+                    upstream=upstream.name,
+                    data_centre=upstream.data_centre,
+                    flows=packets.opened_by_upstream.get(upstream.name, 0),
+                    is_draining=is_draining,
+                    is_ready=not is_draining,
+                )
+            )
+    return tuple(upstreams)
--- /dev/null
+++ b/packages/wire/idl/flows.thrift
@@ -0,0 +1,26 @@
+// Messages between keepers, and the fact that spreads an upstream's state.
+namespace py flows
+
+struct HandoverRequest {
+  1: required string service_name,
+  2: required list<i32> buckets,
+  3: required i64 after_flow_hash, // Unsigned in the core; see flow_messages.
+  4: required bool is_first_page,
+}
+
+struct HandoverPage {
+  1: required string service_name,
+  2: required list<i32> buckets,
+  3: required list<i32> complete_buckets,
+  4: required list<string> upstreams,
+  5: required list<i64> flow_hashes,
+  6: required list<i32> upstream_indices,
+  7: required bool is_last,
+}
+
+struct Overlay {
+  1: required string upstream,
+  2: required string state,
+  3: required string boot_id,
+  4: required i64 version,
+}
--- /dev/null
+++ b/packages/wire/sapphire_wire/flow_messages.py
@@ -0,0 +1,226 @@
+"""Flow routing records in their encoded form.
+
+Flow hashes are unsigned in the core and signed on the wire.
+"""
+
+import expression
+
+from sapphire_core.flows import data
+from sapphire_data import failures
+from sapphire_wire import codec
+from sapphire_wire.gen.flows import ttypes as flow_types
+from sapphire_wire.gen.relay import ttypes as relay_types
+
+_SIGN_BIT = 1 << 63
+_TWO_TO_64 = 1 << 64
+_BEFORE_FIRST_HASH = -1
+
+MAX_VISITED_HOSTS = 8
+OVERLAY_KEY_PREFIX = "upstream/"
+
+
+def encode_relay(relay: data.Relay, packet: bytes) -> bytes:
+    """Encodes a packet that is handed to another host.
+
+    Args:
+        relay: The decision of the router.
+        packet: The caller's IP packet.
+
+    Returns:
+        The encoded record.
+    """
+    return codec.encode(
+        relay_types.RelayedPacket(
+            revision=relay.revision,
+            visited=list(relay.visited),
+            packet=packet,
+            upstream=relay.upstream,
+        )
+    )
+
+
+def decode_relay(
+    body: bytes,
+) -> expression.Result[
+    tuple[data.RelayHeader, bytes], failures.UnreadableInput
+]:
+    """Decodes a packet that another host handed over.
+
+    Args:
+        body: The encoded record; it may hold anything.
+
+    Returns:
+        The header and the caller's packet, or why it cannot be read.
+    """
+    decoded = codec.decode(relay_types.RelayedPacket, body)
+    if decoded.is_error():
+        return expression.Error(decoded.error)
+    record = decoded.ok
+    if not 0 < len(record.visited) <= MAX_VISITED_HOSTS:
+        return expression.Error(
+            failures.UnreadableInput(
+                "RelayedPacket", f"visited {len(record.visited)} hosts"
+            )
+        )
+    header = data.RelayHeader(
+        tuple(record.visited), record.upstream, record.revision
+    )
+    return expression.Ok((header, record.packet))
+
+
+def encode_handover_request(request: data.HandoverRequest) -> bytes:
+    """Encodes a request for recorded placements.
+
+    Args:
+        request: The request.
+
+    Returns:
+        The encoded record.
+    """
+    is_first = request.after_flow_hash == _BEFORE_FIRST_HASH
+    return codec.encode(
+        flow_types.HandoverRequest(
+            service_name=request.service,
+            buckets=list(request.buckets),
+            after_flow_hash=0 if is_first else _sign(request.after_flow_hash),
+            is_first_page=is_first,
+        )
+    )
+
+
+def decode_handover_request(
+    body: bytes,
+) -> expression.Result[data.HandoverRequest, failures.UnreadableInput]:
+    """Decodes a request for recorded placements.
+
+    Args:
+        body: The encoded record; it may hold anything.
+
+    Returns:
+        The request, or why it cannot be read.
+    """
+    decoded = codec.decode(flow_types.HandoverRequest, body)
+    if decoded.is_error():
+        return expression.Error(decoded.error)
+    record = decoded.ok
+    after = _BEFORE_FIRST_HASH
+    if not record.is_first_page:
+        after = _unsign(record.after_flow_hash)
+    return expression.Ok(
+        data.HandoverRequest(record.service_name, tuple(record.buckets), after)
+    )
+
+
+def encode_handover_page(page: data.HandoverPage) -> bytes:
+    """Encodes recorded placements.
+
+    Args:
+        page: The placements.
+
+    Returns:
+        The encoded record.
+    """
+    return codec.encode(
+        flow_types.HandoverPage(
+            service_name=page.service,
+            buckets=list(page.buckets),
+            complete_buckets=list(page.complete_buckets),
+            upstreams=list(page.upstreams),
+            flow_hashes=[_sign(value) for value in page.flow_hashes],
+            upstream_indices=list(page.upstream_indices),
+            is_last=page.is_last,
+        )
+    )
+
+
+def decode_handover_page(
+    body: bytes,
+) -> expression.Result[data.HandoverPage, failures.UnreadableInput]:
+    """Decodes recorded placements.
+
+    Args:
+        body: The encoded record; it may hold anything.
+
+    Returns:
+        The placements, or why they cannot be read.
+    """
+    decoded = codec.decode(flow_types.HandoverPage, body)
+    if decoded.is_error():
+        return expression.Error(decoded.error)
+    record = decoded.ok
+    if len(record.flow_hashes) != len(record.upstream_indices):
+        return _unreadable("HandoverPage", "lists of different lengths")
+    for index in record.upstream_indices:
+        if not 0 <= index < len(record.upstreams):
+            return _unreadable("HandoverPage", f"no upstream {index}")
+    return expression.Ok(
+        data.HandoverPage(
+            service=record.service_name,
+            buckets=tuple(record.buckets),
+            complete_buckets=tuple(record.complete_buckets),
+            upstreams=tuple(record.upstreams),
+            flow_hashes=tuple(_unsign(value) for value in record.flow_hashes),
+            upstream_indices=tuple(record.upstream_indices),
+            is_last=record.is_last,
+        )
+    )
+
+
+def encode_overlay(overlay: data.Overlay) -> bytes:
+    """Encodes the observed state of an upstream.
+
+    Args:
+        overlay: The state.
+
+    Returns:
+        The encoded record.
+    """
+    return codec.encode(
+        flow_types.Overlay(
+            upstream=overlay.upstream,
+            state=overlay.state.value,
+            boot_id=overlay.boot_id,
+            version=overlay.version,
+        )
+    )
+
+
+def decode_overlay(
+    body: bytes,
+) -> expression.Result[data.Overlay, failures.UnreadableInput]:
+    """Decodes the observed state of an upstream.
+
+    Args:
+        body: The encoded record; it may hold anything.
+
+    Returns:
+        The state, or why it cannot be read.
+    """
+    decoded = codec.decode(flow_types.Overlay, body)
+    if decoded.is_error():
+        return expression.Error(decoded.error)
+    record = decoded.ok
+    try:
+        state = data.OverlayState(record.state)
+    except ValueError as error:
+        return expression.Error(failures.UnreadableInput("Overlay", str(error)))
+    return expression.Ok(
+        data.Overlay(record.upstream, state, record.boot_id, record.version)
+    )
+
+
+def _unreadable(
+    source: str, problem: str
+) -> expression.Result[data.HandoverPage, failures.UnreadableInput]:
+    """Returns the failure of a page that contradicts itself."""
+    return expression.Error(failures.UnreadableInput(source, problem))
+
+
+def _sign(value: int) -> int:
+    """Returns an unsigned 64-bit number as a signed one."""
+    return value - _TWO_TO_64 if value >= _SIGN_BIT else value
+
+
+def _unsign(value: int) -> int:
+    """Returns a signed 64-bit number as an unsigned one."""
+    return value + _TWO_TO_64 if value < 0 else value
--- a/packages/wire/sapphire_wire/message_kind.py
+++ b/packages/wire/sapphire_wire/message_kind.py
@@ -11,3 +11,5 @@
 
     RELAYED_PACKET = 1
     GOSSIP = 2
+    HANDOVER_REQUEST = 3
+    HANDOVER_PAGE = 4
--- a/packages/wire/sapphire_wire/settings.py
+++ b/packages/wire/sapphire_wire/settings.py
@@ -95,6 +95,10 @@
         seeds: Hosts to contact first.
         store: How to reach the platform's key-value service.
         trust: Keys and certificates.
+        leave_notice_ms: How long a leaving host still accepts new work, while
+            the platform's list of hosts lags.
+        fabric_quiet_ms: The silence after which a leaving host expects no more
+            packets of the fabric.
         drain_timeout_ms: The longest time that a graceful shutdown waits.
         log_level: The lowest level that is logged.
     """
@@ -105,6 +109,8 @@
     seeds: tuple[PeerSettings, ...] = ()
     store: StoreSettings
     trust: TrustSettings
+    leave_notice_ms: int = pydantic.Field(default=2_000, ge=0, le=60_000)
+    fabric_quiet_ms: int = pydantic.Field(default=1_000, ge=0, le=60_000)
     drain_timeout_ms: int = pydantic.Field(default=30_000, ge=0, le=600_000)
     log_level: Literal["debug", "info", "warning", "error"] = "info"
 
