--- a/packages/core/sapphire_core/requests/claims.py
+++ b/packages/core/sapphire_core/requests/claims.py
@@ -73,6 +73,17 @@
             return False
         return now_ms < self._next_call_ms
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether no call is awaited and none is due.
+
+        Releases that cannot be made because the store is down do not count:
+        their ids stay claimed until the retention time ends.
+        """
+        if self.in_flight is not None:
+            return False
+        return not self._releases or self._failures_in_row > 0
+
     def retry_after_ms(self, now_ms: int) -> int:
         """Returns the time until the store is tried again."""
         return max(1, self._next_call_ms - now_ms)
--- a/packages/core/sapphire_core/requests/data.py
+++ b/packages/core/sapphire_core/requests/data.py
@@ -55,6 +55,19 @@
     deadline_ms: int
     retries_left: int
 
+    @property
+    def needs_claim(self) -> bool:
+        """Whether its id must be claimed before it may run."""
+        return not self.is_idempotent and self.idempotency_key is not None
+
+    @property
+    def unclaimed_outcome(self) -> Outcome:
+        """What may be said of it before its id is claimed.
+
+        Another arrival of the same id may have run at another host.
+        """
+        return Outcome.UNKNOWN if self.needs_claim else Outcome.NOT_RUN
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Claim:
--- /dev/null
+++ b/packages/core/sapphire_core/requests/finishing.py
@@ -0,0 +1,113 @@
+"""Gives requests their final outcome."""
+
+from sapphire_core.requests import data
+from sapphire_core.requests import failures
+from sapphire_core.requests import host_state
+from sapphire_core.requests import life_cycle
+from sapphire_core.requests import service_pool
+
+DUPLICATE_RETRY_AFTER_MS = 1_000
+
+
+def refuse(
+    state: host_state.HostState,
+    pool: service_pool.ServicePool,
+    progress: life_cycle.Progress,
+    refusal: failures.RequestFailure,
+) -> None:
+    """Refuses a request and tells its caller when to come back."""
+    caller = progress.request.caller
+    retry_after_ms = pool.retry_after_ms(caller, state.rng)
+    finish(state, progress, refusal, retry_after_ms)
+
+
+def finish(
+    state: host_state.HostState,
+    progress: life_cycle.Progress,
+    failure: failures.RequestFailure,
+    retry_after_ms: int | None,
+) -> None:
+    """Ends a request without an answer.
+
+    Args:
+        state: The state of the host.
+        progress: The request; it ends as unknown if it may have run.
+        failure: Why there is no answer.
+        retry_after_ms: When its caller may come back, or None.
+    """
+    trigger = life_cycle.Trigger.REFUSE
+    if progress.may_have_run:
+        trigger = life_cycle.Trigger.GIVE_UP
+    _end(
+        state,
+        progress,
+        trigger,
+        failure=failure,
+        retry_after_ms=retry_after_ms,
+    )
+
+
+def finish_duplicate(
+    state: host_state.HostState, progress: life_cycle.Progress
+) -> None:
+    """Ends a request whose id another arrival has claimed."""
+    state.counters["duplicate_requests"] += 1
+    forget_claim(state, progress)
+    finish(
+        state, progress, failures.DuplicateRequest(), DUPLICATE_RETRY_AFTER_MS
+    )
+
+
+def answer(
+    state: host_state.HostState, progress: life_cycle.Progress, whole: object
+) -> None:
+    """Ends a request with the whole answer of its upstream."""
+    _end(state, progress, life_cycle.Trigger.ANSWER, whole=whole)
+
+
+def cancel(state: host_state.HostState, progress: life_cycle.Progress) -> None:
+    """Ends a request whose caller has gone away."""
+    _end(state, progress, life_cycle.Trigger.CANCEL)
+
+
+def forget_claim(
+    state: host_state.HostState, progress: life_cycle.Progress
+) -> None:
+    """Parts a request from its claim, which stays in the store."""
+    if progress.claim is None:
+        return
+    key = progress.claim.key
+    if state.serials_by_claim_key.get(key) == progress.request.serial:
+        del state.serials_by_claim_key[key]
+    progress.claim = None
+
+
+def _end(
+    state: host_state.HostState,
+    progress: life_cycle.Progress,
+    trigger: life_cycle.Trigger,
+    *,
+    failure: failures.RequestFailure | None = None,
+    whole: object | None = None,
+    retry_after_ms: int | None = None,
+) -> None:
+    request = progress.request
+    life_cycle.advance(progress, trigger)
+    outcome = life_cycle.OUTCOMES_BY_STATE[progress.state]
+    pool = state.pools_by_service.get(request.service)
+    if pool is not None:
+        pool.queue.remove(request.caller, request.serial)
+        pool.claiming.discard(request.serial)
+    claim = progress.claim
+    was_sent = progress.is_claim_held and progress.may_have_run
+    is_answered = outcome is data.Outcome.ANSWERED
+    forget_claim(state, progress)
+    if claim is not None and not was_sent and not is_answered:
+        state.claims.withdraw(claim)
+    state.progress_by_serial.pop(request.serial, None)
+    state.counters[f"outcome_{outcome.value}"] += 1
+    if failure is not None:
+        state.counters[f"failure_{failure.code}"] += 1
+    state.actions.append(
+        data.Finish(request.serial, outcome, failure, whole, retry_after_ms)
+    )
--- a/packages/core/sapphire_core/requests/life_cycle.py
+++ b/packages/core/sapphire_core/requests/life_cycle.py
@@ -64,9 +64,10 @@
     Attributes:
         request: The request.
         state: Its state.
-        may_have_run: Whether any attempt ended without a proof that the
-            upstream did not start it. It never becomes false again.
+        may_have_run: Whether there is no proof that no upstream started it:
+            its claim is not held yet, or an attempt ended without a proof.
         claim: The claim that the request needs, or None.
+        is_claim_held: Whether the store has confirmed the claim.
         attempt_id: The attempt in flight, or None.
         attempt_count: The attempts made.
         tried: The names of the upstreams that failed it.
@@ -77,6 +78,7 @@
     state: State = State.QUEUED
     may_have_run: bool = False
     claim: data.Claim | None = None
+    is_claim_held: bool = False
     attempt_id: str | None = None
     attempt_count: int = 0
     tried: tuple[str, ...] = ()
@@ -88,6 +90,11 @@
         return self.state in OUTCOMES_BY_STATE
 
 
+def start(request: data.Request) -> Progress:
+    """Returns the progress of a request that has just arrived."""
+    return Progress(request, may_have_run=request.needs_claim)
+
+
 def advance(
     progress: Progress, trigger: Trigger
 ) -> expression.Result[State, failures.InvalidTransition]:
--- a/packages/core/sapphire_core/requests/service_pool.py
+++ b/packages/core/sapphire_core/requests/service_pool.py
@@ -53,11 +53,6 @@
     )
     is_fresh: bool = True
 
-    @property
-    def waiting(self) -> int:
-        """The number of requests that wait here."""
-        return self.queue.length + len(self.claiming)
-
     def gate(self, name: str) -> upstream_gate.UpstreamGate | None:
         """Returns the gate of an upstream, whether retired or not."""
         found = self.gates_by_name.get(name)
@@ -188,7 +183,7 @@
     def expected_wait_ms(self, caller: str) -> int:
         """Returns how long a new request of a caller will wait."""
         rank = self.queue.count_of(caller)
-        ahead = len(self.claiming) + self.queue.ahead_of(caller, rank)
+        ahead = self.queue.ahead_of(caller, rank)
         return round(ahead * self.observed.mean_ms / self.concurrency())
 
     def retry_after_ms(self, caller: str, rng: random.Random) -> int:
--- a/packages/node/sapphire_node/requests/asgi.py
+++ b/packages/node/sapphire_node/requests/asgi.py
@@ -55,14 +55,15 @@
         name = host.rpartition(":")[0] or host
         name = name.lower()
         service = self._service.services_by_name.get(name)
+        unclaimed = _unclaimed_outcome(scope["method"], headers)
         if service is None:
             unknown = failures.UnknownService(name)
-            await self._refuse(send, unknown, None)
+            await self._refuse(send, unknown, unclaimed)
             return
         arrived_ms = self._service.clock.now_ms()
         parsed = _parse(scope, headers, service, arrived_ms, self._service)
         if parsed.is_error():
-            await self._refuse(send, parsed.error, None)
+            await self._refuse(send, parsed.error, unclaimed)
             return
         request = parsed.ok
         upload = _Upload(self._service, service)
@@ -71,7 +72,7 @@
             if body is None:
                 return
             if isinstance(body, failures.RequestFailure):
-                await self._refuse(send, body, MEMORY_RETRY_AFTER_MS)
+                await self._refuse(send, body, unclaimed)
                 return
             http = data.HttpRequest(
                 scope["method"], _target(scope), headers, body
@@ -127,11 +128,12 @@
         self,
         send: Send,
         failure: failures.RequestFailure,
-        retry_after_ms: int | None,
+        outcome: core_data.Outcome,
     ) -> None:
-        problem = problems.problem_answer(
-            failure, core_data.Outcome.NOT_RUN, retry_after_ms
-        )
+        retry_after_ms = None
+        if isinstance(failure, failures.MemoryExhausted):
+            retry_after_ms = MEMORY_RETRY_AFTER_MS
+        problem = problems.problem_answer(failure, outcome, retry_after_ms)
         await self._send_answer(send, problem)
 
     async def _send_answer(self, send: Send, answer: data.HttpAnswer) -> None:
@@ -261,6 +263,16 @@
     return expression.Ok(request)
 
 
+def _unclaimed_outcome(
+    method: str, headers: data.RawHeaders
+) -> core_data.Outcome:
+    """Returns what may be said before the request id is claimed."""
+    is_idempotent = method in fields.IDEMPOTENT_METHODS
+    key = fields.find(headers, fields.IDEMPOTENCY_KEY)
+    request = core_data.Request(0, "", "", is_idempotent, key, 0, 0)
+    return request.unclaimed_outcome
+
+
 def _target(scope: Scope) -> bytes:
     raw_path: bytes = scope.get("raw_path") or scope["path"].encode()
     query: bytes = scope.get("query_string", b"")
--- a/packages/node/sapphire_node/requests/service.py
+++ b/packages/node/sapphire_node/requests/service.py
@@ -174,7 +174,7 @@
     def counters(self) -> Mapping[str, int]:
         """Returns the counts of events by name."""
         counts = dict(self._engine.counters)
-        counts["store_calls"] = self._engine.claims.calls
+        counts["store_calls"] = self._engine.store_calls
         counts["upload_memory_bytes"] = self.upload_memory.used_bytes
         return counts
 
