--- /dev/null
+++ b/packages/core/sapphire_core/configuration/spreading_test.py
@@ -0,0 +1,196 @@
+import random
+from typing import Any
+
+import testtools
+from testtools import matchers
+
+from sapphire_core.configuration import data
+from sapphire_core.configuration import spreading
+from sapphire_core.configuration import spreading_data as messages
+from sapphire_core.configuration import watchers
+
+BOOTED_MS = spreading.DEFAULT_SETTINGS.boot_wait_ms
+FLEET = {f"h{index}": f"dc{index % 3}" for index in range(9)}
+WATCHER = min(watchers.choose(FLEET))
+LISTENER = min(set(FLEET) - watchers.choose(FLEET))
+FIRST, SECOND, THIRD = sorted(set(FLEET) - {WATCHER, LISTENER})[:3]
+
+
+def version(revision: int, digest: str = "") -> data.Version:
+    """Returns a revision with a digest that is its own."""
+    return data.Version(revision, digest or f"d{revision}")
+
+
+def host(host_id: str) -> spreading.Spreading:
+    """Returns the machine of a host of the fleet, with its first view."""
+    machine = spreading.Spreading(host_id, FLEET[host_id], random.Random(1), 0)
+    machine.handle(messages.ViewChanged(FLEET), 0)
+    return machine
+
+
+def of_type(actions: list[Any], kind: type) -> list[Any]:
+    """Returns the actions of one type."""
+    return [action for action in actions if isinstance(action, kind)]
+
+
+def booted(host_id: str, revision: int = 1) -> spreading.Spreading:
+    """Returns a host that has a revision."""
+    machine = host(host_id)
+    machine.handle(messages.PeerHead(FIRST, version(revision)), BOOTED_MS)
+    machine.handle(messages.FetchDone(version(revision)), BOOTED_MS)
+    return machine
+
+
+class SpreadingTest(testtools.TestCase):
+    def test_newer_revision_is_fetched_prepared_and_announced(self) -> None:
+        machine = booted(LISTENER)
+        offer = messages.PeerHead(FIRST, version(2))
+        self.assertEqual(
+            [messages.Fetch(version(2), FIRST)],
+            of_type(machine.handle(offer, 1_000), messages.Fetch),
+        )
+        actions = machine.handle(messages.FetchDone(version(2)), 1_010)
+        self.assertEqual(
+            [messages.Prepare(version(2)), messages.Announce(version(2))],
+            actions[:2],
+        )
+
+    def test_older_revision_is_never_prepared(self) -> None:
+        machine = booted(WATCHER, revision=5)
+        for event in (
+            messages.StoreHead(version(4)),
+            messages.PeerHead(FIRST, version(3)),
+            messages.FetchDone(version(4)),
+            messages.FetchDone(version(5)),
+        ):
+            actions = machine.handle(event, 1_000)
+            self.assertEqual([], of_type(actions, messages.Fetch))
+            self.assertEqual([], of_type(actions, messages.Prepare))
+        self.assertThat(machine.version, matchers.Equals(version(5)))
+
+    def test_host_without_configuration_takes_the_newest_offer(self) -> None:
+        machine = host(LISTENER)
+        for source, revision in ((FIRST, 3), (SECOND, 7), (THIRD, 5)):
+            offer = messages.PeerHead(source, version(revision))
+            actions = machine.handle(offer, BOOTED_MS - 1)
+            self.assertEqual([], of_type(actions, messages.Fetch))
+        actions = machine.handle(messages.Tick(), BOOTED_MS)
+        self.assertEqual(
+            [messages.Fetch(version(7), SECOND)],
+            of_type(actions, messages.Fetch),
+        )
+
+    def test_failed_source_does_not_hold_up_an_older_revision(self) -> None:
+        machine = booted(LISTENER)
+        machine.handle(messages.PeerHead(FIRST, version(9)), 1_000)
+        machine.handle(messages.PeerHead(SECOND, version(2)), 1_000)
+        actions = machine.handle(messages.FetchFailed(), 1_100)
+        self.assertEqual(
+            [messages.Fetch(version(2), SECOND)],
+            of_type(actions, messages.Fetch),
+        )
+        actions = machine.handle(messages.PeerHead(FIRST, version(9)), 1_150)
+        self.assertEqual([], of_type(actions, messages.Fetch))
+
+    def test_silent_source_is_given_up_for_another(self) -> None:
+        machine = booted(LISTENER)
+        machine.handle(messages.PeerHead(FIRST, version(2)), 1_000)
+        machine.handle(messages.PeerHead(SECOND, version(2)), 1_000)
+        limit_ms = spreading.DEFAULT_SETTINGS.fetch_timeout_min_ms
+        actions = machine.handle(messages.Tick(), 1_000 + limit_ms)
+        self.assertEqual(
+            [messages.Fetch(version(2), SECOND)],
+            of_type(actions, messages.Fetch),
+        )
+
+    def test_source_that_delivers_less_than_it_offered_is_left(self) -> None:
+        machine = booted(LISTENER)
+        machine.handle(messages.PeerHead(FIRST, version(9)), 1_000)
+        machine.handle(messages.PeerHead(SECOND, version(9)), 1_000)
+        actions = machine.handle(messages.FetchDone(version(4)), 1_100)
+        self.assertEqual([version(4)], [actions[0].version])  # type: ignore[union-attr]
+        self.assertEqual(
+            [messages.Fetch(version(9), SECOND)],
+            of_type(actions, messages.Fetch),
+        )
+
+    def test_other_content_under_the_same_revision_is_a_failure(self) -> None:
+        machine = booted(LISTENER)
+        offered = version(1, "other")
+        machine.handle(messages.PeerHead(FIRST, offered), 1_000)
+        self.assertEqual(
+            [messages.RevisionForked(version(1), offered, FIRST)], machine.forks
+        )
+        self.assertThat(machine.version, matchers.Equals(version(1)))
+
+    def test_watcher_watches_and_reads_after_each_start(self) -> None:
+        machine = host(WATCHER)
+        actions = machine.handle(messages.Tick(), 0)
+        actions += machine.handle(messages.WatchStarted(), 1)
+        self.assertThat(
+            of_type(actions, messages.ReadStoreHead), matchers.HasLength(1)
+        )
+        machine.handle(messages.WatchEnded(), 100)
+        retry_ms = spreading.DEFAULT_SETTINGS.watch_retry_max_ms
+        actions = machine.handle(messages.Tick(), 100 + retry_ms)
+        self.assertThat(
+            of_type(actions, messages.StartWatch), matchers.HasLength(1)
+        )
+
+    def test_watch_stops_when_another_host_takes_it_over(self) -> None:
+        machine = host(WATCHER)
+        alone = {WATCHER: FLEET[WATCHER]}
+        machine.handle(messages.ViewChanged(alone), 10)
+        self.assertThat(machine.is_watcher, matchers.Equals(True))
+        machine = host(LISTENER)
+        actions = machine.handle(
+            messages.ViewChanged({LISTENER: FLEET[LISTENER]}), 10
+        )
+        self.assertThat(
+            of_type(actions, messages.StartWatch), matchers.HasLength(1)
+        )
+        actions = machine.handle(messages.ViewChanged(FLEET), 20)
+        self.assertThat(
+            of_type(actions, messages.StopWatch), matchers.HasLength(1)
+        )
+
+    def test_listener_reads_the_store_only_while_it_hears_nothing(self) -> None:
+        machine = booted(LISTENER)
+        reads = 0
+        for now_ms in range(1_000, 60_000, 100):
+            event = messages.PeerHead(FIRST, version(1))
+            actions = machine.handle(event, now_ms)
+            reads += len(of_type(actions, messages.ReadStoreHead))
+        self.assertThat(reads, matchers.Equals(0))
+        for now_ms in range(60_000, 180_000, 100):
+            actions = machine.handle(messages.Tick(), now_ms)
+            reads += len(of_type(actions, messages.ReadStoreHead))
+        self.assertThat(reads, matchers.GreaterThan(3))
+        # Reads at the longest interval with jitter, and the first few.
+        self.assertThat(reads, matchers.LessThan(120 // 15 + 6))
+
+
+class WatchersTest(testtools.TestCase):
+    def test_each_data_centre_has_one_and_the_fleet_at_least_three(
+        self,
+    ) -> None:
+        for hosts, data_centres, expected in (
+            (1, 1, 1),
+            (2, 1, 2),
+            (9, 1, 3),
+            (9, 3, 3),
+            (1_000, 10, 10),
+        ):
+            fleet = {
+                f"h{index}": f"dc{index % data_centres}"
+                for index in range(hosts)
+            }
+            chosen = watchers.choose(fleet)
+            self.assertThat(len(chosen), matchers.Equals(expected))
+            places = {fleet[host_id] for host_id in chosen}
+            self.assertThat(len(places), matchers.Equals(data_centres))
+
+    def test_departure_of_another_host_changes_nothing(self) -> None:
+        smaller = dict(FLEET)
+        del smaller[LISTENER]
+        self.assertEqual(watchers.choose(FLEET), watchers.choose(smaller))
--- /dev/null
+++ b/packages/net/sapphire_net/store/environment.py
@@ -0,0 +1,71 @@
+"""An environment of operators: where its keys stand in which store."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+
+import anyio
+
+from sapphire_data import clock
+from sapphire_net.store import protocol
+
+
+async def sleep_ms(duration_ms: int) -> None:
+    """Waits for a time in milliseconds."""
+    await anyio.sleep(duration_ms / clock.MS_PER_SECOND)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Environment:
+    """The store of an environment and the keys in it.
+
+    Attributes:
+        store: The store.
+        prefix: What its keys start with, such as `sapphire/trial/`.
+        sleep_ms: Waits between attempts.
+    """
+
+    store: protocol.Store
+    prefix: str
+    sleep_ms: Callable[[int], Awaitable[None]] = sleep_ms
+
+    @property
+    def head_key(self) -> str:
+        """The key of the head in force."""
+        return f"{self.prefix}head"
+
+    @property
+    def collector_key(self) -> str:
+        """The key that changes whenever unused parts are deleted."""
+        return f"{self.prefix}collector"
+
+    @property
+    def history_prefix(self) -> str:
+        """The prefix of the keys of all heads."""
+        return f"{self.prefix}history/"
+
+    @property
+    def parts_prefix(self) -> str:
+        """The prefix of the keys of all parts."""
+        return f"{self.prefix}parts/"
+
+    @property
+    def sources_prefix(self) -> str:
+        """The prefix of the keys of documents and bindings."""
+        return f"{self.prefix}sources/"
+
+    def history_key(self, revision: int) -> str:
+        """Returns the key that keeps the head of a revision."""
+        return f"{self.history_prefix}{revision:012d}"
+
+    def part_key(self, digest: bytes) -> str:
+        """Returns the key of a part."""
+        return f"{self.parts_prefix}{digest.hex()}"
+
+    def source_key(self, digest: str, chunk: int) -> str:
+        """Returns the key of a chunk of a document or of bindings."""
+        return f"{self.sources_prefix}{digest}/{chunk:04d}"
+
+    def proof_key(self, digest: str) -> str:
+        """Returns the key of the proof of a document."""
+        return f"{self.prefix}proven/{digest}"
--- /dev/null
+++ b/packages/net/sapphire_net/store/publication.py
@@ -0,0 +1,304 @@
+"""Publishes a configuration by compare-and-swap on its head.
+
+The head names the writer of each revision and is kept under the revision, so
+that a write whose answer was lost is recognised by reading back.
+"""
+
+from collections.abc import Iterable
+import dataclasses
+import enum
+import zlib
+
+import expression
+
+from sapphire_core.configuration import difference
+from sapphire_data import failures
+from sapphire_data import records
+from sapphire_net.store import change_failures
+from sapphire_net.store import data
+from sapphire_net.store import environment as environments
+from sapphire_net.store import failures as store_failures
+from sapphire_net.store import reading
+from sapphire_wire.documents import packing
+
+MAX_ATTEMPTS = 6
+FIRST_BACKOFF_MS = 100
+SOURCE_CHUNK_BYTES = 1_000_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Proposal:
+    """A change that is ready to be written.
+
+    Attributes:
+        seen: The configuration that the change was made from.
+        configuration: The next configuration.
+        change: Who makes it; its `writer_id` must be new.
+        document: The bytes of the document.
+        bindings: The bytes of the bindings.
+    """
+
+    seen: reading.Snapshot
+    configuration: records.Configuration
+    change: packing.Change
+    document: bytes
+    bindings: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Published:
+    """A change that took effect.
+
+    Attributes:
+        stored: The head as written.
+        was_answer_lost: Whether that had to be found by reading back.
+    """
+
+    stored: reading.StoredHead
+    was_answer_lost: bool = False
+
+
+class Fate(enum.Enum):
+    """What became of a change."""
+
+    APPLIED = "applied"
+    SUPERSEDED = "superseded"
+    OPEN = "open"
+
+
+async def publish(
+    environment: environments.Environment, proposal: Proposal
+) -> expression.Result[Published, failures.Failure]:
+    """Writes a change if nothing changed since it was made.
+
+    Args:
+        environment: The environment.
+        proposal: The change.
+
+    Returns:
+        The head as written; `WriteConflict` if another change came first;
+        `WriteUnconfirmed` if the outcome could not be found; another
+        failure if the change had no effect.
+    """
+    change = dataclasses.replace(
+        proposal.change,
+        document_chunks=len(list(_source_chunks(proposal.document))),
+        bindings_chunks=len(list(_source_chunks(proposal.bindings))),
+    )
+    seen_head = proposal.seen.stored.head
+    packed = packing.pack(
+        proposal.configuration,
+        change,
+        min_shard_count=1 if seen_head is None else seen_head.shard_count,
+    )
+    swap = _Swap(environment, proposal.seen.stored, packed, change.writer_id)
+    is_open = False
+    problem = ""
+    for attempt in range(MAX_ATTEMPTS):
+        if attempt:
+            await environment.sleep_ms(FIRST_BACKOFF_MS << (attempt - 1))
+        outcome = await _try_once(environment, proposal, packed, swap, is_open)
+        if outcome.is_ok():
+            return await _conclude(environment, proposal, swap, outcome.ok)
+        is_refused = isinstance(outcome.error, store_failures.StoreRejected)
+        if is_refused and not is_open:
+            return expression.Error(outcome.error)
+        is_open = is_open or isinstance(outcome.error, _SwapOpen)
+        problem = repr(outcome.error)
+    if is_open:
+        return expression.Error(
+            change_failures.WriteUnconfirmed(
+                change.writer_id, packed.version.revision, problem
+            )
+        )
+    return expression.Error(store_failures.StoreUnavailable(problem))
+
+
+async def resolve(
+    environment: environments.Environment, writer_id: str, revision: int
+) -> expression.Result[Fate, failures.Failure]:
+    """Finds out what became of a change.
+
+    Args:
+        environment: The environment.
+        writer_id: The identity of the change.
+        revision: The revision that it would have.
+
+    Returns:
+        Its fate; `OPEN` while a delayed write could still take effect.
+    """
+    key = environment.history_key(revision)
+    kept = await reading.read_head(environment, key)
+    if kept.is_error():
+        return expression.Error(kept.error)
+    if kept.ok.head is None:
+        return expression.Ok(Fate.OPEN)
+    if kept.ok.head.change.writer_id == writer_id:
+        return expression.Ok(Fate.APPLIED)
+    return expression.Ok(Fate.SUPERSEDED)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _SwapOpen(failures.Failure):
+    """The swap of the head was sent and is not decided yet."""
+
+    problem: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Decision:
+    """A swap that is decided."""
+
+    fate: Fate
+    was_answer_lost: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Swap:
+    """The compare-and-swap of a head."""
+
+    environment: environments.Environment
+    seen: reading.StoredHead
+    packed: packing.Packed
+    writer_id: str
+
+    async def send(
+        self, collector_revision: int
+    ) -> expression.Result[data.TransactionAnswer, store_failures.StoreFailure]:
+        """Swaps the head if neither it nor the collector has moved."""
+        environment = self.environment
+        revision = self.packed.version.revision
+        return await environment.store.transact(
+            [
+                data.Compare(environment.head_key, self.seen.mod_revision),
+                data.Compare(environment.collector_key, collector_revision),
+                data.Compare(environment.history_key(revision), 0),
+            ],
+            [
+                data.Put(environment.head_key, self.packed.head),
+                data.Put(environment.history_key(revision), self.packed.head),
+            ],
+        )
+
+
+async def _try_once(
+    environment: environments.Environment,
+    proposal: Proposal,
+    packed: packing.Packed,
+    swap: _Swap,
+    was_sent: bool,
+) -> expression.Result[_Decision, failures.Failure]:
+    """Writes the parts and swaps the head once."""
+    revision = packed.version.revision
+    if was_sent:
+        fate = await resolve(environment, swap.writer_id, revision)
+        if fate.is_error():
+            return expression.Error(_SwapOpen(repr(fate.error)))
+        if fate.ok is not Fate.OPEN:
+            return expression.Ok(_Decision(fate.ok, was_answer_lost=True))
+    collector = await environment.store.get(environment.collector_key)
+    if collector.is_error():
+        return expression.Error(collector.error)
+    items = collector.ok.items
+    collector_revision = items[0].mod_revision if items else 0
+    for put in _content_of(environment, proposal, packed):
+        written = await environment.store.transact([], [put])
+        if written.is_error():
+            return expression.Error(written.error)
+    answer = await swap.send(collector_revision)
+    if answer.is_error():
+        if isinstance(answer.error, store_failures.StoreOutcomeUnknown):
+            return expression.Error(_SwapOpen(answer.error.problem))
+        return expression.Error(answer.error)
+    if answer.ok.succeeded:
+        return expression.Ok(_Decision(Fate.APPLIED, was_answer_lost=False))
+    fate = await resolve(environment, swap.writer_id, revision)
+    if fate.is_error():
+        return expression.Error(_SwapOpen(repr(fate.error)))
+    if fate.ok is Fate.OPEN:
+        return await _explain_refusal(environment, swap)
+    return expression.Ok(_Decision(fate.ok, was_answer_lost=True))
+
+
+async def _explain_refusal(
+    environment: environments.Environment, swap: _Swap
+) -> expression.Result[_Decision, failures.Failure]:
+    """Tells a head that moved from parts that were collected meanwhile."""
+    current = await reading.read_head(environment)
+    if current.is_error():
+        return expression.Error(current.error)
+    if current.ok.mod_revision != swap.seen.mod_revision:
+        # The head moved without our revision, after a restored backup or a
+        # revision floor; a delayed swap from the old head can't succeed.
+        return expression.Ok(_Decision(Fate.SUPERSEDED, was_answer_lost=False))
+    return expression.Error(
+        store_failures.StoreUnavailable("unused parts were being deleted")
+    )
+
+
+async def _conclude(
+    environment: environments.Environment,
+    proposal: Proposal,
+    swap: _Swap,
+    decision: _Decision,
+) -> expression.Result[Published, failures.Failure]:
+    """Returns the written head, or the conflict with what came first."""
+    if decision.fate is Fate.APPLIED:
+        key = environment.history_key(swap.packed.version.revision)
+        stored = reading.decode_head(key, swap.packed.head, 0)
+        return stored.map(
+            lambda head: Published(head, decision.was_answer_lost)
+        )
+    seen = proposal.seen
+    current = await reading.read_snapshot(environment)
+    if current.is_error() or current.ok.stored.head is None:
+        return expression.Error(
+            change_failures.WriteConflict(
+                seen.stored.revision, seen.stored.revision + 1, "", "", ()
+            )
+        )
+    head = current.ok.stored.head
+    found = difference.differences(seen.configuration, current.ok.configuration)
+    return expression.Error(
+        change_failures.WriteConflict(
+            seen_revision=seen.stored.revision,
+            current_revision=head.version.revision,
+            author=head.change.author,
+            action=head.change.action,
+            differences=tuple(found),
+        )
+    )
+
+
+def _content_of(
+    environment: environments.Environment,
+    proposal: Proposal,
+    packed: packing.Packed,
+) -> Iterable[data.Put]:
+    """Yields the parts and sources that the seen revision does not have."""
+    head = proposal.seen.stored.head
+    known = frozenset(() if head is None else head.part_digests)
+    for digest, content in packed.parts_by_digest.items():
+        if digest in known:
+            continue
+        yield data.Put(environment.part_key(digest), content)
+    known_sources = set()
+    if head is not None:
+        known_sources.add(head.change.document_digest)
+        known_sources.add(head.change.bindings_digest)
+    for source_digest, source in (
+        (proposal.change.document_digest, proposal.document),
+        (proposal.change.bindings_digest, proposal.bindings),
+    ):
+        if source_digest in known_sources:
+            continue
+        for index, chunk in enumerate(_source_chunks(source)):
+            key = environment.source_key(source_digest, index)
+            yield data.Put(key, chunk)
+
+
+def _source_chunks(source: bytes) -> Iterable[bytes]:
+    """Yields the stored chunks of a document or of bindings."""
+    compressed = zlib.compress(source, packing.COMPRESSION_LEVEL)
+    for start in range(0, len(compressed), SOURCE_CHUNK_BYTES):
+        yield compressed[start : start + SOURCE_CHUNK_BYTES]
--- /dev/null
+++ b/packages/net/sapphire_net/store/reading.py
@@ -0,0 +1,211 @@
+"""Reads heads, parts, documents and bindings from the store."""
+
+import dataclasses
+import hashlib
+import zlib
+
+import expression
+
+from sapphire_core.configuration import merge
+from sapphire_data import failures
+from sapphire_data import records
+from sapphire_net.store import change_failures
+from sapphire_net.store import environment as environments
+from sapphire_wire.documents import packing
+
+MAX_SOURCE_BYTES = 67_108_864
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoredHead:
+    """A head with its place in the store's order.
+
+    Attributes:
+        head: The decoded head; none before the first revision.
+        content: Its bytes.
+        mod_revision: The store revision of the head's last change.
+    """
+
+    head: packing.Head | None
+    content: bytes
+    mod_revision: int
+
+    @property
+    def revision(self) -> int:
+        """The revision; 0 before the first one."""
+        return 0 if self.head is None else self.head.version.revision
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Snapshot:
+    """A configuration as an operator saw it.
+
+    Attributes:
+        stored: The head that a change will be compared with.
+        configuration: The configuration; `merge.EMPTY` before the first.
+    """
+
+    stored: StoredHead
+    configuration: records.Configuration
+
+
+async def read_head(
+    environment: environments.Environment, key: str | None = None
+) -> expression.Result[StoredHead, failures.Failure]:
+    """Reads the head in force, or another key that holds a head.
+
+    Args:
+        environment: The environment.
+        key: The key; none for the head in force.
+
+    Returns:
+        The head, or why it cannot be read.
+    """
+    key = environment.head_key if key is None else key
+    answer = await environment.store.get(key)
+    if answer.is_error():
+        return expression.Error(answer.error)
+    if not answer.ok.items:
+        return expression.Ok(StoredHead(None, b"", 0))
+    item = answer.ok.items[0]
+    return decode_head(key, item.value, item.mod_revision)
+
+
+def decode_head(
+    key: str, content: bytes, mod_revision: int
+) -> expression.Result[StoredHead, failures.Failure]:
+    """Decodes a head as the store or a watch gave it.
+
+    Args:
+        key: Its key, for failures.
+        content: Its bytes.
+        mod_revision: The store revision of its last change.
+
+    Returns:
+        The head, or why it cannot be read.
+    """
+    head = packing.unpack_head(content)
+    if head.is_error():
+        return expression.Error(
+            change_failures.StoredDataInvalid(key, head.error.problem)
+        )
+    return expression.Ok(StoredHead(head.ok, content, mod_revision))
+
+
+async def read_parts(
+    environment: environments.Environment,
+    head: packing.Head,
+    known_by_digest: dict[bytes, bytes] | None = None,
+) -> expression.Result[dict[bytes, bytes], failures.Failure]:
+    """Reads the parts of a head that are not known yet.
+
+    Args:
+        environment: The environment.
+        head: The head.
+        known_by_digest: Parts that need no reading.
+
+    Returns:
+        All parts of the head by digest, or why one cannot be read.
+    """
+    known = known_by_digest or {}
+    parts_by_digest: dict[bytes, bytes] = {}
+    for digest in head.part_digests:
+        content = known.get(digest)
+        if content is None:
+            key = environment.part_key(digest)
+            answer = await environment.store.get(key)
+            if answer.is_error():
+                return expression.Error(answer.error)
+            if not answer.ok.items:
+                return expression.Error(
+                    change_failures.StoredDataInvalid(key, "missing")
+                )
+            content = answer.ok.items[0].value
+            if packing.part_digest(content) != digest:
+                return expression.Error(
+                    change_failures.StoredDataInvalid(key, "altered")
+                )
+        parts_by_digest[digest] = content
+    return expression.Ok(parts_by_digest)
+
+
+async def read_snapshot(
+    environment: environments.Environment,
+) -> expression.Result[Snapshot, failures.Failure]:
+    """Reads the configuration in force.
+
+    Args:
+        environment: The environment.
+
+    Returns:
+        The configuration with its head, or why it cannot be read.
+    """
+    stored = await read_head(environment)
+    if stored.is_error():
+        return expression.Error(stored.error)
+    return await read_configuration(environment, stored.ok)
+
+
+async def read_configuration(
+    environment: environments.Environment, stored: StoredHead
+) -> expression.Result[Snapshot, failures.Failure]:
+    """Reads the configuration of a head.
+
+    Args:
+        environment: The environment.
+        stored: The head.
+
+    Returns:
+        The configuration with its head, or why it cannot be read.
+    """
+    if stored.head is None:
+        return expression.Ok(Snapshot(stored, merge.EMPTY))
+    parts = await read_parts(environment, stored.head)
+    if parts.is_error():
+        return expression.Error(parts.error)
+    unpacked = packing.unpack(stored.head, parts.ok)
+    if unpacked.is_error():
+        return expression.Error(
+            change_failures.StoredDataInvalid(
+                environment.head_key, unpacked.error.problem
+            )
+        )
+    return expression.Ok(Snapshot(stored, unpacked.ok))
+
+
+async def read_source(
+    environment: environments.Environment, digest: str, chunk_count: int
+) -> expression.Result[bytes, failures.Failure]:
+    """Reads a document or bindings by digest.
+
+    Args:
+        environment: The environment.
+        digest: The SHA-256 of the bytes, hexadecimal.
+        chunk_count: The number of stored chunks.
+
+    Returns:
+        The bytes, or why they cannot be read.
+    """
+    compressed = b""
+    for chunk in range(chunk_count):
+        key = environment.source_key(digest, chunk)
+        answer = await environment.store.get(key)
+        if answer.is_error():
+            return expression.Error(answer.error)
+        if not answer.ok.items:
+            return expression.Error(
+                change_failures.StoredDataInvalid(key, "missing")
+            )
+        compressed += answer.ok.items[0].value
+    key = environment.source_key(digest, 0)
+    try:
+        content = zlib.decompressobj().decompress(compressed, MAX_SOURCE_BYTES)
+    except zlib.error as error:
+        return expression.Error(
+            change_failures.StoredDataInvalid(key, str(error))
+        )
+    if hashlib.sha256(content).hexdigest() != digest:
+        return expression.Error(
+            change_failures.StoredDataInvalid(key, "altered")
+        )
+    return expression.Ok(content)
