Command line: check, plan, apply, rollback, status, history, report, data centres and upstreams

Changes go by compare-and-swap from the revision that the operator saw. A document cannot bring back what operators took out unless that is named.

--- /dev/null
+++ b/packages/ctl/sapphire_ctl/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The commands, one module for each group."""
--- /dev/null
+++ b/packages/ctl/sapphire_ctl/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Reading of the hosts' APIs."""
--- /dev/null
+++ b/packages/ctl/sapphire_ctl/fleet/view.py
@@ -0,0 +1,114 @@
+"""What the answers of all hosts come to."""
+
+from collections.abc import Iterable
+
+from sapphire_core.slo import data as slo_data
+from sapphire_core.slo import merge
+from sapphire_ctl import failures
+from sapphire_ctl.fleet import client
+from sapphire_wire import api
+
+
+def flows_by_upstream(
+    statuses: Iterable[api.HostStatus],
+) -> dict[tuple[str, str], int] | None:
+    """Adds up the flows of each upstream over hosts.
+
+    Args:
+        statuses: The answers of the hosts.
+
+    Returns:
+        The flows by service and upstream, or None without any answer.
+    """
+    sums: dict[tuple[str, str], int] = {}
+    has_answer = False
+    for status in statuses:
+        has_answer = True
+        for upstream in status.upstreams:
+            key = (upstream.service, upstream.upstream)
+            sums[key] = sums.get(key, 0) + upstream.flows
+    return sums if has_answer else None
+
+
+def not_in_force(
+    statuses: Iterable[api.HostStatus],
+    unanswered: Iterable[client.Unanswered],
+    revision: int,
+) -> list[failures.NotInForce | failures.HostFailure]:
+    """Lists the hosts in which a revision is not in force.
+
+    A newer revision counts, since it follows the one asked for.
+
+    Args:
+        statuses: The answers of the hosts.
+        unanswered: The hosts without an answer, of which nothing is known.
+        revision: The revision.
+
+    Returns:
+        A failure for each such host; empty when it is in force everywhere.
+    """
+    found: list[failures.NotInForce | failures.HostFailure] = []
+    for status in statuses:
+        if status.state is api.HostState.LEAVING:
+            continue
+        if status.active_revision >= revision:
+            continue
+        found.append(
+            failures.NotInForce(
+                host=status.host_id,
+                expected_revision=revision,
+                active_revision=status.active_revision,
+                lag_ms=status.lag_ms,
+            )
+        )
+    found += [item.failure for item in unanswered]
+    return found
+
+
+def series_by_key(
+    reports: Iterable[api.SloReport],
+) -> dict[slo_data.SeriesKey, slo_data.SeriesCounts]:
+    """Merges the counts of all hosts.
+
+    Args:
+        reports: The answers of the hosts; one for each host counts.
+
+    Returns:
+        The sums by service and objective; objectives that this version does
+        not know are left out.
+    """
+    reports_by_host = {report.host_id: report for report in reports}
+    series = []
+    for report in reports_by_host.values():
+        for item in report.series:
+            record = _series(item)
+            if record is not None:
+                series.append(record)
+    return merge.merge_series(series)
+
+
+def marks(reports: Iterable[api.SloReport]) -> list[slo_data.ChangeMark]:
+    """Returns the activations that hosts remember."""
+    found = []
+    for report in reports:
+        for mark in report.marks:
+            found.append(slo_data.ChangeMark(mark.revision, mark.activated_ms))
+    return found
+
+
+def _series(item: api.SloSeries) -> slo_data.SeriesCounts | None:
+    """Returns the record of a series, if its objective is known."""
+    try:
+        objective = slo_data.Objective(item.objective)
+    except ValueError:
+        return None
+    return slo_data.SeriesCounts(
+        key=slo_data.SeriesKey(item.service, objective),
+        tiers_by_width_ms={
+            tier.width_ms: {
+                bucket.index: slo_data.Counts(bucket.good, bucket.total)
+                for bucket in tier.buckets
+            }
+            for tier in item.tiers
+        },
+    )
--- /dev/null
+++ b/packages/ctl/sapphire_ctl/options.py
@@ -0,0 +1,68 @@
+"""The options that several commands share."""
+
+import pathlib
+from typing import Annotated
+
+import typer
+
+from sapphire_ctl import settings
+
+DEFAULT_WAIT_MS = 10_000
+
+Settings = Annotated[
+    pathlib.Path,
+    typer.Option(
+        "--settings",
+        envvar=settings.PATH_VARIABLE,
+        help="The settings file, in JSON with comments.",
+    ),
+]
+Environment = Annotated[
+    str | None,
+    typer.Option(
+        "--env",
+        "-e",
+        envvar=settings.ENVIRONMENT_VARIABLE,
+        help="The environment; else the default one of the settings.",
+    ),
+]
+Json = Annotated[
+    bool, typer.Option("--json", help="Write one JSON object instead of text.")
+]
+Seen = Annotated[
+    int | None,
+    typer.Option(
+        "--seen",
+        min=0,
+        help="The revision that you saw; any later change is a conflict.",
+    ),
+]
+Lose = Annotated[
+    list[str] | None,
+    typer.Option(
+        "--lose",
+        help="Accept the loss of the service, data centre or upstream that"
+        " is named; may be repeated.",
+    ),
+]
+WaitMs = Annotated[
+    int,
+    typer.Option(
+        "--wait-ms",
+        min=0,
+        help="How long to wait until all hosts have it in force; 0 for not.",
+    ),
+]
+Bindings = Annotated[
+    pathlib.Path | None,
+    typer.Option(
+        "--bindings",
+        help="The addresses of the environment; else those in force.",
+    ),
+]
+DryRun = Annotated[
+    bool, typer.Option("--dry-run", help="Show the plan and change nothing.")
+]
+Service = Annotated[
+    str | None, typer.Option("--service", help="Only this service.")
+]
--- /dev/null
+++ b/packages/ctl/sapphire_ctl/output.py
@@ -0,0 +1,149 @@
+"""Output of commands, as text for people or as JSON for scripts."""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+from collections.abc import Sequence
+import dataclasses
+import enum
+import json
+import sys
+from typing import Any
+from typing import TextIO
+
+from rich import console
+from rich import table
+from rich import text
+
+from sapphire_data import failures
+
+# Lines of a pipe are not cut at the width of some terminal.
+PIPE_WIDTH = 240
+
+
+def to_json(value: Any) -> Any:
+    """Turns records, failures and collections into JSON values.
+
+    Args:
+        value: The value; a failure gets its type as `code`.
+
+    Returns:
+        A value that `json` can write.
+    """
+    if isinstance(value, enum.Enum):
+        return value.value
+    if dataclasses.is_dataclass(value) and not isinstance(value, type):
+        fields = {
+            field.name: to_json(getattr(value, field.name))
+            for field in dataclasses.fields(value)
+        }
+        if isinstance(value, failures.Failure):
+            return {"code": value.code, **fields}
+        return fields
+    if hasattr(value, "model_dump"):
+        return value.model_dump(mode="json")
+    if isinstance(value, Mapping):
+        return {str(key): to_json(item) for key, item in value.items()}
+    if isinstance(value, (str, int, float, bool)) or value is None:
+        if value in (float("inf"), float("-inf")):
+            return str(value)
+        return value
+    if isinstance(value, bytes):
+        return value.hex()
+    if isinstance(value, Iterable):
+        return [to_json(item) for item in value]
+    return str(value)
+
+
+def describe(failure: failures.Failure) -> str:
+    """Returns a failure in a line: its type and its fields.
+
+    Args:
+        failure: The failure.
+
+    Returns:
+        The line, such as `UnknownName kind=upstream name=rota-9`.
+    """
+    fields = [
+        f"{field.name}={_one_line(getattr(failure, field.name))}"
+        for field in dataclasses.fields(failure)
+    ]
+    return " ".join([failure.code, *fields])
+
+
+def _one_line(value: Any) -> str:
+    """Returns the value of a field for a line of text."""
+    if isinstance(value, str):
+        return json.dumps(value, ensure_ascii=False)
+    if isinstance(value, failures.Failure):
+        return f"[{describe(value)}]"
+    if isinstance(value, (tuple, list)):
+        return "(" + ", ".join(_one_line(item) for item in value) + ")"
+    return str(to_json(value))
+
+
+class Output:
+    """Writes what a command has to say.
+
+    JSON goes to the standard output as one object; with text, failures go to
+    the standard error.
+    """
+
+    def __init__(self, as_json: bool) -> None:
+        """Creates an output.
+
+        Args:
+            as_json: Whether to write JSON.
+        """
+        self.as_json = as_json
+
+    def line(self, content: str) -> None:
+        """Writes a line of text, but not with JSON."""
+        if not self.as_json:
+            print(content)
+
+    def table(
+        self, headings: Sequence[str], rows: Iterable[Sequence[object]]
+    ) -> None:
+        """Writes a table, but not with JSON.
+
+        Args:
+            headings: The headings of the columns.
+            rows: The cells of each row.
+        """
+        if self.as_json:
+            return
+        grid = table.Table(box=None, pad_edge=False)
+        for heading in headings:
+            grid.add_column(heading, overflow="fold")
+        for row in rows:
+            # Plain text, for names may look like markup.
+            grid.add_row(*(text.Text(str(cell)) for cell in row))
+        _console(sys.stdout).print(grid)
+
+    def document(self, fields: Mapping[str, Any]) -> None:
+        """Writes the JSON object, but not with text.
+
+        Args:
+            fields: Its fields.
+        """
+        if self.as_json:
+            print(json.dumps(to_json(fields), indent=2, sort_keys=False))
+
+    def failures(self, found: Iterable[failures.Failure]) -> None:
+        """Writes failures as lines of text, but not with JSON.
+
+        Args:
+            found: The failures.
+        """
+        if self.as_json:
+            return
+        for failure in found:
+            print(describe(failure), file=sys.stderr)
+
+
+def _console(stream: TextIO) -> console.Console:
+    """Returns a console that does not cut the lines of a pipe."""
+    width = None if stream.isatty() else PIPE_WIDTH
+    return console.Console(
+        file=stream, width=width, markup=False, highlight=False
+    )
--- /dev/null
+++ b/packages/ctl/sapphire_ctl/reporting/__init__.py
@@ -0,0 +1,1 @@
+"""The report on service-level burn as text, JSON and HTML."""
--- /dev/null
+++ b/packages/ctl/sapphire_ctl/reporting/collect.py
@@ -0,0 +1,131 @@
+"""Collects the counts of all hosts, the objectives and the changes."""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+
+from sapphire_core.slo import burn
+from sapphire_core.slo import data as slo_data
+from sapphire_core.slo import merge
+from sapphire_ctl import session
+from sapphire_ctl.fleet import client
+from sapphire_ctl.fleet import view
+from sapphire_ctl.reporting import data
+from sapphire_data import failures
+from sapphire_data import records
+from sapphire_net.store import changes
+from sapphire_net.store import reading
+from sapphire_wire import api
+
+
+async def collect(
+    invocation: session.Invocation,
+    fleet: client.FleetClient,
+    environment: str,
+    service: str | None,
+    now_ms: int,
+) -> data.BurnReport:
+    """Asks hosts and the store, and judges all objectives.
+
+    Args:
+        invocation: The settings.
+        fleet: The hosts.
+        environment: The name of the environment.
+        service: The only service that is asked for; None for all.
+        now_ms: The wall time.
+
+    Returns:
+        The report; a store that is down costs it objectives and authors, a
+        host that does not answer its counts.
+    """
+    statuses, missing_statuses = await fleet.statuses(service)
+    reports, missing_reports = await fleet.slo_reports(statuses, service)
+    objectives, marks, warnings = await _read_store(invocation, environment)
+    return build(
+        environment,
+        reports=reports,
+        unanswered=[*missing_statuses, *missing_reports],
+        objectives_by_service=objectives,
+        history=marks,
+        warnings=warnings,
+        now_ms=now_ms,
+    )
+
+
+def build(
+    environment: str,
+    *,
+    reports: Iterable[api.SloReport],
+    unanswered: Iterable[client.Unanswered],
+    objectives_by_service: Mapping[str, records.Objectives],
+    history: Iterable[slo_data.ChangeMark],
+    warnings: Iterable[failures.Failure],
+    now_ms: int,
+) -> data.BurnReport:
+    """Judges the counts of hosts.
+
+    Args:
+        environment: The name of the environment.
+        reports: The answers of the hosts.
+        unanswered: The hosts without one.
+        objectives_by_service: The objectives of the document in force.
+        history: The changes with their authors.
+        warnings: What could not be read.
+        now_ms: The wall time.
+
+    Returns:
+        The report.
+    """
+    known = list(reports)
+    series_by_key = view.series_by_key(known)
+    marks = merge.merge_marks([*view.marks(known), *history])
+    burns = burn.evaluate_all(
+        series_by_key, objectives_by_service, marks, now_ms
+    )
+    return data.BurnReport(
+        environment=environment,
+        now_ms=now_ms,
+        burns=burns,
+        series_by_key=series_by_key,
+        marks=marks,
+        hosts=tuple(
+            data.HostCoverage(
+                report.host_id, report.data_centre, report.since_ms
+            )
+            for report in known
+        ),
+        unanswered=tuple(unanswered),
+        warnings=tuple(warnings),
+    )
+
+
+async def _read_store(
+    invocation: session.Invocation, environment: str
+) -> tuple[
+    dict[str, records.Objectives],
+    list[slo_data.ChangeMark],
+    list[failures.Failure],
+]:
+    """Reads the objectives in force and the history of changes."""
+    async with session.open_store(invocation, environment) as opened:
+        if opened.is_error():
+            return {}, [], [opened.error]
+        snapshot = await reading.read_snapshot(opened.ok)
+        if snapshot.is_error():
+            return {}, [], [snapshot.error]
+        heads = await changes.history(opened.ok)
+    objectives = {
+        name: service.objectives
+        for name, service in snapshot.ok.configuration.services_by_name.items()
+    }
+    if heads.is_error():
+        return objectives, [], [heads.error]
+    marks = [
+        slo_data.ChangeMark(
+            revision=head.version.revision,
+            at_ms=head.change.written_ms,
+            author=head.change.author,
+            summary=head.change.action,
+        )
+        for head in heads.ok
+    ]
+    return objectives, marks, []
--- /dev/null
+++ b/packages/ctl/sapphire_ctl/reporting/data.py
@@ -0,0 +1,48 @@
+"""Immutable records of a report."""
+
+from collections.abc import Mapping
+import dataclasses
+
+from sapphire_core.slo import data as slo_data
+from sapphire_ctl.fleet import client
+from sapphire_data import failures
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HostCoverage:
+    """A host whose counts are in the report.
+
+    Attributes:
+        host_id: Its identity.
+        data_centre: Its data centre.
+        since_ms: The wall time since which it counts.
+    """
+
+    host_id: str
+    data_centre: str
+    since_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BurnReport:
+    """The burn of all objectives of an environment.
+
+    Attributes:
+        environment: The name of the environment.
+        now_ms: The wall time of the report.
+        burns: The objectives, the most urgent first.
+        series_by_key: The counts behind them.
+        marks: The configuration changes, oldest first.
+        hosts: The hosts that are counted.
+        unanswered: The hosts that are missing from the counts.
+        warnings: What could not be read; defaults stand in for it.
+    """
+
+    environment: str
+    now_ms: int
+    burns: tuple[slo_data.ObjectiveBurn, ...]
+    series_by_key: Mapping[slo_data.SeriesKey, slo_data.SeriesCounts]
+    marks: tuple[slo_data.ChangeMark, ...]
+    hosts: tuple[HostCoverage, ...]
+    unanswered: tuple[client.Unanswered, ...]
+    warnings: tuple[failures.Failure, ...]
--- /dev/null
+++ b/packages/ctl/sapphire_ctl/reporting/page.py
@@ -0,0 +1,114 @@
+"""The report as one self-contained HTML page."""
+
+import html
+
+from sapphire_core.slo import data as slo_data
+from sapphire_ctl import output
+from sapphire_ctl import rendering
+from sapphire_ctl.reporting import data
+from sapphire_ctl.reporting import plot
+from sapphire_ctl.reporting import words
+
+# A page of more plots than this is of no use to a reader.
+MAX_PLOTTED = 60
+
+_STYLE = """
+body { font: 14px sans-serif; margin: 2em; color: #222; max-width: 90em; }
+table { border-collapse: collapse; margin: 1em 0; }
+th, td { border: 1px solid #ccc; padding: 0.3em 0.6em; text-align: left; }
+.page-fast { background: #f5b7b1; } .page-slow { background: #fad7a0; }
+.ticket { background: #f9e79f; } .none { background: #d5f5e3; }
+.plots { display: flex; flex-wrap: wrap; gap: 1em; }
+svg { width: 420px; border-bottom: 1px solid #888; font-size: 11px; }
+rect.bad { fill: #c0392b; } rect.good { fill: #7fb3d5; }
+line.allowed { stroke: #222; stroke-dasharray: 4 3; }
+line.mark { stroke: #8e44ad; stroke-width: 2; }
+"""
+
+
+def render(report: data.BurnReport) -> str:
+    """Renders a report.
+
+    Args:
+        report: The report.
+
+    Returns:
+        The page; it refers to nothing outside itself.
+    """
+    title = f"Service-level burn of {report.environment}"
+    lines = [
+        "<!DOCTYPE html>",
+        '<html lang="en"><head><meta charset="utf-8">',
+        f"<title>{_escape(title)}</title>",
+        f"<style>{_STYLE}</style></head><body>",
+        f"<h1>{_escape(title)}</h1>",
+        f"<p>{_escape(rendering.utc(report.now_ms))} UTC:"
+        f" {_escape(words.coverage(report))}.</p>",
+    ]
+    for warning in report.warnings:
+        lines.append(f"<p>Warning: {_escape(output.describe(warning))}</p>")
+    lines += _summary(report)
+    for burn in report.burns[:MAX_PLOTTED]:
+        lines += _section(report, burn)
+    if len(report.burns) > MAX_PLOTTED:
+        left_out = len(report.burns) - MAX_PLOTTED
+        lines.append(f"<p>{left_out} further objectives are not plotted.</p>")
+    lines.append("</body></html>")
+    return "\n".join(lines) + "\n"
+
+
+def _escape(content: object) -> str:
+    """Escapes text for HTML."""
+    return html.escape(str(content))
+
+
+def _summary(report: data.BurnReport) -> list[str]:
+    """Renders the table of all objectives."""
+    if not report.burns:
+        return ["<p>No events were counted.</p>"]
+    windows = report.burns[0].windows
+    headings = ["service", "objective", "target", "alert", "budget left"]
+    headings += [words.duration(window.window_ms) for window in windows]
+    headings.append("cause")
+    lines = ["<table><tr>"]
+    lines += [f"<th>{_escape(heading)}</th>" for heading in headings]
+    lines.append("</tr>")
+    for burn in report.burns:
+        cells = [
+            burn.key.service,
+            burn.key.objective.value,
+            burn.target,
+            burn.level.value,
+            words.budget(burn.budget_left),
+        ]
+        cells += [words.rate(window.burn_rate) for window in burn.windows]
+        cells.append(words.cause(burn))
+        row = "".join(f"<td>{_escape(cell)}</td>" for cell in cells)
+        lines.append(f'<tr class="{burn.level.value}">{row}</tr>')
+    lines.append("</table>")
+    return lines
+
+
+def _section(
+    report: data.BurnReport, burn: slo_data.ObjectiveBurn
+) -> list[str]:
+    """Renders the plots of one objective."""
+    series = report.series_by_key[burn.key]
+    heading = f"{burn.key.service}: {burn.key.objective.value}"
+    lines = [f"<h2>{_escape(heading)}</h2>"]
+    cause = words.cause(burn)
+    if cause:
+        lines.append(f"<p>{_escape(cause)}.</p>")
+    lines.append('<div class="plots">')
+    for shape in slo_data.TIER_SHAPES:
+        lines.append(
+            plot.plot_tier(
+                series.tiers_by_width_ms.get(shape.width_ms, {}),
+                shape,
+                report.now_ms,
+                1.0 - burn.target,
+                report.marks,
+            )
+        )
+    lines.append("</div>")
+    return lines
--- /dev/null
+++ b/packages/ctl/sapphire_ctl/reporting/plot.py
@@ -0,0 +1,102 @@
+"""Plots of the share of bad events over time, as inline SVG."""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+import html
+
+from sapphire_core.slo import data as slo_data
+from sapphire_ctl import rendering
+from sapphire_ctl.reporting import words
+
+WIDTH_PX = 420
+HEIGHT_PX = 120
+_MARGIN_PX = 18
+_PERCENT = 100.0
+
+
+def plot_tier(
+    counts_by_index: Mapping[int, slo_data.Counts],
+    shape: slo_data.TierShape,
+    now_ms: int,
+    allowed_share: float,
+    marks: Iterable[slo_data.ChangeMark],
+) -> str:
+    """Draws the shares of one resolution.
+
+    Args:
+        counts_by_index: The counts of each interval.
+        shape: The resolution.
+        now_ms: The wall time at the right edge.
+        allowed_share: The share of bad events that the objective allows.
+        marks: The configuration changes, drawn as vertical lines.
+
+    Returns:
+        An `svg` element.
+    """
+    last = now_ms // shape.width_ms
+    first = last - shape.length + 1
+    shares_by_index = {
+        index: counts.bad / counts.total
+        for index, counts in counts_by_index.items()
+        if first <= index <= last and counts.total
+    }
+    # Twice the allowed share is always in view, so that its line is too.
+    top = max([*shares_by_index.values(), 2 * allowed_share])
+    title = f"bad events, last {words.duration(shape.span_ms)}"
+    lines = [
+        f'<svg viewBox="0 0 {WIDTH_PX} {HEIGHT_PX}" role="img"'
+        f' aria-label="{title}">',
+        f'<text x="0" y="11">{title}, top {top * _PERCENT:.3g}%</text>',
+    ]
+    bar_px = WIDTH_PX / shape.length
+    for index, share in sorted(shares_by_index.items()):
+        lines.append(
+            _bar(
+                (index - first) * bar_px,
+                bar_px,
+                share / top,
+                share > allowed_share,
+                f"{rendering.utc(index * shape.width_ms)}:"
+                f" {share * _PERCENT:.3g}% of"
+                f" {counts_by_index[index].total}",
+            )
+        )
+    allowed_y = _y(allowed_share / top)
+    lines.append(
+        f'<line class="allowed" x1="0" x2="{WIDTH_PX}" y1="{allowed_y:.1f}"'
+        f' y2="{allowed_y:.1f}"/>'
+    )
+    for mark in marks:
+        position = (mark.at_ms / shape.width_ms - first) * bar_px
+        if not 0 <= position <= WIDTH_PX:
+            continue
+        lines.append(_mark(position, words.mark_text(mark)))
+    lines.append("</svg>")
+    return "\n".join(lines)
+
+
+def _y(share_of_top: float) -> float:
+    """Returns the vertical position of a share."""
+    return HEIGHT_PX - share_of_top * (HEIGHT_PX - _MARGIN_PX)
+
+
+def _bar(
+    x_px: float, width_px: float, share: float, is_bad: bool, title: str
+) -> str:
+    """Draws the bar of one interval."""
+    y_px = _y(share)
+    kind = "bad" if is_bad else "good"
+    return (
+        f'<rect class="{kind}" x="{x_px:.1f}" y="{y_px:.1f}"'
+        f' width="{width_px:.1f}" height="{HEIGHT_PX - y_px:.1f}">'
+        f"<title>{html.escape(title)}</title></rect>"
+    )
+
+
+def _mark(x_px: float, title: str) -> str:
+    """Draws the line of one change."""
+    return (
+        f'<line class="mark" x1="{x_px:.1f}" x2="{x_px:.1f}"'
+        f' y1="{_MARGIN_PX}" y2="{HEIGHT_PX}">'
+        f"<title>{html.escape(title)}</title></line>"
+    )
--- /dev/null
+++ b/packages/ctl/sapphire_ctl/session.py
@@ -0,0 +1,146 @@
+"""The connections of one run of a command."""
+
+from collections.abc import AsyncIterator
+import contextlib
+import dataclasses
+import getpass
+import pathlib
+import ssl
+
+import expression
+
+from sapphire_ctl import output
+from sapphire_ctl import settings
+from sapphire_ctl.fleet import client as fleet_client
+from sapphire_data import failures
+from sapphire_net.store import client as store_client
+from sapphire_net.store import environment as environments
+from sapphire_net.store import failures as store_failures
+from sapphire_net.trust import failures as trust_failures
+from sapphire_net.trust import roles
+from sapphire_net.trust import tls
+
+_HOST_ROLE = frozenset({roles.Role.HOST})
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Invocation:
+    """What a command was asked for, with the settings it runs under.
+
+    Attributes:
+        command: The name of the command.
+        all_settings: The settings.
+        directory: The directory from which paths of the settings resolve.
+        environment: The name of the environment.
+        output: Where the outcome goes.
+    """
+
+    command: str
+    all_settings: settings.SettingsModel
+    directory: pathlib.Path
+    environment: str
+    output: output.Output
+
+    @property
+    def model(self) -> settings.EnvironmentModel:
+        """The settings of the environment."""
+        return self.all_settings.environments[self.environment]
+
+    @property
+    def author(self) -> str:
+        """The operator's name for the history."""
+        return self.all_settings.author or getpass.getuser()
+
+
+def open_fleet(
+    invocation: Invocation, environment: str
+) -> expression.Result[fleet_client.FleetClient, failures.Failure]:
+    """Makes the client of the hosts of an environment.
+
+    Args:
+        invocation: The settings.
+        environment: The name of the environment.
+
+    Returns:
+        The client, or which TLS file cannot be used.
+    """
+    model = invocation.all_settings.environments[environment]
+    context: ssl.SSLContext | None = None
+    if model.tls is not None:
+        created = tls.create_context(
+            model.tls.files(invocation.directory),
+            is_server=False,
+            permitted_roles=_HOST_ROLE,
+            checks_address=model.tls.checks_address,
+        )
+        if created.is_error():
+            return expression.Error(created.error)
+        context = created.ok
+    return expression.Ok(
+        fleet_client.FleetClient(model.hosts, model.host_timeout_ms, context)
+    )
+
+
+@contextlib.asynccontextmanager
+async def open_store(
+    invocation: Invocation, environment: str
+) -> AsyncIterator[
+    expression.Result[environments.Environment, failures.Failure]
+]:
+    """Opens the store of an environment at the first endpoint that answers.
+
+    Args:
+        invocation: The settings.
+        environment: The name of the environment.
+
+    Yields:
+        The store with its prefix, or why it cannot be opened.
+    """
+    model = invocation.all_settings.environments[environment]
+    context = _store_context(model.store, invocation.directory)
+    if context.is_error():
+        yield expression.Error(context.error)
+        return
+    failure: store_failures.StoreFailure | None = None
+    for endpoint in model.store.endpoints:
+        async with store_client.open_client(
+            endpoint, model.store.timeout_ms, context.ok
+        ) as http:
+            opened = environments.Environment(
+                store_client.GatewayStore(http), model.prefix
+            )
+            if endpoint != model.store.endpoints[-1]:
+                probe = await opened.store.get(opened.head_key)
+                if probe.is_error():
+                    failure = probe.error
+                    continue
+            yield expression.Ok(opened)
+            return
+    yield expression.Error(
+        failure or store_failures.StoreUnavailable("no endpoint")
+    )
+
+
+def _store_context(
+    model: settings.StoreModel, directory: pathlib.Path
+) -> expression.Result[ssl.SSLContext | None, failures.Failure]:
+    """Makes the TLS context towards the store, if settings name files."""
+    if model.authorities is None and model.certificate is None:
+        return expression.Ok(None)
+    context = ssl.create_default_context()
+    path = directory
+    try:
+        if model.authorities is not None:
+            path = directory / model.authorities
+            context.load_verify_locations(path)
+        if model.certificate is not None:
+            path = directory / model.certificate
+            key = None
+            if model.private_key is not None:
+                key = directory / model.private_key
+            context.load_cert_chain(path, key)
+    except (OSError, ValueError) as error:
+        return expression.Error(
+            trust_failures.TlsFileFailure(str(path), str(error))
+        )
+    return expression.Ok(context)
--- /dev/null
+++ b/packages/lab/sapphire_lab/ctl/__init__.py
@@ -0,0 +1,1 @@
+"""Bench for tests of the command line."""
--- /dev/null
+++ b/packages/lab/sapphire_lab/ctl/bench.py
@@ -0,0 +1,187 @@
+"""A stand-in store, fake hosts and settings for runs of the command line."""
+
+from collections.abc import Iterator
+import contextlib
+import json
+import pathlib
+import tempfile
+from typing import Any
+
+from anyio import from_thread
+import typer
+from typer import testing
+
+from sapphire_ctl import main
+from sapphire_data import clock
+from sapphire_lab.config import builders
+from sapphire_lab.stand_ins import host_api
+from sapphire_lab.stand_ins import store
+from sapphire_lab.stand_ins import store_faults
+from sapphire_net.store import data
+
+TRIAL_PREFIX = "sapphire/trial/"
+PRODUCTION_PREFIX = "sapphire/production/"
+
+
+class Bench:
+    """Runs commands against servers on loopback.
+
+    Attributes:
+        directory: Holds the settings and the inputs.
+        stand_in: The store.
+        trial_host: The only host of the environment `trial`.
+        production_host: The only host of the environment `production`.
+    """
+
+    def __init__(
+        self,
+        directory: pathlib.Path,
+        stand_in: store.StandInStore,
+        portal: from_thread.BlockingPortal,
+    ) -> None:
+        self.directory = directory
+        self.stand_in = stand_in
+        self.trial_host = host_api.FakeHost("t1", stand_in, TRIAL_PREFIX)
+        self.production_host = host_api.FakeHost(
+            "p1", stand_in, PRODUCTION_PREFIX
+        )
+        self._portal = portal
+
+    def write(self, name: str, content: bytes) -> str:
+        """Writes an input file and returns its path."""
+        path = self.directory / name
+        path.write_bytes(content)
+        return str(path)
+
+    def document(self, **changes: Any) -> str:
+        """Writes a document; see `builders.document_bytes`."""
+        return self.write("site.json5", builders.document_bytes(**changes))
+
+    def bindings(self, **changes: Any) -> str:
+        """Writes bindings; see `builders.bindings_bytes`."""
+        return self.write("bind.json5", builders.bindings_bytes(**changes))
+
+    def set_faults(self, **faults: Any) -> None:
+        """Switches faults of the store."""
+        self._portal.call(
+            self.stand_in.set_faults, store_faults.Faults(**faults)
+        )
+
+    def lose_head_answer(self, prefix: str, *, then_down: bool) -> None:
+        """Loses the answer of the next write of a head, after its effect.
+
+        Args:
+            prefix: The prefix of the environment.
+            then_down: Whether the store is down from then on.
+        """
+        apply = self.stand_in.state.apply
+        head_key = f"{prefix}head"
+
+        def apply_and_lose(writes: list[data.Put | data.Delete]) -> None:
+            apply(writes)
+            if any(write.key == head_key for write in writes):
+                self.stand_in.state.apply = apply  # type: ignore[method-assign]
+                self.stand_in.faults = store_faults.Faults(
+                    lost_answers=1, is_down=then_down
+                )
+
+        self.stand_in.state.apply = apply_and_lose  # type: ignore[method-assign]
+
+    def run(
+        self, *arguments: str, typed: bytes | None = None
+    ) -> testing.Result:
+        """Runs a command with the settings of the bench.
+
+        Args:
+            *arguments: The arguments of the command.
+            typed: The standard input.
+
+        Returns:
+            The exit status and the outputs.
+        """
+        return testing.CliRunner().invoke(
+            main.app,
+            list(arguments),
+            input=typed,
+            env={
+                "SAPPHIRECTL_SETTINGS": str(self.directory / "settings.json5")
+            },
+        )
+
+    def run_command(self, *arguments: str) -> int:
+        """Runs a command outside the runner, so that several run at a time.
+
+        The runner captures the streams of the whole process.
+
+        Args:
+            *arguments: The arguments of the command.
+
+        Returns:
+            The exit status.
+        """
+        path = str(self.directory / "settings.json5")
+        status = typer.main.get_command(main.app).main(
+            [*arguments, "--settings", path, "--json"], standalone_mode=False
+        )
+        return int(status)
+
+    def run_json(self, *arguments: str) -> Any:
+        """Runs a command with `--json` and returns its object."""
+        return json.loads(self.run(*arguments, "--json").stdout)
+
+    def write_settings(self, store_url: str, hosts: dict[str, str]) -> None:
+        """Writes the settings of both environments.
+
+        Args:
+            store_url: The base URL of the store.
+            hosts: The API address of a host, by environment.
+        """
+        environments = {
+            "trial": {"prefix": TRIAL_PREFIX},
+            "production": {
+                "prefix": PRODUCTION_PREFIX,
+                "promotes_from": "trial",
+            },
+        }
+        for name, environment in environments.items():
+            environment["store"] = {  # type: ignore[assignment]
+                "endpoints": [store_url],
+                "timeout_ms": 500,
+            }
+            environment["hosts"] = [hosts[name]]  # type: ignore[assignment]
+        content = {
+            "author": "ann",
+            "default_environment": "trial",
+            "environments": environments,
+        }
+        text = "// Both environments.\n" + json.dumps(content)
+        self.write("settings.json5", text.encode())
+
+
+@contextlib.contextmanager
+def running() -> Iterator[Bench]:
+    """Starts the servers in a thread of their own.
+
+    Yields:
+        The bench.
+    """
+    with (
+        tempfile.TemporaryDirectory() as directory,
+        from_thread.start_blocking_portal() as portal,
+        contextlib.ExitStack() as stack,
+    ):
+        stand_in = store.StandInStore(clock.MonotonicClock())
+        bench = Bench(pathlib.Path(directory), stand_in, portal)
+        store_url = stack.enter_context(
+            portal.wrap_async_context_manager(store.running(stand_in))
+        )
+        addresses = {}
+        for name, host in (
+            ("trial", bench.trial_host),
+            ("production", bench.production_host),
+        ):
+            addresses[name] = stack.enter_context(
+                portal.wrap_async_context_manager(host_api.running(host))
+            )
+        bench.write_settings(store_url, addresses)
+        yield bench
--- /dev/null
+++ b/packages/lab/sapphire_lab/stand_ins/host_api.py
@@ -0,0 +1,174 @@
+"""Stand-in for the API of a host, as far as the command line uses it."""
+
+from collections.abc import AsyncIterator
+import contextlib
+import socket
+import ssl
+import warnings
+
+import anyio
+import hypercorn.asyncio
+import hypercorn.config
+from starlette import applications
+from starlette import requests
+from starlette import responses
+from starlette import routing
+
+from sapphire_lab.stand_ins import store
+from sapphire_net.store import environment as environments
+from sapphire_wire import api
+from sapphire_wire.documents import packing
+
+SHUTDOWN_S = 0.2
+
+
+class _Config(hypercorn.config.Config):
+    """A server configuration with a TLS context that is given."""
+
+    tls_context: ssl.SSLContext | None = None
+
+    @property
+    def ssl_enabled(self) -> bool:
+        """Whether there is a TLS context."""
+        return self.tls_context is not None
+
+    def create_ssl_context(self) -> ssl.SSLContext | None:
+        """Returns the TLS context."""
+        return self.tls_context
+
+
+class FakeHost:
+    """A host that has in force what a stand-in store holds.
+
+    Attributes:
+        host_id: Its identity.
+        held_revision: The newest revision that it puts in force; None for
+            any.
+        upstreams: The upstreams that it reports.
+        members: The members that it reports.
+        slo: What it answers on service-level counts.
+        broken_answer: Bytes that it answers instead; None for proper ones.
+    """
+
+    def __init__(
+        self, host_id: str, stand_in: store.StandInStore, prefix: str
+    ) -> None:
+        self.host_id = host_id
+        self.held_revision: int | None = None
+        self.upstreams: tuple[api.UpstreamStatus, ...] = ()
+        self.members: tuple[api.MemberStatus, ...] = ()
+        self.slo: api.SloReport | None = None
+        self.broken_answer: bytes | None = None
+        self.port = 0
+        self._stand_in = stand_in
+        self._environment = environments.Environment(
+            None,  # type: ignore[arg-type]
+            prefix,
+        )
+
+    def status(self) -> api.HostStatus:
+        """Returns the status as it is now."""
+        newest = self._head(self._environment.head_key)
+        known = 0 if newest is None else newest.version.revision
+        active = newest
+        if self.held_revision is not None and self.held_revision < known:
+            key = self._environment.history_key(self.held_revision)
+            active = self._head(key)
+        revision = 0 if active is None else active.version.revision
+        return api.HostStatus(
+            host_id=self.host_id,
+            data_centre="tacoma",
+            address="127.0.0.1",
+            api_port=self.port,
+            state=api.HostState.SERVING,
+            active_revision=revision,
+            prepared_revision=revision,
+            known_revision=known,
+            active_digest=""
+            if active is None
+            else active.change.document_digest,
+            lag_ms=0 if revision == known else 5_000,
+            members=self.members,
+            upstreams=self.upstreams,
+        )
+
+    def _head(self, key: str) -> packing.Head | None:
+        """Returns a head that the stand-in store holds."""
+        item = self._stand_in.state.items_by_key.get(key)
+        if item is None:
+            return None
+        return packing.unpack_head(item.value).ok
+
+    def application(self) -> applications.Starlette:
+        """Returns the ASGI application."""
+        return applications.Starlette(
+            routes=[
+                routing.Route(api.STATUS_PATH, self._answer_status),
+                routing.Route(api.SLO_PATH, self._answer_slo),
+            ]
+        )
+
+    async def _answer_status(
+        self, request: requests.Request
+    ) -> responses.Response:
+        """Answers `GET /v1/status`."""
+        return self._answer(self.status())
+
+    async def _answer_slo(
+        self, request: requests.Request
+    ) -> responses.Response:
+        """Answers `GET /v1/slo`."""
+        if self.slo is None:
+            return responses.Response(status_code=503)
+        return self._answer(self.slo)
+
+    def _answer(
+        self, model: api.HostStatus | api.SloReport
+    ) -> responses.Response:
+        """Answers with a model, or with broken bytes."""
+        content = self.broken_answer
+        if content is None:
+            content = model.model_dump_json().encode()
+        return responses.Response(content, media_type="application/json")
+
+
+@contextlib.asynccontextmanager
+async def running(
+    host: FakeHost, tls_context: ssl.SSLContext | None = None
+) -> AsyncIterator[str]:
+    """Serves a host's API on loopback.
+
+    Args:
+        host: The host.
+        tls_context: How to authenticate; None for plain HTTP.
+
+    Yields:
+        Its IP number and port.
+    """
+    listener = socket.create_server(("127.0.0.1", 0))
+    host.port = listener.getsockname()[1]
+    config = _Config()
+    config.tls_context = tls_context
+    config.bind = [f"fd://{listener.detach()}"]
+    config.graceful_timeout = SHUTDOWN_S
+    config.shutdown_timeout = SHUTDOWN_S
+    config.errorlog = None
+    stop = anyio.Event()
+
+    async def serve() -> None:
+        # The server ends by its trigger; cancelled, it would raise an error.
+        with anyio.CancelScope(shield=True), warnings.catch_warnings():
+            warnings.simplefilter("ignore")
+            await hypercorn.asyncio.serve(
+                host.application(),  # type: ignore[arg-type]
+                config,
+                shutdown_trigger=stop.wait,
+            )
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(serve)
+        try:
+            yield f"127.0.0.1:{host.port}"
+        finally:
+            stop.set()
+            tasks.cancel_scope.cancel()
