--- a/packages/ctl/sapphire_ctl/commands/change.py
+++ b/packages/ctl/sapphire_ctl/commands/change.py
@@ -5,6 +5,7 @@
 import functools
 import pathlib
 from typing import Annotated
+from typing import NoReturn
 
 import anyio
 import expression
@@ -14,10 +15,12 @@
 from sapphire_ctl import document_edit
 from sapphire_ctl import failures as ctl_failures
 from sapphire_ctl import options
+from sapphire_ctl import proving
 from sapphire_ctl import rendering
 from sapphire_ctl import running
 from sapphire_ctl import session
 from sapphire_ctl import settings
+from sapphire_data import clock
 from sapphire_data import failures
 from sapphire_data import records
 from sapphire_net.store import change_failures
@@ -41,6 +44,15 @@
 
   sapphirectl apply site.json5 --lose rota  (service rota is left empty)
 """
+PROMOTE_EXAMPLES = """
+Examples:
+
+  sapphirectl promote --env production
+
+  sapphirectl promote 0f479187 --env production --seen 41
+
+  sapphirectl promote --bindings production.json5 --env production
+"""
 ROLLBACK_EXAMPLES = """
 Examples:
 
@@ -108,12 +120,58 @@
     source = invocation.model.promotes_from
     if source is not None:
         failure = ctl_failures.PromotionRequired(invocation.environment, source)
-        _refuse(invocation, failure)
+        _end(invocation, {}, [failure])
     intent = _read_intent(invocation, document, bindings, "apply")
     how = changing.ChangeOptions(seen, tuple(lose or ()), dry_run, wait_ms)
     _run(invocation, intent, how)
 
 
+def promote(
+    digest: Annotated[
+        str,
+        typer.Argument(help="The digest of the document, or its start."),
+    ] = "",
+    *,
+    bindings: options.Bindings = None,
+    seen: options.Seen = None,
+    lose: options.Lose = None,
+    dry_run: options.DryRun = False,
+    wait_ms: options.WaitMs = options.DEFAULT_WAIT_MS,
+    settings_path: options.Settings = settings.DEFAULT_PATH,
+    environment: options.Environment = None,
+    as_json: options.Json = False,
+) -> None:
+    """Put the bytes in force that are in force and healthy in the trial."""
+    invocation = running.start("promote", settings_path, environment, as_json)
+    source = invocation.model.promotes_from
+    if source is None:
+        failure = ctl_failures.NoPromotionSource(invocation.environment)
+        _end(invocation, {}, [failure])
+    requirements = proving.Requirements(
+        digest,
+        invocation.model.min_proof_ms,
+        invocation.model.min_proof_events,
+    )
+    proof, found = anyio.run(
+        proving.find_proof,
+        invocation,
+        source,
+        requirements,
+        clock.wall_time_ms(),
+    )
+    if proof is None:
+        _end(invocation, {}, found)
+    invocation.output.line(
+        f"proven in {source}: document {proof.digest} on {proof.hosts} hosts,"
+        f" {proof.events} events"
+    )
+    intent = _document_intent(
+        invocation, proof.document, [], bindings, "promote"
+    )
+    how = changing.ChangeOptions(seen, tuple(lose or ()), dry_run, wait_ms)
+    _run(invocation, intent, how)
+
+
 def rollback(
     revision: Annotated[
         int, typer.Argument(min=1, help="The revision to go back to.")
@@ -244,14 +302,18 @@
     _run(invocation, _edited(invocation, edit, "undrain"), how)
 
 
-def _refuse(invocation: session.Invocation, failure: failures.Failure) -> None:
-    """Ends the run with one failure."""
+def _end(
+    invocation: session.Invocation,
+    fields: dict[str, object],
+    found: list[failures.Failure],
+) -> NoReturn:
+    """Ends the run."""
     running.finish(
         invocation.output,
         invocation.command,
         invocation.environment,
-        {},
-        [failure],
+        fields,
+        found,
     )
 
 
@@ -262,7 +324,19 @@
     action: str,
 ) -> IntentFactory:
     """Returns the intent of files, with the bindings in force by default."""
-    document_bytes, errors = running.read_input(document)
+    content, errors = running.read_input(document)
+    return _document_intent(invocation, content, errors, bindings, action)
+
+
+def _document_intent(
+    invocation: session.Invocation,
+    document: bytes,
+    document_errors: list[failures.Failure],
+    bindings: pathlib.Path | None,
+    action: str,
+) -> IntentFactory:
+    """Returns the intent of a document's bytes and a file of bindings."""
+    errors = list(document_errors)
     bindings_bytes = b""
     if bindings is not None:
         bindings_bytes, binding_errors = running.read_input(bindings)
@@ -284,7 +358,7 @@
                 return in_force
             chosen = in_force.ok.bindings
         return expression.Ok(
-            changes.Intent(document_bytes, chosen, invocation.author, action)
+            changes.Intent(document, chosen, invocation.author, action)
         )
 
     return build
@@ -337,13 +411,7 @@
     """Makes a change and reports what became of it."""
     outcome = anyio.run(make, invocation, build_intent, how)
     rendering.show_change(invocation.output, outcome, how)
-    running.finish(
-        invocation.output,
-        invocation.command,
-        invocation.environment,
-        rendering.change_fields(outcome),
-        outcome.errors,
-    )
+    _end(invocation, rendering.change_fields(outcome), list(outcome.errors))
 
 
 async def make(
--- /dev/null
+++ b/packages/ctl/sapphire_ctl/proving.py
@@ -0,0 +1,177 @@
+"""Checks that a document was in force and healthy in the trial environment."""
+
+from collections.abc import Iterable
+import dataclasses
+
+from sapphire_core.slo import data as slo_data
+from sapphire_ctl import failures as ctl_failures
+from sapphire_ctl import session
+from sapphire_ctl.fleet import client
+from sapphire_ctl.reporting import collect
+from sapphire_ctl.reporting import data as report_data
+from sapphire_data import failures
+from sapphire_net.store import change_failures
+from sapphire_net.store import changes
+from sapphire_net.store import reading
+from sapphire_wire import api
+from sapphire_wire.documents import packing
+
+_PAGES = frozenset(
+    {slo_data.AlertLevel.PAGE_FAST, slo_data.AlertLevel.PAGE_SLOW}
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Proof:
+    """A document that the trial environment has proven.
+
+    Attributes:
+        environment: The trial environment.
+        revision: The revision that has the document in force there.
+        digest: The digest of the document.
+        document: Its bytes, as they were in force.
+        hosts: The number of hosts in which it is in force.
+        events: The service-level events that were counted there.
+    """
+
+    environment: str
+    revision: int
+    digest: str
+    document: bytes = dataclasses.field(repr=False)
+    hosts: int
+    events: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Requirements:
+    """What a proof has to show.
+
+    Attributes:
+        digest: The digest that the operator asks for, or the start of it;
+            empty for whatever is in force.
+        min_age_ms: How long the document has to have been in force.
+        min_events: How many service-level events have to have been counted.
+    """
+
+    digest: str
+    min_age_ms: int
+    min_events: int
+
+
+async def find_proof(
+    invocation: session.Invocation,
+    environment: str,
+    requirements: Requirements,
+    now_ms: int,
+) -> tuple[Proof | None, list[failures.Failure]]:
+    """Asks the store and all hosts of the trial environment.
+
+    Args:
+        invocation: The settings.
+        environment: The trial environment.
+        requirements: What the proof has to show.
+        now_ms: The wall time.
+
+    Returns:
+        The proof, or none if anything speaks against it; and all that does.
+    """
+    fleet = session.open_fleet(invocation, environment)
+    if fleet.is_error():
+        return None, [fleet.error]
+    async with session.open_store(invocation, environment) as opened:
+        if opened.is_error():
+            return None, [opened.error]
+        stored = await reading.read_head(opened.ok)
+        if stored.is_error():
+            return None, [stored.error]
+        head = stored.ok.head
+        if head is None:
+            return None, [change_failures.RevisionNotFound(0)]
+        intent = await changes.read_intent(
+            opened.ok, head, invocation.author, "promote"
+        )
+    if intent.is_error():
+        return None, [intent.error]
+    statuses, unanswered = await fleet.ok.statuses()
+    report = await collect.collect(
+        invocation, fleet.ok, environment, None, now_ms
+    )
+    digest = head.change.document_digest
+    problems = [
+        *_check_head(head, requirements, now_ms),
+        *_check_hosts(statuses, unanswered, digest),
+        *_check_report(report, requirements),
+    ]
+    found: list[failures.Failure] = [
+        ctl_failures.NotProven(environment, digest, host, problem)
+        for host, problem in problems
+    ]
+    if found:
+        return None, found
+    proof = Proof(
+        environment=environment,
+        revision=head.version.revision,
+        digest=digest,
+        document=intent.ok.document,
+        hosts=len(statuses),
+        events=_count_events(report),
+    )
+    return proof, []
+
+
+def _check_head(
+    head: packing.Head, requirements: Requirements, now_ms: int
+) -> Iterable[tuple[str, str]]:
+    """Yields what the head in force speaks against the proof."""
+    digest = head.change.document_digest
+    if not digest.startswith(requirements.digest):
+        yield "", f"document {requirements.digest} is not the one in force"
+    age_ms = now_ms - head.change.written_ms
+    if age_ms < requirements.min_age_ms:
+        yield (
+            "",
+            f"in force for {age_ms} ms of {requirements.min_age_ms} ms",
+        )
+
+
+def _check_hosts(
+    statuses: Iterable[api.HostStatus],
+    unanswered: Iterable[client.Unanswered],
+    digest: str,
+) -> Iterable[tuple[str, str]]:
+    """Yields the hosts that do not have the document in force."""
+    count = 0
+    for status in statuses:
+        count += 1
+        if status.active_digest != digest:
+            yield status.host_id, "another document is in force"
+        elif status.lag_ms:
+            yield status.host_id, f"lags by {status.lag_ms} ms"
+    for missing in unanswered:
+        name = missing.target.host_id or missing.target.address
+        yield name, "did not answer"
+    if count == 0:
+        yield "", "no host answered"
+
+
+def _check_report(
+    report: report_data.BurnReport, requirements: Requirements
+) -> Iterable[tuple[str, str]]:
+    """Yields the objectives that burn, and hosts without counts."""
+    for missing in report.unanswered:
+        yield missing.target.host_id, "did not tell its counts"
+    for warning in report.warnings:
+        yield "", f"objectives are unknown: {warning.code}"
+    for burn in report.burns:
+        if burn.level not in _PAGES:
+            continue
+        name = f"{burn.key.service} {burn.key.objective.value}"
+        yield "", f"{name} burns at level {burn.level.value}"
+    events = _count_events(report)
+    if events < requirements.min_events:
+        yield "", f"{events} events of {requirements.min_events} were counted"
+
+
+def _count_events(report: report_data.BurnReport) -> int:
+    """Returns the events of the budget window over all objectives."""
+    return sum(burn.windows[-1].counts.total for burn in report.burns)
--- a/packages/ctl/sapphire_ctl/settings.py
+++ b/packages/ctl/sapphire_ctl/settings.py
@@ -17,6 +17,7 @@
 ENVIRONMENT_VARIABLE = "SAPPHIRECTL_ENV"
 DEFAULT_TIMEOUT_MS = 2_000
 MAX_TIMEOUT_MS = 60_000
+DEFAULT_MIN_PROOF_MS = 60_000
 
 
 _MAX_PORT = 65_535
@@ -108,6 +109,9 @@
         host_timeout_ms: The longest wait for one host.
         promotes_from: The environment in which documents are proven first;
             absent where documents are applied.
+        min_proof_ms: How long a document has to have been in force there.
+        min_proof_events: How many service-level events have to have been
+            counted there.
     """
 
     prefix: Annotated[str, pydantic.StringConstraints(pattern=r"^\S+/$")]
@@ -118,6 +122,8 @@
         DEFAULT_TIMEOUT_MS
     )
     promotes_from: str | None = None
+    min_proof_ms: Annotated[int, pydantic.Field(ge=0)] = DEFAULT_MIN_PROOF_MS
+    min_proof_events: Annotated[int, pydantic.Field(ge=0)] = 0
 
 
 class SettingsModel(_Model):
--- a/packages/lab/sapphire_lab/ctl/bench.py
+++ b/packages/lab/sapphire_lab/ctl/bench.py
@@ -136,19 +136,21 @@
             store_url: The base URL of the store.
             hosts: The API address of a host, by environment.
         """
-        environments = {
+        environments: dict[str, dict[str, Any]] = {
             "trial": {"prefix": TRIAL_PREFIX},
             "production": {
                 "prefix": PRODUCTION_PREFIX,
                 "promotes_from": "trial",
+                "min_proof_ms": 0,
+                "min_proof_events": 10,
             },
         }
         for name, environment in environments.items():
-            environment["store"] = {  # type: ignore[assignment]
+            environment["store"] = {
                 "endpoints": [store_url],
                 "timeout_ms": 500,
             }
-            environment["hosts"] = [hosts[name]]  # type: ignore[assignment]
+            environment["hosts"] = [hosts[name]]
         content = {
             "author": "ann",
             "default_environment": "trial",
--- a/packages/lab/sapphire_lab/slo/builders.py
+++ b/packages/lab/sapphire_lab/slo/builders.py
@@ -3,6 +3,8 @@
 from sapphire_core.slo import counters
 from sapphire_core.slo import data
 from sapphire_core.slo import merge
+from sapphire_wire import api
+from sapphire_wire import slo_answer
 
 SERVICE = "rota"
 KEY = data.SeriesKey(SERVICE, data.Objective.REQUESTS_ANSWERED)
@@ -41,3 +43,19 @@
 ) -> data.SeriesCounts:
     """Returns the series of requests that counters hold."""
     return merge.merge_series(built.snapshot(now_ms))[KEY]
+
+
+def report_of(
+    built: counters.SloCounters, host_id: str, now_ms: int
+) -> api.SloReport:
+    """Returns what a host would answer about its counters.
+
+    Args:
+        built: The counters.
+        host_id: The identity of the host.
+        now_ms: The wall time.
+
+    Returns:
+        The answer of `GET /v1/slo`.
+    """
+    return slo_answer.build(built, host_id, "tacoma", now_ms, None)
