--- a/packages/ctl/sapphire_ctl/fleet/client.py
+++ b/packages/ctl/sapphire_ctl/fleet/client.py
@@ -75,7 +75,11 @@
         """
         self._seeds = tuple(dict.fromkeys(seeds))
         self._timeout_s = timeout_ms / clock.MS_PER_SECOND
-        self._ssl_context = ssl_context
+        self._scheme = "http" if ssl_context is None else "https"
+        # The default context would read the system's authorities for nothing.
+        self._ssl_context = ssl_context or ssl.SSLContext(
+            ssl.PROTOCOL_TLS_CLIENT
+        )
 
     @property
     def has_seeds(self) -> bool:
@@ -173,7 +177,7 @@
         async with (
             httpx.AsyncClient(
                 timeout=self._timeout_s,
-                verify=self._ssl_context or True,
+                verify=self._ssl_context,
                 trust_env=False,
             ) as http,
             anyio.create_task_group() as tasks,
@@ -191,13 +195,13 @@
         service: str | None,
     ) -> expression.Result[AnswerT, failures.HostFailure]:
         """Asks one host."""
-        scheme = "http" if self._ssl_context is None else "https"
         parameters = {} if service is None else {api.SERVICE_PARAMETER: service}
         try:
             # The library's own time-outs restart with each chunk.
             with anyio.fail_after(self._timeout_s):
                 response = await http.get(
-                    f"{scheme}://{target.address}{path}", params=parameters
+                    f"{self._scheme}://{target.address}{path}",
+                    params=parameters,
                 )
         except (httpx.HTTPError, TimeoutError) as error:
             problem = str(error) or type(error).__name__
--- a/packages/ctl/sapphire_ctl/session.py
+++ b/packages/ctl/sapphire_ctl/session.py
@@ -125,6 +125,10 @@
     model: settings.StoreModel, directory: pathlib.Path
 ) -> expression.Result[ssl.SSLContext | None, failures.Failure]:
     """Makes the TLS context towards the store, if settings name files."""
+    if all(endpoint.startswith("http://") for endpoint in model.endpoints):
+        # Without TLS no certificate needs to be read, which takes longer than
+        # a call; this context would trust none.
+        return expression.Ok(ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT))
     if model.authorities is None and model.certificate is None:
         return expression.Ok(None)
     context = ssl.create_default_context()
