--- /dev/null
+++ b/packages/ctl/sapphire_ctl/fleet/client_test.py
@@ -0,0 +1,123 @@
+"""The fleet's client against fake hosts, with and without TLS."""
+
+import contextlib
+import pathlib
+import ssl
+import tempfile
+
+import anyio
+import testtools
+
+from sapphire_ctl import failures
+from sapphire_ctl.fleet import client
+from sapphire_data import clock
+from sapphire_lab.stand_ins import host_api
+from sapphire_lab.stand_ins import store
+from sapphire_lab.trust import certificates
+from sapphire_net.trust import roles
+from sapphire_net.trust import tls
+from sapphire_wire import api
+
+_TIMEOUT_MS = 2_000
+
+
+def _hosts(count: int) -> list[host_api.FakeHost]:
+    stand_in = store.StandInStore(clock.ManualClock())
+    return [
+        host_api.FakeHost(f"h{number}", stand_in, "sapphire/")
+        for number in range(count)
+    ]
+
+
+def _introduce(host: host_api.FakeHost, *others: host_api.FakeHost) -> None:
+    host.members = tuple(
+        api.MemberStatus(
+            host_id=other.host_id,
+            data_centre="tacoma",
+            address="127.0.0.1",
+            api_port=other.port,
+            state="alive",
+        )
+        for other in others
+    )
+
+
+class FleetTest(testtools.TestCase):
+    def test_hosts_are_found_by_those_known_and_asked_once(self) -> None:
+        async def body() -> None:
+            hosts = _hosts(4)
+            async with contextlib.AsyncExitStack() as stack:
+                seed = ""
+                for host in hosts:
+                    seed = await stack.enter_async_context(
+                        host_api.running(host)
+                    )
+                # A chain from the last host to the first, and a circle.
+                for number, host in enumerate(hosts):
+                    _introduce(host, hosts[number - 1])
+                fleet = client.FleetClient([seed], _TIMEOUT_MS, None)
+                statuses, unanswered = await fleet.statuses()
+            self.assertEqual(
+                ["h0", "h1", "h2", "h3"],
+                [status.host_id for status in statuses],
+            )
+            self.assertEqual([], unanswered)
+
+        anyio.run(body)
+
+    def test_host_that_hangs_ends_by_the_time_limit(self) -> None:
+        async def body() -> None:
+            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+            port = listener.extra(anyio.abc.SocketAttribute.local_port)
+            async with listener:
+                fleet = client.FleetClient([f"127.0.0.1:{port}"], 100, None)
+                statuses, unanswered = await fleet.statuses()
+            self.assertEqual([], statuses)
+            self.assertIsInstance(
+                unanswered[0].failure, failures.HostUnreachable
+            )
+
+        anyio.run(body)
+
+
+class FleetTlsTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        temporary = tempfile.TemporaryDirectory()
+        self.addCleanup(temporary.cleanup)
+        self.directory = pathlib.Path(temporary.name)
+        self.authority = certificates.Authority("trial")
+
+    def _context(self, name: str, unit: str, is_server: bool) -> ssl.SSLContext:
+        permitted = roles.ANY_ROLE if is_server else {roles.Role.HOST}
+        return tls.create_context(
+            self.authority.issue(self.directory / name, name, unit),
+            is_server=is_server,
+            permitted_roles=frozenset(permitted),
+        ).ok
+
+    def _ask(self, server: ssl.SSLContext, asking: ssl.SSLContext) -> bool:
+        async def body() -> bool:
+            (host,) = _hosts(1)
+            async with host_api.running(host, server) as address:
+                fleet = client.FleetClient([address], _TIMEOUT_MS, asking)
+                statuses, _ = await fleet.statuses()
+            return bool(statuses)
+
+        return anyio.run(body)
+
+    def test_operator_and_host_authenticate_each_other(self) -> None:
+        host = self._context("h0", "host", True)
+        operator = self._context("ann", "operator", False)
+        self.assertTrue(self._ask(host, operator))
+
+    def test_peer_of_another_role_or_authority_is_refused(self) -> None:
+        host = self._context("h0", "host", True)
+        guest = self._context("guest", "guest", False)
+        self.assertFalse(self._ask(host, guest))
+        posing = self._context("posing", "operator", True)
+        operator = self._context("ann", "operator", False)
+        self.assertFalse(self._ask(posing, operator))
+        self.authority = certificates.Authority("foreign")
+        foreign = self._context("eve", "operator", False)
+        self.assertFalse(self._ask(host, foreign))
