--- a/packages/lab/sapphire_lab/trust/measure_sealing.py
+++ b/packages/lab/sapphire_lab/trust/measure_sealing.py
@@ -1,17 +1,20 @@
-"""Measures the time to seal and to open a control datagram.
+"""Measures the cost of sealed control datagrams in time and memory.
 
 Run with `python -m sapphire_lab.trust.measure_sealing`; the last line is one
-JSON object with microseconds for each operation.
+JSON object.
 """
 
 import json
 import time
+import tracemalloc
 
 from sapphire_lab.trust import builders
+from sapphire_net.trust import replay
 from sapphire_net.trust import sealing
 from sapphire_wire import message_kind
 
 _ROUNDS = 20_000
+_SENDERS = 7_000
 _NS_PER_US = 1_000
 
 
@@ -50,9 +53,61 @@
     }
 
 
+def measure_refusal(rounds: int = _ROUNDS) -> dict[str, float]:
+    """Measures what a forged and an alien datagram cost the receiver.
+
+    Args:
+        rounds: The number of datagrams.
+
+    Returns:
+        Microseconds for each refusal.
+    """
+    body = bytes(100)
+    kind = message_kind.MessageKind.RELAYED_PACKET
+    costs_us = {}
+    for name, ring in (
+        ("refuse_bad_tag_us", builders.ring(1)),
+        ("refuse_unknown_key_us", builders.ring(2)),
+    ):
+        sealer = sealing.Sealer("0123456789abcdef", ring)
+        data = sealer.seal(builders.OTHER_NAME, kind, body, builders.WALL_MS)
+        opener = sealing.Opener(builders.OWN_NAME, builders.ring(1))
+        start_ns = time.perf_counter_ns()
+        for _ in range(rounds):
+            opener.open(data, builders.WALL_MS)
+        cost_ns = time.perf_counter_ns() - start_ns
+        costs_us[name] = round(cost_ns / rounds / _NS_PER_US, 2)
+    return costs_us
+
+
+def measure_memory(senders: int = _SENDERS) -> dict[str, int]:
+    """Measures the memory of the replay window.
+
+    Args:
+        senders: The number of senders, each with a full window.
+
+    Returns:
+        The bytes that it takes.
+    """
+    tracemalloc.start()
+    window = replay.ReplayWindow()
+    for number in range(senders):
+        sender = f"{number:032x}"
+        for sequence in (1, replay.WINDOW_BITS):
+            window.check(sender, sequence, builders.WALL_MS, 0)
+    used_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return {"senders": len(window), "replay_window_bytes": used_bytes}
+
+
 def main() -> None:
-    """Prints the measurement for a small and a full body."""
-    print(json.dumps([measure(100), measure(1_200)]))
+    """Prints all measurements."""
+    report = {
+        "datagrams": [measure(100), measure(1_200)],
+        **measure_refusal(),
+        **measure_memory(),
+    }
+    print(json.dumps(report))
 
 
 if __name__ == "__main__":
