Tell prepared revisions along distances of powers of two; relays serve peers of their rank

Cause: 200 hosts in 10 data centres needed 4,750 ms until all knew that all had prepared a revision, because pushes by all relays to all relays and random pushes of the bits used up the allowance for news.

--- a/packages/core/sapphire_core/membership/detector.py
+++ b/packages/core/sapphire_core/membership/detector.py
@@ -94,11 +94,15 @@
 
     def _probe_next(self, now_ms: int) -> None:
         """Probes the next host of the own data centre."""
-        host_id = self._order.next_id(self._state.local_peer_ids())
+        current = self._state
+        host_id = self._order.next_id(
+            current.local_peer_ids(),
+            current.hosts.live_ids(current.own.host.data_centre),
+        )
         if host_id is None:
             return
         probe = self._probes.open(host_id, now_ms, is_local=True)
-        self._ping(self._state.hosts.entries_by_id[host_id], probe, now_ms)
+        self._ping(current.hosts.entries_by_id[host_id], probe, now_ms)
 
     def _contact(self, contact: contacts.Contact, now_ms: int) -> None:
         """Probes a host elsewhere or an address of no known host."""
--- a/packages/core/sapphire_core/membership/membership.py
+++ b/packages/core/sapphire_core/membership/membership.py
@@ -70,9 +70,7 @@
             reachability=reachability.Reachability(
                 self_address.host_id, own_data_centre
             ),
-            outbox=outbox.Outbox(
-                settings, own_data_centre, hosts, facts, prepared_table
-            ),
+            outbox=outbox.Outbox(settings, own_data_centre, hosts, facts),
             suspicions=suspicion.Suspicions(settings.suspicion_ms),
             seeds=tuple(seeds),
         )
@@ -136,6 +134,7 @@
         self._detector.tick(now_ms)
         self._synchroniser.tick(now_ms)
         self._state.push_news(now_ms)
+        self._state.push_prepared(now_ms)
         if now_ms - self._housekeeping_ms >= HOUSEKEEPING_INTERVAL_MS:
             self._housekeeping_ms = now_ms
             self._state.forget_old(now_ms)
@@ -211,9 +210,8 @@
         """
         current = self._state
         if current.prepared.set_own(revision):
-            current.outbox.add_prepared_news()
             current.note_complete(now_ms)
-            current.push_news(now_ms)
+            current.push_prepared(now_ms)
         return self._finish(now_ms)
 
     def leave(self, now_ms: int) -> tuple[data.Action, ...]:
--- a/packages/core/sapphire_core/membership/news.py
+++ b/packages/core/sapphire_core/membership/news.py
@@ -10,7 +10,6 @@
 
     MEMBER = "member"
     FACT = "fact"
-    PREPARED = "prepared"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -19,7 +18,7 @@
 
     Attributes:
         kind: What it is about.
-        name: The host, the fact, or empty.
+        name: The host or the fact.
     """
 
     kind: NewsKind
--- a/packages/core/sapphire_core/membership/outbox.py
+++ b/packages/core/sapphire_core/membership/outbox.py
@@ -6,14 +6,11 @@
 from sapphire_core.membership import fact_table
 from sapphire_core.membership import message_size
 from sapphire_core.membership import news
-from sapphire_core.membership import prepared
 from sapphire_core.membership import rate_limit
 from sapphire_core.membership import reachability
 from sapphire_core.membership import roster
 from sapphire_data import records
 
-_PREPARED_KEY = news.NewsKey(news.NewsKind.PREPARED, "")
-
 
 class Outbox:
     """Collects the actions of an event and the news that messages carry."""
@@ -24,13 +21,11 @@
         own_data_centre: str,
         hosts: roster.Roster,
         facts: fact_table.FactTable,
-        prepared_table: prepared.PreparedTable,
     ) -> None:
         self._settings = settings
         self._own_data_centre = own_data_centre
         self._hosts = hosts
         self._facts = facts
-        self._prepared = prepared_table
         self._actions: list[data.Action] = []
         self.news = news.NewsQueue(settings.push_rounds)
         self.rate = rate_limit.RateLimit(
@@ -57,10 +52,6 @@
         key = news.NewsKey(news.NewsKind.FACT, fact_key)
         self.news.add(key, is_remote)
 
-    def add_prepared_news(self) -> None:
-        """Notes that more hosts are known to have prepared a revision."""
-        self.news.add(_PREPARED_KEY, False)
-
     def send_plain(
         self, address: str, port: int, message: data.GossipMessage
     ) -> None:
@@ -137,12 +128,6 @@
         """Returns the sizes of news for the own data centre."""
 
         def size_of(key: news.NewsKey) -> int | None:
-            if key.kind is news.NewsKind.PREPARED:
-                sizes = [
-                    message_size.prepared_bytes(entry)
-                    for entry in self._prepared.entries()
-                ]
-                return sum(sizes) or None
             if key.kind is news.NewsKind.FACT:
                 fact = self._facts.get(key.name, now_ms)
                 return message_size.fact_bytes(fact) if fact else None
@@ -164,8 +149,6 @@
         def size_of(key: news.NewsKey) -> int | None:
             if is_push and self.news.is_remote(key):
                 return None
-            if key.kind is news.NewsKind.PREPARED:
-                return None
             if key.kind is news.NewsKind.FACT:
                 if key.name.startswith(reachability.KEY_PREFIX):
                     return None
@@ -186,11 +169,7 @@
         """Returns the message with the news added."""
         members = list(message.members)
         facts = list(message.facts)
-        prepared_entries = list(message.prepared)
         for key in keys:
-            if key.kind is news.NewsKind.PREPARED:
-                prepared_entries.extend(self._prepared.entries())
-                continue
             if key.kind is news.NewsKind.FACT:
                 fact = self._facts.get(key.name, now_ms)
                 if fact is not None:
@@ -205,7 +184,7 @@
             digest=message.digest,
             members=tuple(members),
             facts=tuple(facts),
-            prepared=tuple(prepared_entries),
+            prepared=message.prepared,
             bucket_digests=message.bucket_digests,
             cursor=message.cursor,
         )
--- a/packages/core/sapphire_core/membership/prepared.py
+++ b/packages/core/sapphire_core/membership/prepared.py
@@ -27,6 +27,9 @@
         self._index_by_id: dict[str, int] = {}
         self._roster_digest = 0
         self._bits_by_revision: dict[int, int] = {}
+        self._pushed_ms: int | None = None
+        self._step = 0
+        self._steps_left = 0
 
     def set_roster(self, host_ids: set[str]) -> bool:
         """Takes the live hosts of the data centre.
@@ -51,7 +54,7 @@
         self._roster_digest = xxhash.xxh64_intdigest("/".join(order).encode())
         for revision, ids in ids_by_revision.items():
             self._bits_by_revision[revision] = self._bits(ids)
-        self._settle()
+        self._on_change()
         return True
 
     def set_own(self, revision: int) -> bool:
@@ -67,7 +70,7 @@
             return False
         self.own_revision = revision
         self._open(revision)
-        self._settle()
+        self._on_change()
         return True
 
     def set_complete(self, revision: int) -> bool:
@@ -104,7 +107,7 @@
         if known is None or bits | known == known:
             return False
         self._bits_by_revision[entry.revision] = bits | known
-        self._settle()
+        self._on_change()
         return True
 
     def entries(self) -> list[data.PreparedEntry]:
@@ -119,6 +122,33 @@
             for revision, bits in sorted(self._bits_by_revision.items())
         ]
 
+    def next_push(self, now_ms: int, interval_ms: int) -> str | None:
+        """Returns the peer that is told next, if it is time.
+
+        The peers lie at distances of powers of two in the order of the
+        roster. Were all hosts in step, each would know of all after as many
+        messages as the binary logarithm of their number, the least that one
+        message a step allows.
+
+        Args:
+            now_ms: The time in milliseconds.
+            interval_ms: The least time between two messages.
+        """
+        if not self._steps_left or not self._bits_by_revision:
+            return None
+        pushed_ms = self._pushed_ms
+        if pushed_ms is not None and now_ms - pushed_ms < interval_ms:
+            return None
+        size = len(self._order)
+        self._pushed_ms = now_ms
+        self._steps_left -= 1
+        index = self._index_by_id[self._own_id]
+        peer_index = (index + (1 << self._step)) % size
+        self._step = (self._step + 1) % self._step_count()
+        if peer_index == index:
+            return None
+        return self._order[peer_index]
+
     def revision_of(self, host_id: str) -> int:
         """Returns the newest revision that a host is known to have prepared.
 
@@ -148,6 +178,15 @@
                 bits_by_revision[number] |= self._bits({self._own_id})
         return bits_by_revision.get(revision)
 
+    def _step_count(self) -> int:
+        """Returns how many messages make one round over all distances."""
+        return max(1, (len(self._order) - 1).bit_length())
+
+    def _on_change(self) -> None:
+        """Starts to tell peers again."""
+        self._steps_left = self._step_count()
+        self._settle()
+
     def _settle(self) -> None:
         """Closes the revisions that all hosts have prepared."""
         everyone = (1 << len(self._order)) - 1
--- a/packages/core/sapphire_core/membership/probing.py
+++ b/packages/core/sapphire_core/membership/probing.py
@@ -34,19 +34,20 @@
         self._rng = rng
         self._waiting: list[str] = []
 
-    def next_id(self, candidate_ids: set[str]) -> str | None:
+    def next_id(self, candidates: list[str], live_ids: set[str]) -> str | None:
         """Returns the next host to probe.
 
         Args:
-            candidate_ids: The hosts that may be probed now.
+            candidates: The hosts of the next round.
+            live_ids: The hosts that may be probed now.
         """
         while self._waiting:
             host_id = self._waiting.pop()
-            if host_id in candidate_ids:
+            if host_id in live_ids:
                 return host_id
-        if not candidate_ids:
+        if not candidates:
             return None
-        self._waiting = sorted(candidate_ids)
+        self._waiting = list(candidates)
         self._rng.shuffle(self._waiting)
         return self._waiting.pop()
 
--- a/packages/core/sapphire_core/membership/state.py
+++ b/packages/core/sapphire_core/membership/state.py
@@ -59,6 +59,7 @@
     _relays_by_data_centre: dict[str, list[str]] = dataclasses.field(
         default_factory=dict
     )
+    _local_peers: list[str] | None = None
 
     def __post_init__(self) -> None:
         """Enters this host into its own roster."""
@@ -85,10 +86,12 @@
         """Returns whether a host is in another data centre."""
         return entry.host.data_centre != self.own.host.data_centre
 
-    def local_peer_ids(self) -> set[str]:
-        """Returns the other live hosts of the own data centre."""
-        live_ids = self.hosts.live_ids(self.own.host.data_centre)
-        return live_ids - {self.own.host.host_id}
+    def local_peer_ids(self) -> list[str]:
+        """Returns the other live hosts of the own data centre, in order."""
+        if self._local_peers is None:
+            live_ids = self.hosts.live_ids(self.own.host.data_centre)
+            self._local_peers = sorted(live_ids - {self.own.host.host_id})
+        return self._local_peers
 
     def other_data_centres(self) -> list[str]:
         """Returns the other data centres that have live hosts, in order."""
@@ -187,7 +190,6 @@
             is_changed = self.prepared.merge(entry) or is_changed
         if not is_changed:
             return
-        self.outbox.add_prepared_news()
         self.note_complete(now_ms)
 
     def note_complete(self, now_ms: int) -> None:
@@ -220,19 +222,51 @@
             return
         self.pushed_ms = now_ms
         target_ids = self.pick_local(settings.push_fanout)
-        if self.is_relay():
-            for name in self.other_data_centres():
-                target_ids.extend(self.relays(name))
+        target_ids.extend(self._relay_targets())
         targets = [self.hosts.entries_by_id[name].host for name in target_ids]
         message = self.message(data.MessageKind.RUMOR, 0)
         self.outbox.push(targets, message, now_ms)
 
+    def push_prepared(self, now_ms: int) -> None:
+        """Tells one peer who has prepared the open revisions."""
+        peer_id = self.prepared.next_push(
+            now_ms, self.settings.push_interval_ms
+        )
+        if peer_id is None:
+            return
+        message = dataclasses.replace(
+            self.message(data.MessageKind.RUMOR, 0),
+            prepared=tuple(self.prepared.entries()),
+        )
+        target = self.hosts.entries_by_id[peer_id].host
+        self.outbox.send(target, message, now_ms)
+
+    def _relay_targets(self) -> list[str]:
+        """Returns the relays elsewhere that this host, as a relay, serves.
+
+        Each relay serves the one of its own rank, so that two paths lead to
+        each data centre and each carries news once.
+        """
+        own = self.own.host
+        own_relays = self.relays(own.data_centre)
+        if own.host_id not in own_relays:
+            return []
+        rank = own_relays.index(own.host_id)
+        target_ids: list[str] = []
+        for name in self.other_data_centres():
+            relay_ids = self.relays(name)
+            if relay_ids:
+                target_ids.append(relay_ids[rank % len(relay_ids)])
+        return target_ids
+
     def pick_local(self, count: int, excluded_id: str = "") -> list[str]:
         """Returns random live peers of the own data centre."""
-        candidates = sorted(self.local_peer_ids() - {excluded_id})
-        if len(candidates) <= count:
-            return candidates
-        return self.rng.sample(candidates, count)
+        candidates = self.local_peer_ids()
+        chosen = candidates
+        if len(candidates) > count + 1:
+            chosen = self.rng.sample(candidates, count + 1)
+        chosen = [name for name in chosen if name != excluded_id]
+        return chosen[:count]
 
     def rejoin_if_due(self, now_ms: int) -> None:
         """Returns to the membership after a death that was not one."""
@@ -287,9 +321,9 @@
         self._relays_by_data_centre.pop(entry.host.data_centre, None)
         if self.is_remote(entry):
             return
+        self._local_peers = None
         if entry.host.host_id != self.own.host.host_id:
             self.suspicions.on_change(entry, now_ms)
         live_ids = self.hosts.live_ids(entry.host.data_centre)
         if self.prepared.set_roster(live_ids):
-            self.outbox.add_prepared_news()
             self.note_complete(now_ms)
