Relays state one barrier for each data centre; views keep unchanged members

Cause: a fact for each data centre and revision reached every host, and a view was built anew from all members on each of them.

--- a/packages/core/sapphire_core/membership/contacts.py
+++ b/packages/core/sapphire_core/membership/contacts.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from sapphire_core.membership import data
+from sapphire_core.membership import merging
 from sapphire_core.membership import state
 from sapphire_data import records
 
@@ -26,8 +27,9 @@
 class Contacts:
     """Chooses whom to probe besides the peers in the own data centre."""
 
-    def __init__(self, shared: state.State) -> None:
+    def __init__(self, shared: state.State, merger: merging.Merger) -> None:
         self._state = shared
+        self._merger = merger
         self._next_relay_ms = 0
         self._next_seed_ms = 0
         self._relay_turn = 0
@@ -62,7 +64,7 @@
             now_ms,
         )
         for fact in statements:
-            current.merge_fact(fact, now_ms, is_remote=False)
+            self._merger.merge_fact(fact, now_ms, is_remote=False)
 
     def _due_relay(self, now_ms: int) -> list[Contact]:
         """Returns the next host of another data centre."""
--- a/packages/core/sapphire_core/membership/detector.py
+++ b/packages/core/sapphire_core/membership/detector.py
@@ -4,6 +4,7 @@
 
 from sapphire_core.membership import contacts
 from sapphire_core.membership import data
+from sapphire_core.membership import merging
 from sapphire_core.membership import probing
 from sapphire_core.membership import state
 from sapphire_data import records
@@ -28,11 +29,12 @@
 class Detector:
     """Finds which hosts answer, and answers their probes."""
 
-    def __init__(self, shared: state.State) -> None:
+    def __init__(self, shared: state.State, merger: merging.Merger) -> None:
         self._state = shared
+        self._merger = merger
         self._probes = probing.ProbeTable()
         self._order = probing.ProbeOrder(shared.rng)
-        self._contacts = contacts.Contacts(shared)
+        self._contacts = contacts.Contacts(shared, merger)
         self._forwards_by_number: dict[int, _Forward] = {}
         self._heard_ms_by_id: dict[str, int] = {}
         self._heard_ms: int | None = None
@@ -85,7 +87,7 @@
                 self._on_failed(probe, now_ms)
         for host_id in self._state.suspicions.due(now_ms):
             self._on_suspicion_due(host_id, now_ms)
-        self._state.rejoin_if_due(now_ms)
+        self._merger.rejoin_if_due(now_ms)
         if now_ms >= self._next_probe_ms:
             self._next_probe_ms = now_ms + settings.probe_interval_ms
             self._probe_next(now_ms)
@@ -243,7 +245,7 @@
     ) -> None:
         """Changes the state of a host and passes it on."""
         changed = dataclasses.replace(entry, state=member_state)
-        self._state.merge_member(changed, now_ms, is_remote=False)
+        self._merger.merge_member(changed, now_ms, is_remote=False)
 
     def _with_doubt(
         self, message: data.GossipMessage, target: data.MemberEntry
--- a/packages/core/sapphire_core/membership/fact_table.py
+++ b/packages/core/sapphire_core/membership/fact_table.py
@@ -6,6 +6,7 @@
 import xxhash
 
 from sapphire_core.membership import data
+from sapphire_core.membership import fact_scope
 from sapphire_core.membership import failures
 from sapphire_core.membership import message_size
 
@@ -25,7 +26,7 @@
     """The facts that a host knows.
 
     Attributes:
-        digest: The digest of the facts that do not expire.
+        digest: The digest of the facts that are for all and do not expire.
     """
 
     def __init__(self) -> None:
@@ -44,20 +45,12 @@
         Returns:
             Whether it was new here, or why it cannot be held.
         """
-        size = message_size.fact_bytes(fact)
-        if size > MAX_FACT_BYTES:
-            return expression.Error(
-                failures.FactTooLarge(
-                    key=fact.key, size=size, limit=MAX_FACT_BYTES
-                )
-            )
+        failure = self.check(fact)
+        if failure is not None:
+            return expression.Error(failure)
         held = self._held_by_key.get(fact.key)
         if held is not None and not _is_newer(fact, held.fact):
             return expression.Ok(False)
-        if held is None and len(self._held_by_key) >= MAX_FACTS:
-            return expression.Error(
-                failures.TooManyFacts(key=fact.key, limit=MAX_FACTS)
-            )
         if held is not None:
             self._apply_digest(held.fact)
         expires_ms = now_ms + fact.ttl_ms if fact.ttl_ms else None
@@ -65,6 +58,20 @@
         self._apply_digest(fact)
         return expression.Ok(True)
 
+    def check(self, fact: data.FactEntry) -> failures.MembershipFailure | None:
+        """Returns why a fact cannot be held, or None.
+
+        Args:
+            fact: The fact.
+        """
+        size = message_size.fact_bytes(fact)
+        if size > MAX_FACT_BYTES:
+            return failures.FactTooLarge(fact.key, size, MAX_FACT_BYTES)
+        is_known = fact.key in self._held_by_key
+        if not is_known and len(self._held_by_key) >= MAX_FACTS:
+            return failures.TooManyFacts(fact.key, MAX_FACTS)
+        return None
+
     def expire(self, now_ms: int) -> None:
         """Forgets the facts whose time is over.
 
@@ -107,7 +114,8 @@
 
     def _apply_digest(self, fact: data.FactEntry) -> None:
         """Adds a fact to the digest, or removes one that was added."""
-        if fact.ttl_ms:
+        scope = fact_scope.scope_of(fact.key)
+        if fact.ttl_ms or scope is not fact_scope.Scope.GLOBAL:
             return
         digest = xxhash.xxh64()
         digest.update(fact.key.encode())
--- a/packages/core/sapphire_core/membership/failures.py
+++ b/packages/core/sapphire_core/membership/failures.py
@@ -51,6 +51,17 @@
     limit: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReservedKey(MembershipFailure):
+    """A key with a prefix that the membership keeps for its own facts.
+
+    Attributes:
+        key: The name of the fact.
+    """
+
+    key: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StaleFact(MembershipFailure):
     """A local fact whose version is not newer than the known one.
--- a/packages/core/sapphire_core/membership/membership.py
+++ b/packages/core/sapphire_core/membership/membership.py
@@ -8,13 +8,16 @@
 
 from sapphire_core.membership import data
 from sapphire_core.membership import detector
+from sapphire_core.membership import fact_scope
 from sapphire_core.membership import fact_table
 from sapphire_core.membership import failures
 from sapphire_core.membership import freshness
+from sapphire_core.membership import merging
 from sapphire_core.membership import outbox
 from sapphire_core.membership import prepared
 from sapphire_core.membership import reachability
 from sapphire_core.membership import roster
+from sapphire_core.membership import spreading
 from sapphire_core.membership import state
 from sapphire_core.membership import suspicion
 from sapphire_core.membership import synchroniser
@@ -74,7 +77,9 @@
             suspicions=suspicion.Suspicions(settings.suspicion_ms),
             seeds=tuple(seeds),
         )
-        self._detector = detector.Detector(self._state)
+        self._merger = merging.Merger(self._state)
+        self._detector = detector.Detector(self._state, self._merger)
+        self._spreader = spreading.Spreader(self._state)
         self._synchroniser = synchroniser.Synchroniser(self._state)
         self._views = view_builder.ViewBuilder(self._state)
         self._last_event_ms: int | None = None
@@ -106,17 +111,17 @@
             return self._finish(now_ms)
         is_remote = current.is_remote(origin)
         is_sync = message.kind is data.MessageKind.SYNC_PAGE
-        current.merge_member(
+        self._merger.merge_member(
             origin, now_ms, is_remote=is_remote, is_direct=True
         )
         for entry in message.members:
-            current.merge_member(
+            self._merger.merge_member(
                 entry, now_ms, is_remote=is_remote, is_sync=is_sync
             )
         for fact in message.facts:
-            current.merge_fact(fact, now_ms, is_remote=is_remote)
+            self._merger.merge_fact(fact, now_ms, is_remote=is_remote)
         if not is_remote:
-            current.merge_prepared(message.prepared, now_ms)
+            self._merger.merge_prepared(message.prepared, now_ms)
         self._detector.on_message(message, now_ms)
         self._synchroniser.on_message(message, now_ms)
         return self._finish(now_ms)
@@ -133,11 +138,10 @@
         self._notice_pause(now_ms)
         self._detector.tick(now_ms)
         self._synchroniser.tick(now_ms)
-        self._state.push_news(now_ms)
-        self._state.push_prepared(now_ms)
+        self._spreader.push(now_ms)
         if now_ms - self._housekeeping_ms >= HOUSEKEEPING_INTERVAL_MS:
             self._housekeeping_ms = now_ms
-            self._state.forget_old(now_ms)
+            self._forget_old(now_ms)
         return self._finish(now_ms)
 
     def set_host_list(
@@ -174,18 +178,19 @@
             The actions to carry out, or why the fact is not held.
         """
         current = self._state
-        fact = data.FactEntry(key, version, value, ttl_ms)
-        merged = current.facts.merge(fact, now_ms)
-        if merged.is_error():
-            return expression.Error(merged.error)
-        if not merged.ok:
-            known = current.facts.get(key, now_ms)
-            known_version = known.version if known is not None else version
+        if fact_scope.scope_of(key) is not fact_scope.Scope.GLOBAL:
+            return expression.Error(failures.ReservedKey(key))
+        known = current.facts.get(key, now_ms)
+        if known is not None and known.version >= version:
             return expression.Error(
-                failures.StaleFact(key, version, known_version)
+                failures.StaleFact(key, version, known.version)
             )
-        current.note_fact(fact, is_remote=False)
-        current.push_news(now_ms)
+        fact = data.FactEntry(key, version, value, ttl_ms)
+        failure = current.facts.check(fact)
+        if failure is not None:
+            return expression.Error(failure)
+        self._merger.merge_fact(fact, now_ms, is_remote=False)
+        self._spreader.push(now_ms)
         return expression.Ok(self._finish(now_ms))
 
     def facts(self, now_ms: int) -> dict[str, data.FactEntry]:
@@ -194,7 +199,11 @@
         Args:
             now_ms: The time in milliseconds.
         """
-        return {fact.key: fact for fact in self._state.facts.facts(now_ms)}
+        return {
+            fact.key: fact
+            for fact in self._state.facts.facts(now_ms)
+            if fact_scope.scope_of(fact.key) is fact_scope.Scope.GLOBAL
+        }
 
     def set_prepared_revision(
         self, revision: int, now_ms: int
@@ -210,8 +219,8 @@
         """
         current = self._state
         if current.prepared.set_own(revision):
-            current.note_complete(now_ms)
-            current.push_prepared(now_ms)
+            self._merger.state_barrier(now_ms)
+            self._spreader.push(now_ms)
         return self._finish(now_ms)
 
     def leave(self, now_ms: int) -> tuple[data.Action, ...]:
@@ -226,7 +235,7 @@
         current = self._state
         if current.own.state is records.MemberState.LEAVING:
             return self._finish(now_ms)
-        current.replace_own(
+        self._merger.replace_own(
             dataclasses.replace(
                 current.own,
                 incarnation=current.own.incarnation + 1,
@@ -234,7 +243,7 @@
             ),
             now_ms,
         )
-        current.push_news(now_ms)
+        self._spreader.push(now_ms)
         return self._finish(now_ms)
 
     def view(self) -> records.MemberView:
@@ -259,6 +268,12 @@
         """Returns the relays of the own data centre."""
         return tuple(self._state.relays(self._state.own.host.data_centre))
 
+    def _forget_old(self, now_ms: int) -> None:
+        """Forgets old deaths and expired facts."""
+        retention_ms = self._state.settings.dead_retention_ms
+        self._state.hosts.forget_dead(now_ms - retention_ms)
+        self._state.facts.expire(now_ms)
+
     def _notice_pause(self, now_ms: int) -> None:
         """Drops what a pause of this process made unreliable."""
         last_ms = self._last_event_ms
--- a/packages/core/sapphire_core/membership/message_size.py
+++ b/packages/core/sapphire_core/membership/message_size.py
@@ -1,44 +1,59 @@
 """Upper bounds of the encoded size of messages, without encoding them.
 
-The core knows no codec, but it must fill messages up to a limit. Each constant
-is the most that the compact protocol needs for the fixed fields of a record.
+The core knows no codec, but it must fill messages up to a limit. The bounds
+follow the compact protocol: a byte for each field and its type, numbers in
+groups of seven bits, and a length before each string and list.
 """
 
 from sapphire_core.membership import data
 
-# A header byte and a varint of ten bytes for each number, a length for each
-# string and the stop byte.
-_MEMBER_FIXED_BYTES = 52
-_FACT_FIXED_BYTES = 32
-_PREPARED_FIXED_BYTES = 32
-_MESSAGE_FIXED_BYTES = 64
+_FIELD_BYTES = 1
+_STOP_BYTES = 1
+_LIST_BYTES = 4
 _DIGEST_BYTES = 10
+_SMALL_NUMBER_BYTES = 2
+_IPV4_BYTES = 4
+_IPV6_BYTES = 16
 
-# Sealing, UDP and IPv4 headers of a datagram, for the accounting of rates.
+# The sealing fields besides the body, and the headers of UDP and IPv4.
 DATAGRAM_OVERHEAD_BYTES = 110
 
 
 def member_bytes(entry: data.MemberEntry) -> int:
     """Returns an upper bound of the encoded size of an entry about a host."""
     host = entry.host
-    strings = len(host.host_id.encode()) + len(host.data_centre.encode())
-    return _MEMBER_FIXED_BYTES + strings + len(host.address)
+    size = _text_bytes(host.host_id) + _text_bytes(host.data_centre)
+    address_bytes = _IPV4_BYTES if ":" not in host.address else _IPV6_BYTES
+    size += _FIELD_BYTES + 1 + address_bytes
+    size += _number_bytes(host.control_port) + _number_bytes(host.api_port)
+    size += _number_bytes(entry.incarnation)
+    size += _FIELD_BYTES + _SMALL_NUMBER_BYTES
+    return size + _STOP_BYTES
 
 
 def fact_bytes(fact: data.FactEntry) -> int:
     """Returns an upper bound of the encoded size of a fact."""
-    return _FACT_FIXED_BYTES + len(fact.key.encode()) + len(fact.value)
+    size = _text_bytes(fact.key) + _number_bytes(fact.version)
+    size += _FIELD_BYTES + _SMALL_NUMBER_BYTES + len(fact.value)
+    return size + _number_bytes(fact.ttl_ms) + _STOP_BYTES
 
 
 def prepared_bytes(entry: data.PreparedEntry) -> int:
     """Returns an upper bound of the encoded size of a prepared entry."""
-    return _PREPARED_FIXED_BYTES + len(entry.bits)
+    size = _number_bytes(entry.revision) + _FIELD_BYTES + _DIGEST_BYTES
+    size += _FIELD_BYTES + _SMALL_NUMBER_BYTES + len(entry.bits)
+    return size + _STOP_BYTES
 
 
 def message_bytes(message: data.GossipMessage) -> int:
     """Returns an upper bound of the encoded size of a message."""
-    size = _MESSAGE_FIXED_BYTES + member_bytes(message.origin)
-    size += len(message.subject.encode())
+    size = _FIELD_BYTES + _SMALL_NUMBER_BYTES
+    size += _number_bytes(message.number)
+    size += _FIELD_BYTES + member_bytes(message.origin)
+    size += _text_bytes(message.subject)
+    size += _FIELD_BYTES + _DIGEST_BYTES
+    size += 4 * _LIST_BYTES
+    size += _number_bytes(abs(message.cursor))
     size += _DIGEST_BYTES * len(message.bucket_digests)
     for member in message.members:
         size += member_bytes(member)
@@ -46,4 +61,14 @@
         size += fact_bytes(fact)
     for prepared in message.prepared:
         size += prepared_bytes(prepared)
-    return size
+    return size + _STOP_BYTES
+
+
+def _text_bytes(text: str) -> int:
+    """Returns the bytes of a string field; strings are below 16,384 bytes."""
+    return _FIELD_BYTES + _SMALL_NUMBER_BYTES + len(text.encode())
+
+
+def _number_bytes(number: int) -> int:
+    """Returns the bytes of a number field in zigzag groups of seven bits."""
+    return _FIELD_BYTES + max(1, ((number << 1).bit_length() + 6) // 7)
--- a/packages/core/sapphire_core/membership/outbox.py
+++ b/packages/core/sapphire_core/membership/outbox.py
@@ -3,11 +3,11 @@
 from collections.abc import Callable
 
 from sapphire_core.membership import data
+from sapphire_core.membership import fact_scope
 from sapphire_core.membership import fact_table
 from sapphire_core.membership import message_size
 from sapphire_core.membership import news
 from sapphire_core.membership import rate_limit
-from sapphire_core.membership import reachability
 from sapphire_core.membership import roster
 from sapphire_data import records
 
@@ -117,18 +117,21 @@
         room = self._settings.max_message_bytes
         room -= message_size.message_bytes(message)
         is_local = target.data_centre == self._own_data_centre
-        size_of = self._size_of_local(now_ms)
+        size_of = self._size_of(now_ms, is_local)
         if not is_local:
             size_of = self._size_of_remote(now_ms, hot_only)
         return self.news.pick(room, size_of, hot_only)
 
-    def _size_of_local(
-        self, now_ms: int
+    def _size_of(
+        self, now_ms: int, is_local: bool
     ) -> Callable[[news.NewsKey], int | None]:
-        """Returns the sizes of news for the own data centre."""
+        """Returns the sizes of news, None for what is not for the receiver."""
 
         def size_of(key: news.NewsKey) -> int | None:
             if key.kind is news.NewsKind.FACT:
+                scope = fact_scope.scope_of(key.name)
+                if is_local and scope is fact_scope.Scope.RELAY:
+                    return None
                 fact = self._facts.get(key.name, now_ms)
                 return message_size.fact_bytes(fact) if fact else None
             entry = self._hosts.entries_by_id.get(key.name)
@@ -144,13 +147,14 @@
         What came from another data centre is not pushed to a third, which
         has it from the first; probes carry it, for cuts between pairs.
         """
-        local = self._size_of_local(now_ms)
+        local = self._size_of(now_ms, is_local=False)
 
         def size_of(key: news.NewsKey) -> int | None:
             if is_push and self.news.is_remote(key):
                 return None
             if key.kind is news.NewsKind.FACT:
-                if key.name.startswith(reachability.KEY_PREFIX):
+                scope = fact_scope.scope_of(key.name)
+                if scope is fact_scope.Scope.LOCAL:
                     return None
                 return local(key)
             entry = self._hosts.entries_by_id.get(key.name)
--- a/packages/core/sapphire_core/membership/reachability.py
+++ b/packages/core/sapphire_core/membership/reachability.py
@@ -5,12 +5,11 @@
 members of the other one out of their view, without declaring them dead.
 """
 
-from collections.abc import Mapping
 import dataclasses
 
 from sapphire_core.membership import data
+from sapphire_core.membership import fact_scope
 
-KEY_PREFIX = "reach/"
 _UP = b"up:"
 _DOWN = b"down:"
 
@@ -40,7 +39,7 @@
     def __init__(self, own_id: str, data_centre: str) -> None:
         self.unreachable: frozenset[str] = frozenset()
         self._own_id = own_id
-        self._prefix = f"{KEY_PREFIX}{data_centre}/"
+        self._prefix = fact_scope.reach_prefix(data_centre)
         self._statements_by_data_centre: dict[str, Statement] = {}
         self._answered_ms_by_data_centre: dict[str, int] = {}
         self._watched_ms_by_data_centre: dict[str, int] = {}
@@ -148,19 +147,3 @@
             version=version,
             value=value + self._own_id.encode(),
         )
-
-
-def prepared_key(data_centre: str) -> str:
-    """Returns the key of the revision that a data centre has prepared."""
-    return f"prepared/{data_centre}"
-
-
-def prepared_everywhere(
-    revisions_by_data_centre: Mapping[str, int],
-) -> int:
-    """Returns the revision that all given data centres have prepared.
-
-    Args:
-        revisions_by_data_centre: The revision of each one in reach.
-    """
-    return min(revisions_by_data_centre.values(), default=0)
--- a/packages/core/sapphire_core/membership/roster.py
+++ b/packages/core/sapphire_core/membership/roster.py
@@ -18,19 +18,6 @@
 }
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Change:
-    """A host whose entry was replaced.
-
-    Attributes:
-        entry: The new entry.
-        previous: The state before, or None for a host that was not known.
-    """
-
-    entry: data.MemberEntry
-    previous: records.MemberState | None
-
-
 class Roster:
     """All hosts that are known, the dead included while remembered.
 
@@ -40,6 +27,7 @@
         live_ids_by_data_centre: The hosts that are not dead.
         digest: The digest of all entries that are not dead.
         revision: Increases with each change.
+        revision_by_data_centre: The revision of the last change in each.
     """
 
     def __init__(self) -> None:
@@ -48,6 +36,7 @@
         self.live_ids_by_data_centre: dict[str, set[str]] = {}
         self.digest = 0
         self.revision = 0
+        self.revision_by_data_centre: dict[str, int] = {}
         self._ids_by_endpoint: dict[tuple[str, int], str] = {}
         self._bucket_digests = [0] * BUCKET_COUNT
         self._ids_by_bucket: list[set[str]] = [
@@ -57,7 +46,7 @@
 
     def merge(
         self, entry: data.MemberEntry, now_ms: int, is_direct: bool = False
-    ) -> list[Change]:
+    ) -> list[data.MemberEntry]:
         """Merges a statement about a host.
 
         Args:
@@ -66,14 +55,15 @@
             is_direct: Whether the host itself sent it just now.
 
         Returns:
-            The changes, the host that it replaced at its address included.
+            The entries that changed, with that of the host that it replaced
+            at its address.
         """
         known = self.entries_by_id.get(entry.host.host_id)
         if known is None:
             return self._add(entry, now_ms, is_direct)
         if not replaces(entry, known):
             return []
-        return [self._replace(entry, known.state, now_ms)]
+        return [self._replace(entry, now_ms)]
 
     def forget_dead(self, before_ms: int) -> None:
         """Forgets the hosts that have been dead since before a time.
@@ -114,11 +104,11 @@
 
     def _add(
         self, entry: data.MemberEntry, now_ms: int, is_direct: bool
-    ) -> list[Change]:
+    ) -> list[data.MemberEntry]:
         """Adds an unknown host, unless a newer one has its address."""
         endpoint = (entry.host.address, entry.host.control_port)
         holder_id = self.id_at(*endpoint)
-        changes: list[Change] = []
+        changes: list[data.MemberEntry] = []
         if entry.state is records.MemberState.DEAD:
             # Deaths of unknown hosts are not kept: hosts that join would
             # otherwise pass them on for ever.
@@ -129,22 +119,19 @@
                 dead = dataclasses.replace(
                     holder, state=records.MemberState.DEAD
                 )
-                changes.append(self._replace(dead, holder.state, now_ms))
+                changes.append(self._replace(dead, now_ms))
             else:
                 entry = dataclasses.replace(
                     entry, state=records.MemberState.DEAD
                 )
-                changes.append(self._replace(entry, None, now_ms))
+                changes.append(self._replace(entry, now_ms))
                 return changes
-        changes.append(self._replace(entry, None, now_ms))
+        changes.append(self._replace(entry, now_ms))
         return changes
 
     def _replace(
-        self,
-        entry: data.MemberEntry,
-        previous: records.MemberState | None,
-        now_ms: int,
-    ) -> Change:
+        self, entry: data.MemberEntry, now_ms: int
+    ) -> data.MemberEntry:
         """Puts an entry in place and keeps the indexes and digests."""
         host_id = entry.host.host_id
         old = self.entries_by_id.get(host_id)
@@ -166,7 +153,8 @@
             endpoint = (entry.host.address, entry.host.control_port)
             self._ids_by_endpoint[endpoint] = host_id
         self.revision += 1
-        return Change(entry=entry, previous=previous)
+        self.revision_by_data_centre[entry.host.data_centre] = self.revision
+        return entry
 
     def _remove(self, host_id: str) -> None:
         """Forgets a dead host."""
--- a/packages/core/sapphire_core/membership/sync.py
+++ b/packages/core/sapphire_core/membership/sync.py
@@ -3,9 +3,10 @@
 import dataclasses
 
 from sapphire_core.membership import data
-from sapphire_core.membership import fact_table
+from sapphire_core.membership import fact_scope
 from sapphire_core.membership import message_size
 from sapphire_core.membership import roster
+from sapphire_core.membership import state
 
 END_OF_STATE = -1
 
@@ -31,8 +32,7 @@
 
 
 def page(
-    hosts: roster.Roster,
-    facts: fact_table.FactTable,
+    shared: state.State,
     request: data.GossipMessage,
     budget_bytes: int,
     now_ms: int,
@@ -43,8 +43,7 @@
     digests differ.
 
     Args:
-        hosts: The known hosts.
-        facts: The known facts.
+        shared: The state.
         request: The request with its cursor and digests.
         budget_bytes: The room in the message.
         now_ms: The time in milliseconds.
@@ -52,7 +51,8 @@
     Returns:
         The entries about hosts, the facts, and the cursor of the next page.
     """
-    fact_list = facts.facts(now_ms)
+    hosts = shared.hosts
+    fact_list = _facts_for(shared, request.origin, now_ms)
     host_ids = _differing_ids(hosts, request.bucket_digests)
     end = len(fact_list) + len(host_ids)
     position = max(0, request.cursor)
@@ -78,6 +78,20 @@
     return tuple(page_members), tuple(page_facts), cursor
 
 
+def _facts_for(
+    shared: state.State, asker: data.MemberEntry, now_ms: int
+) -> list[data.FactEntry]:
+    """Returns the facts that the asking host may have."""
+    scopes = [fact_scope.Scope.GLOBAL]
+    if not shared.is_remote(asker):
+        scopes.append(fact_scope.Scope.LOCAL)
+    return [
+        fact
+        for fact in shared.facts.facts(now_ms)
+        if fact_scope.scope_of(fact.key) in scopes
+    ]
+
+
 def _differing_ids(
     hosts: roster.Roster, bucket_digests: tuple[int, ...]
 ) -> list[str]:
--- a/packages/core/sapphire_core/membership/synchroniser.py
+++ b/packages/core/sapphire_core/membership/synchroniser.py
@@ -138,9 +138,7 @@
         page = shared.message(data.MessageKind.SYNC_PAGE, message.number)
         room = shared.settings.max_message_bytes
         room -= message_size.message_bytes(page)
-        members, facts, cursor = sync.page(
-            shared.hosts, shared.facts, message, room, now_ms
-        )
+        members, facts, cursor = sync.page(shared, message, room, now_ms)
         page = dataclasses.replace(
             page, members=members, facts=facts, cursor=cursor
         )
--- a/packages/core/sapphire_core/membership/view_builder.py
+++ b/packages/core/sapphire_core/membership/view_builder.py
@@ -2,7 +2,7 @@
 
 import types
 
-from sapphire_core.membership import reachability
+from sapphire_core.membership import barrier
 from sapphire_core.membership import state
 from sapphire_data import records
 
@@ -13,6 +13,9 @@
     def __init__(self, shared: state.State) -> None:
         self._state = shared
         self._built: tuple[object, ...] = ()
+        self._cache_by_data_centre: dict[
+            str, tuple[tuple[int, int], dict[str, records.Member]]
+        ] = {}
 
     def is_fresh(self, now_ms: int) -> bool:
         """Returns whether peers confirmed this host recently enough.
@@ -21,7 +24,7 @@
             now_ms: The time in milliseconds.
         """
         current = self._state
-        if current.rejoin_ms is not None:
+        if current.is_declared_dead:
             return False
         return current.freshness.is_fresh(current.has_listed_peers(), now_ms)
 
@@ -41,41 +44,43 @@
         """
         current = self._state
         self._built = self._fingerprint(now_ms)
-        revisions = self._revisions(now_ms)
-        own_data_centre = current.own.host.data_centre
-        members_by_id: dict[str, records.Member] = {}
-        for name, prepared_revision in revisions.items():
-            is_local = name == own_data_centre
-            for host_id in current.hosts.live_ids(name):
-                entry = current.hosts.entries_by_id[host_id]
-                revision = prepared_revision
-                if is_local:
-                    revision = current.prepared.revision_of(host_id)
-                members_by_id[host_id] = records.Member(
-                    host=entry.host,
-                    incarnation=entry.incarnation,
-                    state=entry.state,
-                    prepared_revision=revision,
-                    since_ms=current.hosts.since_ms_by_id[host_id],
-                )
+        everywhere = barrier.prepared_everywhere(current, now_ms)
+        members_by_id = dict(self._members(current.own.host.data_centre, 0))
+        for name in current.reachable_data_centres():
+            members_by_id.update(self._members(name, everywhere))
         return records.MemberView(
             members_by_id=types.MappingProxyType(members_by_id),
             is_fresh=self.is_fresh(now_ms),
-            prepared_everywhere=reachability.prepared_everywhere(revisions),
+            prepared_everywhere=everywhere,
         )
 
-    def _revisions(self, now_ms: int) -> dict[str, int]:
-        """Returns what each data centre in reach has prepared."""
+    def _members(
+        self, data_centre: str, everywhere: int
+    ) -> dict[str, records.Member]:
+        """Returns the members of a data centre, built again if changed."""
         current = self._state
-        own_data_centre = current.own.host.data_centre
-        revisions = {own_data_centre: current.prepared.complete_revision}
-        for name in current.other_data_centres():
-            if name in current.reachability.unreachable:
-                continue
-            key = reachability.prepared_key(name)
-            fact = current.facts.get(key, now_ms)
-            revisions[name] = fact.version if fact is not None else 0
-        return revisions
+        is_local = data_centre == current.own.host.data_centre
+        if is_local:
+            everywhere = current.prepared.complete_revision
+        key = (current.hosts.revision_by_data_centre[data_centre], everywhere)
+        cached = self._cache_by_data_centre.get(data_centre)
+        if cached is not None and cached[0] == key:
+            return cached[1]
+        members_by_id: dict[str, records.Member] = {}
+        for host_id in current.hosts.live_ids(data_centre):
+            entry = current.hosts.entries_by_id[host_id]
+            revision = everywhere
+            if is_local:
+                revision = current.prepared.revision_of(host_id)
+            members_by_id[host_id] = records.Member(
+                host=entry.host,
+                incarnation=entry.incarnation,
+                state=entry.state,
+                prepared_revision=revision,
+                since_ms=current.hosts.since_ms_by_id[host_id],
+            )
+        self._cache_by_data_centre[data_centre] = (key, members_by_id)
+        return members_by_id
 
     def _fingerprint(self, now_ms: int) -> tuple[object, ...]:
         """Returns what the view is built from, cheap to compare."""
@@ -83,6 +88,7 @@
         return (
             current.hosts.revision,
             current.reachability.unreachable,
-            tuple(self._revisions(now_ms).items()),
+            current.prepared.complete_revision,
+            barrier.prepared_everywhere(current, now_ms),
             self.is_fresh(now_ms),
         )
