Facts pass before changed hosts; news that peers know is pushed less; digests by data centre

Cause: after 225 hosts had started at once, the queue of changed hosts used up the allowance for news, and a configuration head was not known to all hosts after 6,000 ms; hosts of a data centre that all lacked the same news never compared with another; and news that no receiver may get was kept for ever.

--- a/packages/core/sapphire_core/membership/contacts.py
+++ b/packages/core/sapphire_core/membership/contacts.py
@@ -9,6 +9,7 @@
 
 _JOIN_INTERVAL_MS = 500
 _JOIN_CONTACTS = 3
+_LOST_ROUNDS = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -60,12 +61,19 @@
         statements = current.reachability.judge(
             current.other_data_centres(),
             current.relays(own_data_centre),
-            current.settings.unreachable_ms,
+            self._unreachable_ms(),
             now_ms,
         )
         for fact in statements:
             self._merger.merge_fact(fact, now_ms, is_remote=False)
 
+    def _unreachable_ms(self) -> int:
+        """Returns the silence that tells a cut from a few lost messages."""
+        settings = self._state.settings
+        count = len(self._state.other_data_centres())
+        round_ms = count * settings.relay_probe_interval_ms
+        return max(settings.unreachable_ms, _LOST_ROUNDS * round_ms)
+
     def _due_relay(self, now_ms: int) -> list[Contact]:
         """Returns the next host of another data centre."""
         current = self._state
@@ -80,7 +88,7 @@
         relay_ids = current.relays(name)
         answered_ms = current.reachability.last_answer_ms(name)
         is_silent = answered_ms is None or (
-            now_ms - answered_ms > settings.unreachable_ms // 2
+            now_ms - answered_ms > self._unreachable_ms() // 2
         )
         if relay_ids and not (is_silent and turn % 2):
             host_id = relay_ids[turn % len(relay_ids)]
--- a/packages/core/sapphire_core/membership/detector.py
+++ b/packages/core/sapphire_core/membership/detector.py
@@ -4,6 +4,7 @@
 
 from sapphire_core.membership import contacts
 from sapphire_core.membership import data
+from sapphire_core.membership import fact_scope
 from sapphire_core.membership import merging
 from sapphire_core.membership import probing
 from sapphire_core.membership import state
@@ -124,6 +125,8 @@
         """Sends a probe that tells the target of a doubt about it."""
         message = self._state.message(data.MessageKind.PING, probe.number)
         message = self._with_doubt(message, target)
+        if self._state.is_remote(target):
+            message = self._with_relayed(message, now_ms)
         self._state.outbox.send(target.host, message, now_ms)
 
     def _answer(self, message: data.GossipMessage, now_ms: int) -> None:
@@ -247,6 +250,20 @@
         changed = dataclasses.replace(entry, state=member_state)
         self._merger.merge_member(changed, now_ms, is_remote=False)
 
+    def _with_relayed(
+        self, message: data.GossipMessage, now_ms: int
+    ) -> data.GossipMessage:
+        """Adds what the own data centre has prepared.
+
+        A host that has just become a relay elsewhere learns it by this.
+        """
+        own_data_centre = self._state.own.host.data_centre
+        key = fact_scope.relayed_key(own_data_centre)
+        fact = self._state.facts.get(key, now_ms)
+        if fact is None:
+            return message
+        return dataclasses.replace(message, facts=(fact,))
+
     def _with_doubt(
         self, message: data.GossipMessage, target: data.MemberEntry
     ) -> data.GossipMessage:
--- a/packages/core/sapphire_core/membership/merging.py
+++ b/packages/core/sapphire_core/membership/merging.py
@@ -47,6 +47,8 @@
             self._refute(entry, now_ms)
             return
         changes = current.hosts.merge(entry, now_ms, is_direct)
+        if not changes and not is_direct and not is_remote:
+            self._hear_member(entry)
         for change in changes:
             self._on_roster_change(change, now_ms)
             if is_sync and not current.freshness.is_joined:
@@ -72,6 +74,7 @@
             current.outbox.add(data.Rejected(merged.error))
             return
         if not merged.ok:
+            self._hear_fact(fact, is_remote, now_ms)
             return
         current.outbox.add_fact_news(fact.key, is_remote)
         if fact_scope.scope_of(fact.key) is fact_scope.Scope.GLOBAL:
@@ -133,6 +136,24 @@
         self._state.is_declared_dead = False
         self._raise_incarnation(self._state.own.incarnation, now_ms)
 
+    def _hear_fact(
+        self, fact: data.FactEntry, is_remote: bool, now_ms: int
+    ) -> None:
+        """Notes that a peer knows the same fact.
+
+        What another data centre knows says nothing of the own one.
+        """
+        known = self._state.facts.get(fact.key, now_ms)
+        if is_remote or known is None or known.version != fact.version:
+            return
+        self._state.outbox.hear_fact(fact.key)
+
+    def _hear_member(self, entry: data.MemberEntry) -> None:
+        """Notes that another host knows the same of a host."""
+        host_id = entry.host.host_id
+        if self._state.hosts.entries_by_id.get(host_id) == entry:
+            self._state.outbox.hear_member(host_id)
+
     def _refute(self, entry: data.MemberEntry, now_ms: int) -> None:
         """Contradicts a wrong statement about this host."""
         own = self._state.own
--- a/packages/core/sapphire_core/membership/news.py
+++ b/packages/core/sapphire_core/membership/news.py
@@ -32,6 +32,7 @@
     transmissions: int
     pushes_left: int
     is_remote: bool
+    was_pushed: bool = False
 
 
 class NewsQueue:
@@ -61,35 +62,73 @@
         self._items_by_key[key] = _Item(0, self._push_rounds, is_remote)
         self._hot_keys[key] = None
 
-    def is_remote(self, key: NewsKey) -> bool:
-        """Returns whether another data centre told a piece of news.
+    def hear(self, key: NewsKey) -> None:
+        """Counts that another host passed on the same piece of news.
+
+        What others know already is soon known to all, so it is pushed less
+        often from here. Probes still carry it as often as before.
+
+        Args:
+            key: Its subject.
+        """
+        item = self._items_by_key.get(key)
+        if item is None:
+            return
+        item.pushes_left -= 1
+        if item.pushes_left <= 0:
+            self._hot_keys.pop(key, None)
+
+    def hot_keys(self) -> list[NewsKey]:
+        """Returns the subjects that still have to be pushed."""
+        return list(self._hot_keys)
+
+    def is_pushed_abroad(self, key: NewsKey) -> bool:
+        """Returns whether news is due to be pushed to other data centres.
+
+        What came from another data centre is not pushed to a third, which
+        has it from the first. One round is enough, since each of the relays
+        goes another way.
 
         Args:
             key: Its subject.
         """
         item = self._items_by_key.get(key)
-        return item is not None and item.is_remote
+        return item is not None and not (item.is_remote or item.was_pushed)
 
     def pick(
         self,
         budget_bytes: int,
         size_of: Callable[[NewsKey], int | None],
         hot_only: bool = False,
+        facts_only: bool = False,
     ) -> list[NewsKey]:
-        """Picks the news of one message, the least passed on first.
+        """Picks the news of one message.
+
+        Facts go first: a backlog of changed hosts, as after the loss or the
+        return of a data centre, must not delay a configuration. Among equals
+        the least passed on goes first, and the newest among those.
 
         Args:
             budget_bytes: The room in the message.
             size_of: The size of a piece of news, or None if it does not go
                 to this receiver.
             hot_only: Whether to pick only news that has to be pushed.
+            facts_only: Whether to leave out changed hosts.
 
         Returns:
             The subjects that fit.
         """
         items = self._items_by_key
         keys = list(self._hot_keys) if hot_only else list(items)
-        keys.sort(key=lambda key: items[key].transmissions)
+        keys.reverse()
+        if facts_only:
+            keys = [key for key in keys if key.kind is NewsKind.FACT]
+        keys.sort(
+            key=lambda key: (
+                key.kind is NewsKind.MEMBER,
+                items[key].transmissions,
+            )
+        )
         picked: list[NewsKey] = []
         for key in keys:
             size = size_of(key)
@@ -126,6 +165,7 @@
             if item is None:
                 self._hot_keys.pop(key, None)
                 continue
+            item.was_pushed = True
             item.pushes_left -= 1
             if item.pushes_left <= 0:
                 self._hot_keys.pop(key, None)
--- a/packages/core/sapphire_core/membership/outbox.py
+++ b/packages/core/sapphire_core/membership/outbox.py
@@ -11,6 +11,12 @@
 from sapphire_core.membership import roster
 from sapphire_data import records
 
+# Changed hosts wait when the allowance falls to this share; facts do not.
+_FACT_RESERVE_SHARE = 0.5
+_MIN_TRANSMISSIONS = 8
+_BACKLOG_ITEMS = 64
+_BACKLOG_TRANSMISSIONS = 2
+
 
 class Outbox:
     """Collects the actions of an event and the news that messages carry."""
@@ -52,6 +58,18 @@
         key = news.NewsKey(news.NewsKind.FACT, fact_key)
         self.news.add(key, is_remote)
 
+    def hear_member(self, host_id: str) -> None:
+        """Notes that another host knows the entry of a host as well."""
+        self.news.hear(news.NewsKey(news.NewsKind.MEMBER, host_id))
+
+    def hear_fact(self, fact_key: str) -> None:
+        """Notes that another host knows a fact as well."""
+        self.news.hear(news.NewsKey(news.NewsKind.FACT, fact_key))
+
+    def has_tokens(self, now_ms: int) -> bool:
+        """Returns whether the allowance for news is not used up."""
+        return self.rate.has_tokens(now_ms)
+
     def send_plain(
         self, address: str, port: int, message: data.GossipMessage
     ) -> None:
@@ -72,7 +90,7 @@
             now_ms: The time in milliseconds.
         """
         keys: list[news.NewsKey] = []
-        if len(self.news) and self.rate.has_tokens(now_ms):
+        if len(self.news) and self.has_tokens(now_ms):
             keys = self._pick(target, message, False, now_ms)
             plain_bytes = message_size.message_bytes(message)
             message = self._fill(message, keys, now_ms)
@@ -94,7 +112,7 @@
             message: The message without news.
             now_ms: The time in milliseconds.
         """
-        pushed: dict[news.NewsKey, None] = {}
+        pushed = dict.fromkeys(self._unsendable(targets, now_ms))
         for target in targets:
             keys = self._pick(target, message, True, now_ms)
             if not keys:
@@ -106,6 +124,22 @@
             pushed.update(dict.fromkeys(keys))
         self.news.end_push(list(pushed))
 
+    def _unsendable(
+        self, targets: list[records.HostAddress], now_ms: int
+    ) -> list[news.NewsKey]:
+        """Returns the news that is for none of the receivers."""
+        homes = {target.data_centre for target in targets}
+        sizes_of = []
+        if self._own_data_centre in homes:
+            sizes_of.append(self._size_of(now_ms, is_local=True))
+        if homes - {self._own_data_centre}:
+            sizes_of.append(self._size_of_remote(now_ms, is_push=True))
+        return [
+            key
+            for key in self.news.hot_keys()
+            if all(size_of(key) is None for size_of in sizes_of)
+        ]
+
     def _pick(
         self,
         target: records.HostAddress,
@@ -120,7 +154,8 @@
         size_of = self._size_of(now_ms, is_local)
         if not is_local:
             size_of = self._size_of_remote(now_ms, hot_only)
-        return self.news.pick(room, size_of, hot_only)
+        is_short = not self.rate.has_tokens(now_ms, _FACT_RESERVE_SHARE)
+        return self.news.pick(room, size_of, hot_only, facts_only=is_short)
 
     def _size_of(
         self, now_ms: int, is_local: bool
@@ -144,13 +179,12 @@
     ) -> Callable[[news.NewsKey], int | None]:
         """Returns the sizes of the news that concerns other data centres.
 
-        What came from another data centre is not pushed to a third, which
-        has it from the first; probes carry it, for cuts between pairs.
+        What is not pushed there is carried by probes, for cuts of pairs.
         """
         local = self._size_of(now_ms, is_local=False)
 
         def size_of(key: news.NewsKey) -> int | None:
-            if is_push and self.news.is_remote(key):
+            if is_push and not self.news.is_pushed_abroad(key):
                 return None
             if key.kind is news.NewsKind.FACT:
                 scope = fact_scope.scope_of(key.name)
@@ -194,7 +228,13 @@
         )
 
     def _transmission_limit(self) -> int:
-        """Returns how often news is passed on, by the size of the group."""
+        """Returns how often news is passed on, by the size of the group.
+
+        Under a backlog the exchange of differing buckets costs less than
+        passing on each change many times.
+        """
+        if len(self.news) > _BACKLOG_ITEMS:
+            return _BACKLOG_TRANSMISSIONS
         size = len(self._hosts.live_ids(self._own_data_centre))
         factor = self._settings.retransmit_factor
-        return factor * max(1, size.bit_length())
+        return max(_MIN_TRANSMISSIONS, factor * size.bit_length())
--- a/packages/core/sapphire_core/membership/synchroniser.py
+++ b/packages/core/sapphire_core/membership/synchroniser.py
@@ -22,7 +22,7 @@
         self._state = shared
         self._sync: sync.Sync | None = None
         self._last_number = 0
-        self._differs_since_ms: int | None = None
+        self._differs_since_ms_by_data_centre: dict[str, int] = {}
         self._page_rate = rate_limit.RateLimit(
             _PAGE_BYTES_PER_SECOND, _PAGE_BURST_BYTES
         )
@@ -66,15 +66,17 @@
         if not shared.freshness.is_joined:
             self._begin((), now_ms, message.origin)
             return
+        # A whole data centre may lack the same news, so that equal digests
+        # there say nothing of the digests of another.
+        since_ms_by_name = self._differs_since_ms_by_data_centre
+        data_centre = message.origin.host.data_centre
         if message.digest == shared.digest():
-            self._differs_since_ms = None
+            since_ms_by_name.pop(data_centre, None)
             return
-        if self._differs_since_ms is None:
-            self._differs_since_ms = now_ms
-        differs_ms = now_ms - self._differs_since_ms
-        if differs_ms < shared.settings.sync_interval_ms:
+        since_ms = since_ms_by_name.setdefault(data_centre, now_ms)
+        if now_ms - since_ms < shared.settings.sync_interval_ms:
             return
-        self._differs_since_ms = None
+        del since_ms_by_name[data_centre]
         self._begin(shared.hosts.bucket_digests(), now_ms, message.origin)
 
     def _begin(
