--- a/packages/lab/sapphire_lab/forward/builders.py
+++ b/packages/lab/sapphire_lab/forward/builders.py
@@ -1,8 +1,9 @@
 """Builders of a router with held flows, and of the packets of these."""
 
+from collections.abc import Sequence
 import socket
 
-from sapphire_core.flows import data as flow_data
+from sapphire_core.flows import bucket_table
 from sapphire_core.flows import router as flow_router
 from sapphire_data import clock
 from sapphire_data import records
@@ -136,19 +137,36 @@
     )
 
 
-def is_recorded(router: flow_router.Router, packet: bytes, now_ms: int) -> bool:
-    """Returns whether a flow's bucket is answered from the records.
+def moved_buckets() -> frozenset[int]:
+    """Returns the buckets whose owner changes with the second pool."""
+    before = _owners(UPSTREAMS)
+    after = _owners(UPSTREAMS + 1)
+    moved = set()
+    for bucket in range(BUCKETS):
+        if before[bucket] != after[bucket]:
+            moved.add(bucket)
+    return frozenset(moved)
+
+
+def read_fields(packet: bytes) -> ip_packet.PacketFields:
+    """Reads a packet that a builder made.
 
     Args:
-        router: The router.
-        packet: A packet of the flow.
-        now_ms: The time.
+        packet: The packet.
 
     Returns:
-        Whether the bucket of the flow is ambiguous.
+        Its fields.
     """
     fields = ip_packet.read(packet)
     assert isinstance(fields, ip_packet.PacketFields)
-    first = router.route(*fields, now_ms)
-    second = router.route(*fields, now_ms)
-    return isinstance(first, flow_data.Forward) and first is not second
+    return fields
+
+
+def _owners(upstreams: int) -> Sequence[int]:
+    """Returns the index of the owner of each bucket.
+
+    The names sort in the order of their numbers, so that indices of both
+    pools are comparable.
+    """
+    names = tuple(f"u{number}" for number in range(upstreams))
+    return bucket_table.owners("rota", BUCKETS, names)
--- a/packages/lab/sapphire_lab/forward/measure.py
+++ b/packages/lab/sapphire_lab/forward/measure.py
@@ -22,13 +22,13 @@
 from sapphire_lab.forward import builders
 from sapphire_node import forwarder
 from sapphire_node import messages
-from sapphire_wire import ip_packet
 from sapphire_wire import packet_builders
 
 HELD_FLOWS = 200_000
 PACKETS_PER_ROUND = 6_400
 ROUNDS = 9
 BATCH = 64
+FIRST_OPENING = 50_000_000
 LOOPBACK = "127.0.0.1"
 RECEIVE_BYTES = 2_048
 
@@ -95,50 +95,36 @@
     return len(packets) / elapsed_s
 
 
-def _held_flows(daemon: forwarder.Forwarder, now_ms: int) -> list[int]:
-    """Opens flows until enough are recorded; returns their numbers."""
-    held = []
-    number = 0
-    router = daemon.router
-    while len(held) < HELD_FLOWS:
-        packet = builders.build_packet(number, packet_builders.SYN)
-        if builders.is_recorded(router, packet, now_ms):
-            held.append(number)
-        number += 1
-    return held
-
-
-def _settled_flows(daemon: forwarder.Forwarder, now_ms: int) -> list[int]:
-    """Returns numbers of flows whose bucket is settled."""
-    settled = []
-    number = 0
-    while len(settled) < PACKETS_PER_ROUND:
+def _flows(count: int, first: int, *, is_moved: bool) -> list[int]:
+    """Returns numbers of flows in moved or in settled buckets."""
+    moved = builders.moved_buckets()
+    numbers: list[int] = []
+    number = first
+    while len(numbers) < count:
         packet = builders.build_packet(number, packet_builders.ACK)
-        if not builders.is_recorded(daemon.router, packet, now_ms):
-            settled.append(number)
+        fields = builders.read_fields(packet)
+        is_in_moved = fields.flow_hash % builders.BUCKETS in moved
+        if is_in_moved is is_moved:
+            numbers.append(number)
         number += 1
-    return settled
+    return numbers
 
 
-def _bytes_per_flow(daemon: forwarder.Forwarder, now_ms: int) -> float:
-    """Returns the memory that one more recorded flow takes."""
-    fields = []
-    number = 50_000_000
-    while len(fields) < HELD_FLOWS // 10:
-        packet = builders.build_packet(number, packet_builders.SYN)
-        number += 1
-        read = ip_packet.read(packet)
-        assert isinstance(read, ip_packet.PacketFields)
-        fields.append(read)
+def _open_flows(
+    daemon: forwarder.Forwarder, numbers: list[int], now_ms: int
+) -> float:
+    """Opens flows at the router; returns the memory that each takes."""
+    fields = [
+        builders.read_fields(builders.build_packet(number, packet_builders.SYN))
+        for number in numbers
+    ]
     tracemalloc.start()
     before = tracemalloc.get_traced_memory()[0]
-    recorded = 0
     for item in fields:
-        decision = daemon.router.route(*item, now_ms)
-        recorded += daemon.router.route(*item, now_ms) is not decision
+        daemon.router.route(*item, now_ms)
     after = tracemalloc.get_traced_memory()[0]
     tracemalloc.stop()
-    return (after - before) / max(1, recorded)
+    return (after - before) / len(numbers)
 
 
 async def measure(seed: int) -> dict[str, object]:
@@ -162,9 +148,10 @@
     bare = BareRelay(bare_udp, sink_port)
     daemon = forwarder.Forwarder(router, daemon_udp, outbox, manual)
     now_ms = manual.now_ms()
-    held = _held_flows(daemon, now_ms)
-    settled = _settled_flows(daemon, now_ms)
-    opening = [200_000_000 + n for n in range(ROUNDS * PACKETS_PER_ROUND)]
+    held = _flows(HELD_FLOWS, 0, is_moved=True)
+    settled = _flows(PACKETS_PER_ROUND, 0, is_moved=False)
+    opening = _flows(ROUNDS * PACKETS_PER_ROUND, FIRST_OPENING, is_moved=True)
+    bytes_per_flow = _open_flows(daemon, held, now_ms)
     rates_by_kind: dict[str, list[float]] = {}
     with sink:
         async with bare_udp, daemon_udp, anyio.create_task_group() as tasks:
@@ -189,9 +176,7 @@
                         for number in numbers
                     ]
                     rates_by_kind.setdefault(f"bare_{kind}", []).append(
-                        await _rate(
-                            bare_port, sink, packets, lambda: bare.sent
-                        )
+                        await _rate(bare_port, sink, packets, lambda: bare.sent)
                     )
                     rates_by_kind.setdefault(kind, []).append(
                         await _rate(
@@ -202,7 +187,7 @@
                         )
                     )
             tasks.cancel_scope.cancel()
-    return _figures(seed, rates_by_kind, _bytes_per_flow(daemon, now_ms))
+    return _figures(seed, rates_by_kind, bytes_per_flow)
 
 
 def _figures(
--- a/packages/node/sapphire_node/daemon.py
+++ b/packages/node/sapphire_node/daemon.py
@@ -30,8 +30,8 @@
 from sapphire_node import messages
 from sapphire_node import prober
 from sapphire_node import status
+from sapphire_node import store_poller
 from sapphire_node import subscribers
-from sapphire_node.configuration import task as configuration_task
 from sapphire_node.requests import asgi
 from sapphire_node.requests import service as request_service
 from sapphire_wire import api as operator_api
@@ -145,11 +145,9 @@
             self._time,
         )
         self._prober = prober.Prober(self._own.host_id, to_forwarder)
-        self._configuration = configuration_task.ConfigurationTask(
-            self._own, settings.store, to_control, self._time
-        )
+        self._configuration = store_poller.StorePoller(settings.store)
         self._requests = request_service.RequestService(
-            self._own.host_id, self._configuration.claim_store(), self._time
+            self._own.host_id, store_poller.UnclaimableStore(), self._time
         )
         self._control = control.ControlPlane(
             self._own,
