--- a/packages/lab/sapphire_lab/membership/observation.py
+++ b/packages/lab/sapphire_lab/membership/observation.py
@@ -32,6 +32,7 @@
         barrier_ms: The time from the first prepared host until the last host
             knew that all had prepared.
         death_bytes: Further bytes of a host for a death of another.
+        death_relay_bytes: The same for a relay.
         death_ms: The time until the last host knew of it.
     """
 
@@ -45,6 +46,7 @@
     spread_ms: int
     barrier_ms: int
     death_bytes: float
+    death_relay_bytes: float
     death_ms: int
 
 
@@ -114,7 +116,7 @@
     spread_ms, barrier_ms = _change(net)
     change, change_relay = meter.take()
     death_ms = _death(net, min(set(net.nodes_by_id) - relay_ids))
-    death, _ = meter.take()
+    death, death_relay = meter.take()
     return Observation(
         hosts=data_centres * hosts_each,
         join_bytes=join_bytes,
@@ -126,6 +128,7 @@
         spread_ms=spread_ms,
         barrier_ms=barrier_ms,
         death_bytes=death - idle * _EVENT_MS / 1_000,
+        death_relay_bytes=death_relay - idle_relay * _EVENT_MS / 1_000,
         death_ms=death_ms,
     )
 
--- /dev/null
+++ b/packages/lab/sapphire_lab/slopes/__init__.py
@@ -0,0 +1,1 @@
+"""Slopes of cost by size, and the capacity that follows from them."""
--- /dev/null
+++ b/packages/lab/sapphire_lab/slopes/capacity.py
@@ -0,0 +1,327 @@
+"""The size to design for, and what each role bears at that size."""
+
+import math
+
+from sapphire_lab.slopes import data
+
+NODES = 7_000
+DATA_CENTRES = 10
+TARGETS = 73_000
+ADDRESSES = 24_000
+OPEN_FLOWS = 210_000_000
+NEW_FLOWS_PER_SECOND = 560_000
+CHANGES_PER_DAY = 11_000
+FAILURES_PER_DAY = 120
+RESTARTS_PER_DAY = 4_800
+SECONDS_PER_DAY = 86_400
+
+NODES_PER_DATA_CENTRE = NODES // DATA_CENTRES
+LOG_NODES = math.log2(NODES_PER_DATA_CENTRE)
+CHANGES_PER_SECOND = CHANGES_PER_DAY / SECONDS_PER_DAY
+# A restart is a leave and a join; both spread like a death.
+EVENTS_PER_SECOND = (FAILURES_PER_DAY + 2 * RESTARTS_PER_DAY) / SECONDS_PER_DAY
+JOINS_PER_NODE_AND_SECOND = RESTARTS_PER_DAY / NODES / SECONDS_PER_DAY
+DEFAULT_BUCKETS = 1_021
+BUCKETS = ADDRESSES * DEFAULT_BUCKETS
+# A change lies behind the flows that were open before it for this long, half
+# of the buckets of its service are then ambiguous, and half of the flows there
+# are not where the oldest generation has them. Two keepers record each.
+HISTORY_SECONDS = 14_400
+AMBIGUOUS_SERVICES = CHANGES_PER_SECOND * HISTORY_SECONDS
+RECORDED_FLOWS = OPEN_FLOWS * AMBIGUOUS_SERVICES / ADDRESSES / 4
+RECORDS_PER_NODE = 2 * RECORDED_FLOWS / NODES
+AMBIGUOUS_BUCKETS_PER_CHANGE = DEFAULT_BUCKETS / 2
+# A plain gossip message with its seal and headers, for counts of messages.
+BYTES_PER_MESSAGE = 200
+WATCHERS = 10
+
+LIMITS_BY_RESOURCE = {
+    "bytes/s": 6_000.0,
+    "% of a core": 1.2,
+    "MB": 128.0,
+    "writes/s": 300.0,
+    "reads/s": 2_000.0,
+}
+
+_MB = 1e-6
+_CORE_PERCENT = 1e-4
+_ENTRY = "entry host"
+_RELAY = "relay between data centres"
+_KEEPER = "keeper of exceptions"
+_WATCHER = "host watching the store"
+_STORE = "the platform's store"
+_TOOL = "operators' tool"
+
+
+def _line(  # noqa: PLR0917 - the arguments are the cells of a row.
+    role: str,
+    resource: str,
+    cause: str,
+    mechanism: str,
+    slope: str,
+    size: float,
+    times: float = 1.0,
+) -> data.Line:
+    """Returns a line whose scale follows from its resource."""
+    scales = {"MB": _MB, "% of a core": _CORE_PERCENT}
+    scale = scales.get(resource, 1.0)
+    return data.Line(
+        role, resource, cause, mechanism, slope, size, times, scale
+    )
+
+
+LINES: tuple[data.Line, ...] = (
+    _line(
+        _ENTRY,
+        "bytes/s",
+        "probes, sent and received",
+        "constant probes per host within the data centre",
+        "gossip_idle_bytes",
+        NODES_PER_DATA_CENTRE,
+    ),
+    _line(
+        _ENTRY,
+        "bytes/s",
+        "heads and barriers of changes",
+        "push to 3 peers, then prepared bits by powers of two",
+        "gossip_change_bytes",
+        LOG_NODES,
+        CHANGES_PER_SECOND,
+    ),
+    _line(
+        _ENTRY,
+        "bytes/s",
+        "joins, leaves and deaths of hosts",
+        "piggyback and push",
+        "gossip_death_bytes",
+        LOG_NODES,
+        EVENTS_PER_SECOND,
+    ),
+    _line(
+        _ENTRY,
+        "bytes/s",
+        "whole state at the own start, over the life of a process",
+        "pages from random peers",
+        "gossip_join_bytes",
+        NODES,
+        JOINS_PER_NODE_AND_SECOND,
+    ),
+    _line(
+        _ENTRY,
+        "bytes/s",
+        "head of each change, from a peer",
+        "atomic head, parts by digest",
+        "head_bytes",
+        TARGETS,
+        CHANGES_PER_SECOND,
+    ),
+    _line(
+        _ENTRY,
+        "bytes/s",
+        "changed parts of each change, from a peer",
+        "parts by digest",
+        "changed_part_bytes",
+        TARGETS,
+        CHANGES_PER_SECOND,
+    ),
+    _line(
+        _ENTRY,
+        "% of a core",
+        "membership core, idle",
+        "no work that grows with the fleet in a tick",
+        "gossip_core_us",
+        NODES_PER_DATA_CENTRE,
+    ),
+    _line(
+        _ENTRY,
+        "% of a core",
+        "codec of 4 messages a second each way",
+        "thrift compact protocol",
+        "codec_us",
+        0,
+        4,
+    ),
+    _line(
+        _ENTRY,
+        "% of a core",
+        "sealing of 4 messages a second each way",
+        "HMAC-SHA-256",
+        "sealing_us",
+        BYTES_PER_MESSAGE,
+        4,
+    ),
+    _line(
+        _ENTRY,
+        "% of a core",
+        "codec of the messages of changes",
+        "thrift compact protocol",
+        "codec_us",
+        1,
+        CHANGES_PER_SECOND * 10_000 / 2 / BYTES_PER_MESSAGE,
+    ),
+    _line(
+        _ENTRY,
+        "% of a core",
+        "a new view for each change and event",
+        "members of unchanged data centres are kept",
+        "view_us",
+        NODES_PER_DATA_CENTRE,
+        2 * CHANGES_PER_SECOND + EVENTS_PER_SECOND,
+    ),
+    _line(
+        _ENTRY,
+        "% of a core",
+        "decoding of each configuration",
+        "all parts are decoded again",
+        "unpack_us",
+        TARGETS,
+        CHANGES_PER_SECOND,
+    ),
+    _line(
+        _ENTRY,
+        "% of a core",
+        "routing tables of each configuration",
+        "all services are built again",
+        "rebuild_us",
+        BUCKETS,
+        CHANGES_PER_SECOND,
+    ),
+    _line(
+        _ENTRY,
+        "MB",
+        "known hosts and the view",
+        "immutable entries, one view",
+        "roster_memory",
+        NODES,
+    ),
+    _line(
+        _ENTRY,
+        "MB",
+        "configuration",
+        "one decoded configuration",
+        "configuration_memory",
+        TARGETS,
+    ),
+    _line(
+        _ENTRY,
+        "MB",
+        "service-level counts, two objectives for each service",
+        "rings of counts",
+        "series_memory",
+        2 * ADDRESSES,
+    ),
+    _line(
+        _ENTRY,
+        "MB",
+        "routing tables",
+        "one decision for each bucket of each service",
+        "route_memory",
+        BUCKETS,
+    ),
+    _line(
+        _RELAY,
+        "bytes/s",
+        "probes within and between data centres",
+        "two probes a second to other data centres, in turn",
+        "relay_idle_bytes",
+        DATA_CENTRES - 1,
+    ),
+    _line(
+        _RELAY,
+        "bytes/s",
+        "heads and barriers of changes",
+        "one push to the relay of the same rank in each data centre",
+        "relay_change_bytes",
+        DATA_CENTRES - 1,
+        CHANGES_PER_SECOND,
+    ),
+    _line(
+        _RELAY,
+        "bytes/s",
+        "joins, leaves and deaths of hosts",
+        "as for a change",
+        "relay_death_bytes",
+        DATA_CENTRES - 1,
+        EVENTS_PER_SECOND,
+    ),
+    _line(
+        _RELAY,
+        "bytes/s",
+        "head of each change, from a peer",
+        "atomic head, parts by digest",
+        "head_bytes",
+        TARGETS,
+        CHANGES_PER_SECOND,
+    ),
+    _line(
+        _RELAY,
+        "bytes/s",
+        "changed parts of each change, from a peer",
+        "parts by digest",
+        "changed_part_bytes",
+        TARGETS,
+        CHANGES_PER_SECOND,
+    ),
+    _line(
+        _KEEPER,
+        "MB",
+        "recorded flows",
+        "three dictionaries by age",
+        "exception_memory",
+        RECORDS_PER_NODE,
+    ),
+    _line(
+        _KEEPER,
+        "% of a core",
+        "keepers of the ambiguous buckets of each change, if all are used",
+        "rendezvous over all live hosts",
+        "keeper_order_us",
+        NODES,
+        CHANGES_PER_SECOND * AMBIGUOUS_BUCKETS_PER_CHANGE,
+    ),
+    _line(
+        _WATCHER,
+        "bytes/s",
+        "head of each change, from the store",
+        "one watch on the head",
+        "head_bytes",
+        TARGETS,
+        CHANGES_PER_SECOND,
+    ),
+    _line(
+        _WATCHER,
+        "bytes/s",
+        "changed parts of each change, from the store",
+        "parts by digest",
+        "changed_part_bytes",
+        TARGETS,
+        CHANGES_PER_SECOND,
+    ),
+    _line(
+        _STORE,
+        "writes/s",
+        "changed parts and the head of each change",
+        "one transaction on the head",
+        "store_writes",
+        TARGETS,
+        CHANGES_PER_SECOND,
+    ),
+    _line(
+        _STORE,
+        "reads/s",
+        "a watch event and part reads of each watching host",
+        "one watching host in each data centre",
+        "store_writes",
+        TARGETS,
+        CHANGES_PER_SECOND * WATCHERS,
+    ),
+    _line(
+        _TOOL,
+        "MB",
+        "configuration before and after a change",
+        "two decoded configurations",
+        "configuration_memory",
+        TARGETS,
+        2,
+    ),
+)
--- /dev/null
+++ b/packages/lab/sapphire_lab/slopes/data.py
@@ -0,0 +1,73 @@
+"""Records of slopes and of the lines of the capacity page."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Slope:
+    """A straight line through measurements at several sizes.
+
+    Attributes:
+        name: The name by which lines of the page refer to it.
+        unit: The unit of the values, such as `bytes`.
+        per: What one step of the size is, such as `known host`.
+        sizes: The sizes.
+        values: The value measured at each size.
+        slope: The rise of the value for each step of the size.
+        intercept: The value at size zero.
+        residual: The largest distance of a value from the line, as a share
+            of the largest value.
+    """
+
+    name: str
+    unit: str
+    per: str
+    sizes: tuple[float, ...]
+    values: tuple[float, ...]
+    slope: float
+    intercept: float
+    residual: float
+
+    def at(self, size: float) -> float:
+        """Returns the value of the line at a size, at least zero."""
+        return max(0.0, self.intercept + self.slope * size)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Record:
+    """One run of the measurement.
+
+    Attributes:
+        commit: The commit that was measured.
+        seed: The seed.
+        slopes_by_name: The slopes.
+    """
+
+    commit: str
+    seed: int
+    slopes_by_name: dict[str, Slope]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Line:
+    """One cost of one role.
+
+    Attributes:
+        role: Who bears it.
+        resource: The resource, a key of `capacity.LIMITS_BY_RESOURCE`.
+        cause: What costs.
+        mechanism: What carries it.
+        slope: The name of the slope.
+        size: The size at which the slope is taken.
+        times: How often it occurs, or how many there are.
+        scale: Turns the product into the unit of the resource.
+    """
+
+    role: str
+    resource: str
+    cause: str
+    mechanism: str
+    slope: str
+    size: float
+    times: float = 1.0
+    scale: float = 1.0
--- /dev/null
+++ b/packages/lab/sapphire_lab/slopes/measure.py
@@ -0,0 +1,68 @@
+"""Measures all slopes, records them and writes the tables of the page.
+
+Run with `make measure-slopes SEED=n`; the last line is one JSON object.
+"""
+
+import argparse
+import json
+
+from sapphire_lab.slopes import capacity
+from sapphire_lab.slopes import configuration_slopes
+from sapphire_lab.slopes import data
+from sapphire_lab.slopes import flow_slopes
+from sapphire_lab.slopes import membership_slopes
+from sapphire_lab.slopes import repository
+from sapphire_lab.slopes import tables
+
+
+def measure(seed: int) -> data.Record:
+    """Measures all slopes.
+
+    Args:
+        seed: The seed of all random choices.
+    """
+    slopes = [
+        *flow_slopes.measure(),
+        *configuration_slopes.measure(),
+        *membership_slopes.measure(seed),
+    ]
+    return data.Record(
+        commit=repository.commit(),
+        seed=seed,
+        slopes_by_name={slope.name: slope for slope in slopes},
+    )
+
+
+def main() -> None:
+    """Measures, prints and records the slopes."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    seed = parser.parse_args().seed
+    record = measure(seed)
+    for slope in record.slopes_by_name.values():
+        print(
+            f"{slope.name}: {slope.slope:.4g} {slope.unit} per {slope.per},"
+            f" {slope.intercept:.4g} at zero, residual {slope.residual:.1%},"
+            f" {dict(zip(slope.sizes, slope.values, strict=True))}"
+        )
+    repository.RECORD.parent.mkdir(parents=True, exist_ok=True)
+    repository.RECORD.write_text(tables.encode(record))
+    page = repository.PAGE.read_text()
+    repository.PAGE.write_text(tables.replace(page, record))
+    summary = {
+        "seed": seed,
+        "commit": record.commit,
+        "slopes": {
+            name: slope.slope for name, slope in record.slopes_by_name.items()
+        },
+        "residuals": {
+            name: slope.residual
+            for name, slope in record.slopes_by_name.items()
+        },
+        "lines": len(capacity.LINES),
+    }
+    print(json.dumps(summary))
+
+
+if __name__ == "__main__":
+    main()
