--- /dev/null
+++ b/packages/lab/sapphire_lab/demo/hosts.py
@@ -0,0 +1,128 @@
+"""The entry hosts of a deployment as processes of their own."""
+
+import pathlib
+import signal
+import subprocess
+import sys
+
+import anyio
+import httpx
+
+from sapphire_data import clock
+from sapphire_lab.demo import deployment
+from sapphire_lab.demo import documents
+
+POLL_MS = 100
+READY_TIMEOUT_MS = 25_000
+EXIT_TIMEOUT_MS = 20_000
+_BINARY = pathlib.Path(sys.executable).parent / "sapphirearchd"
+
+
+class HostProcesses:
+    """Starts, watches and stops the daemons of one deployment."""
+
+    def __init__(
+        self,
+        plan: deployment.Deployment,
+        directory: pathlib.Path,
+        http: httpx.AsyncClient,
+    ) -> None:
+        """Creates the set without starting any process.
+
+        Args:
+            plan: The deployment.
+            directory: Where settings and logs are written.
+            http: Asks hosts for their readiness and status.
+        """
+        self._plan = plan
+        self._directory = directory
+        self._http = http
+        self._process_by_address: dict[str, subprocess.Popen[bytes]] = {}
+        self._key_file = directory.resolve() / "keys.json"
+        self._key_file.write_bytes(documents.key_ring())
+
+    def addresses(self) -> list[str]:
+        """Returns the addresses of the running hosts."""
+        return list(self._process_by_address)
+
+    def start(self, host: deployment.HostPlan) -> None:
+        """Starts a host; its log goes to a file.
+
+        Args:
+            host: The host.
+        """
+        path = self._directory / f"{host.address}.json"
+        path.write_bytes(
+            documents.settings(self._plan, host, str(self._key_file))
+        )
+        log_path = self._directory / f"{host.address}.log"
+        with log_path.open("wb") as log:
+            self._process_by_address[host.address] = subprocess.Popen(
+                [str(_BINARY), "run", str(path)],
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+
+    async def wait_ready(self, address: str) -> bool:
+        """Waits until a host says that it is ready.
+
+        Args:
+            address: Its IP number.
+
+        Returns:
+            Whether it became ready in time.
+        """
+        with anyio.move_on_after(READY_TIMEOUT_MS / clock.MS_PER_SECOND):
+            while not await self._is_ready(address):
+                await anyio.sleep(POLL_MS / clock.MS_PER_SECOND)
+            return True
+        return False
+
+    async def active_revision(self, address: str) -> int | None:
+        """Returns the revision in force on a host, None without an answer.
+
+        Args:
+            address: Its IP number.
+        """
+        url = f"http://{address}:{deployment.API_PORT}/v1/status"
+        try:
+            answer = await self._http.get(url)
+        except httpx.HTTPError:
+            return None
+        return int(answer.json()["active_revision"])
+
+    async def stop(self, address: str) -> int | None:
+        """Stops a host gracefully.
+
+        Args:
+            address: Its IP number.
+
+        Returns:
+            Its exit status, None if it did not exit in time.
+        """
+        process = self._process_by_address.pop(address)
+        process.send_signal(signal.SIGTERM)
+        with anyio.move_on_after(EXIT_TIMEOUT_MS / clock.MS_PER_SECOND):
+            while process.poll() is None:
+                await anyio.sleep(POLL_MS / clock.MS_PER_SECOND)
+            return process.returncode
+        process.kill()
+        process.wait()
+        return None
+
+    def kill_all(self) -> None:
+        """Ends all processes at once."""
+        for process in self._process_by_address.values():
+            process.kill()
+        for process in self._process_by_address.values():
+            process.wait()
+        self._process_by_address.clear()
+
+    async def _is_ready(self, address: str) -> bool:
+        """Returns whether a host says that it is ready."""
+        url = f"http://{address}:{deployment.API_PORT}/readyz"
+        try:
+            answer = await self._http.get(url)
+        except httpx.HTTPError:
+            return False
+        return answer.is_success
--- /dev/null
+++ b/packages/lab/sapphire_lab/demo/world.py
@@ -0,0 +1,267 @@
+"""All that surrounds the entry hosts of a deployment, in this process."""
+
+import collections
+import dataclasses
+import pathlib
+
+import anyio
+from anyio import abc
+import httpx
+
+from sapphire_data import clock
+from sapphire_lab.demo import deployment
+from sapphire_lab.demo import documents
+from sapphire_lab.demo import fabric
+from sapphire_lab.demo import feeds
+from sapphire_lab.demo import hosts
+from sapphire_lab.demo import orders
+from sapphire_lab.stand_ins import packet_upstream
+from sapphire_lab.stand_ins import request_upstream
+from sapphire_net.store import changes
+from sapphire_net.store import client as store_client
+from sapphire_net.store import environment as environments
+from sapphire_net.store import reading
+
+FEED_INTERVAL_MS = 500
+FEED_TICK_MS = 100
+ORDER_INTERVAL_MS = 100
+SERVICE_MS = 20
+AUTHOR = "demonstration"
+
+
+@dataclasses.dataclass(slots=True)
+class Intent:
+    """What the operators of the demonstration want at the moment.
+
+    Attributes:
+        upstreams: The upstreams of the document.
+        out: The data centres that are out.
+        draining: The upstreams that drain.
+    """
+
+    upstreams: tuple[deployment.UpstreamPlan, ...]
+    out: frozenset[str] = frozenset()
+    draining: frozenset[str] = frozenset()
+
+
+class World:
+    """The stand-ins of one deployment and its operators."""
+
+    def __init__(
+        self,
+        plan: deployment.Deployment,
+        udp: abc.UDPSocket,
+        directory: pathlib.Path,
+        http: httpx.AsyncClient,
+        seed: int,
+    ) -> None:
+        """Creates the stand-ins; `serve` runs them.
+
+        Args:
+            plan: The deployment.
+            udp: The socket of fabric and callers.
+            directory: Where the daemons' settings and logs are written.
+            http: The client for status and store.
+            seed: Seeds all random choices.
+        """
+        self.plan = plan
+        self.time = clock.MonotonicClock()
+        self.hosts = hosts.HostProcesses(plan, directory, http)
+        self.fabric = fabric.Fabric(udp, seed)
+        self.feeds = feeds.FeedCallers(
+            plan.caller_address, self.fabric.spray, self._is_moving, self.time
+        )
+        self.orders = orders.OrderCallers(self.fabric.pick, seed)
+        self.intent = Intent(plan.upstreams())
+        self.packet_upstreams_by_name: dict[
+            str, packet_upstream.PacketUpstream
+        ] = {}
+        self.request_upstreams_by_name: dict[
+            str, request_upstream.RequestUpstream
+        ] = {}
+        self._udp = udp
+        self._data_centre_by_upstream: dict[str, str] = {}
+        store = store_client.GatewayStore(
+            store_client.open_client(
+                f"http://{plan.store_address}:{deployment.STORE_PORT}"
+            )
+        )
+        self._environment = environments.Environment(
+            store, documents.prefix(plan)
+        )
+
+    async def serve(self, tasks: abc.TaskGroup) -> None:
+        """Starts the stand-ins in a task group.
+
+        Args:
+            tasks: The group.
+        """
+        for upstream in self.intent.upstreams:
+            await self.start_upstream(upstream, tasks)
+        tasks.start_soon(self._receive)
+        tasks.start_soon(self._keep_feeds)
+
+    async def start_upstream(
+        self, upstream: deployment.UpstreamPlan, tasks: abc.TaskGroup
+    ) -> None:
+        """Starts both stand-ins of an upstream.
+
+        Args:
+            upstream: The upstream.
+            tasks: The group that runs them.
+        """
+        self._data_centre_by_upstream[upstream.name] = upstream.data_centre
+        service = self._service_address(upstream.service)
+        tasks.start_soon(
+            packet_upstream.serve,
+            upstream.name,
+            service,
+            (upstream.address, deployment.PACKET_PORT),
+            self._register,
+        )
+        requests = request_upstream.RequestUpstream(
+            slots=upstream.slots,
+            service_ms=SERVICE_MS,
+            boot_id=f"{upstream.name}-1",
+            address=upstream.address,
+            port=deployment.UPSTREAM_REQUEST_PORT,
+        )
+        self.request_upstreams_by_name[upstream.name] = requests
+        await tasks.start(requests.serve)
+
+    async def publish(self) -> int:
+        """Puts the intent in force in the store.
+
+        Returns:
+            The new revision.
+
+        Raises:
+            RuntimeError: When the store or the document refuses.
+        """
+        seen = await reading.read_snapshot(self._environment)
+        if seen.is_error():
+            raise RuntimeError(str(seen.error))
+        outcome = await changes.apply(
+            self._environment,
+            seen.ok,
+            changes.Intent(
+                document=documents.document(
+                    self.plan,
+                    self.intent.upstreams,
+                    self.intent.out,
+                    self.intent.draining,
+                ),
+                bindings=documents.bindings(self.plan, self.intent.upstreams),
+                author=AUTHOR,
+            ),
+        )
+        if outcome.is_error():
+            raise RuntimeError(str(outcome.error))
+        return outcome.ok.stored.revision
+
+    async def wait_in_force(self, revision: int) -> int:
+        """Waits until a revision is in force on all hosts.
+
+        Args:
+            revision: The revision.
+
+        Returns:
+            The time that it took, in milliseconds.
+        """
+        started_ms = self.time.now_ms()
+        waiting = set(self.hosts.addresses())
+        while waiting:
+            for address in list(waiting):
+                active = await self.hosts.active_revision(address)
+                if active is not None and active >= revision:
+                    waiting.discard(address)
+            await anyio.sleep(0.02)
+        return self.time.now_ms() - started_ms
+
+    async def keep_ordering(self) -> None:
+        """Makes orders at a steady rate until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            while True:
+                for service in self.plan.services:
+                    tasks.start_soon(self.orders.order, service.name)
+                await anyio.sleep(ORDER_INTERVAL_MS / clock.MS_PER_SECOND)
+
+    def open_feeds(self, per_target: int) -> int:
+        """Adds feeds to all services.
+
+        Args:
+            per_target: Feeds for each upstream.
+
+        Returns:
+            The number of feeds added.
+        """
+        count = 0
+        for service in self.plan.services:
+            for _ in range(service.targets * per_target):
+                self.feeds.add(self._service_address(service.name))
+                count += 1
+        return count
+
+    def last_packet_ms(self, data_centre: str) -> int:
+        """Returns when an upstream of a data centre last got a packet.
+
+        Args:
+            data_centre: The name of the data centre.
+        """
+        return max(
+            upstream.counters.last_packet_ms
+            for name, upstream in self.packet_upstreams_by_name.items()
+            if self._data_centre_by_upstream[name] == data_centre
+        )
+
+    def misrouted_packets(self) -> int:
+        """Returns the packets that reached another service's upstream."""
+        return sum(
+            upstream.counters.misrouted_packets
+            for upstream in self.packet_upstreams_by_name.values()
+        )
+
+    def double_runs(self) -> int:
+        """Returns the orders that ran more than once, anywhere."""
+        return sum(runs > 1 for runs in self._runs_by_key().values())
+
+    def false_not_run(self) -> int:
+        """Returns the orders refused as not run that did run."""
+        runs_by_key = self._runs_by_key()
+        return sum(
+            outcome is orders.OrderOutcome.NOT_RUN and runs_by_key[key] > 0
+            for key, outcome in self.orders.counters.outcome_by_key.items()
+        )
+
+    def _runs_by_key(self) -> collections.Counter[str]:
+        """Returns how often each order ran over all upstreams."""
+        runs: collections.Counter[str] = collections.Counter()
+        for upstream in self.request_upstreams_by_name.values():
+            runs.update(upstream.runs_by_id)
+        return runs
+
+    def _register(self, upstream: packet_upstream.PacketUpstream) -> None:
+        """Keeps an upstream that has begun to serve."""
+        self.packet_upstreams_by_name[upstream.name] = upstream
+
+    def _is_moving(self, upstream: str) -> bool:
+        """Returns whether the data centre of an upstream is taken out."""
+        return self._data_centre_by_upstream.get(upstream) in self.intent.out
+
+    def _service_address(self, name: str) -> tuple[str, int]:
+        """Returns the address that callers of a service use."""
+        for service in self.plan.services:
+            if service.name == name:
+                return (service.address, deployment.SERVICE_PORT)
+        raise KeyError(name)
+
+    async def _receive(self) -> None:
+        """Hands answers to the callers until cancelled."""
+        async for payload, _source in self._udp:
+            self.feeds.receive(payload)
+
+    async def _keep_feeds(self) -> None:
+        """Sends what is due on each feed until cancelled."""
+        while True:
+            await self.feeds.tick(FEED_INTERVAL_MS)
+            await anyio.sleep(FEED_TICK_MS / clock.MS_PER_SECOND)
--- a/packages/lab/sapphire_lab/forward/measure.py
+++ b/packages/lab/sapphire_lab/forward/measure.py
@@ -146,7 +146,9 @@
     bare_udp, bare_port = await _open()
     daemon_udp, daemon_port = await _open()
     bare = BareRelay(bare_udp, sink_port)
-    daemon = forwarder.Forwarder(router, daemon_udp, outbox, manual)
+    daemon = forwarder.Forwarder(
+        router, forwarder.Sockets(daemon_udp, daemon_udp), outbox, manual
+    )
     now_ms = manual.now_ms()
     held = _flows(HELD_FLOWS, 0, is_moved=True)
     settled = _flows(PACKETS_PER_ROUND, 0, is_moved=False)
--- a/packages/lab/sapphire_lab/stand_ins/request_upstream.py
+++ b/packages/lab/sapphire_lab/stand_ins/request_upstream.py
@@ -49,6 +49,7 @@
         shed: The requests shed.
         max_running: The most requests that ran at a time.
         port: The TCP port, once it serves.
+        address: The IP number to listen on.
         seen_headers: The header fields of each request.
     """
 
@@ -67,6 +68,7 @@
     running: int = 0
     max_running: int = 0
     port: int = 0
+    address: str = "127.0.0.1"
     seen_headers: list[dict[str, str]] = dataclasses.field(default_factory=list)
 
     async def serve(
@@ -76,7 +78,7 @@
     ) -> None:
         """Serves on loopback until it is cancelled."""
         listener = await anyio.create_tcp_listener(
-            local_host="127.0.0.1", local_port=self.port
+            local_host=self.address, local_port=self.port
         )
         address = listener.extra(anyio.abc.SocketAttribute.local_address)
         self.port = int(address[1])
--- a/packages/net/sapphire_net/http_server.py
+++ b/packages/net/sapphire_net/http_server.py
@@ -5,6 +5,7 @@
 import ssl
 from typing import Any
 
+import anyio
 import hypercorn.asyncio
 import hypercorn.config
 
@@ -68,9 +69,24 @@
     config.graceful_timeout = grace_ms / MS_PER_SECOND
     config.accesslog = None
     config.errorlog = None
-    await hypercorn.asyncio.serve(
-        app,
-        config,
-        shutdown_trigger=wait_for_stop,
-        mode="asgi",
-    )
+    stop = anyio.Event()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(_run, app, config, stop)
+        try:
+            await wait_for_stop()
+        finally:
+            stop.set()
+
+
+async def _run(
+    app: AsgiApp, config: hypercorn.config.Config, stop: anyio.Event
+) -> None:
+    """Runs the server until its event is set.
+
+    The server raises an error of its own when it is cancelled, so it is only
+    ever ended by the event.
+    """
+    with anyio.CancelScope(shield=True):
+        await hypercorn.asyncio.serve(
+            app, config, shutdown_trigger=stop.wait, mode="asgi"
+        )
--- a/packages/node/sapphire_node/control.py
+++ b/packages/node/sapphire_node/control.py
@@ -30,10 +30,25 @@
 
 TICK_MS = 50
 VIEW_INTERVAL_MS = 250
+MAX_OUTGOING = 4_096
 
 _Kind = message_kind.MessageKind
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class OutgoingFull(failures.Failure):
+    """More control messages wait to be sent than are kept."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Outgoing:
+    """A sealed datagram that waits to be sent."""
+
+    datagram: bytes
+    address: str
+    port: int
+
+
 @dataclasses.dataclass(slots=True)
 class Counters:
     """What the control task counts; read when metrics are collected.
@@ -89,6 +104,9 @@
         self._udp = udp
         self._listeners = listeners
         self._time = time
+        self._outgoing_send, self._outgoing_receive = (
+            anyio.create_memory_object_stream[_Outgoing](MAX_OUTGOING)
+        )
         self._sealer = sealing.Sealer(own_address.host_id, ring)
         self._opener = sealing.Opener(
             sealing.recipient_name(
@@ -123,6 +141,16 @@
                 continue
             await self._receive_gossip(opened)
 
+    async def serve_outgoing(self) -> None:
+        """Sends what is queued until cancelled.
+
+        A socket takes one writer at a time, and several tasks cause messages.
+        """
+        async for outgoing in self._outgoing_receive:
+            await self._udp.sendto(
+                outgoing.datagram, outgoing.address, outgoing.port
+            )
+
     async def serve_inbox(
         self, inbox: memory.MemoryObjectReceiveStream[messages.ToControl]
     ) -> None:
@@ -234,4 +262,7 @@
         self.counters.sent += 1
         if kind is not _Kind.RELAYED_PACKET:
             self.counters.control_bytes += len(datagram)
-        await self._udp.sendto(datagram, address, port)
+        try:
+            self._outgoing_send.send_nowait(_Outgoing(datagram, address, port))
+        except anyio.WouldBlock:
+            self.counters.drop(OutgoingFull())
--- a/packages/node/sapphire_node/daemon.py
+++ b/packages/node/sapphire_node/daemon.py
@@ -41,6 +41,7 @@
 
 INBOX_MESSAGES = 4_096
 HOST_ID_CHARACTERS = 12
+API_GRACE_MS = 500
 
 
 class Outcome(enum.Enum):
@@ -72,10 +73,12 @@
 
     Attributes:
         fabric: Takes packets of the fabric.
+        relayed: Sends packets that other hosts handed over.
         control: Takes control messages.
     """
 
     fabric: abc.UDPSocket
+    relayed: abc.UDPSocket
     control: abc.UDPSocket
 
 
@@ -93,9 +96,10 @@
     try:
         async with (
             await _open_udp(address, settings.ports.fabric) as fabric,
+            await _open_udp(address, 0) as relayed,
             await _open_udp(address, settings.ports.control) as control_udp,
         ):
-            daemon = Daemon(loaded, Sockets(fabric, control_udp))
+            daemon = Daemon(loaded, Sockets(fabric, relayed, control_udp))
             return await daemon.run()
     except OSError as error:
         event_log.log(
@@ -140,7 +144,7 @@
         self._to_forwarder = to_forwarder
         self._forwarder = forwarder.Forwarder(
             flow_router.Router(self._own.host_id),
-            sockets.fabric,
+            forwarder.Sockets(sockets.fabric, sockets.relayed),
             to_control,
             self._time,
         )
@@ -200,6 +204,7 @@
         tasks.start_soon(self._forwarder.serve_inbox, self._forwarder_inbox)
         tasks.start_soon(self._forwarder.tick)
         tasks.start_soon(self._control.serve_datagrams)
+        tasks.start_soon(self._control.serve_outgoing)
         tasks.start_soon(self._control.serve_inbox, self._control_inbox)
         tasks.start_soon(self._control.tick)
         tasks.start_soon(self._prober.run)
@@ -243,6 +248,7 @@
             self._own.address,
             self._own.api_port,
             anyio.sleep_forever,
+            grace_ms=API_GRACE_MS,
         )
 
     async def _serve_requests(self, stop: anyio.Event) -> None:
--- a/packages/node/sapphire_node/forwarder.py
+++ b/packages/node/sapphire_node/forwarder.py
@@ -60,13 +60,26 @@
         self.dropped_by_type[code] = self.dropped_by_type.get(code, 0) + 1
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sockets:
+    """The sockets of the forwarder, each with one task that writes to it.
+
+    Attributes:
+        fabric: Takes packets of the fabric and sends them on.
+        relayed: Sends packets that other hosts handed over.
+    """
+
+    fabric: abc.UDPSocket
+    relayed: abc.UDPSocket
+
+
 class Forwarder:
     """Carries out the decisions of a router on a socket of its own."""
 
     def __init__(
         self,
         router: flow_router.Router,
-        fabric: abc.UDPSocket,
+        sockets: Sockets,
         outbox: memory.MemoryObjectSendStream[messages.ToControl],
         time: clock.Clock,
     ) -> None:
@@ -74,13 +87,14 @@
 
         Args:
             router: The router; only this task changes it.
-            fabric: The socket on which packets of the fabric arrive.
+            sockets: Its sockets.
             outbox: Takes messages for the control task.
             time: The clock.
         """
         self.counters = Counters()
         self.router = router
-        self._fabric = fabric
+        self._fabric = sockets.fabric
+        self._relayed = sockets.relayed
         self._outbox = outbox
         self._time = time
         self.last_packet_ms = 0
@@ -225,9 +239,8 @@
         if isinstance(decision, flow_data.Forward):
             self.counters.forwarded += 1
             upstream = decision.upstream
-            await self._fabric.sendto(
-                packet, upstream.address, upstream.packet_port
-            )
+            udp = self._relayed if source is None else self._fabric
+            await udp.sendto(packet, upstream.address, upstream.packet_port)
             return
         if isinstance(decision, flow_data.Relay):
             self.counters.relayed += 1
