Measurement of flow routing with uneven views; keepers tell each other of new flows

The measurement found placements that only one pair of keepers knew while views of the membership differed, and keepers that took an old or interrupted record for a full one. Opening packets now pass every keeper that any of them knows, and each page of a handover has to confirm that the record is full.

--- /dev/null
+++ b/packages/core/sapphire_core/flows/baselines.py
@@ -0,0 +1,95 @@
+"""Two simple routers that the measurement compares with.
+
+Both go by the newest configuration as soon as they learn of it. They show
+which faults the measurement brings about; the daemon does not use them.
+"""
+
+from sapphire_core.flows import bucket_table
+from sapphire_core.flows import data
+from sapphire_core.flows import failures
+from sapphire_core.flows import service_views
+from sapphire_data import records
+
+
+class HashRouter:
+    """A consistent hash over the present pool, without any state."""
+
+    def __init__(self) -> None:
+        self._services_by_key: dict[bytes, records.Service] = {}
+
+    def prepare(self, configuration: records.Configuration) -> None:
+        """Takes a configuration, which is in force at once.
+
+        Args:
+            configuration: The configuration.
+        """
+        self._services_by_key = {}
+        for service in configuration.services_by_name.values():
+            key = service_views.service_key(service.address, service.port)
+            self._services_by_key[key] = service
+
+    def route(
+        self, service_key: bytes, flow_hash: int, *, is_opening: bool
+    ) -> data.Decision:
+        """Decides about a packet.
+
+        Args:
+            service_key: The destination address bytes and two port bytes.
+            flow_hash: The hash of the flow.
+            is_opening: Whether the packet opens the flow.
+
+        Returns:
+            The owner of the flow's bucket in the newest generation.
+        """
+        del is_opening
+        service = self._services_by_key.get(service_key)
+        if service is None:
+            return data.Drop(failures.UnknownService())
+        pool = service.generations[-1].upstreams
+        table = bucket_table.owners(service.name, service.bucket_count, pool)
+        bucket = flow_hash % service.bucket_count
+        name = bucket_table.owner_name(table, pool, bucket)
+        if name is None:
+            return data.GiveUp(failures.NoUpstream(service.name))
+        return data.Forward(service.upstreams_by_name[name])
+
+
+class LocalTableRouter:
+    """A consistent hash with a table of the flows that this host has seen."""
+
+    def __init__(self) -> None:
+        self._hash_router = HashRouter()
+        self._decision_by_flow: dict[tuple[bytes, int], data.Decision] = {}
+
+    def prepare(self, configuration: records.Configuration) -> None:
+        """Takes a configuration, which is in force at once.
+
+        Args:
+            configuration: The configuration.
+        """
+        self._hash_router.prepare(configuration)
+
+    def route(
+        self, service_key: bytes, flow_hash: int, *, is_opening: bool
+    ) -> data.Decision:
+        """Decides about a packet.
+
+        Args:
+            service_key: The destination address bytes and two port bytes.
+            flow_hash: The hash of the flow.
+            is_opening: Whether the packet opens the flow.
+
+        Returns:
+            The upstream that this host has sent the flow to before, else
+            the owner of its bucket in the newest generation.
+        """
+        flow = (service_key, flow_hash)
+        known = self._decision_by_flow.get(flow)
+        if known is not None and not is_opening:
+            return known
+        decision = self._hash_router.route(
+            service_key, flow_hash, is_opening=is_opening
+        )
+        if isinstance(decision, data.Forward):
+            self._decision_by_flow[flow] = decision
+        return decision
--- a/packages/core/sapphire_core/flows/data.py
+++ b/packages/core/sapphire_core/flows/data.py
@@ -132,7 +132,12 @@
     Attributes:
         service: The name of the service.
         buckets: The buckets of the request.
-        complete_buckets: Those of which the sender has a full record.
+        kept_buckets: Those of which the sender knows the asking host as a
+            keeper; only for these does the page count.
+        complete_buckets: Those of them of which the sender has a full
+            record, as a keeper.
+        former_buckets: Those of them of which it had a full record until it
+            ceased to be a keeper.
         upstreams: The names that entries refer to.
         flow_hashes: The flow hashes, ascending.
         upstream_indices: For each flow hash an index into `upstreams`.
@@ -141,7 +146,9 @@
 
     service: str
     buckets: tuple[int, ...]
+    kept_buckets: tuple[int, ...]
     complete_buckets: tuple[int, ...]
+    former_buckets: tuple[int, ...]
     upstreams: tuple[str, ...]
     flow_hashes: tuple[int, ...]
     upstream_indices: tuple[int, ...]
--- a/packages/core/sapphire_core/flows/exceptions_table.py
+++ b/packages/core/sapphire_core/flows/exceptions_table.py
@@ -78,12 +78,12 @@
 
     def forget(self, flow_hash: int) -> None:
         """Removes a flow if it is recorded."""
-        for table in self._tables():
+        for table in self.parts():
             table.pop(flow_hash, None)
 
     def items(self) -> Iterator[tuple[int, str]]:
         """Yields the recorded flows and their upstreams."""
-        for table in self._tables():
+        for table in self.parts():
             yield from table.items()
 
     def expire(self, now_ms: int) -> None:
@@ -102,8 +102,8 @@
             self._closing = {}
             self._closing_rotated_ms += CLOSING_PERIOD_MS
 
-    def _tables(self) -> tuple[dict[int, str], ...]:
-        """Returns all dictionaries, the youngest first."""
+    def parts(self) -> tuple[dict[int, str], ...]:
+        """Returns the dictionaries by flow hash, the youngest first."""
         return (
             self._young,
             self._middle,
--- a/packages/core/sapphire_core/flows/handover.py
+++ b/packages/core/sapphire_core/flows/handover.py
@@ -17,29 +17,46 @@
 from sapphire_data import clock
 
 PAGE_FLOWS = 100
-MAX_BUCKETS_PER_REQUEST = 128
-REQUEST_PACE_MS = 500
+MAX_BUCKETS_PER_REQUEST = 256
+REQUEST_PACE_MS = 300
 REQUEST_TIMEOUT_MS = 1_500
+MAX_ATTEMPTS = 4
 BYTES_PER_SECOND = 2_000
 BURST_BYTES = 2_400
 PAGE_OVERHEAD_BYTES = 120
 FLOW_BYTES = 10
-BUCKET_BYTES = 3
+BUCKET_BYTES = 2
 # Every open flow has been seen within this time, so that a keeper of that age
 # has a full record without any handover.
 COMPLETE_BY_AGE_MS = 2 * exceptions_table.PERIOD_MS
-RELEASE_MIN_MS = 4_000
-RELEASE_QUIET_MS = 3_000
-RELEASE_MAX_MS = 30_000
+# Views of the membership agree after this long without a change.
+VIEWS_AGREE_MS = 3_000
+RELEASE_MIN_MS = 6_000
+RELEASE_QUIET_MS = 5_000
+RELEASE_MAX_MS = 60_000
 
 
 @dataclasses.dataclass(slots=True)
 class _Inquiry:
-    """A request that awaits its page."""
+    """A request that awaits its page.
+
+    Attributes:
+        host_id: The host that is asked.
+        request: The request.
+        sent_ms: When it was sent last.
+        kept: The buckets of which all pages so far count.
+        complete: Those of them of which the sender had a full record.
+        former: Those of which it had one until it ceased to be a keeper.
+        attempts: How often it was sent.
+    """
 
     host_id: str
     request: data.HandoverRequest
     sent_ms: int
+    kept: frozenset[int]
+    complete: frozenset[int]
+    former: frozenset[int]
+    attempts: int = 1
 
 
 class Handover:
@@ -66,6 +83,8 @@
         self._ambiguous_by_service: dict[str, set[int]] = {}
         self._former_by_service: dict[str, set[int]] = {}
         self._asked_by_bucket: dict[tuple[str, int], set[str]] = {}
+        self._skipped_by_bucket: dict[tuple[str, int], set[str]] = {}
+        self._formers_by_bucket: dict[tuple[str, int], set[str]] = {}
         self._routes_seen: dict[str, route_tables.Routes] = {}
         self._inquiry: _Inquiry | None = None
         self._continuation: _Inquiry | None = None
@@ -73,6 +92,7 @@
         self._budget_bytes = float(BURST_BYTES)
         self._budget_ms = 0
         self._leaving_since_ms: int | None = None
+        self._members_changed_ms: int | None = None
         self._last_asked_ms = 0
         self._expired_ms = 0
 
@@ -84,6 +104,10 @@
             is_trusted: Whether no host can have placed a flow of a newly
                 ambiguous bucket before this host knew of the change.
         """
+        if self._members_changed_ms is not None:
+            # Other hosts may still hand flows to other keepers.
+            age_ms = now_ms - self._members_changed_ms
+            is_trusted = is_trusted and age_ms >= VIEWS_AGREE_MS
         for routes in self._tables.routes_by_key.values():
             if not routes.inputs.is_active:
                 continue
@@ -105,6 +129,7 @@
             is_leaving: Whether this host is leaving.
             now_ms: The current time.
         """
+        self._members_changed_ms = now_ms
         if is_leaving and self._leaving_since_ms is None:
             self._leaving_since_ms = now_ms
         for service, ambiguous in self._ambiguous_by_service.items():
@@ -121,6 +146,8 @@
                     placements.complete_buckets.discard(bucket)
                     former.add(bucket)
         self._asked_by_bucket.clear()
+        self._skipped_by_bucket.clear()
+        self._formers_by_bucket.clear()
         self._continuation = None
 
     def tick(self, now_ms: int) -> list[data.Action]:
@@ -138,8 +165,15 @@
         if self._inquiry is not None:
             if now_ms - self._inquiry.sent_ms < REQUEST_TIMEOUT_MS:
                 return []
-            # Another host may answer; this one is asked again later.
-            self._mark_asked(self._inquiry)
+            # The answer may be lost, or the other host's rate used up.
+            if self._inquiry.attempts < MAX_ATTEMPTS:
+                self._inquiry.attempts += 1
+                self._continuation = self._inquiry
+            else:
+                for bucket in self._inquiry.request.buckets:
+                    key = (self._inquiry.request.service, bucket)
+                    skipped = self._skipped_by_bucket.setdefault(key, set())
+                    skipped.add(self._inquiry.host_id)
             self._inquiry = None
         if now_ms < self._next_request_ms or self._leaving_since_ms is not None:
             return []
@@ -199,18 +233,61 @@
                 continue
             if index < len(page.upstreams):
                 placements.exceptions.record(flow_hash, page.upstreams[index])
+        self._inquiry = None
+        # What the sender learns between two pages may be missing from both,
+        # hence each page has to confirm the completeness.
+        inquiry.kept &= frozenset(page.kept_buckets)
+        inquiry.complete &= frozenset(page.complete_buckets)
+        inquiry.former &= frozenset(page.former_buckets + page.complete_buckets)
         if not page.is_last and page.flow_hashes:
-            following = dataclasses.replace(
+            inquiry.request = dataclasses.replace(
                 request, after_flow_hash=page.flow_hashes[-1]
             )
-            self._inquiry = None
-            self._continuation = _Inquiry(host_id, following, now_ms)
+            inquiry.attempts = 1
+            self._continuation = inquiry
             return
-        self._inquiry = None
-        for bucket in page.complete_buckets:
-            if bucket in placements.kept_since_ms_by_bucket:
+        self._finish(inquiry, placements)
+
+    def _finish(
+        self, inquiry: _Inquiry, placements: keeper_role.Placements
+    ) -> None:
+        """Notes the buckets that this host has a full record of now."""
+        service = inquiry.request.service
+        kept = placements.kept_since_ms_by_bucket
+        for bucket in inquiry.request.buckets:
+            key = (service, bucket)
+            if bucket not in inquiry.kept:
+                skipped = self._skipped_by_bucket.setdefault(key, set())
+                skipped.add(inquiry.host_id)
+                continue
+            asked = self._asked_by_bucket.setdefault(key, set())
+            asked.add(inquiry.host_id)
+            if bucket not in kept:
+                continue
+            if bucket in inquiry.former:
+                formers = self._formers_by_bucket.setdefault(key, set())
+                formers.add(inquiry.host_id)
+            is_full = bucket in inquiry.complete
+            if is_full or self._is_enough(service, bucket):
                 placements.complete_buckets.add(bucket)
-        self._mark_asked(inquiry)
+
+    def _is_enough(self, service: str, bucket: int) -> bool:
+        """Returns whether the answers so far make a full record together.
+
+        The record of a former keeper is full only together with what the
+        keepers since then have recorded.
+        """
+        key = (service, bucket)
+        asked = self._asked_by_bucket.get(key, set())
+        formers = self._formers_by_bucket.get(key, set())
+        for host_id in self._keepers.order(service, bucket):
+            if host_id == self._host_id:
+                continue
+            if host_id not in asked:
+                return False
+            if host_id in formers:
+                return True
+        return True
 
     def is_released(self, now_ms: int) -> bool:
         """Returns whether a leaving host is no longer asked for records.
@@ -273,23 +350,28 @@
             for host_id, buckets in buckets_by_host.items():
                 chosen = tuple(buckets[:MAX_BUCKETS_PER_REQUEST])
                 request = data.HandoverRequest(service, chosen, -1)
-                return _Inquiry(host_id, request, now_ms)
+                every = frozenset(chosen)
+                return _Inquiry(host_id, request, now_ms, every, every, every)
         return None
 
     def _source(self, service: str, bucket: int) -> str | None:
         """Returns the next host to ask about a bucket."""
-        asked = self._asked_by_bucket.get((service, bucket), set())
-        for host_id in self._keepers.order(service, bucket):
-            if host_id != self._host_id and host_id not in asked:
+        key = (service, bucket)
+        asked = self._asked_by_bucket.get(key, set())
+        skipped = self._skipped_by_bucket.get(key, set())
+        order = self._keepers.order(service, bucket)
+        # Hosts that leave are asked while they are there.
+        for host_id in sorted(
+            order, key=lambda item: not self._keepers.is_leaving(item)
+        ):
+            if host_id == self._host_id or host_id in asked:
+                continue
+            if host_id not in skipped:
                 return host_id
+        # Hosts that did not answer are asked again.
+        self._skipped_by_bucket.pop(key, None)
         return None
 
-    def _mark_asked(self, inquiry: _Inquiry) -> None:
-        """Notes that a host has nothing more to say about buckets."""
-        for bucket in inquiry.request.buckets:
-            key = (inquiry.request.service, bucket)
-            self._asked_by_bucket.setdefault(key, set()).add(inquiry.host_id)
-
     def _page(
         self, host_id: str, request: data.HandoverRequest, now_ms: int
     ) -> data.HandoverPage:
@@ -308,36 +390,34 @@
         chosen = found[:PAGE_FLOWS]
         names = sorted({upstream for _, upstream in chosen})
         index_by_name = {name: index for index, name in enumerate(names)}
+        kept = self._buckets_kept_by(host_id, request)
+        complete = placements.complete_buckets
+        former = self._former_by_service.get(request.service, set())
         return data.HandoverPage(
             service=request.service,
             buckets=request.buckets,
-            complete_buckets=self._complete(host_id, request, placements),
+            kept_buckets=tuple(sorted(kept)),
+            complete_buckets=tuple(sorted(kept & complete)),
+            former_buckets=tuple(sorted(kept & former - complete)),
             upstreams=tuple(names),
             flow_hashes=tuple(flow_hash for flow_hash, _ in chosen),
             upstream_indices=tuple(index_by_name[name] for _, name in chosen),
             is_last=len(found) <= PAGE_FLOWS,
         )
 
-    def _complete(
-        self,
-        host_id: str,
-        request: data.HandoverRequest,
-        placements: keeper_role.Placements,
-    ) -> tuple[int, ...]:
-        """Returns the buckets that the asking host knows all about then.
+    def _buckets_kept_by(
+        self, host_id: str, request: data.HandoverRequest
+    ) -> set[int]:
+        """Returns the buckets that the asking host is known to keep here.
 
         Placements that this host makes from now on must reach the asking
         host, hence this host has to know it as a keeper.
         """
-        former = self._former_by_service.get(request.service, set())
-        known = placements.complete_buckets | former
-        complete = []
+        kept = set()
         for bucket in request.buckets:
-            if bucket not in known:
-                continue
             if host_id in self._keepers.keepers(request.service, bucket):
-                complete.append(bucket)
-        return tuple(complete)
+                kept.add(bucket)
+        return kept
 
     def _expire(self, now_ms: int) -> None:
         """Drops idle flows and notes keepers that are old enough."""
@@ -356,5 +436,5 @@
         page: The page.
     """
     flows = FLOW_BYTES * len(page.flow_hashes)
-    buckets = BUCKET_BYTES * (len(page.buckets) + len(page.complete_buckets))
+    buckets = BUCKET_BYTES * 3 * len(page.buckets)
     return PAGE_OVERHEAD_BYTES + flows + buckets
--- a/packages/core/sapphire_core/flows/keeper_role.py
+++ b/packages/core/sapphire_core/flows/keeper_role.py
@@ -118,7 +118,13 @@
         target = keepers[0]
         if target in self.suspects and not packet.is_opening:
             target = keepers[-1]
-        return self._relay(target, packet, None)
+        recorded = None
+        if not packet.is_opening:
+            # A former keeper may know what the present ones are still asking
+            # for; they object if they know better.
+            exceptions = self.placements(routes.name, now_ms).exceptions
+            recorded = exceptions.get(packet.flow_hash)
+        return self._relay(target, packet, recorded)
 
     def answer(
         self,
@@ -173,12 +179,12 @@
             return data.Drop(failures.ForeignUpstream(upstream))
         exceptions = self.placements(routes.name, now_ms).exceptions
         recorded = exceptions.get(packet.flow_hash)
-        if packet.is_closing and recorded == upstream:
-            exceptions.close(packet.flow_hash)
-            return decision
         if recorded == upstream:
-            exceptions.touch(packet.flow_hash)
-            return decision
+            if packet.is_closing:
+                exceptions.close(packet.flow_hash)
+            else:
+                exceptions.touch(packet.flow_hash)
+            return self._spread(routes, packet, upstream, decision)
         is_answer = self._host_id in packet.visited
         if (
             recorded is None
@@ -186,9 +192,35 @@
             or not self._is_usable(routes, exceptions, packet, recorded)
         ):
             exceptions.record(packet.flow_hash, upstream)
-            return decision
+            return self._spread(routes, packet, upstream, decision)
         return self._relay(packet.visited[-1], packet, recorded)
 
+    def _spread(
+        self,
+        routes: routes_lib.Routes,
+        packet: Packet,
+        upstream: str,
+        decision: data.Decision,
+    ) -> data.Decision:
+        """Lets an opening packet pass all keepers before it is forwarded.
+
+        Views of the keepers differ for a while, so each adds those that it
+        knows. A keeper that objected to a placement is answered by a walk
+        back to the host that made it.
+        """
+        if not packet.is_opening:
+            return decision
+        if self._host_id in packet.visited:
+            index = packet.visited.index(self._host_id)
+            if index == 0:
+                return decision
+            return self._relay(packet.visited[index - 1], packet, upstream)
+        bucket = packet.flow_hash % routes.bucket_count
+        for host_id in self._keepers.keepers(routes.name, bucket):
+            if host_id != self._host_id and self._may_visit(host_id, packet):
+                return self._relay(host_id, packet, upstream)
+        return decision
+
     def _open(
         self,
         routes: routes_lib.Routes,
@@ -220,7 +252,9 @@
         other = self._other_keeper(routes.name, bucket)
         if other is None:
             return routes.decision_by_upstream[upstream]
-        return self._relay(other, packet, upstream)
+        # The hosts that were visited so far do not know the placement.
+        placed = dataclasses.replace(packet, visited=())
+        return self._relay(other, placed, upstream)
 
     def _place(
         self,
@@ -252,11 +286,13 @@
         bucket = packet.flow_hash % routes.bucket_count
         preferred = routes.generations[-1].owner(bucket)
         is_base = routes.is_told_by_base(bucket, upstream)
-        if is_base and upstream == preferred:
+        is_free = upstream in routes.inputs.unsettled
+        if is_base and upstream == preferred and not is_free:
             placements.exceptions.forget(packet.flow_hash)
             return
-        # A deferred flow is recorded though it is at the base owner, so that
-        # a repeated opening packet does not start it at another upstream.
+        # The placement of a cold upstream's flow depends on the time. It is
+        # recorded even at the base owner, so that a repeated opening packet
+        # does not start the flow at another upstream.
         placements.exceptions.record(packet.flow_hash, upstream)
 
     def _known(
--- a/packages/core/sapphire_core/flows/keepers.py
+++ b/packages/core/sapphire_core/flows/keepers.py
@@ -79,6 +79,10 @@
             self._order_by_bucket[key] = order
         return order
 
+    def is_leaving(self, host_id: str) -> bool:
+        """Returns whether a host is leaving, so that it keeps nothing."""
+        return host_id in self._leaving
+
     def first(self, service: str, bucket: int) -> str | None:
         """Returns the first keeper of a bucket, None without members."""
         order = self.order(service, bucket)
--- a/packages/core/sapphire_core/flows/route_tables.py
+++ b/packages/core/sapphire_core/flows/route_tables.py
@@ -1,5 +1,6 @@
 """The routes of all service addresses, rebuilt only where inputs change."""
 
+from sapphire_core.flows import data
 from sapphire_core.flows import failures
 from sapphire_core.flows import overlays as overlays_lib
 from sapphire_core.flows import revisions as revisions_lib
@@ -29,18 +30,33 @@
     ) -> None:
         self.routes_by_key: dict[bytes, Routes] = {}
         self._moving_keys: set[bytes] = set()
+        self._withdrawn_keys: set[bytes] = set()
         self._revisions = revisions
         self._overlays = overlays
         self._spread: frozenset[str] = frozenset()
 
-    def find(self, service_key: bytes) -> Routes | data_failures.Failure:
-        """Returns the routes of a service address, or why it has none."""
-        routes = self.routes_by_key.get(service_key)
-        if routes is not None:
-            return routes
+    def find(self, service_key: bytes) -> Routes | None:
+        """Returns the routes of a service address, None if it has none."""
+        return self.routes_by_key.get(service_key)
+
+    def without_routes(
+        self, service_key: bytes, is_opening: bool
+    ) -> data.Decision:
+        """Decides about a packet to an address that has no routes.
+
+        Callers of an address that was withdrawn are told, so that none of
+        their packets is left when another service gets the address.
+
+        Args:
+            service_key: The service key.
+            is_opening: Whether the packet opens a flow.
+        """
+        reason: data_failures.Failure = failures.UnknownService()
         if service_key in self._moving_keys:
-            return failures.ServiceAddressMoving()
-        return failures.UnknownService()
+            reason = failures.ServiceAddressMoving()
+        elif service_key not in self._withdrawn_keys:
+            return data.Drop(reason)
+        return data.Drop(reason) if is_opening else data.GiveUp(reason)
 
     def has_overlay_spread(self, now_ms: int) -> bool:
         """Returns whether an overlay passed its barrier since the rebuild."""
@@ -87,6 +103,8 @@
             if routes is None or routes.inputs != inputs:
                 routes = routes_lib.build(inputs)
             routes_by_key[key] = routes
+        self._withdrawn_keys |= self.routes_by_key.keys()
+        self._withdrawn_keys -= routes_by_key.keys()
         self.routes_by_key = routes_by_key
 
     def _retired(self, name: str) -> records.Service | None:
--- a/packages/core/sapphire_core/flows/router.py
+++ b/packages/core/sapphire_core/flows/router.py
@@ -1,6 +1,7 @@
 """Routing of packets on one host; see `docs/design/0002-flow-routing.md`."""
 
 from sapphire_core.flows import data
+from sapphire_core.flows import exceptions_table
 from sapphire_core.flows import failures
 from sapphire_core.flows import handover
 from sapphire_core.flows import keeper_role
@@ -66,6 +67,10 @@
         """Returns all known overlays."""
         return self._overlays.all()
 
+    def recorded(self, service: str) -> exceptions_table.ExceptionsTable:
+        """Returns the flows of a service that this host has recorded."""
+        return self._role.placements(service, 0).exceptions
+
     def prepare(
         self, configuration: records.Configuration, now_ms: int
     ) -> None:
@@ -203,8 +208,8 @@
             flow_hash, is_opening, is_closing, relay.visited, relay.revision
         )
         routes = self._tables.find(service_key)
-        if not isinstance(routes, route_tables.Routes):
-            return data.Drop(routes)
+        if routes is None:
+            return self._tables.without_routes(service_key, is_opening)
         if relay.upstream is not None:
             return self._role.accept(routes, packet, relay.upstream, now_ms)
         if not routes.inputs.is_active:
@@ -269,8 +274,8 @@
     ) -> data.Decision:
         """Decides about a packet of a bucket that is not settled."""
         routes = self._tables.find(service_key)
-        if not isinstance(routes, route_tables.Routes):
-            return data.Drop(routes)
+        if routes is None:
+            return self._tables.without_routes(service_key, packet.is_opening)
         return self._role.enter(routes, packet, self._is_fresh(now_ms), now_ms)
 
     def _is_fresh(self, now_ms: int) -> bool:
--- a/packages/lab/sapphire_lab/flows/builders.py
+++ b/packages/lab/sapphire_lab/flows/builders.py
@@ -105,3 +105,8 @@
 def key_of(item: records.Service) -> bytes:
     """Returns the key of a service."""
     return service_views.service_key(item.address, item.port)
+
+
+def key_of_address(address: str) -> bytes:
+    """Returns the key of a service at an address and the usual port."""
+    return service_views.service_key(address, SERVICE_PORT)
