Requests: pay for a borrowed slot when it is tried, one trial at a time after a shed

Cause: several trials in flight passed the same budget check, so most sheds of borrowed slots ended as refusals.

--- a/packages/core/sapphire_core/requests/receiving.py
+++ b/packages/core/sapphire_core/requests/receiving.py
@@ -25,6 +25,8 @@
     state.attempt_table.end(event.attempt_id, is_answered=True)
     pool = state.pools_by_service[attempt.service]
     pool.observed.add(now_ms - attempt.sent_ms)
+    if attempt.is_borrowed:
+        pool.end_borrow(None, now_ms, is_answered=True)
     gate = pool.gate(attempt.upstream)
     if gate is not None:
         gate.in_flight -= 1
@@ -64,7 +66,10 @@
         progress.may_have_run = True
     cost = service_pool.OWN_RETRY_COST
     if attempt.is_borrowed:
-        cost = service_pool.BORROWED_RETRY_COST
+        pool.end_borrow(fault, now_ms, is_answered=False)
+    if attempt.is_borrowed and fault is data.AttemptFault.SHED:
+        # The retry was paid for when the slot was borrowed.
+        cost = 0.0
     _retry(state, pool, progress, fault, now_ms, cost=cost)
 
 
@@ -92,7 +97,10 @@
     progress.may_have_run = True
     if attempt is None:
         return None
-    gate = state.pools_by_service[attempt.service].gate(attempt.upstream)
+    pool = state.pools_by_service[attempt.service]
+    if attempt.is_borrowed:
+        pool.end_borrow(None, 0, is_answered=False)
+    gate = pool.gate(attempt.upstream)
     if gate is not None:
         gate.in_flight -= 1
     state.actions.append(data.CancelAttempt(attempt.attempt_id))
--- a/packages/core/sapphire_core/requests/retry_budget.py
+++ b/packages/core/sapphire_core/requests/retry_budget.py
@@ -55,3 +55,7 @@
             return False
         self.tokens -= tokens
         return True
+
+    def refund(self, tokens: float) -> None:
+        """Gives back tokens for a retry that was not needed."""
+        self.tokens = min(MAX_TOKENS, self.tokens + tokens)
--- a/packages/core/sapphire_core/requests/service_pool.py
+++ b/packages/core/sapphire_core/requests/service_pool.py
@@ -5,6 +5,8 @@
 import dataclasses
 import random
 
+from sapphire_core.requests import borrowing
+from sapphire_core.requests import data
 from sapphire_core.requests import fair_queue
 from sapphire_core.requests import latency
 from sapphire_core.requests import retry_budget
@@ -32,6 +34,7 @@
         claiming: The requests that wait for their claim.
         budget: The retry budget.
         observed: The time that upstreams take.
+        borrow_pace: How often slots of other hosts are tried.
         is_fresh: Whether peers confirmed this host recently; if not, cold
             upstreams get nothing from it.
     """
@@ -51,6 +54,9 @@
     observed: latency.Latency = dataclasses.field(
         default_factory=latency.Latency
     )
+    borrow_pace: borrowing.BorrowPace = dataclasses.field(
+        default_factory=borrowing.BorrowPace
+    )
     is_fresh: bool = True
 
     def gate(self, name: str) -> upstream_gate.UpstreamGate | None:
@@ -151,6 +157,8 @@
         ]
         if own:
             return self._choose(own, tried, rng), False
+        if not self.borrow_pace.is_due(now_ms):
+            return None
         self.budget.refill(now_ms)
         if self.budget.tokens < BORROW_RESERVE + BORROWED_RETRY_COST:
             return None
@@ -161,8 +169,27 @@
         ]
         if not borrowed:
             return None
+        self.budget.spend(BORROWED_RETRY_COST)
+        self.borrow_pace.note_trial()
         return self._choose(borrowed, tried, rng), True
 
+    def end_borrow(
+        self,
+        fault: data.AttemptFault | None,
+        now_ms: int,
+        *,
+        is_answered: bool,
+    ) -> None:
+        """Takes in how the use of a borrowed slot ended.
+
+        The price of the retry is given back unless the upstream shed it.
+        """
+        if fault is data.AttemptFault.SHED:
+            self.borrow_pace.note_shed(now_ms)
+            return
+        self.borrow_pace.note_end(is_answered=is_answered)
+        self.budget.refund(BORROWED_RETRY_COST)
+
     def _choose(
         self,
         gates: list[upstream_gate.UpstreamGate],
