Requests: hosts lend each other idle slots

Cause: the slots of a service do not divide evenly among hosts (14 slots over 9 hosts), so at load 1 some hosts refuse while others idle; trials of foreign slots are shed too often to make up for it. Loans that are not carried leave the former behaviour.

--- a/packages/core/sapphire_core/requests/data.py
+++ b/packages/core/sapphire_core/requests/data.py
@@ -168,6 +168,57 @@
     batch_id: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SlotNeed:
+    """A host has requests waiting and no free slot.
+
+    Attributes:
+        host_id: The host.
+        service: The service.
+        wanted: The slots that it could use.
+    """
+
+    host_id: str
+    service: str
+    wanted: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SlotLoan:
+    """A host lends an idle slot.
+
+    Attributes:
+        lender: The host that lends.
+        loan_id: The number of the loan at the lender.
+        service: The service.
+        upstream: The name of the upstream.
+        duration_ms: How long the lender does without the slot.
+    """
+
+    lender: str
+    loan_id: int
+    service: str
+    upstream: str
+    duration_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SlotReturn:
+    """A host gives a slot back before the loan has ended."""
+
+    loan: SlotLoan
+
+
+PeerMessage = SlotNeed | SlotLoan | SlotReturn
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerTold:
+    """Another host has sent a message; it may be lost, doubled or late."""
+
+    message: PeerMessage
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Tick:
     """Time has passed."""
@@ -180,6 +231,7 @@
     | AttemptFailed
     | ClaimsApplied
     | ClaimsFailed
+    | PeerTold
     | Tick
 )
 
@@ -236,4 +288,12 @@
     batch: ClaimBatch
 
 
-Action = Send | CancelAttempt | Finish | ApplyClaims
+@dataclasses.dataclass(frozen=True, slots=True)
+class TellPeer:
+    """Send a message to another host, at most once and without a receipt."""
+
+    host_id: str
+    message: PeerMessage
+
+
+Action = Send | CancelAttempt | Finish | ApplyClaims | TellPeer
--- a/packages/core/sapphire_core/requests/engine.py
+++ b/packages/core/sapphire_core/requests/engine.py
@@ -8,6 +8,7 @@
 from sapphire_core.requests import data
 from sapphire_core.requests import expiry
 from sapphire_core.requests import host_state
+from sapphire_core.requests import lending
 from sapphire_core.requests import receiving
 from sapphire_core.requests import retry_budget
 from sapphire_core.requests import sending
@@ -109,9 +110,12 @@
             for member in view.members_by_id.values()
             if member.state in LIVE_STATES
         }
-        live.add(self._state.host_id)
+        own_id = self._state.host_id
+        live.add(own_id)
         self._host_ids = tuple(sorted(live))
         self._is_fresh = view.is_fresh
+        peers = (host for host in self._host_ids if host != own_id)
+        self._state.peer_ids = tuple(peers)
         rate = self._store_calls_per_second / len(live)
         self._state.claims.calls_per_second = rate
         self._share_slots()
@@ -145,6 +149,8 @@
                 admission.claims_applied(state, event, now_ms)
             case data.ClaimsFailed():
                 admission.claims_failed(state, event, now_ms)
+            case data.PeerTold(message):
+                lending.told(state, message, now_ms)
             case data.Tick():
                 pass
         return self._settle(now_ms)
@@ -169,6 +175,7 @@
         expiry.cut_due(state, now_ms)
         for pool in state.pools_by_service.values():
             sending.dispatch(state, pool, now_ms)
+            lending.settle(state, pool, now_ms)
         call = state.claims.poll(now_ms)
         if call is not None:
             state.actions.append(call)
--- a/packages/core/sapphire_core/requests/host_state.py
+++ b/packages/core/sapphire_core/requests/host_state.py
@@ -27,6 +27,8 @@
         serials_by_claim_key: The requests that hold or wait for a claim.
         attempt_table: The attempts in flight.
         attempt_count: The attempts made.
+        peer_ids: The other live hosts.
+        loan_count: The loans made.
         timers: A heap of times in milliseconds, each with a request to look
             at then.
         cuts_ms: When the attempts at an upstream end, by service and name of
@@ -54,6 +56,8 @@
         default_factory=attempts.AttemptTable
     )
     attempt_count: int = 0
+    peer_ids: tuple[str, ...] = ()
+    loan_count: int = 0
     timers: list[tuple[int, int]] = dataclasses.field(default_factory=list)
     cuts_ms: dict[tuple[str, str], int] = dataclasses.field(
         default_factory=dict
--- a/packages/core/sapphire_core/requests/service_pool.py
+++ b/packages/core/sapphire_core/requests/service_pool.py
@@ -9,6 +9,7 @@
 from sapphire_core.requests import data
 from sapphire_core.requests import fair_queue
 from sapphire_core.requests import latency
+from sapphire_core.requests import need_pace
 from sapphire_core.requests import retry_budget
 from sapphire_core.requests import slots
 from sapphire_core.requests import upstream_gate
@@ -35,6 +36,7 @@
         budget: The retry budget.
         observed: The time that upstreams take.
         borrow_pace: How often slots of other hosts are tried.
+        asking: How often other hosts are asked for a slot.
         is_fresh: Whether peers confirmed this host recently; if not, cold
             upstreams get nothing from it.
     """
@@ -57,6 +59,9 @@
     borrow_pace: borrowing.BorrowPace = dataclasses.field(
         default_factory=borrowing.BorrowPace
     )
+    asking: need_pace.NeedPace = dataclasses.field(
+        default_factory=need_pace.NeedPace
+    )
     is_fresh: bool = True
 
     def gate(self, name: str) -> upstream_gate.UpstreamGate | None:
--- a/packages/core/sapphire_core/requests/upstream_gate.py
+++ b/packages/core/sapphire_core/requests/upstream_gate.py
@@ -12,6 +12,19 @@
 FAULT_MAX_MS = 2_000
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HeldLoan:
+    """A slot that another host lends to this one.
+
+    Attributes:
+        loan: The loan as the lender stated it.
+        start_until_ms: No attempt is started in it from this time on.
+    """
+
+    loan: data.SlotLoan
+    start_until_ms: int
+
+
 @dataclasses.dataclass(slots=True)
 class UpstreamGate:
     """The view of one host on one upstream.
@@ -23,6 +36,9 @@
         blocked_until_ms: No attempt is made before this time.
         boot_id: The boot identity last seen, or None.
         cold_since_ms: When it was seen to have started, or None if warm.
+        lent_until_ms: For each loan of a slot of this host, when it ends.
+        loans_by_id: The slots that others lend to this host, by lender and
+            number of the loan.
         has_echoed: Whether it has named the attempt id in an answer.
     """
 
@@ -32,6 +48,10 @@
     blocked_until_ms: int = 0
     boot_id: str | None = None
     cold_since_ms: int | None = None
+    lent_until_ms: dict[int, int] = dataclasses.field(default_factory=dict)
+    loans_by_id: dict[tuple[str, int], HeldLoan] = dataclasses.field(
+        default_factory=dict
+    )
     has_echoed: bool = False
     _failures_in_row: int = 0
     _was_unreachable: bool = False
@@ -57,9 +77,24 @@
         """Whether a slot of this host is free and may be used."""
         if now_ms < self.blocked_until_ms:
             return False
+        return self.in_flight < self.usable_slots(now_ms)
+
+    def usable_slots(self, now_ms: int) -> int:
+        """Returns the slots that this host may use now, borrowed ones too."""
         open_slots = self.open_slots(now_ms)
         usable = sum(1 for n in self.slot_numbers if n < open_slots)
-        return self.in_flight < usable
+        if self.lent_until_ms:
+            self._end_lent(now_ms)
+            usable -= len(self.lent_until_ms)
+        for held in self.loans_by_id.values():
+            if now_ms < held.start_until_ms:
+                usable += 1
+        return usable
+
+    def _end_lent(self, now_ms: int) -> None:
+        for loan_id, end_ms in list(self.lent_until_ms.items()):
+            if now_ms >= end_ms:
+                del self.lent_until_ms[loan_id]
 
     def may_borrow(self, now_ms: int) -> bool:
         """Whether a slot of another host may be tried."""
--- a/packages/lab/sapphire_lab/requests/callers_fake.py
+++ b/packages/lab/sapphire_lab/requests/callers_fake.py
@@ -81,6 +81,7 @@
         orders: All orders.
         rates_by_service: Orders a second for each service.
         orders_by_arrival: The order of each arrival.
+        outcomes_by_arrival: How each arrival ended.
         refused_arrivals: The request id and arrival of refusals as not run.
     """
 
@@ -99,6 +100,9 @@
     orders_by_arrival: dict[str, Order] = dataclasses.field(
         default_factory=dict
     )
+    outcomes_by_arrival: dict[str, data.Outcome] = dataclasses.field(
+        default_factory=dict
+    )
     refused_arrivals: list[tuple[str, str]] = dataclasses.field(
         default_factory=list
     )
@@ -175,6 +179,7 @@
         self, order: Order, run_id: str, arrival: str, finish: data.Finish
     ) -> None:
         self.tally.outcomes[finish.outcome] += 1
+        self.outcomes_by_arrival[arrival] = finish.outcome
         match finish.outcome:
             case data.Outcome.ANSWERED:
                 self._answered(order, run_id, finish)
--- a/packages/lab/sapphire_lab/requests/host_fake.py
+++ b/packages/lab/sapphire_lab/requests/host_fake.py
@@ -79,6 +79,10 @@
     is_sent: bool = False
 
 
+def _tell_nobody(host_id: str, event: data.PeerTold) -> None:
+    del host_id, event
+
+
 @dataclasses.dataclass(slots=True)
 class HostFake:
     """A host.
@@ -101,6 +105,7 @@
         events: The events that the decider handled.
         busy_s: The processor time of the decider in seconds.
         first_attempts: The requests for which an attempt was made.
+        tell: Carries a message to another host.
         exchanges_by_serial: The requests whose callers wait.
     """
 
@@ -120,6 +125,7 @@
     events: int = 0
     busy_s: float = 0.0
     first_attempts: int = 0
+    tell: Callable[[str, data.PeerTold], None] = _tell_nobody
     exchanges_by_serial: dict[int, Exchange] = dataclasses.field(
         default_factory=dict
     )
@@ -185,6 +191,8 @@
                 self._cancel(attempt_id)
             case data.ApplyClaims(batch):
                 self.sim.after(STORE_ONE_WAY_MS, lambda: self._call(batch))
+            case data.TellPeer(host_id, message):
+                self.tell(host_id, data.PeerTold(message))
             case data.Finish(serial):
                 self.exchanges_by_serial.pop(serial).done(action)
 
--- a/packages/lab/sapphire_lab/requests/scenario.py
+++ b/packages/lab/sapphire_lab/requests/scenario.py
@@ -1,8 +1,10 @@
 """A few hosts, upstreams and callers round one store, for measurements."""
 
 import dataclasses
+import functools
 import random
 
+from sapphire_core.requests import data
 from sapphire_core.requests import engine
 from sapphire_data import records
 from sapphire_lab.requests import builders
@@ -67,6 +69,9 @@
         store: The claim store.
         log: The runs at upstreams.
         configuration: The configuration in force.
+        rng: The source of lost messages between hosts.
+        peer_loss: The share of messages between hosts that is lost.
+        peer_messages: The messages between hosts.
     """
 
     site: Site
@@ -77,6 +82,9 @@
     store: claim_store_fake.FakeClaimStore
     log: upstream_fake.RunLog
     configuration: records.Configuration
+    rng: random.Random
+    peer_loss: float = 0.01
+    peer_messages: int = 0
 
     def capacity_per_second(self, service: str) -> float:
         """Returns the requests a second that a service's upstreams bear."""
@@ -89,6 +97,17 @@
             rate = load * self.capacity_per_second(service)
             self.callers.start(service, rate)
 
+    def tell(self, host_id: str, event: data.PeerTold) -> None:
+        """Carries a message between two hosts, or loses it."""
+        self.peer_messages += 1
+        if self.rng.random() < self.peer_loss:
+            return
+        for host in self.hosts:
+            if host.name != host_id:
+                continue
+            deliver = functools.partial(host.event, event)
+            self.sim.after(self.site.one_way_ms, deliver)
+
     def share_view(self) -> None:
         """Gives each living host the list of the living hosts."""
         living = [host for host in self.hosts if host.is_alive]
@@ -182,8 +201,10 @@
         store,
         log,
         configuration,
+        random.Random(f"{seed}/peers"),
     )
     for host in hosts:
+        host.tell = scenario.tell
         host.perform(host.decider.set_configuration(configuration, 0))
     scenario.share_view()
     return scenario
