--- a/packages/core/sapphire_core/configuration/holders.py
+++ b/packages/core/sapphire_core/configuration/holders.py
@@ -1,96 +1,100 @@
 """Remembers which sources offer a revision that is newer than our own."""
 
+import dataclasses
 import random
 
 from sapphire_core.configuration import data
 
 STORE = "store"
-MAX_HOLDERS = 16
+MAX_SOURCES = 16
 MAX_VERSIONS = 8
-MAX_PENALTIES = 64
+
+
+@dataclasses.dataclass(slots=True)
+class _Offer:
+    """How often an offer did not hold, and until when it is not taken."""
+
+    tries: int = 0
+    banned_until_ms: int = 0
 
 
 class Holders:
     """The offers of newer revisions, by revision and source."""
 
     def __init__(self) -> None:
-        self._sources_by_version: dict[data.Version, set[str]] = {}
-        self._penalty_ends_at_ms: dict[tuple[data.Version, str], int] = {}
+        self._offers: dict[data.Version, dict[str, _Offer]] = {}
 
-    def add(self, version: data.Version, source: str, now_ms: int) -> None:
+    def add(self, version: data.Version, source: str) -> None:
         """Remembers an offer; the newest few revisions are kept.
 
-        An offer that failed a moment ago is not taken, so that a source
-        that can't be reached does not hold up an older revision.
-
         Args:
             version: The revision.
             source: The peer, or `STORE`.
-            now_ms: The time in milliseconds.
         """
-        if now_ms < self._penalty_ends_at_ms.get((version, source), now_ms):
-            return
-        sources = self._sources_by_version.setdefault(version, set())
-        if source == STORE or len(sources) < MAX_HOLDERS:
-            sources.add(source)
-        if len(self._sources_by_version) > MAX_VERSIONS:
-            oldest = min(self._sources_by_version, key=_revision)
-            del self._sources_by_version[oldest]
-
-    def refuse(self, version: data.Version, source: str, until_ms: int) -> None:
-        """Forgets an offer that did not hold.
+        offers = self._offers.setdefault(version, {})
+        if source == STORE or len(offers) < MAX_SOURCES:
+            offers.setdefault(source, _Offer())
+        if len(self._offers) > MAX_VERSIONS:
+            oldest = min(self._offers, key=lambda known: known.revision)
+            del self._offers[oldest]
+
+    def count_failure(
+        self, version: data.Version, source: str, banned_until_ms: int
+    ) -> None:
+        """Ranks an offer lower because it did not hold.
 
         Args:
             version: The revision.
             source: The peer, or `STORE`.
-            until_ms: When the same offer may be taken again.
+            banned_until_ms: Before this time it is not taken again.
         """
-        if len(self._penalty_ends_at_ms) >= MAX_PENALTIES:
-            self._penalty_ends_at_ms.clear()
-        self._penalty_ends_at_ms[version, source] = until_ms
-        sources = self._sources_by_version.get(version)
-        if sources is None:
+        offer = self._offers.get(version, {}).get(source)
+        if offer is None:
             return
-        sources.discard(source)
-        if not sources:
-            del self._sources_by_version[version]
+        offer.tries += 1
+        offer.banned_until_ms = banned_until_ms
 
     def drop_up_to(self, revision: int) -> None:
         """Forgets the offers that are not newer than a revision."""
-        for version in list(self._sources_by_version):
+        for version in list(self._offers):
             if version.revision <= revision:
-                del self._sources_by_version[version]
-
-    def newest(self) -> data.Version:
-        """Returns the newest revision that is offered."""
-        if not self._sources_by_version:
-            return data.NO_VERSION
-        return max(self._sources_by_version, key=_revision)
+                del self._offers[version]
 
     def choose(
-        self, version: data.Version, near: frozenset[str], dice: random.Random
-    ) -> str | None:
-        """Chooses a source of a revision.
+        self, near: frozenset[str], dice: random.Random, now_ms: int
+    ) -> tuple[data.Version, str] | None:
+        """Chooses what to fetch from where.
+
+        Offers that failed less often go first, so that a source that can't
+        be reached does not hold up an older revision; then newer revisions;
+        then near peers before others and the store last.
 
         Args:
-            version: The revision.
             near: The peers in the same data centre.
-            dice: Spreads the load over the sources.
+            dice: Spreads the load over equal sources.
+            now_ms: The time in milliseconds.
 
         Returns:
-            A near peer if one offers it, else another peer, else the store;
-            none if the offer is gone.
+            The revision and its source; none if there is no offer.
         """
-        sources = self._sources_by_version.get(version, set())
-        peers = sorted(sources - {STORE})
-        near_peers = [peer for peer in peers if peer in near]
-        if near_peers:
-            return dice.choice(near_peers)
-        if peers:
-            return dice.choice(peers)
-        return STORE if STORE in sources else None
-
-
-def _revision(version: data.Version) -> int:
-    """Returns the revision of a version."""
-    return version.revision
+        best: list[tuple[data.Version, str]] = []
+        best_rank: tuple[int, int, int] | None = None
+        for version, offers in self._offers.items():
+            for source, offer in offers.items():
+                if now_ms < offer.banned_until_ms:
+                    continue
+                distance = _distance(source, near)
+                rank = (offer.tries, -version.revision, distance)
+                if best_rank is None or rank < best_rank:
+                    best_rank = rank
+                    best = []
+                if rank == best_rank:
+                    best.append((version, source))
+        return dice.choice(best) if best else None
+
+
+def _distance(source: str, near: frozenset[str]) -> int:
+    """Returns how far a source is, for ranking."""
+    if source == STORE:
+        return 2
+    return 0 if source in near else 1
--- a/packages/core/sapphire_core/configuration/spreading.py
+++ b/packages/core/sapphire_core/configuration/spreading.py
@@ -15,6 +15,14 @@
 from sapphire_core.configuration import watchers
 from sapphire_data import failures
 
+# With four each, all but 2% of a data centre learn of a revision at once;
+# gossip reaches the others.
+NOTIFY_NEAR = 4
+NOTIFY_FAR = 1
+# Timeouts in a row after which waits grow, because the path is slow and not
+# a single source.
+QUICK_TRIES = 3
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Settings:
@@ -39,8 +47,8 @@
     """
 
     boot_wait_ms: int = 500
-    fetch_timeout_min_ms: int = 800
-    fetch_timeout_max_ms: int = 12_800
+    fetch_timeout_min_ms: int = 250
+    fetch_timeout_max_ms: int = 8_000
     penalty_ms: int = 600
     silence_ms: int = 1_500
     poll_min_ms: int = 1_000
@@ -85,7 +93,7 @@
         self._near: frozenset[str] = frozenset()
         self._fetching: messages.Fetch | None = None
         self._fetch_ends_at_ms = 0
-        self._fetch_timeout_ms = settings.fetch_timeout_min_ms
+        self._timeouts_in_row = 0
         self._fetch_from_ms = now_ms + settings.boot_wait_ms
         self._heard_at_ms = now_ms
         # Hosts that start together do not read the store together.
@@ -122,7 +130,7 @@
             case messages.PeerHead():
                 self._on_peer_head(event, now_ms)
             case messages.StoreHead():
-                self._on_offer(event.version, holders.STORE, now_ms)
+                self._on_offer(event.version, holders.STORE)
             case messages.StoreReadFailed():
                 self._on_read_failed(now_ms)
             case messages.WatchStarted():
@@ -131,9 +139,10 @@
             case messages.WatchEnded():
                 self._on_watch_ended(now_ms)
             case messages.FetchDone():
-                self._on_fetched(event.version, actions, now_ms)
+                self._on_fetched(event, actions, now_ms)
             case messages.FetchFailed():
-                self._give_up_fetch(now_ms)
+                banned_until_ms = now_ms + self._settings.penalty_ms
+                self._refuse(event.fetch, banned_until_ms)
             case messages.Tick():
                 pass
         self._start_due_work(actions, now_ms)
@@ -173,16 +182,14 @@
         self._heard_at_ms = now_ms
         if self.version != data.NO_VERSION:
             self._poll_ms = self._settings.poll_min_ms
-        self._on_offer(event.version, event.host_id, now_ms)
+        self._on_offer(event.version, event.host_id)
 
-    def _on_offer(
-        self, version: data.Version, source: str, now_ms: int
-    ) -> None:
+    def _on_offer(self, version: data.Version, source: str) -> None:
         """Remembers that a source has a revision; it may be an old one."""
         if version.revision > self.newest_heard.revision:
             self.newest_heard = version
         if version.revision > self.version.revision:
-            self._holders.add(version, source, now_ms)
+            self._holders.add(version, source)
             return
         is_same_revision = version.revision == self.version.revision
         if not is_same_revision or version.digest == self.version.digest:
@@ -210,49 +217,66 @@
 
     def _on_fetched(
         self,
-        version: data.Version,
+        event: messages.FetchDone,
         actions: list[messages.Action],
         now_ms: int,
     ) -> None:
         """Accepts a fetched revision if it is newer than the host's own."""
-        if self._fetching is not None and (
-            version.revision < self._fetching.version.revision
-        ):
+        version = event.version
+        self._timeouts_in_row = 0
+        if version.revision < event.fetch.version.revision:
             # The source does not have what it offered.
-            self._give_up_fetch(now_ms)
-        self._fetching = None
-        self._fetch_timeout_ms = self._settings.fetch_timeout_min_ms
+            self._refuse(event.fetch, now_ms + self._settings.penalty_ms)
+        if self._fetching == event.fetch:
+            self._fetching = None
         if version.revision <= self.version.revision:
             return
         self.version = version
         if version.revision > self.newest_heard.revision:
             self.newest_heard = version
         self._holders.drop_up_to(version.revision)
+        if self._fetching is not None and (
+            self._fetching.version.revision <= version.revision
+        ):
+            self._fetching = None
         actions.append(messages.Prepare(version))
         actions.append(messages.Announce(version))
+        told = self._peers_to_notify()
+        if told:
+            actions.append(messages.Notify(told, version))
 
-    def _give_up_fetch(self, now_ms: int) -> None:
-        """Forgets, for a while, the offer whose fetch failed."""
-        if self._fetching is None:
-            return
-        source = self._fetching.host_id or holders.STORE
-        until_ms = now_ms + self._settings.penalty_ms
-        self._holders.refuse(self._fetching.version, source, until_ms)
-        self._fetching = None
-        if source == holders.STORE:
-            # The store offers a revision again only when it is read.
-            self._read_at_ms = min(self._read_at_ms, until_ms)
+    def _peers_to_notify(self) -> tuple[str, ...]:
+        """Draws a few peers nearby and at least one elsewhere."""
+        near = sorted(self._near)
+        far = [peer for peer in self._peers if peer not in self._near]
+        told = self._dice.sample(near, min(NOTIFY_NEAR, len(near)))
+        told += self._dice.sample(far, min(NOTIFY_FAR, len(far)))
+        return tuple(told)
+
+    def _refuse(self, fetch: messages.Fetch, banned_until_ms: int) -> None:
+        """Counts a failure of a fetch's source."""
+        source = fetch.host_id or holders.STORE
+        self._holders.count_failure(fetch.version, source, banned_until_ms)
+        if self._fetching == fetch:
+            self._fetching = None
+
+    def _fetch_timeout_ms(self) -> int:
+        """Returns how long to wait for a fetch before another source."""
+        settings = self._settings
+        if self.version == data.NO_VERSION:
+            # A whole configuration takes longer than its changed parts.
+            return settings.fetch_timeout_max_ms // 4
+        doublings = max(0, self._timeouts_in_row - QUICK_TRIES)
+        wait_ms = settings.fetch_timeout_min_ms << min(doublings, 16)
+        return min(wait_ms, settings.fetch_timeout_max_ms)
 
     def _start_due_work(
         self, actions: list[messages.Action], now_ms: int
     ) -> None:
         """Adds the actions whose time has come."""
         if self._fetching is not None and now_ms >= self._fetch_ends_at_ms:
-            # A slow path needs more time for a whole configuration.
-            self._fetch_timeout_ms = min(
-                2 * self._fetch_timeout_ms, self._settings.fetch_timeout_max_ms
-            )
-            self._give_up_fetch(now_ms)
+            self._timeouts_in_row += 1
+            self._refuse(self._fetching, now_ms)
         if self._fetching is None and now_ms >= self._fetch_from_ms:
             self._start_fetch(actions, now_ms)
         is_idle = self._is_watcher and not self._is_watching
@@ -272,14 +296,14 @@
             self._ask_at_ms = now_ms + self._jittered(wait_ms)
 
     def _start_fetch(self, actions: list[messages.Action], now_ms: int) -> None:
-        """Fetches the newest revision that is offered."""
-        version = self._holders.newest()
-        source = self._holders.choose(version, self._near, self._dice)
-        if source is None:
+        """Fetches the best offer."""
+        chosen = self._holders.choose(self._near, self._dice, now_ms)
+        if chosen is None:
             return
+        version, source = chosen
         host_id = None if source == holders.STORE else source
         self._fetching = messages.Fetch(version, host_id)
-        self._fetch_ends_at_ms = now_ms + self._fetch_timeout_ms
+        self._fetch_ends_at_ms = now_ms + self._fetch_timeout_ms()
         actions.append(self._fetching)
 
     def _is_read_due(self, now_ms: int) -> bool:
--- a/packages/core/sapphire_core/configuration/spreading_data.py
+++ b/packages/core/sapphire_core/configuration/spreading_data.py
@@ -57,20 +57,43 @@
     """The watch has ended or could not be opened."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fetch:
+    """Fetch a configuration.
+
+    A fetch before it may go on; what it brings is taken if it is newer.
+
+    Attributes:
+        version: The revision that is expected at least.
+        host_id: The peer to fetch from; none for the store.
+    """
+
+    version: data.Version
+    host_id: str | None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class FetchDone:
     """A configuration was fetched, and all its digests hold.
 
     Attributes:
         version: The revision; a peer may have moved on since it was asked.
+        fetch: The action that this answers.
     """
 
     version: data.Version
+    fetch: Fetch
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FetchFailed:
-    """The fetch in progress failed."""
+    """A fetch failed.
+
+    Attributes:
+        fetch: The action that this answers.
+    """
+
+    fetch: Fetch
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -118,21 +141,19 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Fetch:
-    """Fetch a configuration; the fetch before it, if any, is given up.
+class Prepare:
+    """The fetched configuration is the host's newest: prepare it.
 
     Attributes:
-        version: The revision that is expected at least.
-        host_id: The peer to fetch from; none for the store.
+        version: The revision.
     """
 
     version: data.Version
-    host_id: str | None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Prepare:
-    """The fetched configuration is the host's newest: prepare it.
+class Announce:
+    """Tell the peers, by gossip, which revision this host has.
 
     Attributes:
         version: The revision.
@@ -142,13 +163,15 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Announce:
-    """Tell the peers, by gossip, which revision this host has.
+class Notify:
+    """Tell a few peers at once, ahead of gossip, by one small datagram each.
 
     Attributes:
-        version: The revision.
+        host_ids: The peers.
+        version: The revision that this host has.
     """
 
+    host_ids: tuple[str, ...]
     version: data.Version
 
 
@@ -160,6 +183,7 @@
     | Fetch
     | Prepare
     | Announce
+    | Notify
 )
 
 
--- a/packages/core/sapphire_core/configuration/spreading_test.py
+++ b/packages/core/sapphire_core/configuration/spreading_test.py
@@ -28,6 +28,12 @@
     return machine
 
 
+def done(revision: int, source: str, asked: int = 0) -> messages.FetchDone:
+    """Returns the answer of a source to a fetch."""
+    fetch = messages.Fetch(version(asked or revision), source)
+    return messages.FetchDone(version(revision), fetch)
+
+
 def of_type(actions: list[Any], kind: type) -> list[Any]:
     """Returns the actions of one type."""
     return [action for action in actions if isinstance(action, kind)]
@@ -37,7 +43,7 @@
     """Returns a host that has a revision."""
     machine = host(host_id)
     machine.handle(messages.PeerHead(FIRST, version(revision)), BOOTED_MS)
-    machine.handle(messages.FetchDone(version(revision)), BOOTED_MS)
+    machine.handle(done(revision, FIRST), BOOTED_MS)
     return machine
 
 
@@ -49,7 +55,7 @@
             [messages.Fetch(version(2), FIRST)],
             of_type(machine.handle(offer, 1_000), messages.Fetch),
         )
-        actions = machine.handle(messages.FetchDone(version(2)), 1_010)
+        actions = machine.handle(done(2, FIRST), 1_010)
         self.assertEqual(
             [messages.Prepare(version(2)), messages.Announce(version(2))],
             actions[:2],
@@ -60,8 +66,8 @@
         for event in (
             messages.StoreHead(version(4)),
             messages.PeerHead(FIRST, version(3)),
-            messages.FetchDone(version(4)),
-            messages.FetchDone(version(5)),
+            done(4, FIRST),
+            done(5, FIRST),
         ):
             actions = machine.handle(event, 1_000)
             self.assertEqual([], of_type(actions, messages.Fetch))
@@ -84,7 +90,9 @@
         machine = booted(LISTENER)
         machine.handle(messages.PeerHead(FIRST, version(9)), 1_000)
         machine.handle(messages.PeerHead(SECOND, version(2)), 1_000)
-        actions = machine.handle(messages.FetchFailed(), 1_100)
+        actions = machine.handle(
+            messages.FetchFailed(messages.Fetch(version(9), FIRST)), 1_100
+        )
         self.assertEqual(
             [messages.Fetch(version(2), SECOND)],
             of_type(actions, messages.Fetch),
@@ -107,7 +115,7 @@
         machine = booted(LISTENER)
         machine.handle(messages.PeerHead(FIRST, version(9)), 1_000)
         machine.handle(messages.PeerHead(SECOND, version(9)), 1_000)
-        actions = machine.handle(messages.FetchDone(version(4)), 1_100)
+        actions = machine.handle(done(4, FIRST, asked=9), 1_100)
         self.assertEqual([version(4)], [actions[0].version])  # type: ignore[union-attr]
         self.assertEqual(
             [messages.Fetch(version(9), SECOND)],
