--- /dev/null
+++ b/packages/core/sapphire_core/slo/counters.py
@@ -0,0 +1,142 @@
+"""Bounded counts of good and total events on one host.
+
+Intervals are aligned to wall time, so that the counts of several hosts can be
+added without any host knowing another's.
+"""
+
+import collections
+
+from sapphire_core.slo import data
+from sapphire_core.slo import rings
+
+MAX_SERIES = 65_536
+MAX_MARKS = 512
+# Service while a data centre moves is judged for as long as a cold pool takes
+# to warm up again, with a margin.
+MOVE_MS = 10 * data.MS_PER_MINUTE
+
+
+class SloCounters:
+    """The counts of one host process.
+
+    Attributes:
+        since_ms: The wall time since which it counts.
+        dropped_events: Events that were not counted because the number of
+            series is bounded.
+    """
+
+    def __init__(self, wall_ms: int, max_series: int = MAX_SERIES) -> None:
+        """Creates empty counters.
+
+        Args:
+            wall_ms: The wall time.
+            max_series: The number of series that are kept at most.
+        """
+        self.since_ms = wall_ms
+        self.dropped_events = 0
+        self._max_series = max_series
+        self._series_by_key: dict[data.SeriesKey, rings.SeriesRings] = {}
+        self._marks: collections.deque[data.ChangeMark] = collections.deque(
+            maxlen=MAX_MARKS
+        )
+        self._move_until_ms = 0
+
+    def note_change(
+        self, revision: int, wall_ms: int, *, moves_data_centre: bool
+    ) -> None:
+        """Marks that a revision is in force from now on.
+
+        Args:
+            revision: The revision.
+            wall_ms: The wall time.
+            moves_data_centre: Whether it takes a data centre out or in.
+        """
+        self._marks.append(data.ChangeMark(revision, wall_ms))
+        if moves_data_centre:
+            self._move_until_ms = wall_ms + MOVE_MS
+
+    def record_flows(
+        self, service: str, kept: int, total: int, wall_ms: int
+    ) -> None:
+        """Counts flows that have ended.
+
+        Args:
+            service: The name of the service.
+            kept: How many ended without being broken by the system.
+            total: How many ended.
+            wall_ms: The wall time.
+        """
+        self._record(service, data.Objective.FLOWS_KEPT, kept, total, wall_ms)
+
+    def record_requests(
+        self, service: str, answered: int, total: int, wall_ms: int
+    ) -> None:
+        """Counts requests that have ended.
+
+        Args:
+            service: The name of the service.
+            answered: How many were answered within their deadline.
+            total: How many ended.
+            wall_ms: The wall time.
+        """
+        self._record(
+            service,
+            data.Objective.REQUESTS_ANSWERED,
+            answered,
+            total,
+            wall_ms,
+        )
+
+    def _record(
+        self,
+        service: str,
+        objective: data.Objective,
+        good: int,
+        total: int,
+        wall_ms: int,
+    ) -> None:
+        """Counts events for their objective, and for a move under way."""
+        self._add(data.SeriesKey(service, objective), good, total, wall_ms)
+        if wall_ms < self._move_until_ms:
+            key = data.SeriesKey(service, data.Objective.MOVE_SERVICE)
+            self._add(key, good, total, wall_ms)
+
+    def _add(
+        self, key: data.SeriesKey, good: int, total: int, wall_ms: int
+    ) -> None:
+        """Adds events to a series, which is created on its first."""
+        series = self._series_by_key.get(key)
+        if series is None:
+            if len(self._series_by_key) >= self._max_series:
+                self.dropped_events += total
+                return
+            series = rings.SeriesRings(wall_ms)
+            self._series_by_key[key] = series
+        series.add(wall_ms, good, total)
+
+    def snapshot(
+        self, wall_ms: int, service: str | None = None
+    ) -> tuple[data.SeriesCounts, ...]:
+        """Returns the counts.
+
+        Args:
+            wall_ms: The wall time.
+            service: The only service that is asked for; None for all.
+
+        Returns:
+            One record for each series.
+        """
+        records = []
+        for key, series in self._series_by_key.items():
+            if service is not None and key.service != service:
+                continue
+            tiers_by_width_ms = {
+                shape.width_ms: series.counts_by_index(tier, wall_ms)
+                for tier, shape in enumerate(data.TIER_SHAPES)
+            }
+            records.append(data.SeriesCounts(key, tiers_by_width_ms))
+        return tuple(records)
+
+    def marks(self) -> tuple[data.ChangeMark, ...]:
+        """Returns the remembered activations, oldest first."""
+        return tuple(self._marks)
