Command line: large fleets, digest in force, age of a proof over revisions

Beyond 200 hosts only the first list members and upstreams, since 7,000 answers of 7,000 members each would be some gigabytes. A host with the right revision of another document does not count as in force. A revision that a host writes of the same document does not make a proof younger. Commands are split by group.

--- a/packages/ctl/sapphire_ctl/changing.py
+++ b/packages/ctl/sapphire_ctl/changing.py
@@ -97,8 +97,10 @@
     intent = await build_intent(seen)
     if intent.is_error():
         return ChangeOutcome(errors=(intent.error,))
-    statuses, _ = await fleet.statuses()
-    floor = max((status.known_revision for status in statuses), default=0)
+    answer = await fleet.statuses()
+    floor = max(
+        (status.known_revision for status in answer.statuses), default=0
+    )
     planned = changes.plan(
         seen,
         dataclasses.replace(
@@ -119,7 +121,7 @@
         seen.configuration,
         proposal.configuration,
         found,
-        fleet_view.flows_by_upstream(statuses),
+        fleet_view.flows_by_upstream(answer),
     )
     missing = dangers.unacknowledged(found, options.accepted_losses)
     if missing:
@@ -142,11 +144,12 @@
 ) -> ChangeOutcome:
     """Waits for an accepted change to be in force."""
     revision = published.stored.revision
+    digest = plan.digest_after
     missing: tuple[failures.Failure, ...] = ()
     is_in_force = None
     if options.wait_ms and fleet.has_seeds:
         missing = await wait_in_force(
-            environment, fleet, revision, options.wait_ms
+            environment, fleet, revision, digest, options.wait_ms
         )
         is_in_force = not missing
     return ChangeOutcome(
@@ -162,6 +165,7 @@
     environment: environments.Environment,
     fleet: fleet_client.FleetClient,
     revision: int,
+    digest: str,
     wait_ms: int,
 ) -> tuple[failures.Failure, ...]:
     """Waits for a revision to be in force on all hosts.
@@ -170,6 +174,7 @@
         environment: Waits between the questions.
         fleet: The hosts.
         revision: The revision.
+        digest: The digest of its document.
         wait_ms: The longest wait.
 
     Returns:
@@ -178,8 +183,8 @@
     system_clock = clock.MonotonicClock()
     deadline_ms = system_clock.now_ms() + wait_ms
     while True:
-        statuses, unanswered = await fleet.statuses()
-        missing = fleet_view.not_in_force(statuses, unanswered, revision)
+        answer = await fleet.statuses()
+        missing = fleet_view.not_in_force(answer, revision, digest)
         if not missing or system_clock.now_ms() >= deadline_ms:
             return tuple(missing)
         await environment.sleep_ms(POLL_MS)
--- /dev/null
+++ b/packages/ctl/sapphire_ctl/commands/change_run.py
@@ -0,0 +1,87 @@
+"""What the commands share that change the configuration."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import functools
+
+import anyio
+import expression
+
+from sapphire_ctl import changing
+from sapphire_ctl import rendering
+from sapphire_ctl import running
+from sapphire_ctl import session
+from sapphire_data import failures
+from sapphire_net.store import change_failures
+from sapphire_net.store import changes
+from sapphire_net.store import environment as environments
+from sapphire_net.store import reading
+
+IntentFactory = Callable[
+    [environments.Environment, reading.Snapshot],
+    Awaitable[expression.Result[changes.Intent, failures.Failure]],
+]
+
+
+async def intent_in_force(
+    opened: environments.Environment,
+    seen: reading.Snapshot,
+    author: str,
+    action: str,
+) -> expression.Result[changes.Intent, failures.Failure]:
+    """Reads the document and the bindings that are in force.
+
+    Args:
+        opened: The store.
+        seen: The configuration in force.
+        author: The operator.
+        action: What is done with them.
+
+    Returns:
+        The intent, or why it cannot be read.
+    """
+    if seen.stored.head is None:
+        return expression.Error(change_failures.RevisionNotFound(0))
+    return await changes.read_intent(opened, seen.stored.head, author, action)
+
+
+def run(
+    invocation: session.Invocation,
+    build_intent: IntentFactory,
+    how: changing.ChangeOptions,
+) -> None:
+    """Makes a change and reports what became of it.
+
+    Args:
+        invocation: The settings.
+        build_intent: Makes the intent from the configuration in force.
+        how: How the change is to be made.
+
+    Raises:
+        typer.Exit: Always.
+    """
+    outcome = anyio.run(_make, invocation, build_intent, how)
+    rendering.show_change(invocation.output, outcome, how)
+    running.end(
+        invocation, rendering.change_fields(outcome), list(outcome.errors)
+    )
+
+
+async def _make(
+    invocation: session.Invocation,
+    build_intent: IntentFactory,
+    how: changing.ChangeOptions,
+) -> changing.ChangeOutcome:
+    """Opens the store and the fleet, and makes a change."""
+    fleet = session.open_fleet(invocation, invocation.environment)
+    if fleet.is_error():
+        return changing.ChangeOutcome(errors=(fleet.error,))
+    async with session.open_store(invocation, invocation.environment) as opened:
+        if opened.is_error():
+            return changing.ChangeOutcome(errors=(opened.error,))
+        return await changing.make_change(
+            opened.ok,
+            fleet.ok,
+            functools.partial(build_intent, opened.ok),
+            how,
+        )
--- /dev/null
+++ b/packages/ctl/sapphire_ctl/commands/documents.py
@@ -0,0 +1,224 @@
+"""The commands that put documents in force."""
+
+import pathlib
+from typing import Annotated
+
+import anyio
+import expression
+import typer
+
+from sapphire_ctl import changing
+from sapphire_ctl import failures as ctl_failures
+from sapphire_ctl import options
+from sapphire_ctl import proving
+from sapphire_ctl import running
+from sapphire_ctl import session
+from sapphire_ctl import settings
+from sapphire_ctl.commands import change_run
+from sapphire_data import clock
+from sapphire_data import failures
+from sapphire_net.store import change_failures
+from sapphire_net.store import changes
+from sapphire_net.store import environment as environments
+from sapphire_net.store import reading
+
+PLAN_EXAMPLES = """
+Examples:
+
+  sapphirectl plan site.json5 --bindings trial.json5 --env trial
+
+  sapphirectl plan site.json5 --json | jq .plan.differences
+"""
+APPLY_EXAMPLES = """
+Examples:
+
+  sapphirectl apply site.json5 --bindings trial.json5 --env trial
+
+  sapphirectl apply site.json5 --seen 41
+
+  sapphirectl apply site.json5 --lose rota  (service rota is left empty)
+"""
+PROMOTE_EXAMPLES = """
+Examples:
+
+  sapphirectl promote --env production
+
+  sapphirectl promote 0f479187 --env production --seen 41
+
+  sapphirectl promote --bindings production.json5 --env production
+"""
+ROLLBACK_EXAMPLES = """
+Examples:
+
+  sapphirectl rollback 41 --env production
+
+  sapphirectl rollback 41 --dry-run
+"""
+Document = Annotated[
+    pathlib.Path, typer.Argument(help="The document; - for the input.")
+]
+
+
+def plan(
+    document: Document,
+    *,
+    bindings: options.Bindings = None,
+    seen: options.Seen = None,
+    lose: options.Lose = None,
+    settings_path: options.Settings = settings.DEFAULT_PATH,
+    environment: options.Environment = None,
+    as_json: options.Json = False,
+) -> None:
+    """Show what applying a document would change, and its effect."""
+    invocation = running.start("plan", settings_path, environment, as_json)
+    intent = _read_intent(invocation, document, bindings, "plan")
+    how = changing.ChangeOptions(seen, tuple(lose or ()), is_dry_run=True)
+    change_run.run(invocation, intent, how)
+
+
+def apply(
+    document: Document,
+    *,
+    bindings: options.Bindings = None,
+    seen: options.Seen = None,
+    lose: options.Lose = None,
+    dry_run: options.DryRun = False,
+    wait_ms: options.WaitMs = options.DEFAULT_WAIT_MS,
+    settings_path: options.Settings = settings.DEFAULT_PATH,
+    environment: options.Environment = None,
+    as_json: options.Json = False,
+) -> None:
+    """Put a document in force, unless the environment takes promoted ones."""
+    invocation = running.start("apply", settings_path, environment, as_json)
+    source = invocation.model.promotes_from
+    if source is not None:
+        failure = ctl_failures.PromotionRequired(invocation.environment, source)
+        running.end(invocation, {}, [failure])
+    intent = _read_intent(invocation, document, bindings, "apply")
+    how = changing.ChangeOptions(seen, tuple(lose or ()), dry_run, wait_ms)
+    change_run.run(invocation, intent, how)
+
+
+def promote(
+    digest: Annotated[
+        str,
+        typer.Argument(help="The digest of the document, or its start."),
+    ] = "",
+    *,
+    bindings: options.Bindings = None,
+    seen: options.Seen = None,
+    lose: options.Lose = None,
+    dry_run: options.DryRun = False,
+    wait_ms: options.WaitMs = options.DEFAULT_WAIT_MS,
+    settings_path: options.Settings = settings.DEFAULT_PATH,
+    environment: options.Environment = None,
+    as_json: options.Json = False,
+) -> None:
+    """Put the bytes in force that are in force and healthy in the trial."""
+    invocation = running.start("promote", settings_path, environment, as_json)
+    source = invocation.model.promotes_from
+    if source is None:
+        failure = ctl_failures.NoPromotionSource(invocation.environment)
+        running.end(invocation, {}, [failure])
+    requirements = proving.Requirements(
+        digest,
+        invocation.model.min_proof_ms,
+        invocation.model.min_proof_events,
+    )
+    proof, found = anyio.run(
+        proving.find_proof,
+        invocation,
+        source,
+        requirements,
+        clock.wall_time_ms(),
+    )
+    if proof is None:
+        running.end(invocation, {}, found)
+    invocation.output.line(
+        f"proven in {source}: document {proof.digest} on {proof.hosts} hosts,"
+        f" {proof.events} events"
+    )
+    intent = _document_intent(
+        invocation, proof.document, [], bindings, "promote"
+    )
+    how = changing.ChangeOptions(seen, tuple(lose or ()), dry_run, wait_ms)
+    change_run.run(invocation, intent, how)
+
+
+def rollback(
+    revision: Annotated[
+        int, typer.Argument(min=1, help="The revision to go back to.")
+    ],
+    *,
+    seen: options.Seen = None,
+    lose: options.Lose = None,
+    dry_run: options.DryRun = False,
+    wait_ms: options.WaitMs = options.DEFAULT_WAIT_MS,
+    settings_path: options.Settings = settings.DEFAULT_PATH,
+    environment: options.Environment = None,
+    as_json: options.Json = False,
+) -> None:
+    """Put an earlier document and its bindings in force as a new revision."""
+    invocation = running.start("rollback", settings_path, environment, as_json)
+
+    async def earlier(
+        opened: environments.Environment, _: reading.Snapshot
+    ) -> expression.Result[changes.Intent, failures.Failure]:
+        kept = await reading.read_head(opened, opened.history_key(revision))
+        if kept.is_error():
+            return expression.Error(kept.error)
+        if kept.ok.head is None:
+            return expression.Error(change_failures.RevisionNotFound(revision))
+        return await changes.read_intent(
+            opened, kept.ok.head, invocation.author, "rollback"
+        )
+
+    how = changing.ChangeOptions(seen, tuple(lose or ()), dry_run, wait_ms)
+    change_run.run(invocation, earlier, how)
+
+
+def _read_intent(
+    invocation: session.Invocation,
+    document: pathlib.Path,
+    bindings: pathlib.Path | None,
+    action: str,
+) -> change_run.IntentFactory:
+    """Returns the intent of files, with the bindings in force by default."""
+    content, errors = running.read_input(document)
+    return _document_intent(invocation, content, errors, bindings, action)
+
+
+def _document_intent(
+    invocation: session.Invocation,
+    document: bytes,
+    document_errors: list[failures.Failure],
+    bindings: pathlib.Path | None,
+    action: str,
+) -> change_run.IntentFactory:
+    """Returns the intent of a document's bytes and a file of bindings."""
+    errors = list(document_errors)
+    bindings_bytes = b""
+    if bindings is not None:
+        bindings_bytes, binding_errors = running.read_input(bindings)
+        errors += binding_errors
+
+    async def build(
+        opened: environments.Environment, seen: reading.Snapshot
+    ) -> expression.Result[changes.Intent, failures.Failure]:
+        if errors:
+            return expression.Error(
+                change_failures.IntentInvalid(tuple(errors))
+            )
+        chosen = bindings_bytes
+        if bindings is None:
+            in_force = await change_run.intent_in_force(
+                opened, seen, invocation.author, action
+            )
+            if in_force.is_error():
+                return in_force
+            chosen = in_force.ok.bindings
+        return expression.Ok(
+            changes.Intent(document, chosen, invocation.author, action)
+        )
+
+    return build
--- /dev/null
+++ b/packages/ctl/sapphire_ctl/commands/history.py
@@ -0,0 +1,125 @@
+"""The command `history`."""
+
+import sys
+from typing import Annotated
+
+import anyio
+import expression
+import typer
+
+from sapphire_ctl import options
+from sapphire_ctl import output
+from sapphire_ctl import rendering
+from sapphire_ctl import running
+from sapphire_ctl import session
+from sapphire_ctl import settings
+from sapphire_data import failures
+from sapphire_net.store import change_failures
+from sapphire_net.store import changes
+from sapphire_net.store import reading
+from sapphire_wire.documents import packing
+
+DEFAULT_HISTORY = 20
+EXAMPLES = """
+Examples:
+
+  sapphirectl history --env trial --limit 5
+
+  sapphirectl history --document 41 > site.json5
+"""
+
+
+def history(
+    *,
+    limit: Annotated[
+        int, typer.Option("--limit", min=1, help="The newest revisions.")
+    ] = DEFAULT_HISTORY,
+    document: Annotated[
+        int | None,
+        typer.Option(
+            "--document",
+            min=1,
+            help="Write the bytes of the document of this revision.",
+        ),
+    ] = None,
+    settings_path: options.Settings = settings.DEFAULT_PATH,
+    environment: options.Environment = None,
+    as_json: options.Json = False,
+) -> None:
+    """Show who changed what, the newest revision first."""
+    invocation = running.start("history", settings_path, environment, as_json)
+    if document is not None:
+        _write_document(invocation, document)
+        return
+    heads = anyio.run(_history, invocation)
+    if heads.is_error():
+        running.end(invocation, {}, [heads.error])
+    newest_first = list(reversed(heads.ok))[:limit]
+    _show_history(invocation.output, newest_first)
+    running.end(
+        invocation,
+        {
+            "revisions": [
+                {"revision": head.version.revision, "change": head.change}
+                for head in newest_first
+            ]
+        },
+        [],
+    )
+
+
+async def _history(
+    invocation: session.Invocation,
+) -> expression.Result[list[packing.Head], failures.Failure]:
+    """Reads the heads that are kept, oldest first."""
+    async with session.open_store(invocation, invocation.environment) as opened:
+        if opened.is_error():
+            return expression.Error(opened.error)
+        return await changes.history(opened.ok)
+
+
+def _show_history(out: output.Output, heads: list[packing.Head]) -> None:
+    """Writes one line for each revision."""
+    out.table(
+        ("revision", "written (UTC)", "author", "action", "document"),
+        (
+            (
+                head.version.revision,
+                rendering.utc(head.change.written_ms),
+                head.change.author,
+                head.change.action,
+                rendering.short_digest(head.change.document_digest),
+            )
+            for head in heads
+        ),
+    )
+
+
+def _write_document(invocation: session.Invocation, revision: int) -> None:
+    """Writes the bytes of a document to the standard output."""
+    intent = anyio.run(_read_document, invocation, revision)
+    if intent.is_error():
+        running.end(invocation, {}, [intent.error])
+    if invocation.output.as_json:
+        text = intent.ok.document.decode()
+        running.end(invocation, {"revision": revision, "document": text}, [])
+    sys.stdout.buffer.write(intent.ok.document)
+
+
+async def _read_document(
+    invocation: session.Invocation, revision: int
+) -> expression.Result[changes.Intent, failures.Failure]:
+    """Reads the document of a revision."""
+    async with session.open_store(invocation, invocation.environment) as opened:
+        if opened.is_error():
+            return expression.Error(opened.error)
+        kept = await reading.read_head(
+            opened.ok, opened.ok.history_key(revision)
+        )
+        if kept.is_error():
+            return expression.Error(kept.error)
+        if kept.ok.head is None:
+            return expression.Error(change_failures.RevisionNotFound(revision))
+        return await changes.read_intent(
+            opened.ok, kept.ok.head, invocation.author, "read"
+        )
--- /dev/null
+++ b/packages/ctl/sapphire_ctl/commands/intents.py
@@ -0,0 +1,166 @@
+"""The commands that edit the document in force."""
+
+from collections.abc import Callable
+import functools
+from typing import Annotated
+
+import expression
+import typer
+
+from sapphire_ctl import changing
+from sapphire_ctl import document_edit
+from sapphire_ctl import failures as ctl_failures
+from sapphire_ctl import options
+from sapphire_ctl import running
+from sapphire_ctl import session
+from sapphire_ctl import settings
+from sapphire_ctl.commands import change_run
+from sapphire_data import failures
+from sapphire_data import records
+from sapphire_net.store import changes
+from sapphire_net.store import environment as environments
+from sapphire_net.store import reading
+
+DATA_CENTRE_EXAMPLES = """
+Examples:
+
+  sapphirectl data-centre out tacoma --env production
+
+  sapphirectl data-centre out tacoma --lose tacoma  (the last one that is in)
+
+  sapphirectl data-centre in tacoma --env production
+"""
+UPSTREAM_EXAMPLES = """
+Examples:
+
+  sapphirectl upstream drain rota-1 --env production
+
+  sapphirectl upstream undrain rota-1
+"""
+
+
+def data_centre_out(
+    name: Annotated[str, typer.Argument(help="The data centre.")],
+    *,
+    seen: options.Seen = None,
+    lose: options.Lose = None,
+    dry_run: options.DryRun = False,
+    wait_ms: options.WaitMs = options.DEFAULT_WAIT_MS,
+    settings_path: options.Settings = settings.DEFAULT_PATH,
+    environment: options.Environment = None,
+    as_json: options.Json = False,
+) -> None:
+    """Take a data centre out; flows that end there are given up."""
+    invocation = running.start(
+        "data-centre out", settings_path, environment, as_json
+    )
+    edit = functools.partial(
+        document_edit.set_data_centre,
+        name=name,
+        state=records.DataCentreState.OUT,
+    )
+    how = changing.ChangeOptions(seen, tuple(lose or ()), dry_run, wait_ms)
+    change_run.run(
+        invocation, _edited(invocation, edit, "data-centre-out"), how
+    )
+
+
+def data_centre_in(
+    name: Annotated[str, typer.Argument(help="The data centre.")],
+    *,
+    seen: options.Seen = None,
+    dry_run: options.DryRun = False,
+    wait_ms: options.WaitMs = options.DEFAULT_WAIT_MS,
+    settings_path: options.Settings = settings.DEFAULT_PATH,
+    environment: options.Environment = None,
+    as_json: options.Json = False,
+) -> None:
+    """Bring a data centre back; its upstreams count as cold."""
+    invocation = running.start(
+        "data-centre in", settings_path, environment, as_json
+    )
+    edit = functools.partial(
+        document_edit.set_data_centre,
+        name=name,
+        state=records.DataCentreState.IN,
+    )
+    how = changing.ChangeOptions(
+        seen, (), dry_run, wait_ms, may_revert_intent=True
+    )
+    change_run.run(invocation, _edited(invocation, edit, "data-centre-in"), how)
+
+
+def upstream_drain(
+    name: Annotated[str, typer.Argument(help="The upstream.")],
+    *,
+    seen: options.Seen = None,
+    lose: options.Lose = None,
+    dry_run: options.DryRun = False,
+    wait_ms: options.WaitMs = options.DEFAULT_WAIT_MS,
+    settings_path: options.Settings = settings.DEFAULT_PATH,
+    environment: options.Environment = None,
+    as_json: options.Json = False,
+) -> None:
+    """Give an upstream no new flows; it keeps those that are open."""
+    invocation = running.start(
+        "upstream drain", settings_path, environment, as_json
+    )
+    edit = functools.partial(
+        document_edit.set_upstream,
+        name=name,
+        intent=records.UpstreamIntent.DRAIN,
+    )
+    how = changing.ChangeOptions(seen, tuple(lose or ()), dry_run, wait_ms)
+    change_run.run(invocation, _edited(invocation, edit, "drain"), how)
+
+
+def upstream_undrain(
+    name: Annotated[str, typer.Argument(help="The upstream.")],
+    *,
+    seen: options.Seen = None,
+    dry_run: options.DryRun = False,
+    wait_ms: options.WaitMs = options.DEFAULT_WAIT_MS,
+    settings_path: options.Settings = settings.DEFAULT_PATH,
+    environment: options.Environment = None,
+    as_json: options.Json = False,
+) -> None:
+    """Give a drained upstream new flows again."""
+    invocation = running.start(
+        "upstream undrain", settings_path, environment, as_json
+    )
+    edit = functools.partial(
+        document_edit.set_upstream,
+        name=name,
+        intent=records.UpstreamIntent.SERVE,
+    )
+    how = changing.ChangeOptions(
+        seen, (), dry_run, wait_ms, may_revert_intent=True
+    )
+    change_run.run(invocation, _edited(invocation, edit, "undrain"), how)
+
+
+def _edited(
+    invocation: session.Invocation,
+    edit: Callable[[bytes], expression.Result[bytes, ctl_failures.UnknownName]],
+    action: str,
+) -> change_run.IntentFactory:
+    """Returns the intent of an edit of the document in force."""
+
+    async def build(
+        opened: environments.Environment, seen: reading.Snapshot
+    ) -> expression.Result[changes.Intent, failures.Failure]:
+        in_force = await change_run.intent_in_force(
+            opened, seen, invocation.author, action
+        )
+        if in_force.is_error():
+            return in_force
+        edited = edit(in_force.ok.document)
+        if edited.is_error():
+            return expression.Error(edited.error)
+        return expression.Ok(
+            changes.Intent(
+                edited.ok, in_force.ok.bindings, invocation.author, action
+            )
+        )
+
+    return build
--- a/packages/ctl/sapphire_ctl/commands/promote_test.py
+++ b/packages/ctl/sapphire_ctl/commands/promote_test.py
@@ -96,6 +96,18 @@
         )
         self._assert_not_proven("of 3600000 ms")
 
+    def test_revision_of_the_same_document_makes_it_no_younger(self) -> None:
+        # An operator wrote it an hour ago, and a host cut the history just
+        # now.
+        path = self.bench.directory / "settings.json5"
+        text = path.read_text()
+        path.write_text(
+            text.replace('"min_proof_ms": 0', '"min_proof_ms": 3000000')
+        )
+        self.bench.repeat_head(benches.TRIAL_PREFIX, age_ms=3_600_000)
+        outcome = self._promote(_Status.OK)
+        self.assertEqual(1, outcome["revision"])
+
     def test_trial_itself_takes_no_promotion(self) -> None:
         outcome = self.bench.run("promote", "--env", "trial")
         self.assertEqual(_Status.REFUSED, outcome.exit_code)
--- a/packages/ctl/sapphire_ctl/commands/report.py
+++ b/packages/ctl/sapphire_ctl/commands/report.py
@@ -60,8 +60,7 @@
     invocation = running.start("report", settings_path, environment, as_json)
     built = anyio.run(_collect, invocation, service)
     if isinstance(built, failures.Failure):
-        _end(invocation, {}, [built])
-        return
+        running.end(invocation, {}, [built])
     text.show(invocation.output, built)
     found: list[failures.Failure] = _burning(built, fail_on)
     found += [missing.failure for missing in built.unanswered]
@@ -74,7 +73,7 @@
         "unanswered": built.unanswered,
         "warnings": built.warnings,
     }
-    _end(invocation, fields, found)
+    running.end(invocation, fields, found)
 
 
 async def _collect(
@@ -121,18 +120,3 @@
         problem = error.strerror or "cannot be written"
         return [ctl_failures.UnwritableOutput(str(path), problem)]
     return []
-
-
-def _end(
-    invocation: session.Invocation,
-    fields: dict[str, object],
-    found: list[failures.Failure],
-) -> None:
-    """Ends the run."""
-    running.finish(
-        invocation.output,
-        invocation.command,
-        invocation.environment,
-        fields,
-        found,
-    )
--- a/packages/ctl/sapphire_ctl/failures.py
+++ b/packages/ctl/sapphire_ctl/failures.py
@@ -96,12 +96,14 @@
         host: The identity or address of the host.
         expected_revision: The revision that should be in force.
         active_revision: The one that is.
+        active_digest: The digest of the document that is in force.
         lag_ms: For how long the host has known a newer one.
     """
 
     host: str
     expected_revision: int
     active_revision: int
+    active_digest: str
     lag_ms: int
 
 
--- a/packages/ctl/sapphire_ctl/fleet/client.py
+++ b/packages/ctl/sapphire_ctl/fleet/client.py
@@ -1,6 +1,7 @@
 """Asks all hosts of an environment, which name each other."""
 
 from collections.abc import Iterable
+from collections.abc import Mapping
 import dataclasses
 import ssl
 from typing import TypeVar
@@ -17,6 +18,9 @@
 MAX_CONCURRENT_HOSTS = 64
 MAX_HOSTS = 20_000
 MAX_ANSWER_BYTES = 67_108_864
+# Beyond this many hosts, only the first that are asked list what they know of
+# members and upstreams.
+MAX_DETAILED_HOSTS = 200
 _HTTP_OK = 200
 
 AnswerT = TypeVar("AnswerT", bound=pydantic.BaseModel)
@@ -50,6 +54,21 @@
     failure: failures.HostFailure
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class FleetAnswer:
+    """The status of all hosts.
+
+    Attributes:
+        statuses: The answers, one for each host.
+        unanswered: The hosts without one.
+        is_complete: Whether each answer lists its upstreams.
+    """
+
+    statuses: tuple[api.HostStatus, ...]
+    unanswered: tuple[Unanswered, ...]
+    is_complete: bool
+
+
 def url_address(address: str, port: int) -> str:
     """Returns an IP number and port as a URL has them."""
     if ":" in address:
@@ -86,24 +105,27 @@
         """Whether the settings name any host."""
         return bool(self._seeds)
 
-    async def statuses(
-        self, service: str | None = None
-    ) -> tuple[list[api.HostStatus], list[Unanswered]]:
+    async def statuses(self, service: str | None = None) -> FleetAnswer:
         """Asks each host for its status, and finds hosts by those known.
 
         Args:
             service: The only service whose upstreams are asked for.
 
         Returns:
-            The answers, one for each host, and the hosts without one.
+            The answers, and the hosts without one.
         """
         targets_by_address = {seed: Target(seed) for seed in self._seeds}
         pending = list(targets_by_address.values())
         answers_by_id: dict[str, api.HostStatus] = {}
         unanswered: list[Unanswered] = []
+        is_brief = False
         while pending:
+            is_brief = is_brief or len(targets_by_address) > MAX_DETAILED_HOSTS
             answers, missing = await self._ask_all(
-                pending, api.STATUS_PATH, api.HostStatus, service
+                pending,
+                api.STATUS_PATH,
+                api.HostStatus,
+                _parameters(service, is_brief),
             )
             unanswered += missing
             pending = []
@@ -126,7 +148,11 @@
             answers_by_id.values(),
             key=lambda status: (status.data_centre, status.host_id),
         )
-        return statuses, missing_hosts
+        return FleetAnswer(
+            statuses=tuple(statuses),
+            unanswered=tuple(missing_hosts),
+            is_complete=service is not None or not is_brief,
+        )
 
     async def slo_reports(
         self, statuses: Iterable[api.HostStatus], service: str | None = None
@@ -149,7 +175,10 @@
             for status in statuses
         ]
         return await self._ask_all(
-            targets, api.SLO_PATH, api.SloReport, service
+            targets,
+            api.SLO_PATH,
+            api.SloReport,
+            _parameters(service, is_brief=False),
         )
 
     async def _ask_all(
@@ -157,7 +186,7 @@
         targets: Iterable[Target],
         path: str,
         answer_type: type[AnswerT],
-        service: str | None,
+        parameters: Mapping[str, str],
     ) -> tuple[list[AnswerT], list[Unanswered]]:
         """Asks several hosts at a time."""
         answers: list[AnswerT] = []
@@ -167,7 +196,7 @@
         async def ask(http: httpx.AsyncClient, target: Target) -> None:
             async with limiter:
                 answer = await self._ask(
-                    http, target, path, answer_type, service
+                    http, target, path, answer_type, parameters
                 )
             if answer.is_ok():
                 answers.append(answer.ok)
@@ -192,10 +221,9 @@
         target: Target,
         path: str,
         answer_type: type[AnswerT],
-        service: str | None,
+        parameters: Mapping[str, str],
     ) -> expression.Result[AnswerT, failures.HostFailure]:
         """Asks one host."""
-        parameters = {} if service is None else {api.SERVICE_PARAMETER: service}
         try:
             # The library's own time-outs restart with each chunk.
             with anyio.fail_after(self._timeout_s):
@@ -229,6 +257,16 @@
             )
 
 
+def _parameters(service: str | None, is_brief: bool) -> dict[str, str]:
+    """Returns the query parameters of a question."""
+    parameters = {}
+    if service is not None:
+        parameters[api.SERVICE_PARAMETER] = service
+    if is_brief:
+        parameters[api.DETAIL_PARAMETER] = api.DETAIL_BRIEF
+    return parameters
+
+
 def _members(status: api.HostStatus) -> list[Target]:
     """Returns the members that a host knows and that may still answer."""
     targets = []
--- a/packages/ctl/sapphire_ctl/fleet/client_test.py
+++ b/packages/ctl/sapphire_ctl/fleet/client_test.py
@@ -10,6 +10,7 @@
 
 from sapphire_ctl import failures
 from sapphire_ctl.fleet import client
+from sapphire_ctl.fleet import view
 from sapphire_data import clock
 from sapphire_lab.stand_ins import host_api
 from sapphire_lab.stand_ins import store
@@ -56,12 +57,44 @@
                 for number, host in enumerate(hosts):
                     _introduce(host, hosts[number - 1])
                 fleet = client.FleetClient([seed], _TIMEOUT_MS, None)
-                statuses, unanswered = await fleet.statuses()
+                answer = await fleet.statuses()
             self.assertEqual(
                 ["h0", "h1", "h2", "h3"],
-                [status.host_id for status in statuses],
+                [status.host_id for status in answer.statuses],
+            )
+            self.assertEqual((), answer.unanswered)
+
+        anyio.run(body)
+
+    def test_large_fleet_is_asked_briefly_beyond_the_first(self) -> None:
+        self.patch(client, "MAX_DETAILED_HOSTS", 2)
+
+        async def body() -> None:
+            hosts = _hosts(3)
+            async with contextlib.AsyncExitStack() as stack:
+                for host in hosts:
+                    host.upstreams = (
+                        api.UpstreamStatus(
+                            service="rota",
+                            upstream="rota-1",
+                            data_centre="tacoma",
+                            flows=1,
+                        ),
+                    )
+                    await stack.enter_async_context(host_api.running(host))
+                _introduce(hosts[0], hosts[1], hosts[2])
+                seed = client.url_address("127.0.0.1", hosts[0].port)
+                fleet = client.FleetClient([seed], _TIMEOUT_MS, None)
+                brief = await fleet.statuses()
+                named = await fleet.statuses("rota")
+            self.assertFalse(brief.is_complete)
+            self.assertEqual(
+                [1, 0, 0], [len(item.upstreams) for item in brief.statuses]
+            )
+            self.assertIsNone(view.flows_by_upstream(brief))
+            self.assertEqual(
+                {("rota", "rota-1"): 3}, view.flows_by_upstream(named)
             )
-            self.assertEqual([], unanswered)
 
         anyio.run(body)
 
@@ -71,10 +104,10 @@
             port = listener.extra(anyio.abc.SocketAttribute.local_port)
             async with listener:
                 fleet = client.FleetClient([f"127.0.0.1:{port}"], 100, None)
-                statuses, unanswered = await fleet.statuses()
-            self.assertEqual([], statuses)
+                answer = await fleet.statuses()
+            self.assertEqual((), answer.statuses)
             self.assertIsInstance(
-                unanswered[0].failure, failures.HostUnreachable
+                answer.unanswered[0].failure, failures.HostUnreachable
             )
 
         anyio.run(body)
@@ -101,8 +134,8 @@
             (host,) = _hosts(1)
             async with host_api.running(host, server) as address:
                 fleet = client.FleetClient([address], _TIMEOUT_MS, asking)
-                statuses, _ = await fleet.statuses()
-            return bool(statuses)
+                answer = await fleet.statuses()
+            return bool(answer.statuses)
 
         return anyio.run(body)
 
--- a/packages/ctl/sapphire_ctl/fleet/view.py
+++ b/packages/ctl/sapphire_ctl/fleet/view.py
@@ -10,58 +10,65 @@
 
 
 def flows_by_upstream(
-    statuses: Iterable[api.HostStatus],
+    answer: client.FleetAnswer,
 ) -> dict[tuple[str, str], int] | None:
     """Adds up the flows of each upstream over hosts.
 
     Args:
-        statuses: The answers of the hosts.
+        answer: The answers of the hosts.
 
     Returns:
-        The flows by service and upstream, or None without any answer.
+        The flows by service and upstream, or None where no host answered or
+        not all listed their upstreams.
     """
+    if not answer.statuses or not answer.is_complete:
+        return None
     sums: dict[tuple[str, str], int] = {}
-    has_answer = False
-    for status in statuses:
-        has_answer = True
+    for status in answer.statuses:
         for upstream in status.upstreams:
             key = (upstream.service, upstream.upstream)
             sums[key] = sums.get(key, 0) + upstream.flows
-    return sums if has_answer else None
+    return sums
 
 
 def not_in_force(
-    statuses: Iterable[api.HostStatus],
-    unanswered: Iterable[client.Unanswered],
-    revision: int,
+    answer: client.FleetAnswer, revision: int, digest: str
 ) -> list[failures.NotInForce | failures.HostFailure]:
     """Lists the hosts in which a revision is not in force.
 
-    A newer revision counts, since it follows the one asked for.
+    A newer revision counts, since it follows the one asked for. The same
+    revision with another document does not: it stems from before the store
+    was restored from a backup.
 
     Args:
-        statuses: The answers of the hosts.
-        unanswered: The hosts without an answer, of which nothing is known.
+        answer: The answers of the hosts.
         revision: The revision.
+        digest: The digest of its document; empty where it is not known.
 
     Returns:
-        A failure for each such host; empty when it is in force everywhere.
+        A failure for each such host, also for those without an answer, of
+        which nothing is known; empty when it is in force everywhere.
     """
     found: list[failures.NotInForce | failures.HostFailure] = []
-    for status in statuses:
+    for status in answer.statuses:
         if status.state is api.HostState.LEAVING:
             continue
-        if status.active_revision >= revision:
+        if status.active_revision > revision:
+            continue
+        if status.active_revision == revision and (
+            not digest or status.active_digest == digest
+        ):
             continue
         found.append(
             failures.NotInForce(
                 host=status.host_id,
                 expected_revision=revision,
                 active_revision=status.active_revision,
+                active_digest=status.active_digest,
                 lag_ms=status.lag_ms,
             )
         )
-    found += [item.failure for item in unanswered]
+    found += [item.failure for item in answer.unanswered]
     return found
 
 
--- a/packages/ctl/sapphire_ctl/main.py
+++ b/packages/ctl/sapphire_ctl/main.py
@@ -2,10 +2,12 @@
 
 import typer
 
-from sapphire_ctl.commands import change
 from sapphire_ctl.commands import check
-from sapphire_ctl.commands import look
+from sapphire_ctl.commands import documents
+from sapphire_ctl.commands import history
+from sapphire_ctl.commands import intents
 from sapphire_ctl.commands import report
+from sapphire_ctl.commands import status
 
 _EPILOG = """
 Exit statuses: 0 done, 2 wrong option, 3 invalid input, 4 conflict with
@@ -31,24 +33,24 @@
 app.add_typer(upstream_app, name="upstream")
 
 app.command("check", epilog=check.EXAMPLES)(check.check)
-app.command("plan", epilog=change.PLAN_EXAMPLES)(change.plan)
-app.command("apply", epilog=change.APPLY_EXAMPLES)(change.apply)
-app.command("promote", epilog=change.PROMOTE_EXAMPLES)(change.promote)
-app.command("rollback", epilog=change.ROLLBACK_EXAMPLES)(change.rollback)
-app.command("status", epilog=look.STATUS_EXAMPLES)(look.status)
-app.command("history", epilog=look.HISTORY_EXAMPLES)(look.history)
+app.command("plan", epilog=documents.PLAN_EXAMPLES)(documents.plan)
+app.command("apply", epilog=documents.APPLY_EXAMPLES)(documents.apply)
+app.command("promote", epilog=documents.PROMOTE_EXAMPLES)(documents.promote)
+app.command("rollback", epilog=documents.ROLLBACK_EXAMPLES)(documents.rollback)
+app.command("status", epilog=status.EXAMPLES)(status.status)
+app.command("history", epilog=history.EXAMPLES)(history.history)
 app.command("report", epilog=report.EXAMPLES)(report.report)
-data_centre_app.command("out", epilog=change.DATA_CENTRE_EXAMPLES)(
-    change.data_centre_out
+data_centre_app.command("out", epilog=intents.DATA_CENTRE_EXAMPLES)(
+    intents.data_centre_out
 )
-data_centre_app.command("in", epilog=change.DATA_CENTRE_EXAMPLES)(
-    change.data_centre_in
+data_centre_app.command("in", epilog=intents.DATA_CENTRE_EXAMPLES)(
+    intents.data_centre_in
 )
-upstream_app.command("drain", epilog=change.UPSTREAM_EXAMPLES)(
-    change.upstream_drain
+upstream_app.command("drain", epilog=intents.UPSTREAM_EXAMPLES)(
+    intents.upstream_drain
 )
-upstream_app.command("undrain", epilog=change.UPSTREAM_EXAMPLES)(
-    change.upstream_undrain
+upstream_app.command("undrain", epilog=intents.UPSTREAM_EXAMPLES)(
+    intents.upstream_undrain
 )
 
 if __name__ == "__main__":
--- a/packages/ctl/sapphire_ctl/proving.py
+++ b/packages/ctl/sapphire_ctl/proving.py
@@ -3,6 +3,8 @@
 from collections.abc import Iterable
 import dataclasses
 
+import expression
+
 from sapphire_core.slo import data as slo_data
 from sapphire_ctl import failures as ctl_failures
 from sapphire_ctl import session
@@ -12,10 +14,11 @@
 from sapphire_data import failures
 from sapphire_net.store import change_failures
 from sapphire_net.store import changes
+from sapphire_net.store import environment as environments
 from sapphire_net.store import reading
-from sapphire_wire import api
 from sapphire_wire.documents import packing
 
+MAX_REVISIONS_BACK = 100
 _PAGES = frozenset(
     {slo_data.AlertLevel.PAGE_FAST, slo_data.AlertLevel.PAGE_SLOW}
 )
@@ -90,16 +93,19 @@
         intent = await changes.read_intent(
             opened.ok, head, invocation.author, "promote"
         )
+        since_ms = await _in_force_since(opened.ok, head, requirements, now_ms)
     if intent.is_error():
         return None, [intent.error]
-    statuses, unanswered = await fleet.ok.statuses()
+    if since_ms.is_error():
+        return None, [since_ms.error]
+    answer = await fleet.ok.statuses()
     report = await collect.collect(
         invocation, fleet.ok, environment, None, now_ms
     )
     digest = head.change.document_digest
     problems = [
-        *_check_head(head, requirements, now_ms),
-        *_check_hosts(statuses, unanswered, digest),
+        *_check_head(head, requirements, now_ms - since_ms.ok),
+        *_check_hosts(answer, digest),
         *_check_report(report, requirements),
     ]
     found: list[failures.Failure] = [
@@ -113,20 +119,48 @@
         revision=head.version.revision,
         digest=digest,
         document=intent.ok.document,
-        hosts=len(statuses),
+        hosts=len(answer.statuses),
         events=_count_events(report),
     )
     return proof, []
 
 
+async def _in_force_since(
+    environment: environments.Environment,
+    head: packing.Head,
+    requirements: Requirements,
+    now_ms: int,
+) -> expression.Result[int, failures.Failure]:
+    """Finds since when a document is in force.
+
+    Hosts write revisions of the same document, which do not make it younger.
+    The search ends once it is old enough.
+    """
+    earliest = head
+    for _ in range(MAX_REVISIONS_BACK):
+        age_ms = now_ms - earliest.change.written_ms
+        if age_ms >= requirements.min_age_ms:
+            break
+        key = environment.history_key(earliest.version.revision - 1)
+        kept = await reading.read_head(environment, key)
+        if kept.is_error():
+            return expression.Error(kept.error)
+        before = kept.ok.head
+        if before is None:
+            break
+        if before.change.document_digest != head.change.document_digest:
+            break
+        earliest = before
+    return expression.Ok(earliest.change.written_ms)
+
+
 def _check_head(
-    head: packing.Head, requirements: Requirements, now_ms: int
+    head: packing.Head, requirements: Requirements, age_ms: int
 ) -> Iterable[tuple[str, str]]:
     """Yields what the head in force speaks against the proof."""
     digest = head.change.document_digest
     if not digest.startswith(requirements.digest):
         yield "", f"document {requirements.digest} is not the one in force"
-    age_ms = now_ms - head.change.written_ms
     if age_ms < requirements.min_age_ms:
         yield (
             "",
@@ -135,22 +169,18 @@
 
 
 def _check_hosts(
-    statuses: Iterable[api.HostStatus],
-    unanswered: Iterable[client.Unanswered],
-    digest: str,
+    answer: client.FleetAnswer, digest: str
 ) -> Iterable[tuple[str, str]]:
     """Yields the hosts that do not have the document in force."""
-    count = 0
-    for status in statuses:
-        count += 1
+    for status in answer.statuses:
         if status.active_digest != digest:
             yield status.host_id, "another document is in force"
         elif status.lag_ms:
             yield status.host_id, f"lags by {status.lag_ms} ms"
-    for missing in unanswered:
+    for missing in answer.unanswered:
         name = missing.target.host_id or missing.target.address
         yield name, "did not answer"
-    if count == 0:
+    if not answer.statuses:
         yield "", "no host answered"
 
 
--- a/packages/ctl/sapphire_ctl/reporting/collect.py
+++ b/packages/ctl/sapphire_ctl/reporting/collect.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from collections.abc import Mapping
+import statistics
 
 from sapphire_core.slo import burn
 from sapphire_core.slo import data as slo_data
@@ -37,13 +38,13 @@
         The report; a store that is down costs it objectives and authors, a
         host that does not answer its counts.
     """
-    statuses, missing_statuses = await fleet.statuses(service)
-    reports, missing_reports = await fleet.slo_reports(statuses, service)
+    answer = await fleet.statuses(service)
+    reports, missing_reports = await fleet.slo_reports(answer.statuses, service)
     objectives, marks, warnings = await _read_store(invocation, environment)
     return build(
         environment,
         reports=reports,
-        unanswered=[*missing_statuses, *missing_reports],
+        unanswered=[*answer.unanswered, *missing_reports],
         objectives_by_service=objectives,
         history=marks,
         warnings=warnings,
@@ -70,12 +71,15 @@
         objectives_by_service: The objectives of the document in force.
         history: The changes with their authors.
         warnings: What could not be read.
-        now_ms: The wall time.
+        now_ms: The wall time here, used where no host tells its own.
 
     Returns:
         The report.
     """
     known = list(reports)
+    if known:
+        # Hosts count by their own clocks, and the operator's may be wrong.
+        now_ms = statistics.median_low(report.now_ms for report in known)
     series_by_key = view.series_by_key(known)
     marks = merge.merge_marks([*view.marks(known), *history])
     burns = burn.evaluate_all(
--- a/packages/ctl/sapphire_ctl/running.py
+++ b/packages/ctl/sapphire_ctl/running.py
@@ -86,6 +86,21 @@
     raise typer.Exit(int(status))
 
 
+def end(
+    invocation: session.Invocation,
+    fields: Mapping[str, Any],
+    found: Iterable[failures.Failure],
+) -> NoReturn:
+    """Writes the outcome of an invocation and ends the run; see `finish`."""
+    finish(
+        invocation.output,
+        invocation.command,
+        invocation.environment,
+        fields,
+        found,
+    )
+
+
 def read_input(
     path: pathlib.Path,
 ) -> tuple[bytes, list[failures.Failure]]:
--- a/packages/lab/sapphire_lab/ctl/bench.py
+++ b/packages/lab/sapphire_lab/ctl/bench.py
@@ -18,6 +18,9 @@
 from sapphire_lab.stand_ins import store
 from sapphire_lab.stand_ins import store_faults
 from sapphire_net.store import data
+from sapphire_net.store import environment as environments
+from sapphire_wire import codec
+from sapphire_wire.gen.configuration import ttypes
 
 TRIAL_PREFIX = "sapphire/trial/"
 PRODUCTION_PREFIX = "sapphire/production/"
@@ -87,6 +90,31 @@
 
         self.stand_in.state.apply = apply_and_lose  # type: ignore[method-assign]
 
+    def repeat_head(self, prefix: str, *, age_ms: int) -> None:
+        """Writes the head again as the next revision, as a host would.
+
+        Args:
+            prefix: The prefix of the environment.
+            age_ms: How old the earlier revision becomes.
+        """
+        keys = environments.Environment(
+            None,  # type: ignore[arg-type]
+            prefix,
+        )
+        item = self.stand_in.state.items_by_key[keys.head_key]
+        record = codec.decode(ttypes.Head, item.value).ok
+        record.written_ms -= age_ms
+        earlier = codec.encode(record)
+        record.written_ms += age_ms
+        record.revision += 1
+        newest = codec.encode(record)
+        writes: list[data.Put | data.Delete] = [
+            data.Put(keys.history_key(record.revision - 1), earlier),
+            data.Put(keys.history_key(record.revision), newest),
+            data.Put(keys.head_key, newest),
+        ]
+        self._portal.call(self.stand_in.state.apply, writes)
+
     def run(
         self, *arguments: str, typed: bytes | None = None
     ) -> testing.Result:
--- a/packages/lab/sapphire_lab/stand_ins/host_api.py
+++ b/packages/lab/sapphire_lab/stand_ins/host_api.py
@@ -112,7 +112,11 @@
         self, request: requests.Request
     ) -> responses.Response:
         """Answers `GET /v1/status`."""
-        return self._answer(self.status())
+        status = self.status()
+        if request.query_params.get(api.DETAIL_PARAMETER) == api.DETAIL_BRIEF:
+            service = request.query_params.get(api.SERVICE_PARAMETER)
+            status = api.shorten(status, service)
+        return self._answer(status)
 
     async def _answer_slo(
         self, request: requests.Request
--- a/packages/wire/sapphire_wire/api.py
+++ b/packages/wire/sapphire_wire/api.py
@@ -2,8 +2,12 @@
 
 `GET /v1/status` answers with `HostStatus` and `GET /v1/slo` with `SloReport`.
 Both take an optional query parameter `service`, which limits the answer to
-one service. A reader ignores fields that it does not know, so that hosts and
-command lines of neighbouring versions understand each other.
+one service. The status takes `detail=brief` besides, with which it leaves out
+members, and upstreams unless a service is named: seven thousand hosts that
+each list all others would be more than a reader can take.
+
+A reader ignores fields that it does not know, so that hosts and command lines
+of neighbouring versions understand each other.
 """
 
 import enum
@@ -13,6 +17,8 @@
 STATUS_PATH = "/v1/status"
 SLO_PATH = "/v1/slo"
 SERVICE_PARAMETER = "service"
+DETAIL_PARAMETER = "detail"
+DETAIL_BRIEF = "brief"
 
 _NO_REVISION = 0
 
@@ -111,6 +117,21 @@
     upstreams: tuple[UpstreamStatus, ...] = ()
 
 
+def shorten(status: HostStatus, service: str | None) -> HostStatus:
+    """Returns a status as `detail=brief` asks for it.
+
+    Args:
+        status: The whole status.
+        service: The service that the asker named, if any.
+
+    Returns:
+        The status without members, and without upstreams unless a service
+        was named.
+    """
+    upstreams = () if service is None else status.upstreams
+    return status.model_copy(update={"members": (), "upstreams": upstreams})
+
+
 class SloBucket(_Answer):
     """Counts of one interval of time.
 
