--- a/packages/ctl/sapphire_ctl/changing.py
+++ b/packages/ctl/sapphire_ctl/changing.py
@@ -209,10 +209,8 @@
     before = await reading.read_configuration(environment, kept.ok)
     found: tuple[difference.Difference, ...] = ()
     if before.is_ok():
-        found = tuple(
-            difference.differences(
-                before.ok.configuration, current.configuration
-            )
+        found = planning.find_differences(
+            before.ok.configuration, current.configuration
         )
     return change_failures.WriteConflict(
         seen_revision=seen_revision,
--- a/packages/ctl/sapphire_ctl/planning.py
+++ b/packages/ctl/sapphire_ctl/planning.py
@@ -97,12 +97,46 @@
         revision_after=after.revision,
         digest_before=before.digest,
         digest_after=after.digest,
-        differences=tuple(difference.differences(before, after)),
+        differences=find_differences(before, after),
         effects=_effects(before, after, flows_by_upstream),
         dangers=tuple(found_dangers),
     )
 
 
+def find_differences(
+    before: records.Configuration, after: records.Configuration
+) -> tuple[difference.Difference, ...]:
+    """Lists the fields that differ, by path.
+
+    Services that are equal are left out first: to write out all fields of a
+    large configuration takes seconds, and an urgent change has none.
+
+    Args:
+        before: The one configuration.
+        after: The other one.
+
+    Returns:
+        The differences.
+    """
+    old: dict[str, records.Service] = {}
+    new: dict[str, records.Service] = {}
+    names = before.services_by_name.keys() | after.services_by_name.keys()
+    for name in names:
+        old_service = before.services_by_name.get(name)
+        new_service = after.services_by_name.get(name)
+        if old_service == new_service:
+            continue
+        if old_service is not None:
+            old[name] = old_service
+        if new_service is not None:
+            new[name] = new_service
+    found = difference.differences(
+        dataclasses.replace(before, services_by_name=old),
+        dataclasses.replace(after, services_by_name=new),
+    )
+    return tuple(found)
+
+
 def find_reverted_intent(
     before: records.Configuration, after: records.Configuration
 ) -> list[dangers.Danger]:
