--- a/packages/ctl/sapphire_ctl/main_test.py
+++ b/packages/ctl/sapphire_ctl/main_test.py
@@ -11,9 +11,9 @@
 from sapphire_ctl import exit_statuses
 from sapphire_ctl import main
 
-_STATUS_PAGE = (
-    pathlib.Path(__file__).parents[3] / "docs/operations/exit-statuses.md"
-)
+_PAGES = pathlib.Path(__file__).parents[3] / "docs/operations"
+_STATUS_PAGE = _PAGES / "exit-statuses.md"
+_EXAMPLE = _PAGES / "sapphirectl-example.json5"
 
 
 def _commands() -> list[list[str]]:
@@ -64,15 +64,25 @@
             [int(status) for status in listed],
         )
 
-    def test_shell_completion_is_offered(self) -> None:
+    def _complete(self, typed: str, word: int) -> list[str]:
+        """Returns what a shell would offer."""
         outcome = testing.CliRunner().invoke(
             main.app,
             [],
             prog_name="sapphirectl",
             env={
                 "_SAPPHIRECTL_COMPLETE": "complete_bash",
-                "COMP_WORDS": "sapphirectl data-centre ",
-                "COMP_CWORD": "2",
+                "COMP_WORDS": typed,
+                "COMP_CWORD": str(word),
+                "SAPPHIRECTL_SETTINGS": str(_EXAMPLE),
             },
         )
-        self.assertEqual(["out", "in"], outcome.stdout.split())
+        return list(outcome.stdout.split())
+
+    def test_shell_completes_commands_and_environments(self) -> None:
+        self.assertEqual(
+            ["out", "in"], self._complete("sapphirectl data-centre ", 2)
+        )
+        self.assertEqual(
+            ["production"], self._complete("sapphirectl status --env p", 3)
+        )
--- a/packages/ctl/sapphire_ctl/options.py
+++ b/packages/ctl/sapphire_ctl/options.py
@@ -1,5 +1,6 @@
 """The options that several commands share."""
 
+import os
 import pathlib
 from typing import Annotated
 
@@ -9,6 +10,24 @@
 
 DEFAULT_WAIT_MS = 10_000
 
+
+def complete_environment(incomplete: str) -> list[str]:
+    """Returns the environments that begin with what was typed.
+
+    Args:
+        incomplete: The start of a name.
+
+    Returns:
+        The names; none where the settings cannot be read.
+    """
+    path = os.environ.get(settings.PATH_VARIABLE, settings.DEFAULT_PATH)
+    model, _ = settings.load(pathlib.Path(path))
+    if model is None:
+        return []
+    names = sorted(model.environments)
+    return [name for name in names if name.startswith(incomplete)]
+
+
 Settings = Annotated[
     pathlib.Path,
     typer.Option(
@@ -23,6 +42,7 @@
         "--env",
         "-e",
         envvar=settings.ENVIRONMENT_VARIABLE,
+        autocompletion=complete_environment,
         help="The environment; else the default one of the settings.",
     ),
 ]
--- a/packages/lab/sapphire_lab/forward/measure.py
+++ b/packages/lab/sapphire_lab/forward/measure.py
@@ -189,9 +189,7 @@
                         for number in numbers
                     ]
                     rates_by_kind.setdefault(f"bare_{kind}", []).append(
-                        await _rate(
-                            bare_port, sink, packets, lambda: bare.sent
-                        )
+                        await _rate(bare_port, sink, packets, lambda: bare.sent)
                     )
                     rates_by_kind.setdefault(kind, []).append(
                         await _rate(
