--- a/packages/net/sapphire_net/trust/sealing_test.py
+++ b/packages/net/sapphire_net/trust/sealing_test.py
@@ -10,6 +10,8 @@
 from sapphire_wire import message_kind
 from sapphire_wire.gen.envelope import ttypes as envelope_types
 
+_INT64 = strategies.integers(min_value=-(2**63), max_value=2**63 - 1)
+_INT16 = strategies.integers(min_value=-(2**15), max_value=2**15 - 1)
 _GOSSIP = message_kind.MessageKind.GOSSIP
 
 
@@ -153,3 +155,24 @@
         data[position % len(data)] ^= change
         opened = _opener().open(bytes(data), builders.WALL_MS)
         self.assertIsInstance(opened, data_failures.Failure)
+
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=200)
+    @hypothesis.given(_INT64, _INT64, _INT16, strategies.text(max_size=9))
+    def test_arbitrary_fields_of_a_key_holder_never_raise(
+        self, sequence: int, sent_ms: int, kind: int, sender: str
+    ) -> None:
+        sealed = envelope_types.Sealed(
+            key_id=1,
+            sender=sender,
+            sequence=sequence,
+            sent_ms=sent_ms,
+            kind=kind,
+            body=b"",
+        )
+        sealed.tag = sealing._tag(
+            builders.secret(1), builders.OWN_NAME.encode(), sealed
+        )
+        opener = _opener()
+        opener.open(_seal(_sealer()), builders.WALL_MS)
+        opened = opener.open(codec.encode(sealed), builders.WALL_MS)
+        self.assertIsInstance(opened, (sealing.Opened, data_failures.Failure))
--- a/packages/net/sapphire_net/trust/tls.py
+++ b/packages/net/sapphire_net/trust/tls.py
@@ -137,6 +137,7 @@
     It owns no task: the daemon calls `poll` every few seconds.
 
     Attributes:
+        files: The files.
         context: The newest context. A client takes it for each new
             connection. A server may keep listening with any that this object
             gave it: each handshake moves on to the newest.
@@ -158,7 +159,7 @@
             is_server: Whether this end accepts the connections.
             checks_address: As for `create_context`.
         """
-        self._files = files
+        self.files = files
         self._is_server = is_server
         self._checks_address = checks_address
         self._last_contents = _read_contents(files)
@@ -173,12 +174,12 @@
             context in use stays then. A failure is reported once for each
             content of the files.
         """
-        contents = _read_contents(self._files)
+        contents = _read_contents(self.files)
         if contents == self._last_contents:
             return expression.Ok(False)
         self._last_contents = contents
         created = create_context(
-            self._files,
+            self.files,
             is_server=self._is_server,
             permitted_roles=self.context.permitted_roles,
             checks_address=self._checks_address,
@@ -201,6 +202,40 @@
         connection.context = self.context
 
 
+def open_reloading(
+    files: TlsFiles,
+    *,
+    is_server: bool,
+    permitted_roles: frozenset[roles.Role],
+    checks_address: bool = True,
+) -> expression.Result[ReloadingTls, failures.TlsFileFailure]:
+    """Creates a context that follows its files.
+
+    Args:
+        files: The files of this end.
+        is_server: Whether this end accepts the connections.
+        permitted_roles: The roles of which the other end needs one.
+        checks_address: As for `create_context`.
+
+    Returns:
+        The contexts, or which file cannot be used.
+    """
+    created = create_context(
+        files,
+        is_server=is_server,
+        permitted_roles=permitted_roles,
+        checks_address=checks_address,
+    )
+    return created.map(
+        lambda context: ReloadingTls(
+            files,
+            context,
+            is_server=is_server,
+            checks_address=checks_address,
+        )
+    )
+
+
 def _read_contents(files: TlsFiles) -> _FileContents:
     """Reads all files; one that is missing counts as empty."""
     contents = []
--- a/packages/net/sapphire_net/trust/tls_test.py
+++ b/packages/net/sapphire_net/trust/tls_test.py
@@ -16,10 +16,9 @@
 
 
 def _server(files: tls.TlsFiles) -> tls.ReloadingTls:
-    context = tls.create_context(
+    return tls.open_reloading(
         files, is_server=True, permitted_roles=roles.ANY_ROLE
     ).ok
-    return tls.ReloadingTls(files, context, is_server=True)
 
 
 def _client_context(
