--- a/packages/ctl/sapphire_ctl/commands/change_test.py
+++ b/packages/ctl/sapphire_ctl/commands/change_test.py
@@ -280,6 +280,12 @@
         view = self._assert_status(_Status.HOSTS_UNREACHABLE, "status")
         self.assertFalse(view["is_in_force"])
 
+    def test_first_document_needs_bindings(self) -> None:
+        outcome = self._assert_status(
+            _Status.INVALID, "apply", self.bench.document()
+        )
+        self.assertEqual(["NoBindings"], self._codes(outcome))
+
     def test_production_takes_no_document_of_its_own(self) -> None:
         outcome = self._assert_status(
             _Status.REFUSED,
--- a/packages/ctl/sapphire_ctl/commands/documents.py
+++ b/packages/ctl/sapphire_ctl/commands/documents.py
@@ -210,6 +210,9 @@
                 change_failures.IntentInvalid(tuple(errors))
             )
         chosen = bindings_bytes
+        if bindings is None and seen.stored.head is None:
+            failure = ctl_failures.NoBindings(invocation.environment)
+            return expression.Error(failure)
         if bindings is None:
             in_force = await change_run.intent_in_force(
                 opened, seen, invocation.author, action
--- a/packages/ctl/sapphire_ctl/exit_statuses.py
+++ b/packages/ctl/sapphire_ctl/exit_statuses.py
@@ -14,9 +14,9 @@
     """What a run came to; the values never change their meaning."""
 
     OK = 0
-    # Statuses 1 and 2 are the command-line library's: an interrupt, and a
-    # wrong option.
-    INTERRUPTED = 1
+    # An exception that no command expects ends the interpreter with this.
+    UNEXPECTED = 1
+    # The command-line library ends a run with this for a wrong option.
     USAGE = 2
     INVALID = 3
     CONFLICT = 4
@@ -28,6 +28,8 @@
     NOT_IN_FORCE = 10
     BURNING = 11
     NOT_FOUND = 12
+    # The command-line library ends an interrupted run with this.
+    INTERRUPTED = 130
 
 
 # The first row that fits any of the failures decides.
--- a/packages/ctl/sapphire_ctl/failures.py
+++ b/packages/ctl/sapphire_ctl/failures.py
@@ -148,3 +148,16 @@
 
     path: str
     problem: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoBindings(failures.Failure):
+    """A first document without the addresses of its environment.
+
+    Attributes:
+        environment: The environment, in which no bindings are in force yet.
+        flag: The flag that gives them.
+    """
+
+    environment: str
+    flag: str = "--bindings"
--- a/packages/ctl/sapphire_ctl/fleet/client.py
+++ b/packages/ctl/sapphire_ctl/fleet/client.py
@@ -231,7 +231,7 @@
                     f"{self._scheme}://{target.address}{path}",
                     params=parameters,
                 )
-        except (httpx.HTTPError, TimeoutError) as error:
+        except (httpx.HTTPError, httpx.InvalidURL, TimeoutError) as error:
             problem = str(error) or type(error).__name__
             return expression.Error(
                 failures.HostUnreachable(target.address, problem)
--- a/packages/ctl/sapphire_ctl/fleet/client_test.py
+++ b/packages/ctl/sapphire_ctl/fleet/client_test.py
@@ -98,6 +98,25 @@
 
         anyio.run(body)
 
+    def test_member_with_an_address_that_is_none_did_not_answer(self) -> None:
+        async def body() -> None:
+            (host,) = _hosts(1)
+            member = api.MemberStatus(
+                host_id="h1",
+                data_centre="tacoma",
+                address="not an address",
+                api_port=1,
+                state="alive",
+            )
+            host.members = (member, member.model_copy(update={"address": ""}))
+            async with host_api.running(host) as address:
+                fleet = client.FleetClient([address], _TIMEOUT_MS, None)
+                answer = await fleet.statuses()
+            self.assertEqual(1, len(answer.statuses))
+            self.assertEqual(2, len(answer.unanswered))
+
+        anyio.run(body)
+
     def test_host_that_hangs_ends_by_the_time_limit(self) -> None:
         async def body() -> None:
             listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
