--- a/packages/wire/sapphire_wire/flow_messages.py
+++ b/packages/wire/sapphire_wire/flow_messages.py
@@ -124,7 +124,9 @@
         flow_types.HandoverPage(
             service_name=page.service,
             buckets=list(page.buckets),
+            kept_buckets=list(page.kept_buckets),
             complete_buckets=list(page.complete_buckets),
+            former_buckets=list(page.former_buckets),
             upstreams=list(page.upstreams),
             flow_hashes=[_sign(value) for value in page.flow_hashes],
             upstream_indices=list(page.upstream_indices),
@@ -157,7 +159,9 @@
         data.HandoverPage(
             service=record.service_name,
             buckets=tuple(record.buckets),
+            kept_buckets=tuple(record.kept_buckets),
             complete_buckets=tuple(record.complete_buckets),
+            former_buckets=tuple(record.former_buckets),
             upstreams=tuple(record.upstreams),
             flow_hashes=tuple(_unsign(value) for value in record.flow_hashes),
             upstream_indices=tuple(record.upstream_indices),
--- a/packages/wire/sapphire_wire/flow_messages_test.py
+++ b/packages/wire/sapphire_wire/flow_messages_test.py
@@ -14,7 +14,9 @@
         page = data.HandoverPage(
             service="rota",
             buckets=(1, 2),
+            kept_buckets=(1, 2),
             complete_buckets=(2,),
+            former_buckets=(1,),
             upstreams=("a", "b"),
             flow_hashes=(0, HIGHEST_HASH),
             upstream_indices=(1, 0),
@@ -32,7 +34,17 @@
             self.expectThat(answer.ok, matchers.Equals(request))
 
     def test_a_page_that_names_no_upstream_is_refused(self) -> None:
-        page = data.HandoverPage("rota", (), (), ("a",), (5,), (1,), True)
+        page = data.HandoverPage(
+            service="rota",
+            buckets=(),
+            kept_buckets=(),
+            complete_buckets=(),
+            former_buckets=(),
+            upstreams=("a",),
+            flow_hashes=(5,),
+            upstream_indices=(1,),
+            is_last=True,
+        )
         decoded = flow_messages.decode_handover_page(
             flow_messages.encode_handover_page(page)
         )
