Start ramps are told to hosts that have just started; an old placement is replaced at both keepers

A host that booted took the upstreams of a new service as warm, since one generation alone does not tell: 15 new flows in a second against a rate of 14. It now asks a peer for the ramps. A flow placed anew after its first upstream went out was recorded at the first keeper only.

--- a/packages/core/sapphire_core/flows/data.py
+++ b/packages/core/sapphire_core/flows/data.py
@@ -109,6 +109,19 @@
         return (self.version, self.boot_id, self.state.value)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ramp:
+    """An upstream on its start ramp, for a host that has just started.
+
+    Attributes:
+        upstream: The name of the upstream.
+        age_ms: The time since it turned cold.
+    """
+
+    upstream: str
+    age_ms: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class HandoverRequest:
     """A request of a new keeper for recorded placements.
@@ -136,8 +149,6 @@
             keeper; only for these does the page count.
         complete_buckets: Those of them of which the sender has a full
             record, as a keeper.
-        former_buckets: Those of them of which it had a full record until it
-            ceased to be a keeper.
         upstreams: The names that entries refer to.
         flow_hashes: The flow hashes, ascending.
         upstream_indices: For each flow hash an index into `upstreams`.
@@ -148,7 +159,6 @@
     buckets: tuple[int, ...]
     kept_buckets: tuple[int, ...]
     complete_buckets: tuple[int, ...]
-    former_buckets: tuple[int, ...]
     upstreams: tuple[str, ...]
     flow_hashes: tuple[int, ...]
     upstream_indices: tuple[int, ...]
--- a/packages/core/sapphire_core/flows/handover.py
+++ b/packages/core/sapphire_core/flows/handover.py
@@ -46,7 +46,6 @@
         sent_ms: When it was sent last.
         kept: The buckets of which all pages so far count.
         complete: Those of them of which the sender had a full record.
-        former: Those of which it had one until it ceased to be a keeper.
         attempts: How often it was sent.
     """
 
@@ -55,7 +54,6 @@
     sent_ms: int
     kept: frozenset[int]
     complete: frozenset[int]
-    former: frozenset[int]
     attempts: int = 1
 
 
@@ -81,10 +79,8 @@
         self._tables = tables
         self._role = role
         self._ambiguous_by_service: dict[str, set[int]] = {}
-        self._former_by_service: dict[str, set[int]] = {}
         self._asked_by_bucket: dict[tuple[str, int], set[str]] = {}
         self._skipped_by_bucket: dict[tuple[str, int], set[str]] = {}
-        self._formers_by_bucket: dict[tuple[str, int], set[str]] = {}
         self._routes_seen: dict[str, route_tables.Routes] = {}
         self._inquiry: _Inquiry | None = None
         self._continuation: _Inquiry | None = None
@@ -119,7 +115,6 @@
         for name in self._routes_seen.keys() - names:
             del self._routes_seen[name]
             self._ambiguous_by_service.pop(name, None)
-            self._former_by_service.pop(name, None)
         self._role.forget_services(frozenset(names))
 
     def note_members(self, is_leaving: bool, now_ms: int) -> None:
@@ -134,7 +129,6 @@
             self._leaving_since_ms = now_ms
         for service, ambiguous in self._ambiguous_by_service.items():
             placements = self._role.placements(service, now_ms)
-            former = self._former_by_service.setdefault(service, set())
             for bucket in ambiguous:
                 if self._is_keeper(service, bucket):
                     placements.kept_since_ms_by_bucket.setdefault(
@@ -142,12 +136,9 @@
                     )
                     continue
                 placements.kept_since_ms_by_bucket.pop(bucket, None)
-                if bucket in placements.complete_buckets:
-                    placements.complete_buckets.discard(bucket)
-                    former.add(bucket)
+                placements.complete_buckets.discard(bucket)
         self._asked_by_bucket.clear()
         self._skipped_by_bucket.clear()
-        self._formers_by_bucket.clear()
         self._continuation = None
 
     def tick(self, now_ms: int) -> list[data.Action]:
@@ -238,7 +229,6 @@
         # hence each page has to confirm the completeness.
         inquiry.kept &= frozenset(page.kept_buckets)
         inquiry.complete &= frozenset(page.complete_buckets)
-        inquiry.former &= frozenset(page.former_buckets + page.complete_buckets)
         if not page.is_last and page.flow_hashes:
             inquiry.request = dataclasses.replace(
                 request, after_flow_hash=page.flow_hashes[-1]
@@ -264,29 +254,16 @@
             asked.add(inquiry.host_id)
             if bucket not in kept:
                 continue
-            if bucket in inquiry.former:
-                formers = self._formers_by_bucket.setdefault(key, set())
-                formers.add(inquiry.host_id)
             is_full = bucket in inquiry.complete
-            if is_full or self._is_enough(service, bucket):
+            if is_full or self._have_all_answered(service, bucket):
                 placements.complete_buckets.add(bucket)
 
-    def _is_enough(self, service: str, bucket: int) -> bool:
-        """Returns whether the answers so far make a full record together.
-
-        The record of a former keeper is full only together with what the
-        keepers since then have recorded.
-        """
-        key = (service, bucket)
-        asked = self._asked_by_bucket.get(key, set())
-        formers = self._formers_by_bucket.get(key, set())
+    def _have_all_answered(self, service: str, bucket: int) -> bool:
+        """Returns whether no host of the order is left to ask."""
+        asked = self._asked_by_bucket.get((service, bucket), set())
         for host_id in self._keepers.order(service, bucket):
-            if host_id == self._host_id:
-                continue
-            if host_id not in asked:
+            if host_id != self._host_id and host_id not in asked:
                 return False
-            if host_id in formers:
-                return True
         return True
 
     def is_released(self, now_ms: int) -> bool:
@@ -315,11 +292,9 @@
         before = self._ambiguous_by_service.get(routes.name, set())
         self._ambiguous_by_service[routes.name] = ambiguous
         placements = self._role.placements(routes.name, now_ms)
-        former = self._former_by_service.setdefault(routes.name, set())
         for bucket in before - ambiguous:
             placements.complete_buckets.discard(bucket)
             placements.kept_since_ms_by_bucket.pop(bucket, None)
-            former.discard(bucket)
         for bucket in ambiguous - before:
             if not self._is_keeper(routes.name, bucket):
                 continue
@@ -351,7 +326,7 @@
                 chosen = tuple(buckets[:MAX_BUCKETS_PER_REQUEST])
                 request = data.HandoverRequest(service, chosen, -1)
                 every = frozenset(chosen)
-                return _Inquiry(host_id, request, now_ms, every, every, every)
+                return _Inquiry(host_id, request, now_ms, every, every)
         return None
 
     def _source(self, service: str, bucket: int) -> str | None:
@@ -392,13 +367,11 @@
         index_by_name = {name: index for index, name in enumerate(names)}
         kept = self._buckets_kept_by(host_id, request)
         complete = placements.complete_buckets
-        former = self._former_by_service.get(request.service, set())
         return data.HandoverPage(
             service=request.service,
             buckets=request.buckets,
             kept_buckets=tuple(sorted(kept)),
             complete_buckets=tuple(sorted(kept & complete)),
-            former_buckets=tuple(sorted(kept & former - complete)),
             upstreams=tuple(names),
             flow_hashes=tuple(flow_hash for flow_hash, _ in chosen),
             upstream_indices=tuple(index_by_name[name] for _, name in chosen),
--- a/packages/core/sapphire_core/flows/keeper_role.py
+++ b/packages/core/sapphire_core/flows/keeper_role.py
@@ -235,26 +235,30 @@
         if first != self._host_id and self._may_visit(first, packet):
             return self._relay(first, packet, None)
         exceptions = placements.exceptions
-        upstream: str | data_failures.Failure | None
-        upstream = exceptions.get(packet.flow_hash)
-        if upstream is None or not self._is_usable(
-            routes, exceptions, packet, upstream
+        recorded = exceptions.get(packet.flow_hash)
+        if recorded is not None and self._is_usable(
+            routes, exceptions, packet, recorded
         ):
-            upstream = self._place(routes, packet, is_fresh, now_ms)
-            if isinstance(upstream, data_failures.Failure):
-                return data.Drop(upstream)
+            upstream = recorded
+        else:
+            placed = self._place(routes, packet, is_fresh, now_ms)
+            if isinstance(placed, data_failures.Failure):
+                return data.Drop(placed)
+            upstream = placed
             self._record_new(routes, placements, packet, upstream)
-        is_complete = bucket in placements.complete_buckets
-        if is_complete and routes.is_told_by_base(bucket, upstream):
+        # The other keeper may hold an earlier placement of the same flow if
+        # this one does, or if this one has no full record.
+        is_first_known = (
+            recorded is None and bucket in placements.complete_buckets
+        )
+        if is_first_known and routes.is_told_by_base(bucket, upstream):
             return routes.decision_by_upstream[upstream]
-        # An incomplete keeper lets the other one object, which may hold an
-        # earlier placement of the same flow.
         other = self._other_keeper(routes.name, bucket)
         if other is None:
             return routes.decision_by_upstream[upstream]
         # The hosts that were visited so far do not know the placement.
-        placed = dataclasses.replace(packet, visited=())
-        return self._relay(other, placed, upstream)
+        unseen = dataclasses.replace(packet, visited=())
+        return self._relay(other, unseen, upstream)
 
     def _place(
         self,
--- a/packages/core/sapphire_core/flows/ramp_driver.py
+++ b/packages/core/sapphire_core/flows/ramp_driver.py
@@ -59,6 +59,7 @@
             )
         for name in self.ramp.cold_upstreams() - present:
             self.ramp.forget(name)
+        # The buckets that stand for slots may have moved.
         self.ramp.note_view(now_ms)
 
     def note_overlay(
@@ -84,6 +85,24 @@
             if overlay.upstream in service.upstreams_by_name:
                 self._start(service, {overlay.upstream}, now_ms)
 
+    def adopt(self, ramps: tuple[data.Ramp, ...], now_ms: int) -> None:
+        """Takes the ramps that a peer knows.
+
+        Args:
+            ramps: The ramps.
+            now_ms: The current time.
+        """
+        if self._revisions.active is None:
+            return
+        cold = self.ramp.cold_upstreams()
+        for ramp in ramps:
+            if ramp.upstream in cold:
+                continue
+            since_ms = now_ms - ramp.age_ms
+            for service in self._revisions.active.services_by_name.values():
+                if ramp.upstream in service.upstreams_by_name:
+                    self._start(service, {ramp.upstream}, since_ms)
+
     def note_view(self, now_ms: int) -> None:
         """Assigns slots again after a change of membership."""
         self.ramp.note_view(now_ms)
--- a/packages/core/sapphire_core/flows/router.py
+++ b/packages/core/sapphire_core/flows/router.py
@@ -90,6 +90,23 @@
         self._newer_since_ms = None
         self._advance(now_ms, is_trusted, is_forced=True)
 
+    def ramps(self, now_ms: int) -> tuple[data.Ramp, ...]:
+        """Returns the start ramps for a peer that has just started."""
+        return self._ramp.ramp.ramps(now_ms)
+
+    def adopt_ramps(self, ramps: tuple[data.Ramp, ...], now_ms: int) -> None:
+        """Takes the start ramps of a peer, after the first `prepare`.
+
+        A host that has just started cannot tell from the configuration which
+        upstreams are cold.
+
+        Args:
+            ramps: The ramps that the peer knows.
+            now_ms: The current time.
+        """
+        self._ramp.adopt(ramps, now_ms)
+        self._rebuild(now_ms, self._is_fresh(now_ms))
+
     def note_newer_revision(self, revision: int, now_ms: int) -> None:
         """Notes that a revision exists, before it could be fetched.
 
--- a/packages/core/sapphire_core/flows/start_ramp.py
+++ b/packages/core/sapphire_core/flows/start_ramp.py
@@ -11,6 +11,7 @@
 import dataclasses
 import math
 
+from sapphire_core.flows import data
 from sapphire_data import clock
 from sapphire_data import records
 
@@ -76,25 +77,30 @@
     def __init__(self, is_holder: Callable[[str, int], bool]) -> None:
         self._is_holder = is_holder
         self._cold_by_name: dict[str, _ColdUpstream] = {}
-        self._view_changed_ms: int | None = None
+        self._view_changed_ms = 0
 
     def cold_upstreams(self) -> frozenset[str]:
         """Returns the names of the upstreams on their ramp."""
         return frozenset(self._cold_by_name)
 
+    def ramps(self, now_ms: int) -> tuple[data.Ramp, ...]:
+        """Returns the ramps for a host that has just started."""
+        ramps = []
+        for name, cold in self._cold_by_name.items():
+            ramps.append(data.Ramp(name, now_ms - cold.since_ms))
+        return tuple(ramps)
+
     def note_cold(self, upstream: records.Upstream, now_ms: int) -> None:
         """Starts the ramp of an upstream, anew if it is on one already.
 
         Args:
             upstream: The upstream.
-            now_ms: The current time.
+            now_ms: When it turned cold.
         """
         most = rate_per_second(upstream, upstream.warm_up_ms)
         slots = [_Slot() for _ in range(max(1, math.floor(most)))]
         cold = _ColdUpstream(upstream, now_ms, slots)
         self._cold_by_name[upstream.name] = cold
-        if self._view_changed_ms is None:
-            self._view_changed_ms = now_ms
         self._assign(cold, self._view_changed_ms)
 
     def forget(self, name: str) -> None:
