Flows opened on a returning data centre survive hosts that activate later

Ruled out: keepers, since all packets of the test pass the right one. Open flows now follow the newest known revision; placement still needs every known one. The handover page loses a field that the core dropped.

--- a/packages/core/sapphire_core/flows/route_tables.py
+++ b/packages/core/sapphire_core/flows/route_tables.py
@@ -78,6 +78,7 @@
         lost = service_views.lost_upstreams(configurations)
         closed = _out(configurations[:1])
         out = _out(configurations)
+        given_up = _out(configurations[-1:])
         routes_by_key: dict[bytes, Routes] = {}
         self._moving_keys = set()
         for key, found in service_views.by_key(configurations).items():
@@ -94,6 +95,7 @@
                 retired=self._retired(service.name),
                 closed_data_centres=closed,
                 out_data_centres=out,
+                given_up_data_centres=given_up,
                 unsettled=unsettled & names,
                 spread=self._spread & names,
                 refused=failed & names,
--- a/packages/core/sapphire_core/flows/router_test.py
+++ b/packages/core/sapphire_core/flows/router_test.py
@@ -145,6 +145,30 @@
         self.assertEqual([], cluster.broken(placed))
 
 
+class DataCentreTest(testtools.TestCase):
+    def test_flows_survive_a_return_that_hosts_activate_one_by_one(
+        self,
+    ) -> None:
+        cluster = Cluster()
+        steps = (
+            (1, rota("abc"), ()),
+            (2, rota("abc", "bc"), ("salem",)),
+        )
+        for revision, service, out in steps:
+            cluster.prepare(
+                builders.configuration(revision, [service], out=out)
+            )
+            cluster.pass_barrier(revision)
+            cluster.advance(40_000)
+        back = rota("abc", "bc", "abc")
+        cluster.prepare(builders.configuration(3, [back]))
+        view = builders.view(members(), 3)
+        cluster.fabric.routers_by_id["h1"].set_view(view, cluster.now_ms)
+        placed = cluster.open_all(range(5_000, 8_000))
+        self.assertIn("a", placed.values())
+        self.assertEqual([], cluster.broken(placed))
+
+
 class HostChangeTest(testtools.TestCase):
     def test_flows_survive_replacement_of_all_hosts_amid_a_change(
         self,
--- a/packages/core/sapphire_core/flows/routes.py
+++ b/packages/core/sapphire_core/flows/routes.py
@@ -48,7 +48,10 @@
             long as other hosts may still go by it.
         closed_data_centres: Data centres that are out in the active
             configuration.
-        out_data_centres: Data centres that are out in any known revision.
+        out_data_centres: Data centres that are out in any known revision;
+            their upstreams get no new flows.
+        given_up_data_centres: Those that are out in the newest revision;
+            their open flows are given up.
         unsettled: Upstreams with an overlay, cold ones included.
         spread: Those of them whose overlay every host knows by now.
         refused: Upstreams that an overlay keeps from new flows.
@@ -60,6 +63,7 @@
     retired: records.Service | None
     closed_data_centres: frozenset[str]
     out_data_centres: frozenset[str]
+    given_up_data_centres: frozenset[str]
     unsettled: frozenset[str]
     spread: frozenset[str]
     refused: frozenset[str]
@@ -187,7 +191,9 @@
             if name in inputs.lost:
                 decisions[name] = data.GiveUp(failures.UpstreamGone(name))
                 continue
-            if upstream.data_centre in inputs.out_data_centres:
+            # While a data centre returns, hosts that have activated its
+            # return already open flows there.
+            if upstream.data_centre in inputs.given_up_data_centres:
                 decisions[name] = data.GiveUp(
                     failures.DataCentreOut(name, upstream.data_centre)
                 )
--- a/packages/wire/idl/flows.thrift
+++ b/packages/wire/idl/flows.thrift
@@ -13,11 +13,10 @@
   2: required list<i32> buckets,
   3: required list<i32> kept_buckets,
   4: required list<i32> complete_buckets,
-  5: required list<i32> former_buckets,
-  6: required list<string> upstreams,
-  7: required list<i64> flow_hashes,
-  8: required list<i32> upstream_indices,
-  9: required bool is_last,
+  5: required list<string> upstreams,
+  6: required list<i64> flow_hashes,
+  7: required list<i32> upstream_indices,
+  8: required bool is_last,
 }
 
 struct Overlay {
--- a/packages/wire/sapphire_wire/gen/flows/ttypes.py
+++ b/packages/wire/sapphire_wire/gen/flows/ttypes.py
@@ -129,7 +129,6 @@
      - buckets
      - kept_buckets
      - complete_buckets
-     - former_buckets
      - upstreams
      - flow_hashes
      - upstream_indices
@@ -138,12 +137,11 @@
     """
 
 
-    def __init__(self, service_name=None, buckets=None, kept_buckets=None, complete_buckets=None, former_buckets=None, upstreams=None, flow_hashes=None, upstream_indices=None, is_last=None,):
+    def __init__(self, service_name=None, buckets=None, kept_buckets=None, complete_buckets=None, upstreams=None, flow_hashes=None, upstream_indices=None, is_last=None,):
         self.service_name = service_name
         self.buckets = buckets
         self.kept_buckets = kept_buckets
         self.complete_buckets = complete_buckets
-        self.former_buckets = former_buckets
         self.upstreams = upstreams
         self.flow_hashes = flow_hashes
         self.upstream_indices = upstream_indices
@@ -195,45 +193,35 @@
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
-                    self.former_buckets = []
+                    self.upstreams = []
                     (_etype28, _size25) = iprot.readListBegin()
                     for _i29 in range(_size25):
-                        _elem30 = iprot.readI32()
-                        self.former_buckets.append(_elem30)
+                        _elem30 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.upstreams.append(_elem30)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
-                    self.upstreams = []
+                    self.flow_hashes = []
                     (_etype34, _size31) = iprot.readListBegin()
                     for _i35 in range(_size31):
-                        _elem36 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.upstreams.append(_elem36)
+                        _elem36 = iprot.readI64()
+                        self.flow_hashes.append(_elem36)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.LIST:
-                    self.flow_hashes = []
+                    self.upstream_indices = []
                     (_etype40, _size37) = iprot.readListBegin()
                     for _i41 in range(_size37):
-                        _elem42 = iprot.readI64()
-                        self.flow_hashes.append(_elem42)
+                        _elem42 = iprot.readI32()
+                        self.upstream_indices.append(_elem42)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
-                if ftype == TType.LIST:
-                    self.upstream_indices = []
-                    (_etype46, _size43) = iprot.readListBegin()
-                    for _i47 in range(_size43):
-                        _elem48 = iprot.readI32()
-                        self.upstream_indices.append(_elem48)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 9:
                 if ftype == TType.BOOL:
                     self.is_last = iprot.readBool()
                 else:
@@ -255,54 +243,47 @@
         if self.buckets is not None:
             oprot.writeFieldBegin('buckets', TType.LIST, 2)
             oprot.writeListBegin(TType.I32, len(self.buckets))
-            for iter49 in self.buckets:
-                oprot.writeI32(iter49)
+            for iter43 in self.buckets:
+                oprot.writeI32(iter43)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.kept_buckets is not None:
             oprot.writeFieldBegin('kept_buckets', TType.LIST, 3)
             oprot.writeListBegin(TType.I32, len(self.kept_buckets))
-            for iter50 in self.kept_buckets:
-                oprot.writeI32(iter50)
+            for iter44 in self.kept_buckets:
+                oprot.writeI32(iter44)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.complete_buckets is not None:
             oprot.writeFieldBegin('complete_buckets', TType.LIST, 4)
             oprot.writeListBegin(TType.I32, len(self.complete_buckets))
-            for iter51 in self.complete_buckets:
-                oprot.writeI32(iter51)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        if self.former_buckets is not None:
-            oprot.writeFieldBegin('former_buckets', TType.LIST, 5)
-            oprot.writeListBegin(TType.I32, len(self.former_buckets))
-            for iter52 in self.former_buckets:
-                oprot.writeI32(iter52)
+            for iter45 in self.complete_buckets:
+                oprot.writeI32(iter45)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.upstreams is not None:
-            oprot.writeFieldBegin('upstreams', TType.LIST, 6)
+            oprot.writeFieldBegin('upstreams', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.upstreams))
-            for iter53 in self.upstreams:
-                oprot.writeString(iter53.encode('utf-8') if sys.version_info[0] == 2 else iter53)
+            for iter46 in self.upstreams:
+                oprot.writeString(iter46.encode('utf-8') if sys.version_info[0] == 2 else iter46)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.flow_hashes is not None:
-            oprot.writeFieldBegin('flow_hashes', TType.LIST, 7)
+            oprot.writeFieldBegin('flow_hashes', TType.LIST, 6)
             oprot.writeListBegin(TType.I64, len(self.flow_hashes))
-            for iter54 in self.flow_hashes:
-                oprot.writeI64(iter54)
+            for iter47 in self.flow_hashes:
+                oprot.writeI64(iter47)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.upstream_indices is not None:
-            oprot.writeFieldBegin('upstream_indices', TType.LIST, 8)
+            oprot.writeFieldBegin('upstream_indices', TType.LIST, 7)
             oprot.writeListBegin(TType.I32, len(self.upstream_indices))
-            for iter55 in self.upstream_indices:
-                oprot.writeI32(iter55)
+            for iter48 in self.upstream_indices:
+                oprot.writeI32(iter48)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.is_last is not None:
-            oprot.writeFieldBegin('is_last', TType.BOOL, 9)
+            oprot.writeFieldBegin('is_last', TType.BOOL, 8)
             oprot.writeBool(self.is_last)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -317,8 +298,6 @@
             raise TProtocolException(message='Required field kept_buckets is unset!')
         if self.complete_buckets is None:
             raise TProtocolException(message='Required field complete_buckets is unset!')
-        if self.former_buckets is None:
-            raise TProtocolException(message='Required field former_buckets is unset!')
         if self.upstreams is None:
             raise TProtocolException(message='Required field upstreams is unset!')
         if self.flow_hashes is None:
@@ -452,11 +431,10 @@
     (2, TType.LIST, 'buckets', (TType.I32, None, False), None, ),  # 2
     (3, TType.LIST, 'kept_buckets', (TType.I32, None, False), None, ),  # 3
     (4, TType.LIST, 'complete_buckets', (TType.I32, None, False), None, ),  # 4
-    (5, TType.LIST, 'former_buckets', (TType.I32, None, False), None, ),  # 5
-    (6, TType.LIST, 'upstreams', (TType.STRING, 'UTF8', False), None, ),  # 6
-    (7, TType.LIST, 'flow_hashes', (TType.I64, None, False), None, ),  # 7
-    (8, TType.LIST, 'upstream_indices', (TType.I32, None, False), None, ),  # 8
-    (9, TType.BOOL, 'is_last', None, None, ),  # 9
+    (5, TType.LIST, 'upstreams', (TType.STRING, 'UTF8', False), None, ),  # 5
+    (6, TType.LIST, 'flow_hashes', (TType.I64, None, False), None, ),  # 6
+    (7, TType.LIST, 'upstream_indices', (TType.I32, None, False), None, ),  # 7
+    (8, TType.BOOL, 'is_last', None, None, ),  # 8
 )
 all_structs.append(Overlay)
 Overlay.thrift_spec = (
