The daemon keeps its configuration by watch, notices and fetches from peers

Each host asks a peer drawn by chance at most every 500 ms which revision it has, so that the spreading relies on no other gossip. A host fetches from a peer only the parts that it lacks.

--- a/packages/core/sapphire_core/configuration/spreading.py
+++ b/packages/core/sapphire_core/configuration/spreading.py
@@ -6,60 +6,22 @@
 """
 
 from collections.abc import Mapping
-import dataclasses
 import random
 
 from sapphire_core.configuration import data
+from sapphire_core.configuration import fetching
 from sapphire_core.configuration import holders
 from sapphire_core.configuration import spreading_data as messages
 from sapphire_core.configuration import watchers
 from sapphire_data import failures
 
-# With four each, all but 2% of a data centre learn of a revision at once;
-# gossip reaches the others.
-NOTIFY_NEAR = 4
+# Drawn by chance, eight each leave out fewer than 1 host in 1,000;
+# questions to peers reach those.
+NOTIFY_NEAR = 8
+# A watcher stands at the root of the tree, where breadth saves the most time.
+NOTIFY_AS_WATCHER = 32
 NOTIFY_FAR = 1
-# Timeouts in a row after which waits grow, because the path is slow and not
-# a single source.
-QUICK_TRIES = 3
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Settings:
-    """Times of the spreading.
-
-    Attributes:
-        boot_wait_ms: How long a host without a configuration collects offers
-            before it fetches one, so that it starts with the newest.
-        fetch_timeout_min_ms: When a fetch is given up for another source.
-        fetch_timeout_max_ms: The same after several were given up.
-        penalty_ms: How long a source that failed is not asked again.
-        silence_ms: The time without a word from any peer after which a host
-            reads the store itself.
-        poll_min_ms: The shortest time between such reads.
-        poll_max_ms: The longest time between such reads.
-        watch_check_ms: The time between a watcher's reads of the head, in
-            case its watch has gone silent.
-        watch_retry_min_ms: The shortest wait before a watch is opened again.
-        watch_retry_max_ms: The longest such wait.
-        ask_peer_ms: The time between questions to one peer, which repair
-            what gossip lost.
-    """
-
-    boot_wait_ms: int = 500
-    fetch_timeout_min_ms: int = 250
-    fetch_timeout_max_ms: int = 8_000
-    penalty_ms: int = 600
-    silence_ms: int = 1_500
-    poll_min_ms: int = 1_000
-    poll_max_ms: int = 30_000
-    watch_check_ms: int = 10_000
-    watch_retry_min_ms: int = 200
-    watch_retry_max_ms: int = 1_500
-    ask_peer_ms: int = 5_000
-
-
-DEFAULT_SETTINGS = Settings()
+ASK_NEAR_SHARE = 0.67
 
 
 class Spreading:
@@ -79,7 +41,7 @@
         data_centre: str,
         dice: random.Random,
         now_ms: int,
-        settings: Settings = DEFAULT_SETTINGS,
+        settings: messages.Settings = messages.DEFAULT_SETTINGS,
     ) -> None:
         self.version = data.NO_VERSION
         self.newest_heard = data.NO_VERSION
@@ -88,13 +50,10 @@
         self._data_centre = data_centre
         self._dice = dice
         self._settings = settings
-        self._holders = holders.Holders()
+        self._fetching = fetching.Fetching(settings, dice, now_ms)
         self._peers: list[str] = []
         self._near: frozenset[str] = frozenset()
-        self._fetching: messages.Fetch | None = None
-        self._fetch_ends_at_ms = 0
-        self._timeouts_in_row = 0
-        self._fetch_from_ms = now_ms + settings.boot_wait_ms
+        self._near_sorted: list[str] = []
         self._heard_at_ms = now_ms
         # Hosts that start together do not read the store together.
         self._read_at_ms = now_ms + dice.randrange(settings.boot_wait_ms)
@@ -141,8 +100,7 @@
             case messages.FetchDone():
                 self._on_fetched(event, actions, now_ms)
             case messages.FetchFailed():
-                banned_until_ms = now_ms + self._settings.penalty_ms
-                self._refuse(event.fetch, banned_until_ms)
+                self._fetching.on_failed(event.fetch, now_ms)
             case messages.Tick():
                 pass
         self._start_due_work(actions, now_ms)
@@ -166,6 +124,7 @@
             for host_id, place in others.items()
             if place == self._data_centre
         )
+        self._near_sorted = sorted(self._near)
         live = {**others, self._host_id: self._data_centre}
         was_watcher = self._is_watcher
         self._is_watcher = self._host_id in watchers.choose(live)
@@ -189,7 +148,7 @@
         if version.revision > self.newest_heard.revision:
             self.newest_heard = version
         if version.revision > self.version.revision:
-            self._holders.add(version, source)
+            self._fetching.offer(version, source)
             return
         is_same_revision = version.revision == self.version.revision
         if not is_same_revision or version.digest == self.version.digest:
@@ -223,62 +182,32 @@
     ) -> None:
         """Accepts a fetched revision if it is newer than the host's own."""
         version = event.version
-        self._timeouts_in_row = 0
-        if version.revision < event.fetch.version.revision:
-            # The source does not have what it offered.
-            self._refuse(event.fetch, now_ms + self._settings.penalty_ms)
-        if self._fetching == event.fetch:
-            self._fetching = None
+        self._fetching.on_done(event, now_ms)
         if version.revision <= self.version.revision:
             return
         self.version = version
         if version.revision > self.newest_heard.revision:
             self.newest_heard = version
-        self._holders.drop_up_to(version.revision)
-        if self._fetching is not None and (
-            self._fetching.version.revision <= version.revision
-        ):
-            self._fetching = None
+        self._fetching.drop_up_to(version.revision)
         actions.append(messages.Prepare(version))
-        actions.append(messages.Announce(version))
         told = self._peers_to_notify()
         if told:
             actions.append(messages.Notify(told, version))
 
     def _peers_to_notify(self) -> tuple[str, ...]:
         """Draws a few peers nearby and at least one elsewhere."""
-        near = sorted(self._near)
+        near = self._near_sorted
         far = [peer for peer in self._peers if peer not in self._near]
-        told = self._dice.sample(near, min(NOTIFY_NEAR, len(near)))
+        count = NOTIFY_AS_WATCHER if self._is_watcher else NOTIFY_NEAR
+        told = self._dice.sample(near, min(count, len(near)))
         told += self._dice.sample(far, min(NOTIFY_FAR, len(far)))
         return tuple(told)
 
-    def _refuse(self, fetch: messages.Fetch, banned_until_ms: int) -> None:
-        """Counts a failure of a fetch's source."""
-        source = fetch.host_id or holders.STORE
-        self._holders.count_failure(fetch.version, source, banned_until_ms)
-        if self._fetching == fetch:
-            self._fetching = None
-
-    def _fetch_timeout_ms(self) -> int:
-        """Returns how long to wait for a fetch before another source."""
-        settings = self._settings
-        if self.version == data.NO_VERSION:
-            # A whole configuration takes longer than its changed parts.
-            return settings.fetch_timeout_max_ms // 4
-        doublings = max(0, self._timeouts_in_row - QUICK_TRIES)
-        wait_ms = settings.fetch_timeout_min_ms << min(doublings, 16)
-        return min(wait_ms, settings.fetch_timeout_max_ms)
-
     def _start_due_work(
         self, actions: list[messages.Action], now_ms: int
     ) -> None:
         """Adds the actions whose time has come."""
-        if self._fetching is not None and now_ms >= self._fetch_ends_at_ms:
-            self._timeouts_in_row += 1
-            self._refuse(self._fetching, now_ms)
-        if self._fetching is None and now_ms >= self._fetch_from_ms:
-            self._start_fetch(actions, now_ms)
+        actions.extend(self._fetching.due(self._near, self.version, now_ms))
         is_idle = self._is_watcher and not self._is_watching
         if is_idle and now_ms >= self._watch_at_ms:
             self._is_watching = True
@@ -288,23 +217,15 @@
             actions.append(messages.ReadStoreHead())
             self._plan_next_read(now_ms)
         if now_ms >= self._ask_at_ms and self._peers:
-            peer = self._dice.choice(self._peers)
-            actions.append(messages.AskPeer(peer))
+            actions.append(messages.AskPeer(self._peer_to_ask()))
             wait_ms = self._settings.ask_peer_ms
-            if self.version == data.NO_VERSION:
-                wait_ms = self._settings.boot_wait_ms // 4
             self._ask_at_ms = now_ms + self._jittered(wait_ms)
 
-    def _start_fetch(self, actions: list[messages.Action], now_ms: int) -> None:
-        """Fetches the best offer."""
-        chosen = self._holders.choose(self._near, self._dice, now_ms)
-        if chosen is None:
-            return
-        version, source = chosen
-        host_id = None if source == holders.STORE else source
-        self._fetching = messages.Fetch(version, host_id)
-        self._fetch_ends_at_ms = now_ms + self._fetch_timeout_ms()
-        actions.append(self._fetching)
+    def _peer_to_ask(self) -> str:
+        """Draws a peer, mostly from the same data centre."""
+        if self._near and self._dice.random() < ASK_NEAR_SHARE:
+            return self._dice.choice(self._near_sorted)
+        return self._dice.choice(self._peers)
 
     def _is_read_due(self, now_ms: int) -> bool:
         """Says whether to read the head from the store now."""
--- a/packages/core/sapphire_core/configuration/spreading_data.py
+++ b/packages/core/sapphire_core/configuration/spreading_data.py
@@ -20,7 +20,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerHead:
-    """A peer has a revision, as gossip or the peer itself says.
+    """A peer says which revision it has.
 
     Attributes:
         host_id: The peer.
@@ -131,7 +131,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AskPeer:
-    """Ask a peer which revision it has.
+    """Tell a peer which revision this host has, and ask for that of the peer.
 
     Attributes:
         host_id: The peer.
@@ -151,20 +151,9 @@
     version: data.Version
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Announce:
-    """Tell the peers, by gossip, which revision this host has.
-
-    Attributes:
-        version: The revision.
-    """
-
-    version: data.Version
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Notify:
-    """Tell a few peers at once, ahead of gossip, by one small datagram each.
+    """Tell a few peers, by one small datagram each, which revision it is.
 
     Attributes:
         host_ids: The peers.
@@ -176,14 +165,7 @@
 
 
 Action = (
-    StartWatch
-    | StopWatch
-    | ReadStoreHead
-    | AskPeer
-    | Fetch
-    | Prepare
-    | Announce
-    | Notify
+    StartWatch | StopWatch | ReadStoreHead | AskPeer | Fetch | Prepare | Notify
 )
 
 
@@ -200,3 +182,41 @@
     held: data.Version
     offered: data.Version
     source: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Settings:
+    """Times of the spreading.
+
+    Attributes:
+        boot_wait_ms: How long a host without a configuration collects offers
+            before it fetches one, so that it starts with the newest.
+        fetch_timeout_min_ms: When a fetch is given up for another source.
+        fetch_timeout_max_ms: The same after several were given up.
+        penalty_ms: How long a source that failed is not asked again.
+        silence_ms: The time without a word from any peer after which a host
+            reads the store itself.
+        poll_min_ms: The shortest time between such reads.
+        poll_max_ms: The longest time between such reads.
+        watch_check_ms: The time between a watcher's reads of the head, in
+            case its watch has gone silent.
+        watch_retry_min_ms: The shortest wait before a watch is opened again.
+        watch_retry_max_ms: The longest such wait.
+        ask_peer_ms: The longest time between questions to a peer drawn by
+            chance; they reach what notices did not, and repair partitions.
+    """
+
+    boot_wait_ms: int = 500
+    fetch_timeout_min_ms: int = 200
+    fetch_timeout_max_ms: int = 8_000
+    penalty_ms: int = 600
+    silence_ms: int = 2_000
+    poll_min_ms: int = 1_000
+    poll_max_ms: int = 30_000
+    watch_check_ms: int = 10_000
+    watch_retry_min_ms: int = 200
+    watch_retry_max_ms: int = 1_500
+    ask_peer_ms: int = 500
+
+
+DEFAULT_SETTINGS = Settings()
--- a/packages/node/sapphire_node/api.py
+++ b/packages/node/sapphire_node/api.py
@@ -16,6 +16,7 @@
 READY_PATH = "/readyz"
 METRICS_PATH = "/metrics"
 CONFIGURATION_PATH = "/v1/configuration"
+KNOWN_REVISION_PARAMETER = "known"
 
 HTTP_NOT_FOUND = 404
 HTTP_UNAVAILABLE = 503
@@ -32,15 +33,15 @@
         metrics: All metrics in the Prometheus text format.
         status: The status, limited to a service where one is named.
         slo: The counts of service levels, limited likewise.
-        configuration: The newest configuration as one encoded record, or
-            None before the first.
+        configuration: What a peer that knows a revision lacks of the newest
+            configuration, as one encoded record, or None before the first.
     """
 
     state: lifecycle.Lifecycle
     metrics: Callable[[], bytes]
     status: Callable[[str | None], api.HostStatus]
     slo: Callable[[str | None], api.SloReport]
-    configuration: Callable[[], bytes | None]
+    configuration: Callable[[int], bytes | None]
 
 
 def create_app(readers: Readers) -> applications.Starlette:
@@ -74,8 +75,8 @@
     async def slo(request: requests.Request) -> responses.Response:
         return _model(readers.slo(_service(request)))
 
-    async def configuration(_request: requests.Request) -> responses.Response:
-        record = readers.configuration()
+    async def configuration(request: requests.Request) -> responses.Response:
+        record = readers.configuration(_known_revision(request))
         if record is None:
             return responses.Response(status_code=HTTP_NOT_FOUND)
         return responses.Response(record, media_type=_RECORD_TYPE)
@@ -97,6 +98,12 @@
     return request.query_params.get(api.SERVICE_PARAMETER)
 
 
+def _known_revision(request: requests.Request) -> int:
+    """Returns the revision that a peer has; 0 if it names none."""
+    named = request.query_params.get(KNOWN_REVISION_PARAMETER, "")
+    return int(named) if named.isascii() and named.isdecimal() else 0
+
+
 def _model(model: pydantic.BaseModel) -> responses.Response:
     """Returns the answer that carries a model."""
     return responses.Response(
--- /dev/null
+++ b/packages/node/sapphire_node/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The task that brings the newest configuration to this host."""
--- /dev/null
+++ b/packages/node/sapphire_node/configuration/keeper.py
@@ -0,0 +1,338 @@
+"""The task that owns the store's client and the spreading of revisions."""
+
+from collections.abc import AsyncIterator
+import dataclasses
+import logging
+import random
+import ssl
+
+import anyio
+from anyio import abc
+from anyio.streams import memory
+import httpx
+
+from sapphire_core.configuration import spreading
+from sapphire_core.configuration import spreading_data
+from sapphire_data import clock
+from sapphire_data import records
+from sapphire_net import event_log
+from sapphire_net.store import client as store_client
+from sapphire_net.store import data as store_data
+from sapphire_net.store import environment as environments
+from sapphire_net.store import reading
+from sapphire_node import messages
+from sapphire_node import status
+from sapphire_node.configuration import sources
+from sapphire_wire import message_kind
+from sapphire_wire import settings as settings_lib
+from sapphire_wire.documents import bundle
+
+_LOGGER = logging.getLogger(__name__)
+
+TICK_MS = 50
+INBOX_EVENTS = 1_024
+ACCEPTED_CONFIGURATIONS = 16
+MAX_FETCHES = 4
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Arrival:
+    """An event with the content that it brings, if any."""
+
+    event: spreading_data.Event
+    content: bundle.Content | None = None
+
+
+class Keeper:
+    """Carries out the spreading for one host.
+
+    Attributes:
+        dropped_events: Events that a full inbox had no room for.
+    """
+
+    def __init__(
+        self,
+        own: records.HostAddress,
+        settings: settings_lib.StoreSettings,
+        to_control: memory.MemoryObjectSendStream[messages.ToControl],
+        time: clock.Clock,
+        *,
+        peer_context: ssl.SSLContext | None = None,
+        store_context: ssl.SSLContext | None = None,
+    ) -> None:
+        """Creates the task.
+
+        Args:
+            own: The identity and addresses of this host.
+            settings: How to reach the store.
+            to_control: Takes datagrams to seal and send.
+            time: The clock.
+            peer_context: The TLS context for peers; none for clear text.
+            store_context: The TLS context for the store; none for the
+                library's default.
+        """
+        self.dropped_events = 0
+        self._own = own
+        self._settings = settings
+        self._to_control = to_control
+        self._time = time
+        self._peer_context = peer_context
+        self._store_context = store_context
+        self._shelf = bundle.Shelf()
+        self._spreading = spreading.Spreading(
+            own.host_id, own.data_centre, random.Random(), time.now_ms()
+        )
+        self._hosts_by_id: dict[str, records.HostAddress] = {}
+        self._is_store_reachable: bool | None = None
+        self._watch_scope: anyio.CancelScope | None = None
+        self._is_reading = False
+        self._fetch_count = 0
+        self._inbox, self._events = anyio.create_memory_object_stream[_Arrival](
+            INBOX_EVENTS
+        )
+        self._send_accepted, self._accepted = anyio.create_memory_object_stream[
+            records.Configuration
+        ](ACCEPTED_CONFIGURATIONS)
+
+    async def run(self) -> None:
+        """Keeps the configuration up to date until cancelled."""
+        url = str(self._settings.endpoints[0])
+        async with (
+            store_client.open_client(
+                url, ssl_context=self._store_context
+            ) as store_http,
+            sources.open_peer_client(self._peer_context) as peer_http,
+            anyio.create_task_group() as tasks,
+        ):
+            environment = environments.Environment(
+                store_client.GatewayStore(store_http), self._settings.prefix
+            )
+            tasks.start_soon(self._tick)
+            async for arrival in self._events:
+                await self._handle(arrival, tasks, environment, peer_http)
+
+    async def accepted(self) -> AsyncIterator[records.Configuration]:
+        """Yields each configuration that is newer than the one before."""
+        async for configuration in self._accepted:
+            yield configuration
+
+    def take_view(self, view: records.MemberView) -> None:
+        """Takes the membership.
+
+        Args:
+            view: The view.
+        """
+        live = {
+            host_id: member.host
+            for host_id, member in view.members_by_id.items()
+            if member.state is not records.MemberState.DEAD
+        }
+        if live == self._hosts_by_id:
+            return
+        self._hosts_by_id = live
+        places = {name: host.data_centre for name, host in live.items()}
+        self.put(spreading_data.ViewChanged(places))
+
+    def take_notice(self, received: messages.ControlReceived) -> None:
+        """Takes the notice of a peer, and answers it if it asks.
+
+        Args:
+            received: A body of kind `CONFIGURATION_NOTICE`.
+        """
+        notice = bundle.decode_notice(received.body)
+        if notice.is_error():
+            event_log.log_failure(_LOGGER, "notice_dropped", notice.error)
+            return
+        version, wants_answer = notice.ok
+        self.put(spreading_data.PeerHead(received.sender, version))
+        if wants_answer:
+            self._send_notice(received.sender, wants_answer=False)
+
+    def record(self, known_revision: int = 0) -> bytes | None:
+        """Returns the configuration as one record for peers.
+
+        Args:
+            known_revision: The revision that the peer has; 0 for none.
+
+        Returns:
+            The parts that the peer lacks, or None before the first.
+        """
+        return self._shelf.encode(known_revision)
+
+    def status(self) -> status.ConfigurationStatus:
+        """Returns what operators may know."""
+        content = self._shelf.content
+        return status.ConfigurationStatus(
+            self._spreading.newest_heard.revision,
+            self._is_store_reachable,
+            content.configuration if content is not None else None,
+        )
+
+    def put(
+        self, event: spreading_data.Event, content: bundle.Content | None = None
+    ) -> None:
+        """Queues an event; later ones make up for one that is dropped.
+
+        Args:
+            event: The event.
+            content: The content that a finished fetch brings.
+        """
+        try:
+            self._inbox.send_nowait(_Arrival(event, content))
+        except anyio.WouldBlock:
+            self.dropped_events += 1
+
+    async def _tick(self) -> None:
+        """Gives the state machine the time."""
+        while True:
+            self.put(spreading_data.Tick())
+            await anyio.sleep(TICK_MS / clock.MS_PER_SECOND)
+
+    async def _handle(
+        self,
+        arrival: _Arrival,
+        tasks: abc.TaskGroup,
+        environment: environments.Environment,
+        peer_http: httpx.AsyncClient,
+    ) -> None:
+        """Gives the state machine one event and carries out its actions."""
+        actions = self._spreading.handle(arrival.event, self._time.now_ms())
+        for action in actions:
+            match action:
+                case spreading_data.StartWatch():
+                    tasks.start_soon(self._watch, environment)
+                case spreading_data.StopWatch():
+                    if self._watch_scope is not None:
+                        self._watch_scope.cancel()
+                case spreading_data.ReadStoreHead():
+                    tasks.start_soon(self._read_head, environment)
+                case spreading_data.AskPeer():
+                    self._send_notice(action.host_id, wants_answer=True)
+                case spreading_data.Notify():
+                    for host_id in action.host_ids:
+                        self._send_notice(host_id, wants_answer=False)
+                case spreading_data.Fetch():
+                    tasks.start_soon(
+                        self._fetch, action, environment, peer_http
+                    )
+                case spreading_data.Prepare():
+                    await self._accept(arrival.content)
+
+    async def _accept(self, content: bundle.Content | None) -> None:
+        """Hands the content that came with the event to the other tasks."""
+        if content is None:
+            return
+        self._shelf.put(content)
+        await self._send_accepted.send(content.configuration)
+
+    def _send_notice(self, host_id: str, *, wants_answer: bool) -> None:
+        """Tells a peer which revision this host has."""
+        host = self._hosts_by_id.get(host_id)
+        if host is None:
+            return
+        notice = messages.SendControl(
+            host.address,
+            host.control_port,
+            message_kind.MessageKind.CONFIGURATION_NOTICE,
+            bundle.encode_notice(self._spreading.version, wants_answer),
+        )
+        try:
+            self._to_control.send_nowait(notice)
+        except anyio.WouldBlock:
+            # Later notices make up for this one, as for a lost datagram.
+            self.dropped_events += 1
+
+    async def _fetch(
+        self,
+        action: spreading_data.Fetch,
+        environment: environments.Environment,
+        peer_http: httpx.AsyncClient,
+    ) -> None:
+        """Fetches a configuration; a bounded number at a time."""
+        host = self._hosts_by_id.get(action.host_id or "")
+        is_gone = action.host_id is not None and host is None
+        if is_gone or self._fetch_count >= MAX_FETCHES:
+            self.put(spreading_data.FetchFailed(action))
+            return
+        self._fetch_count += 1
+        known = self._shelf.content
+        try:
+            if host is None:
+                fetched = await sources.fetch_from_store(environment, known)
+                self._is_store_reachable = fetched.is_ok()
+            else:
+                fetched = await sources.fetch_from_peer(
+                    peer_http,
+                    host,
+                    known,
+                    is_encrypted=self._peer_context is not None,
+                )
+        finally:
+            self._fetch_count -= 1
+        if fetched.is_error():
+            event_log.log_failure(
+                _LOGGER,
+                "fetch_failed",
+                fetched.error,
+                source=action.host_id or "store",
+                revision=action.version.revision,
+            )
+            self.put(spreading_data.FetchFailed(action))
+            return
+        version = fetched.ok.version
+        self.put(spreading_data.FetchDone(version, action), fetched.ok)
+
+    async def _read_head(self, environment: environments.Environment) -> None:
+        """Reads the head from the store, unless a read is still waiting."""
+        if self._is_reading:
+            return
+        self._is_reading = True
+        try:
+            stored = await reading.read_head(environment)
+        finally:
+            self._is_reading = False
+        self._is_store_reachable = stored.is_ok()
+        if stored.is_error():
+            event_log.log_failure(_LOGGER, "store_read_failed", stored.error)
+            self.put(spreading_data.StoreReadFailed())
+            return
+        if stored.ok.head is not None:
+            self.put(spreading_data.StoreHead(stored.ok.head.version))
+
+    async def _watch(self, environment: environments.Environment) -> None:
+        """Watches the head in the store until the watch ends."""
+        send, receive = anyio.create_memory_object_stream[
+            store_data.WatchEvent
+        ](ACCEPTED_CONFIGURATIONS)
+        with anyio.CancelScope() as scope:
+            self._watch_scope = scope
+            async with anyio.create_task_group() as tasks, send, receive:
+                tasks.start_soon(self._relay_watch, receive)
+                ended = await environment.store.watch(
+                    environment.head_key, 0, send
+                )
+                event_log.log_failure(_LOGGER, "watch_ended", ended)
+                tasks.cancel_scope.cancel()
+        if not scope.cancel_called:
+            self.put(spreading_data.WatchEnded())
+
+    async def _relay_watch(
+        self,
+        receive: memory.MemoryObjectReceiveStream[store_data.WatchEvent],
+    ) -> None:
+        """Turns the events of a watch into those of the state machine."""
+        async for event in receive:
+            if isinstance(event, store_data.WatchStarted):
+                self.put(spreading_data.WatchStarted())
+                continue
+            if event.is_deleted:
+                continue
+            item = event.item
+            stored = reading.decode_head(
+                item.key, item.value, item.mod_revision
+            )
+            if stored.is_error():
+                event_log.log_failure(_LOGGER, "head_invalid", stored.error)
+                continue
+            if stored.ok.head is not None:
+                self.put(spreading_data.StoreHead(stored.ok.head.version))
--- /dev/null
+++ b/packages/node/sapphire_node/configuration/sources.py
@@ -0,0 +1,136 @@
+"""Fetches configurations from peers and from the store."""
+
+from collections.abc import Mapping
+import ssl
+
+import anyio.to_thread
+import expression
+import httpx
+
+from sapphire_data import clock
+from sapphire_data import failures
+from sapphire_data import records
+from sapphire_net.store import change_failures
+from sapphire_net.store import environment as environments
+from sapphire_net.store import reading
+from sapphire_node import api
+from sapphire_wire.documents import bundle
+
+PEER_TIMEOUT_MS = 10_000
+MAX_BUNDLE_BYTES = 4_194_304
+_HTTP_OK = 200
+
+_Outcome = expression.Result[bundle.Content, failures.Failure]
+
+
+def open_peer_client(ssl_context: ssl.SSLContext | None) -> httpx.AsyncClient:
+    """Makes the HTTP client for peers.
+
+    Args:
+        ssl_context: How to authenticate; none to speak in the clear.
+
+    Returns:
+        The client, to be used as a context manager.
+    """
+    return httpx.AsyncClient(
+        timeout=PEER_TIMEOUT_MS / clock.MS_PER_SECOND,
+        verify=ssl_context if ssl_context is not None else False,
+        trust_env=False,
+    )
+
+
+async def fetch_from_peer(
+    http: httpx.AsyncClient,
+    host: records.HostAddress,
+    known: bundle.Content | None,
+    *,
+    is_encrypted: bool,
+) -> _Outcome:
+    """Fetches what a peer has and this host lacks.
+
+    Args:
+        http: The client for peers.
+        host: The peer.
+        known: What this host has.
+        is_encrypted: Whether the peer speaks TLS.
+
+    Returns:
+        The content with all its digests checked, or why there is none.
+    """
+    address = f"[{host.address}]" if ":" in host.address else host.address
+    scheme = "https" if is_encrypted else "http"
+    revision = known.version.revision if known is not None else 0
+    parts = known.parts_by_digest if known is not None else {}
+    url = f"{scheme}://{address}:{host.api_port}{api.CONFIGURATION_PATH}"
+    try:
+        response = await http.get(
+            url, params={api.KNOWN_REVISION_PARAMETER: str(revision)}
+        )
+    except httpx.HTTPError as error:
+        return _unreadable(host.host_id, repr(error))
+    if response.status_code != _HTTP_OK:
+        return _unreadable(host.host_id, f"status {response.status_code}")
+    if len(response.content) > MAX_BUNDLE_BYTES:
+        return _unreadable(host.host_id, "too long")
+    return await _decode(response.content, parts)
+
+
+async def fetch_from_store(
+    environment: environments.Environment, known: bundle.Content | None
+) -> _Outcome:
+    """Reads the configuration in force from the store.
+
+    Args:
+        environment: The environment.
+        known: What this host has; its parts are not read again.
+
+    Returns:
+        The content with all its digests checked, or why there is none.
+    """
+    stored = await reading.read_head(environment)
+    if stored.is_error():
+        return expression.Error(stored.error)
+    if stored.ok.head is None:
+        return expression.Error(change_failures.RevisionNotFound(0))
+    parts = await reading.read_parts(
+        environment,
+        stored.ok.head,
+        dict(known.parts_by_digest) if known is not None else None,
+    )
+    if parts.is_error():
+        return expression.Error(parts.error)
+    return await anyio.to_thread.run_sync(
+        _assemble, stored.ok.content, parts.ok
+    )
+
+
+async def _decode(encoded: bytes, parts: Mapping[bytes, bytes]) -> _Outcome:
+    """Decodes in a thread, because a large configuration takes long."""
+    return await anyio.to_thread.run_sync(_decode_bundle, encoded, parts)
+
+
+def _decode_bundle(encoded: bytes, parts: Mapping[bytes, bytes]) -> _Outcome:
+    """Decodes what a peer gave."""
+    decoded = bundle.decode_bundle(encoded, parts)
+    return (
+        expression.Error(decoded.error)
+        if decoded.is_error()
+        else expression.Ok(decoded.ok)
+    )
+
+
+def _assemble(head_bytes: bytes, parts: Mapping[bytes, bytes]) -> _Outcome:
+    """Decodes what the store gave."""
+    built = bundle.assemble(head_bytes, parts)
+    return (
+        expression.Error(built.error)
+        if built.is_error()
+        else expression.Ok(built.ok)
+    )
+
+
+def _unreadable(source: str, problem: str) -> _Outcome:
+    """Returns the failure of a source."""
+    return expression.Error(
+        failures.UnreadableInput(source=source, problem=problem)
+    )
--- a/packages/node/sapphire_node/control.py
+++ b/packages/node/sapphire_node/control.py
@@ -209,11 +209,8 @@
             self.counters.drop(action.failure)
 
     async def _receive_fact(self, fact: membership_data.FactChanged) -> None:
-        """Hands a fact to the task that it concerns."""
+        """Hands a fact about an upstream to the router; others stay here."""
         if not fact.key.startswith(flow_messages.OVERLAY_KEY_PREFIX):
-            self._listeners.configuration_fact(
-                messages.ConfigurationFact(fact.key, fact.version, fact.value)
-            )
             return
         decoded = flow_messages.decode_overlay(fact.value)
         if decoded.is_error():
--- a/packages/node/sapphire_node/daemon.py
+++ b/packages/node/sapphire_node/daemon.py
@@ -30,8 +30,9 @@
 from sapphire_node import messages
 from sapphire_node import prober
 from sapphire_node import status
-from sapphire_node import store_poller
 from sapphire_node import subscribers
+from sapphire_node import unclaimable_store
+from sapphire_node.configuration import keeper
 from sapphire_node.requests import asgi
 from sapphire_node.requests import service as request_service
 from sapphire_wire import api as operator_api
@@ -145,9 +146,11 @@
             self._time,
         )
         self._prober = prober.Prober(self._own.host_id, to_forwarder)
-        self._configuration = store_poller.StorePoller(settings.store)
+        self._configuration = keeper.Keeper(
+            self._own, settings.store, to_control, self._time
+        )
         self._requests = request_service.RequestService(
-            self._own.host_id, store_poller.UnclaimableStore(), self._time
+            self._own.host_id, unclaimable_store.UnclaimableStore(), self._time
         )
         self._control = control.ControlPlane(
             self._own,
@@ -299,7 +302,7 @@
         """Returns the tasks that take messages of the control plane."""
         return subscribers.Subscribers(
             self._to_forwarder,
-            self._configuration.take_fact,
+            self._configuration.take_notice,
             (
                 self._configuration.take_view,
                 self._requests.set_view,
--- a/packages/node/sapphire_node/messages.py
+++ b/packages/node/sapphire_node/messages.py
@@ -94,21 +94,6 @@
     body: bytes
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ConfigurationFact:
-    """What a host published about the configuration that it knows.
-
-    Attributes:
-        key: The key of the fact.
-        version: The revision.
-        value: The encoded value.
-    """
-
-    key: str
-    version: int
-    value: bytes
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class ControlReceived:
     """An authentic body from another host.
--- a/packages/node/sapphire_node/subscribers.py
+++ b/packages/node/sapphire_node/subscribers.py
@@ -7,6 +7,7 @@
 
 from sapphire_data import records
 from sapphire_node import messages
+from sapphire_wire import message_kind
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -15,12 +16,13 @@
 
     Attributes:
         forwarder: The task that owns the router.
-        configuration_fact: Takes a fact about a configuration.
-        view: Take a new view of the membership, each in its own way.
+        configuration_notice: Takes the notice of a peer about the revision
+            that it has.
+        views: Take a new view of the membership, each in its own way.
     """
 
     forwarder: memory.MemoryObjectSendStream[messages.ToForwarder]
-    configuration_fact: Callable[[messages.ConfigurationFact], None]
+    configuration_notice: Callable[[messages.ControlReceived], None]
     views: tuple[Callable[[records.MemberView], None], ...]
 
     async def send_control(self, message: messages.ControlReceived) -> None:
@@ -29,6 +31,9 @@
         Args:
             message: The body.
         """
+        if message.kind is message_kind.MessageKind.CONFIGURATION_NOTICE:
+            self.configuration_notice(message)
+            return
         await self.forwarder.send(message)
 
     async def send_overlay(self, message: messages.OverlayLearned) -> None:
--- a/packages/wire/idl/configuration.thrift
+++ b/packages/wire/idl/configuration.thrift
@@ -72,3 +72,10 @@
   4: required i64 proven_ms,
   5: required string author,
 }
+
+// Which revision a host has, told to a peer in one control datagram.
+struct HeadNotice {
+  1: required i64 revision,       // 0 before the first configuration.
+  2: required binary digest,      // Of the head; empty for revision 0.
+  3: required bool wants_answer,  // Whether the peer is to tell its own.
+}
--- /dev/null
+++ b/packages/wire/sapphire_wire/documents/bundle.py
@@ -0,0 +1,168 @@
+"""The record by which a host gives its configuration to a peer."""
+
+from collections.abc import Mapping
+import dataclasses
+from typing import Any
+
+import expression
+
+from sapphire_core.configuration import data
+from sapphire_data import failures
+from sapphire_data import records
+from sapphire_wire import codec
+from sapphire_wire.documents import packing
+from sapphire_wire.gen.configuration import ttypes
+
+MAX_KNOWN_HEADS = 64
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Content:
+    """A configuration with the bytes that it was decoded from.
+
+    Attributes:
+        head: The decoded head.
+        head_bytes: The encoded head.
+        parts_by_digest: The compressed parts, no others.
+        configuration: The configuration.
+    """
+
+    head: packing.Head
+    head_bytes: bytes
+    parts_by_digest: Mapping[bytes, bytes]
+    configuration: records.Configuration
+
+    @property
+    def version(self) -> data.Version:
+        """The revision and the digest of the head."""
+        return self.head.version
+
+
+class Shelf:
+    """The newest content of a host, and what earlier revisions consisted of.
+
+    Attributes:
+        content: The newest content; none before the first.
+    """
+
+    def __init__(self) -> None:
+        self.content: Content | None = None
+        self._digests_by_revision: dict[int, frozenset[bytes]] = {}
+
+    def put(self, content: Content) -> None:
+        """Replaces the content.
+
+        Args:
+            content: A newer one.
+        """
+        self.content = content
+        digests = frozenset(content.parts_by_digest)
+        self._digests_by_revision[content.version.revision] = digests
+        if len(self._digests_by_revision) > MAX_KNOWN_HEADS:
+            oldest = min(self._digests_by_revision)
+            del self._digests_by_revision[oldest]
+
+    def encode(self, known_revision: int) -> bytes | None:
+        """Encodes what a peer lacks.
+
+        Args:
+            known_revision: The revision that the peer has; 0 for none.
+
+        Returns:
+            The head and the parts that differ from that revision, or all
+            parts if it is not known here; none before the first content.
+        """
+        content = self.content
+        if content is None:
+            return None
+        known = self._digests_by_revision.get(known_revision, frozenset())
+        parts = {
+            digest: part
+            for digest, part in content.parts_by_digest.items()
+            if digest not in known
+        }
+        return codec.encode(
+            ttypes.Bundle(head=content.head_bytes, parts_by_digest=parts)
+        )
+
+
+def decode_bundle(
+    encoded: bytes, known_parts: Mapping[bytes, bytes]
+) -> expression.Result[Content, failures.UnreadableInput]:
+    """Decodes what a peer gave, and checks all digests.
+
+    Args:
+        encoded: The record.
+        known_parts: The parts that this host has.
+
+    Returns:
+        The content, or why it cannot be used.
+    """
+    bundle: Any = codec.decode(ttypes.Bundle, encoded)
+    if bundle.is_error():
+        return expression.Error(bundle.error)
+    parts = {**known_parts, **bundle.ok.parts_by_digest}
+    return assemble(bundle.ok.head, parts)
+
+
+def assemble(
+    head_bytes: bytes, parts_by_digest: Mapping[bytes, bytes]
+) -> expression.Result[Content, failures.UnreadableInput]:
+    """Builds content from a head and parts, and checks all digests.
+
+    Args:
+        head_bytes: The encoded head.
+        parts_by_digest: The parts, perhaps more than are needed.
+
+    Returns:
+        The content, or why it cannot be used.
+    """
+    head = packing.unpack_head(head_bytes)
+    if head.is_error():
+        return expression.Error(head.error)
+    unpacked = packing.unpack(head.ok, parts_by_digest)
+    if unpacked.is_error():
+        return expression.Error(unpacked.error)
+    needed = {
+        digest: parts_by_digest[digest] for digest in head.ok.part_digests
+    }
+    return expression.Ok(Content(head.ok, head_bytes, needed, unpacked.ok))
+
+
+def encode_notice(version: data.Version, wants_answer: bool) -> bytes:
+    """Encodes which revision this host has.
+
+    Args:
+        version: The revision.
+        wants_answer: Whether the peer is to tell its own.
+
+    Returns:
+        The body of a control datagram.
+    """
+    return codec.encode(
+        ttypes.HeadNotice(
+            revision=version.revision,
+            digest=bytes.fromhex(version.digest),
+            wants_answer=wants_answer,
+        )
+    )
+
+
+def decode_notice(
+    body: bytes,
+) -> expression.Result[tuple[data.Version, bool], failures.UnreadableInput]:
+    """Decodes which revision a peer has.
+
+    Args:
+        body: The body of a control datagram.
+
+    Returns:
+        The revision and whether the peer wants an answer, or why the body
+        cannot be read.
+    """
+    decoded: Any = codec.decode(ttypes.HeadNotice, body)
+    if decoded.is_error():
+        return expression.Error(decoded.error)
+    notice = decoded.ok
+    version = data.Version(notice.revision, notice.digest.hex())
+    return expression.Ok((version, notice.wants_answer))
--- a/packages/wire/sapphire_wire/gen/configuration/ttypes.py
+++ b/packages/wire/sapphire_wire/gen/configuration/ttypes.py
@@ -995,6 +995,91 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class HeadNotice(object):
+    """
+    Attributes:
+     - revision
+     - digest
+     - wants_answer
+
+    """
+
+
+    def __init__(self, revision=None, digest=None, wants_answer=None,):
+        self.revision = revision
+        self.digest = digest
+        self.wants_answer = wants_answer
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.digest = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.wants_answer = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('HeadNotice')
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 1)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.digest is not None:
+            oprot.writeFieldBegin('digest', TType.STRING, 2)
+            oprot.writeBinary(self.digest)
+            oprot.writeFieldEnd()
+        if self.wants_answer is not None:
+            oprot.writeFieldBegin('wants_answer', TType.BOOL, 3)
+            oprot.writeBool(self.wants_answer)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.revision is None:
+            raise TProtocolException(message='Required field revision is unset!')
+        if self.digest is None:
+            raise TProtocolException(message='Required field digest is unset!')
+        if self.wants_answer is None:
+            raise TProtocolException(message='Required field wants_answer is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(DataCentreRecord)
 DataCentreRecord.thrift_spec = (
     None,  # 0
@@ -1069,5 +1154,12 @@
     (4, TType.I64, 'proven_ms', None, None, ),  # 4
     (5, TType.STRING, 'author', 'UTF8', None, ),  # 5
 )
+all_structs.append(HeadNotice)
+HeadNotice.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'revision', None, None, ),  # 1
+    (2, TType.STRING, 'digest', 'BINARY', None, ),  # 2
+    (3, TType.BOOL, 'wants_answer', None, None, ),  # 3
+)
 fix_spec(all_structs)
 del all_structs
--- a/packages/wire/sapphire_wire/message_kind.py
+++ b/packages/wire/sapphire_wire/message_kind.py
@@ -13,3 +13,4 @@
     GOSSIP = 2
     HANDOVER_REQUEST = 3
     HANDOVER_PAGE = 4
+    CONFIGURATION_NOTICE = 5
