Views of the measured fleet leave out paused hosts, as the membership would

Cause of 4,290 ms at 9 hosts: a host whose near peers were all paused for 15 s went on asking them, because the view given to the cores never changed.

--- a/packages/lab/sapphire_lab/config/fleet.py
+++ b/packages/lab/sapphire_lab/config/fleet.py
@@ -44,15 +44,15 @@
         self._names = sorted(self.places)
         self._dice = dice
         self._due: dict[int, list[Any]] = collections.defaultdict(list)
-        self.set_views("")
+        self.set_views(self.faults)
 
-    def set_views(self, cut: str) -> None:
-        """Tells each host who is alive while a data centre is cut off."""
+    def set_views(self, faults: Faults) -> None:
+        """Tells each host who is alive, as the membership finds out."""
         for is_cut in (True, False):
             view = {
                 name: place
                 for name, place in self.places.items()
-                if (place == cut) is is_cut
+                if (place == faults.cut) is is_cut and name not in faults.paused
             }
             for name in view:
                 self._handle(name, messages.ViewChanged(view))
--- a/packages/lab/sapphire_lab/config/measure.py
+++ b/packages/lab/sapphire_lab/config/measure.py
@@ -63,7 +63,7 @@
         now_ms = fleet.now_ms
         fleet.faults = FAULT_TABLE.get(now_ms, fleet.faults)
         if now_ms - VIEW_DELAY_MS in FAULT_TABLE:
-            fleet.set_views(fleet.faults.cut)
+            fleet.set_views(fleet.faults)
         is_open = now_ms < LAST_CHANGE_MS and not fleet.faults.is_store_down
         if is_open and now_ms % CHANGE_MS == 0:
             for author in (f"a{now_ms}", f"b{now_ms}"):
