Leases with fencing by revision

A holder counts its end from before it asked, and each of its writes compares the revision at which it acquired the key, so that a pause past the end lets no write through.

--- a/packages/net/sapphire_net/store/environment.py
+++ b/packages/net/sapphire_net/store/environment.py
@@ -65,7 +65,3 @@
     def source_key(self, digest: str, chunk: int) -> str:
         """Returns the key of a chunk of a document or of bindings."""
         return f"{self.sources_prefix}{digest}/{chunk:04d}"
-
-    def proof_key(self, digest: str) -> str:
-        """Returns the key of the proof of a document."""
-        return f"{self.prefix}proven/{digest}"
--- /dev/null
+++ b/packages/net/sapphire_net/store/leases.py
@@ -0,0 +1,93 @@
+"""Carries out the calls of a lease, and writes under its fence."""
+
+from collections.abc import Sequence
+
+import expression
+
+from sapphire_core.configuration import lease as leases
+from sapphire_data import clock
+from sapphire_data import failures
+from sapphire_net.store import data
+from sapphire_net.store import protocol
+
+
+async def carry_out(
+    store: protocol.Store,
+    key: str,
+    action: leases.Action,
+    time: clock.Clock,
+) -> leases.Event:
+    """Makes the call of one action.
+
+    Args:
+        store: The store.
+        key: The key that the lease protects.
+        action: What to ask.
+        time: The clock of the state machine.
+
+    Returns:
+        The event to hand to the state machine.
+    """
+    # The end of a lease counts from before the request is sent.
+    asked_at_ms = time.now_ms()
+    match action:
+        case leases.Grant():
+            granted = await store.grant_lease(action.time_to_live_ms)
+        case leases.Renew():
+            granted = await store.renew_lease(action.lease_id)
+        case leases.Acquire():
+            return await _acquire(store, key, action.lease_id)
+    if granted.is_error():
+        return leases.CallFailed()
+    return leases.Granted(
+        granted.ok.lease_id, asked_at_ms, granted.ok.time_to_live_ms
+    )
+
+
+async def write(
+    store: protocol.Store,
+    held: leases.Lease,
+    compares: Sequence[data.Compare],
+    writes: Sequence[data.Put | data.Delete],
+    time: clock.Clock,
+) -> expression.Result[data.TransactionAnswer, failures.Failure]:
+    """Writes only while the lease is held, by the store's judgement too.
+
+    Args:
+        store: The store.
+        held: The lease.
+        compares: Further conditions.
+        writes: The writes.
+        time: The clock of the state machine.
+
+    Returns:
+        The answer of the store, not succeeded if the lease has passed to
+        another holder; `LeaseNotHeld` if it is not held for certain here.
+    """
+    fence = held.fence(time.now_ms())
+    if isinstance(fence, leases.LeaseNotHeld):
+        return expression.Error(fence)
+    answer = await store.transact(
+        [data.Compare(fence.key, fence.mod_revision), *compares], writes
+    )
+    if answer.is_error():
+        return expression.Error(answer.error)
+    return expression.Ok(answer.ok)
+
+
+async def _acquire(
+    store: protocol.Store, key: str, lease_id: int
+) -> leases.Event:
+    """Binds the key to the lease if nobody holds it."""
+    put = data.Put(key, str(lease_id).encode(), lease_id=lease_id)
+    answer = await store.transact([data.Compare(key, 0)], [put])
+    if answer.is_ok() and answer.ok.succeeded:
+        return leases.Acquired(answer.ok.store_revision)
+    # After a lost answer, the key may be bound to this very lease.
+    read = await store.get(key)
+    if read.is_error():
+        return leases.CallFailed()
+    for item in read.ok.items:
+        if item.lease_id == lease_id:
+            return leases.Acquired(item.mod_revision)
+    return leases.Refused()
--- a/packages/wire/idl/configuration.thrift
+++ b/packages/wire/idl/configuration.thrift
@@ -64,15 +64,6 @@
   2: required map<binary, binary> parts_by_digest,
 }
 
-// That a document was in force on healthy hosts of an environment.
-struct ProofRecord {
-  1: required string document_digest,
-  2: required i64 revision,
-  3: required i32 host_count,
-  4: required i64 proven_ms,
-  5: required string author,
-}
-
 // Which revision a host has, told to a peer in one control datagram.
 struct HeadNotice {
   1: required i64 revision,       // 0 before the first configuration.
--- a/packages/wire/sapphire_wire/gen/configuration/ttypes.py
+++ b/packages/wire/sapphire_wire/gen/configuration/ttypes.py
@@ -886,117 +886,6 @@
         return not (self == other)
 
 
-class ProofRecord(object):
-    """
-    Attributes:
-     - document_digest
-     - revision
-     - host_count
-     - proven_ms
-     - author
-
-    """
-
-
-    def __init__(self, document_digest=None, revision=None, host_count=None, proven_ms=None, author=None,):
-        self.document_digest = document_digest
-        self.revision = revision
-        self.host_count = host_count
-        self.proven_ms = proven_ms
-        self.author = author
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.STRING:
-                    self.document_digest = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.I64:
-                    self.revision = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.I32:
-                    self.host_count = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 4:
-                if ftype == TType.I64:
-                    self.proven_ms = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 5:
-                if ftype == TType.STRING:
-                    self.author = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('ProofRecord')
-        if self.document_digest is not None:
-            oprot.writeFieldBegin('document_digest', TType.STRING, 1)
-            oprot.writeString(self.document_digest.encode('utf-8') if sys.version_info[0] == 2 else self.document_digest)
-            oprot.writeFieldEnd()
-        if self.revision is not None:
-            oprot.writeFieldBegin('revision', TType.I64, 2)
-            oprot.writeI64(self.revision)
-            oprot.writeFieldEnd()
-        if self.host_count is not None:
-            oprot.writeFieldBegin('host_count', TType.I32, 3)
-            oprot.writeI32(self.host_count)
-            oprot.writeFieldEnd()
-        if self.proven_ms is not None:
-            oprot.writeFieldBegin('proven_ms', TType.I64, 4)
-            oprot.writeI64(self.proven_ms)
-            oprot.writeFieldEnd()
-        if self.author is not None:
-            oprot.writeFieldBegin('author', TType.STRING, 5)
-            oprot.writeString(self.author.encode('utf-8') if sys.version_info[0] == 2 else self.author)
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        if self.document_digest is None:
-            raise TProtocolException(message='Required field document_digest is unset!')
-        if self.revision is None:
-            raise TProtocolException(message='Required field revision is unset!')
-        if self.host_count is None:
-            raise TProtocolException(message='Required field host_count is unset!')
-        if self.proven_ms is None:
-            raise TProtocolException(message='Required field proven_ms is unset!')
-        if self.author is None:
-            raise TProtocolException(message='Required field author is unset!')
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, value)
-             for key, value in self.__dict__.items()]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
 class HeadNotice(object):
     """
     Attributes:
@@ -1145,15 +1034,6 @@
     (1, TType.STRING, 'head', 'BINARY', None, ),  # 1
     (2, TType.MAP, 'parts_by_digest', (TType.STRING, 'BINARY', TType.STRING, 'BINARY', False), None, ),  # 2
 )
-all_structs.append(ProofRecord)
-ProofRecord.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'document_digest', 'UTF8', None, ),  # 1
-    (2, TType.I64, 'revision', None, None, ),  # 2
-    (3, TType.I32, 'host_count', None, None, ),  # 3
-    (4, TType.I64, 'proven_ms', None, None, ),  # 4
-    (5, TType.STRING, 'author', 'UTF8', None, ),  # 5
-)
 all_structs.append(HeadNotice)
 HeadNotice.thrift_spec = (
     None,  # 0
