--- a/packages/net/sapphire_net/store/reading.py
+++ b/packages/net/sapphire_net/store/reading.py
@@ -12,6 +12,7 @@
 from sapphire_net.store import change_failures
 from sapphire_net.store import environment as environments
 from sapphire_wire.documents import packing
+from sapphire_wire.documents import unpacking
 
 MAX_SOURCE_BYTES = 67_108_864
 
@@ -163,7 +164,7 @@
     parts = await read_parts(environment, stored.head)
     if parts.is_error():
         return expression.Error(parts.error)
-    unpacked = packing.unpack(stored.head, parts.ok)
+    unpacked = unpacking.unpack(stored.head, parts.ok)
     if unpacked.is_error():
         return expression.Error(
             change_failures.StoredDataInvalid(
--- a/packages/node/sapphire_node/configuration/sources.py
+++ b/packages/node/sapphire_node/configuration/sources.py
@@ -60,7 +60,6 @@
     address = f"[{host.address}]" if ":" in host.address else host.address
     scheme = "https" if is_encrypted else "http"
     revision = known.version.revision if known is not None else 0
-    parts = known.parts_by_digest if known is not None else {}
     url = f"{scheme}://{address}:{host.api_port}{api.CONFIGURATION_PATH}"
     try:
         response = await http.get(
@@ -72,7 +71,9 @@
         return _unreadable(host.host_id, f"status {response.status_code}")
     if len(response.content) > MAX_BUNDLE_BYTES:
         return _unreadable(host.host_id, "too long")
-    return await _decode(response.content, parts)
+    return await anyio.to_thread.run_sync(
+        _decode_bundle, response.content, known
+    )
 
 
 async def fetch_from_store(
@@ -100,18 +101,13 @@
     if parts.is_error():
         return expression.Error(parts.error)
     return await anyio.to_thread.run_sync(
-        _assemble, stored.ok.content, parts.ok
+        _assemble, stored.ok.content, parts.ok, known
     )
 
 
-async def _decode(encoded: bytes, parts: Mapping[bytes, bytes]) -> _Outcome:
-    """Decodes in a thread, because a large configuration takes long."""
-    return await anyio.to_thread.run_sync(_decode_bundle, encoded, parts)
-
-
-def _decode_bundle(encoded: bytes, parts: Mapping[bytes, bytes]) -> _Outcome:
+def _decode_bundle(encoded: bytes, known: bundle.Content | None) -> _Outcome:
     """Decodes what a peer gave."""
-    decoded = bundle.decode_bundle(encoded, parts)
+    decoded = bundle.decode_bundle(encoded, known)
     return (
         expression.Error(decoded.error)
         if decoded.is_error()
@@ -119,9 +115,13 @@
     )
 
 
-def _assemble(head_bytes: bytes, parts: Mapping[bytes, bytes]) -> _Outcome:
+def _assemble(
+    head_bytes: bytes,
+    parts: Mapping[bytes, bytes],
+    known: bundle.Content | None,
+) -> _Outcome:
     """Decodes what the store gave."""
-    built = bundle.assemble(head_bytes, parts)
+    built = bundle.assemble(head_bytes, parts, known)
     return (
         expression.Error(built.error)
         if built.is_error()
--- a/packages/wire/sapphire_wire/documents/bundle.py
+++ b/packages/wire/sapphire_wire/documents/bundle.py
@@ -11,6 +11,7 @@
 from sapphire_data import records
 from sapphire_wire import codec
 from sapphire_wire.documents import packing
+from sapphire_wire.documents import unpacking
 from sapphire_wire.gen.configuration import ttypes
 
 MAX_KNOWN_HEADS = 64
@@ -87,13 +88,13 @@
 
 
 def decode_bundle(
-    encoded: bytes, known_parts: Mapping[bytes, bytes]
+    encoded: bytes, known: Content | None
 ) -> expression.Result[Content, failures.UnreadableInput]:
     """Decodes what a peer gave, and checks all digests.
 
     Args:
         encoded: The record.
-        known_parts: The parts that this host has.
+        known: What this host has; none before the first content.
 
     Returns:
         The content, or why it cannot be used.
@@ -101,32 +102,40 @@
     bundle: Any = codec.decode(ttypes.Bundle, encoded)
     if bundle.is_error():
         return expression.Error(bundle.error)
-    parts = {**known_parts, **bundle.ok.parts_by_digest}
-    return assemble(bundle.ok.head, parts)
+    return assemble(bundle.ok.head, bundle.ok.parts_by_digest, known)
 
 
 def assemble(
-    head_bytes: bytes, parts_by_digest: Mapping[bytes, bytes]
+    head_bytes: bytes,
+    new_parts: Mapping[bytes, bytes],
+    known: Content | None,
 ) -> expression.Result[Content, failures.UnreadableInput]:
     """Builds content from a head and parts, and checks all digests.
 
     Args:
         head_bytes: The encoded head.
-        parts_by_digest: The parts, perhaps more than are needed.
+        new_parts: The parts that are not known, perhaps more.
+        known: What this host has; none before the first content.
 
     Returns:
         The content, or why it cannot be used.
     """
-    head = packing.unpack_head(head_bytes)
-    if head.is_error():
-        return expression.Error(head.error)
-    unpacked = packing.unpack(head.ok, parts_by_digest)
+    unpacked_head = packing.unpack_head(head_bytes)
+    if unpacked_head.is_error():
+        return expression.Error(unpacked_head.error)
+    head = unpacked_head.ok
+    if known is None:
+        parts = dict(new_parts)
+        unpacked = unpacking.unpack(head, parts)
+    else:
+        parts = {**known.parts_by_digest, **new_parts}
+        unpacked = unpacking.unpack_next(
+            head, parts, known.head, known.configuration
+        )
     if unpacked.is_error():
         return expression.Error(unpacked.error)
-    needed = {
-        digest: parts_by_digest[digest] for digest in head.ok.part_digests
-    }
-    return expression.Ok(Content(head.ok, head_bytes, needed, unpacked.ok))
+    needed = {digest: parts[digest] for digest in head.part_digests}
+    return expression.Ok(Content(head, head_bytes, needed, unpacked.ok))
 
 
 def encode_notice(version: data.Version, wants_answer: bool) -> bytes:
--- a/packages/wire/sapphire_wire/documents/packing.py
+++ b/packages/wire/sapphire_wire/documents/packing.py
@@ -1,4 +1,4 @@
-"""Packs a configuration into a head and parts, and unpacks it again.
+"""Packs a configuration into a head and parts, and unpacks the head.
 
 Parts are split by data centre and by shard of services, and in chunks, so
 that no part exceeds the store's limit and a change touches few of them.
@@ -157,45 +157,6 @@
     )
 
 
-def unpack(
-    head: Head, parts_by_digest: Mapping[bytes, bytes]
-) -> expression.Result[records.Configuration, failures.UnreadableInput]:
-    """Decodes a configuration; every part must match its digest.
-
-    Args:
-        head: The decoded head.
-        parts_by_digest: The compressed parts, perhaps more than are needed.
-
-    Returns:
-        The configuration, or why it cannot be read.
-    """
-    services: list[Any] = []
-    upstreams: list[Any] = []
-    for digest in head.part_digests:
-        content = parts_by_digest.get(digest)
-        if content is None or part_digest(content) != digest:
-            return _unreadable(f"part {digest.hex()} is missing or altered")
-        try:
-            plain = zlib.decompressobj().decompress(
-                content, codec.MAX_RECORD_BYTES
-            )
-        except zlib.error as error:
-            return _unreadable(f"part {digest.hex()}: {error}")
-        part: Any = codec.decode(ttypes.Part, plain)
-        if part.is_error():
-            return part  # type: ignore[no-any-return]
-        services.extend(part.ok.services)
-        upstreams.extend(part.ok.upstreams)
-    return _configuration_of(head, services, upstreams)
-
-
-def _unreadable(problem: str) -> expression.Result[Any, Any]:
-    """Returns the failure for a configuration that cannot be read."""
-    return expression.Error(
-        failures.UnreadableInput(source="configuration", problem=problem)
-    )
-
-
 def _shard_count(configuration: records.Configuration, minimum: int) -> int:
     """Returns the smallest power of two that keeps parts small on average."""
     record_count = 0
@@ -298,85 +259,3 @@
         },
         part_digests=tuple(record.parts),
     )
-
-
-def _configuration_of(
-    head: Head, services: list[Any], upstreams: list[Any]
-) -> expression.Result[records.Configuration, failures.UnreadableInput]:
-    """Returns the configuration of decoded records."""
-    upstreams_by_service: dict[str, dict[str, records.Upstream]] = {}
-    names_by_generation: dict[tuple[str, int], list[str]] = {}
-    for record in upstreams:
-        pool = upstreams_by_service.setdefault(record.service_name, {})
-        pool[record.name] = _upstream_of(record)
-        for number in record.generations:
-            key = (record.service_name, number)
-            names_by_generation.setdefault(key, []).append(record.name)
-    services_by_name: dict[str, records.Service] = {}
-    for record in services:
-        if not record.generations:
-            return _unreadable(f"service {record.name} has no generation")
-        generations = tuple(
-            records.PoolGeneration(
-                number=number,
-                upstreams=tuple(
-                    sorted(names_by_generation.get((record.name, number), []))
-                ),
-            )
-            for number in record.generations
-        )
-        services_by_name[record.name] = records.Service(
-            name=record.name,
-            address=record.address,
-            port=record.port,
-            bucket_count=record.bucket_count,
-            upstreams_by_name=upstreams_by_service.get(record.name, {}),
-            generations=generations,
-            limits=_limits_of(record),
-            objectives=_objectives_of(record),
-        )
-    return expression.Ok(
-        records.Configuration(
-            revision=head.version.revision,
-            digest=head.change.document_digest,
-            services_by_name=services_by_name,
-            data_centres_by_name=head.data_centres_by_name,
-        )
-    )
-
-
-def _upstream_of(record: Any) -> records.Upstream:
-    """Returns the upstream of a thrift record."""
-    intent = records.UpstreamIntent.SERVE
-    if record.drains:
-        intent = records.UpstreamIntent.DRAIN
-    return records.Upstream(
-        name=record.name,
-        data_centre=record.data_centre,
-        address=record.address,
-        packet_port=record.packet_port,
-        request_port=record.request_port,
-        slots=record.slots,
-        cold_flows_per_second=record.cold_flows_per_second,
-        warm_up_ms=record.warm_up_ms,
-        intent=intent,
-    )
-
-
-def _limits_of(record: Any) -> records.Limits:
-    """Returns the limits of a service's thrift record."""
-    return records.Limits(
-        max_queue=record.max_queue,
-        max_body_bytes=record.max_body_bytes,
-        request_timeout_ms=record.request_timeout_ms,
-        retry_share=record.retry_share,
-    )
-
-
-def _objectives_of(record: Any) -> records.Objectives:
-    """Returns the objectives of a service's thrift record."""
-    return records.Objectives(
-        flows_kept=record.flows_kept,
-        requests_answered=record.requests_answered,
-        move_service=record.move_service,
-    )
--- /dev/null
+++ b/packages/wire/sapphire_wire/documents/unpacking.py
@@ -0,0 +1,264 @@
+"""Unpacks a configuration, whole or from what changed since another."""
+
+from collections.abc import Collection
+from collections.abc import Iterable
+from collections.abc import Mapping
+import dataclasses
+from typing import Any
+import zlib
+
+import expression
+
+from sapphire_data import failures
+from sapphire_data import records
+from sapphire_wire import codec
+from sapphire_wire.documents import packing
+from sapphire_wire.gen.configuration import ttypes
+
+_Outcome = expression.Result[records.Configuration, failures.UnreadableInput]
+
+
+@dataclasses.dataclass(slots=True)
+class _Records:
+    """The thrift records of several parts."""
+
+    services: list[Any] = dataclasses.field(default_factory=list)
+    upstreams: list[Any] = dataclasses.field(default_factory=list)
+
+    def service_names(self) -> set[str]:
+        """Returns the services that the records describe."""
+        names = {record.name for record in self.services}
+        return names | {record.service_name for record in self.upstreams}
+
+
+def unpack(
+    head: packing.Head, parts_by_digest: Mapping[bytes, bytes]
+) -> _Outcome:
+    """Decodes a configuration; every part must match its digest.
+
+    Args:
+        head: The decoded head.
+        parts_by_digest: The compressed parts, perhaps more than are needed.
+
+    Returns:
+        The configuration, or why it cannot be read.
+    """
+    decoded = _decode(head.part_digests, parts_by_digest)
+    if decoded.is_error():
+        return expression.Error(decoded.error)
+    found = decoded.ok
+    pools: dict[str, dict[str, records.Upstream]] = {}
+    members: dict[tuple[str, int], list[str]] = {}
+    _add_upstreams(found.upstreams, pools, members)
+    services_by_name: dict[str, records.Service] = {}
+    for record in found.services:
+        if not record.generations:
+            return _unreadable(f"service {record.name} has no generation")
+        services_by_name[record.name] = _service_of(
+            record, pools.get(record.name, {}), members
+        )
+    return expression.Ok(_configuration(head, services_by_name))
+
+
+def unpack_next(
+    head: packing.Head,
+    parts_by_digest: Mapping[bytes, bytes],
+    previous_head: packing.Head,
+    previous: records.Configuration,
+) -> _Outcome:
+    """Decodes a configuration from the parts that differ from another.
+
+    The work grows with the parts that changed and not with the whole.
+
+    Args:
+        head: The decoded head.
+        parts_by_digest: The compressed parts of both heads.
+        previous_head: The head of the other configuration.
+        previous: The other configuration.
+
+    Returns:
+        The configuration, or why it cannot be read.
+    """
+    new_digests = set(head.part_digests)
+    old_digests = set(previous_head.part_digests)
+    added = _decode(sorted(new_digests - old_digests), parts_by_digest)
+    if added.is_error():
+        return expression.Error(added.error)
+    removed = _decode(sorted(old_digests - new_digests), parts_by_digest)
+    if removed.is_error():
+        return expression.Error(removed.error)
+    new_headers = {record.name: record for record in added.ok.services}
+    old_headers = {record.name for record in removed.ok.services}
+    gone = {record.name for record in removed.ok.upstreams}
+    pools: dict[str, dict[str, records.Upstream]] = {}
+    members: dict[tuple[str, int], list[str]] = {}
+    _add_upstreams(added.ok.upstreams, pools, members)
+    services_by_name = dict(previous.services_by_name)
+    for name in added.ok.service_names() | removed.ok.service_names():
+        before = previous.services_by_name.get(name)
+        header = new_headers.get(name)
+        if header is None and name in old_headers:
+            services_by_name.pop(name, None)
+            continue
+        if before is not None:
+            _keep_unchanged(before, gone, pools, members)
+        if header is not None:
+            if not header.generations:
+                return _unreadable(f"service {name} has no generation")
+            services_by_name[name] = _service_of(
+                header, pools.get(name, {}), members
+            )
+            continue
+        if before is None:
+            return _unreadable(f"upstreams of unknown service {name}")
+        services_by_name[name] = dataclasses.replace(
+            before,
+            upstreams_by_name=pools.get(name, {}),
+            generations=_generations(
+                name, [item.number for item in before.generations], members
+            ),
+        )
+    return expression.Ok(_configuration(head, services_by_name))
+
+
+def _keep_unchanged(
+    before: records.Service,
+    gone: Collection[str],
+    pools: dict[str, dict[str, records.Upstream]],
+    members: dict[tuple[str, int], list[str]],
+) -> None:
+    """Adds the upstreams of a service whose parts have not changed."""
+    pool = pools.setdefault(before.name, {})
+    for name, upstream in before.upstreams_by_name.items():
+        if name not in gone:
+            pool[name] = upstream
+    for generation in before.generations:
+        kept = [name for name in generation.upstreams if name not in gone]
+        key = (before.name, generation.number)
+        members.setdefault(key, []).extend(kept)
+
+
+def _decode(
+    digests: Iterable[bytes], parts_by_digest: Mapping[bytes, bytes]
+) -> expression.Result[_Records, failures.UnreadableInput]:
+    """Decodes parts, each of which must match its digest."""
+    found = _Records()
+    for digest in digests:
+        content = parts_by_digest.get(digest)
+        if content is None or packing.part_digest(content) != digest:
+            return _unreadable(f"part {digest.hex()} is missing or altered")
+        try:
+            plain = zlib.decompressobj().decompress(
+                content, codec.MAX_RECORD_BYTES
+            )
+        except zlib.error as error:
+            return _unreadable(f"part {digest.hex()}: {error}")
+        part: Any = codec.decode(ttypes.Part, plain)
+        if part.is_error():
+            return expression.Error(part.error)
+        found.services.extend(part.ok.services)
+        found.upstreams.extend(part.ok.upstreams)
+    return expression.Ok(found)
+
+
+def _add_upstreams(
+    upstreams: Iterable[Any],
+    pools: dict[str, dict[str, records.Upstream]],
+    members: dict[tuple[str, int], list[str]],
+) -> None:
+    """Adds upstreams to the pools and to the generations that name them."""
+    for record in upstreams:
+        pool = pools.setdefault(record.service_name, {})
+        pool[record.name] = _upstream_of(record)
+        for number in record.generations:
+            key = (record.service_name, number)
+            members.setdefault(key, []).append(record.name)
+
+
+def _service_of(
+    header: Any,
+    pool: Mapping[str, records.Upstream],
+    members: Mapping[tuple[str, int], list[str]],
+) -> records.Service:
+    """Returns the service of a thrift record and its pool."""
+    return records.Service(
+        name=header.name,
+        address=header.address,
+        port=header.port,
+        bucket_count=header.bucket_count,
+        upstreams_by_name=pool,
+        generations=_generations(header.name, header.generations, members),
+        limits=_limits_of(header),
+        objectives=_objectives_of(header),
+    )
+
+
+def _generations(
+    service: str,
+    numbers: Iterable[int],
+    members: Mapping[tuple[str, int], list[str]],
+) -> tuple[records.PoolGeneration, ...]:
+    """Returns the pool history of a service."""
+    return tuple(
+        records.PoolGeneration(
+            number=number,
+            upstreams=tuple(sorted(members.get((service, number), ()))),
+        )
+        for number in numbers
+    )
+
+
+def _configuration(
+    head: packing.Head, services_by_name: Mapping[str, records.Service]
+) -> records.Configuration:
+    """Returns the configuration of a head."""
+    return records.Configuration(
+        revision=head.version.revision,
+        digest=head.change.document_digest,
+        services_by_name=services_by_name,
+        data_centres_by_name=head.data_centres_by_name,
+    )
+
+
+def _unreadable(problem: str) -> expression.Result[Any, Any]:
+    """Returns the failure for a configuration that cannot be read."""
+    return expression.Error(
+        failures.UnreadableInput(source="configuration", problem=problem)
+    )
+
+
+def _upstream_of(record: Any) -> records.Upstream:
+    """Returns the upstream of a thrift record."""
+    intent = records.UpstreamIntent.SERVE
+    if record.drains:
+        intent = records.UpstreamIntent.DRAIN
+    return records.Upstream(
+        name=record.name,
+        data_centre=record.data_centre,
+        address=record.address,
+        packet_port=record.packet_port,
+        request_port=record.request_port,
+        slots=record.slots,
+        cold_flows_per_second=record.cold_flows_per_second,
+        warm_up_ms=record.warm_up_ms,
+        intent=intent,
+    )
+
+
+def _limits_of(record: Any) -> records.Limits:
+    """Returns the limits of a service's thrift record."""
+    return records.Limits(
+        max_queue=record.max_queue,
+        max_body_bytes=record.max_body_bytes,
+        request_timeout_ms=record.request_timeout_ms,
+        retry_share=record.retry_share,
+    )
+
+
+def _objectives_of(record: Any) -> records.Objectives:
+    """Returns the objectives of a service's thrift record."""
+    return records.Objectives(
+        flows_kept=record.flows_kept,
+        requests_answered=record.requests_answered,
+        move_service=record.move_service,
+    )
