--- a/packages/ctl/sapphire_ctl/commands/status.py
+++ b/packages/ctl/sapphire_ctl/commands/status.py
@@ -1,11 +1,13 @@
 """The command `status`."""
 
+from collections.abc import Collection
 import dataclasses
 
 import anyio
 import expression
 
 from sapphire_ctl import changing
+from sapphire_ctl import failures as ctl_failures
 from sapphire_ctl import options
 from sapphire_ctl import output
 from sapphire_ctl import rendering
@@ -75,8 +77,14 @@
     )
     if newest != revision:
         digest = ""
-    found += fleet_view.not_in_force(answer, newest, digest)
-    _show_hosts(invocation.output, answer, newest)
+    missing = fleet_view.not_in_force(answer, newest, digest)
+    found += missing
+    lacking = {
+        item.host
+        for item in missing
+        if isinstance(item, ctl_failures.NotInForce)
+    }
+    _show_hosts(invocation.output, answer, newest, lacking)
     _show_upstreams(invocation.output, answer)
     return (
         {
@@ -92,7 +100,10 @@
 
 
 def _show_hosts(
-    out: output.Output, answer: fleet_client.FleetAnswer, newest: int
+    out: output.Output,
+    answer: fleet_client.FleetAnswer,
+    newest: int,
+    lacking: Collection[str],
 ) -> None:
     """Writes one line for each host."""
     out.line(f"newest revision: {newest}")
@@ -105,7 +116,7 @@
                 status.state.value,
                 status.active_revision,
                 status.prepared_revision,
-                "yes" if status.active_revision >= newest else "no",
+                "no" if status.host_id in lacking else "yes",
                 status.lag_ms,
                 len(status.members),
                 "yes" if status.is_fresh else "no",
--- a/packages/ctl/sapphire_ctl/settings.py
+++ b/packages/ctl/sapphire_ctl/settings.py
@@ -101,7 +101,7 @@
 
     Attributes:
         prefix: The prefix of its keys in the store, such as
-            `sapphire/trial/`.
+            `/sapphirearch/trial/`.
         store: The store.
         hosts: The API addresses of some hosts; these name the others.
         tls: The files that authenticate the operator to hosts; absent only
@@ -114,7 +114,7 @@
             counted there.
     """
 
-    prefix: Annotated[str, pydantic.StringConstraints(pattern=r"^\S+/$")]
+    prefix: Annotated[str, pydantic.StringConstraints(pattern=r"^/\S+/$")]
     store: StoreModel
     hosts: tuple[HostAddress, ...] = ()
     tls: TlsModel | None = None
--- a/packages/ctl/sapphire_ctl/settings_test.py
+++ b/packages/ctl/sapphire_ctl/settings_test.py
@@ -49,7 +49,7 @@
 
     def test_environments_that_do_not_exist_are_errors(self) -> None:
         trial = (
-            "{trial: {prefix: 'a/', store: {endpoints: ['http://10.0.0.1:1']},"
+            "{trial: {prefix: '/a/', store: {endpoints: ['http://10.0.0.1:1']},"
             " promotes_from: '%s'}}"
         )
         for content in (
--- a/packages/lab/sapphire_lab/ctl/bench.py
+++ b/packages/lab/sapphire_lab/ctl/bench.py
@@ -22,8 +22,8 @@
 from sapphire_wire import codec
 from sapphire_wire.gen.configuration import ttypes
 
-TRIAL_PREFIX = "sapphire/trial/"
-PRODUCTION_PREFIX = "sapphire/production/"
+TRIAL_PREFIX = "/sapphirearch/trial/"
+PRODUCTION_PREFIX = "/sapphirearch/production/"
 
 
 class Bench:
