--- a/packages/ctl/sapphire_ctl/commands/report.py
+++ b/packages/ctl/sapphire_ctl/commands/report.py
@@ -71,6 +71,7 @@
         "objectives": built.burns,
         "hosts": built.hosts,
         "unanswered": built.unanswered,
+        "hosts_left_out": built.hosts_left_out,
         "warnings": built.warnings,
     }
     running.end(invocation, fields, found)
--- a/packages/ctl/sapphire_ctl/commands/status.py
+++ b/packages/ctl/sapphire_ctl/commands/status.py
@@ -2,9 +2,11 @@
 
 from collections.abc import Collection
 import dataclasses
+from typing import Annotated
 
 import anyio
 import expression
+import typer
 
 from sapphire_ctl import changing
 from sapphire_ctl import failures as ctl_failures
@@ -14,7 +16,7 @@
 from sapphire_ctl import running
 from sapphire_ctl import session
 from sapphire_ctl import settings
-from sapphire_ctl.fleet import client as fleet_client
+from sapphire_ctl.fleet import data as fleet_data
 from sapphire_ctl.fleet import view as fleet_view
 from sapphire_data import failures
 from sapphire_net.store import reading
@@ -33,6 +35,12 @@
 def status(
     *,
     service: options.Service = None,
+    asks_all: Annotated[
+        bool,
+        typer.Option(
+            "--all", help="Ask all hosts of a large fleet, not a sample."
+        ),
+    ] = False,
     wait_ms: options.WaitMs = 0,
     settings_path: options.Settings = settings.DEFAULT_PATH,
     environment: options.Environment = None,
@@ -40,12 +48,15 @@
 ) -> None:
     """Show host by host which revision is in force, and its flows."""
     invocation = running.start("status", settings_path, environment, as_json)
-    fields, found = anyio.run(_status, invocation, service, wait_ms)
+    fields, found = anyio.run(_status, invocation, service, asks_all, wait_ms)
     running.end(invocation, fields, found)
 
 
 async def _status(
-    invocation: session.Invocation, service: str | None, wait_ms: int
+    invocation: session.Invocation,
+    service: str | None,
+    asks_all: bool,
+    wait_ms: int,
 ) -> tuple[dict[str, object], list[failures.Failure]]:
     """Asks the store for the newest revision and the hosts for theirs."""
     fleet = session.open_fleet(invocation, invocation.environment)
@@ -71,7 +82,7 @@
                 await changing.wait_in_force(
                     opened.ok, fleet.ok, revision, digest, wait_ms
                 )
-    answer = await fleet.ok.statuses(service)
+    answer = await fleet.ok.statuses(service, asks_all=asks_all)
     newest = max(
         [revision or 0, *(item.known_revision for item in answer.statuses)]
     )
@@ -92,6 +103,7 @@
             "newest_revision": newest,
             "is_in_force": bool(answer.statuses) and not found,
             "hosts": answer.statuses,
+            "told": answer.told,
             "unanswered": answer.unanswered,
             "upstreams": _upstream_views(answer),
         },
@@ -101,7 +113,7 @@
 
 def _show_hosts(
     out: output.Output,
-    answer: fleet_client.FleetAnswer,
+    answer: fleet_data.FleetAnswer,
     newest: int,
     lacking: Collection[str],
 ) -> None:
@@ -123,6 +135,21 @@
                 rendering.short_digest(status.active_digest),
             )
         )
+    for member in answer.told:
+        rows.append(
+            (
+                member.host_id,
+                member.data_centre,
+                f"{member.state}, told by peers",
+                "-",
+                member.prepared_revision,
+                "no" if member.host_id in lacking else "yes",
+                "-",
+                "-",
+                "-",
+                "-",
+            )
+        )
     for missing in answer.unanswered:
         rows.append(
             (
@@ -179,7 +206,7 @@
 
 
 def _upstream_views(
-    answer: fleet_client.FleetAnswer,
+    answer: fleet_data.FleetAnswer,
 ) -> list[UpstreamView]:
     """Adds up what hosts say of each upstream."""
     views: dict[tuple[str, str], UpstreamView] = {}
@@ -199,12 +226,10 @@
     return [views[key] for key in sorted(views)]
 
 
-def _show_upstreams(
-    out: output.Output, answer: fleet_client.FleetAnswer
-) -> None:
+def _show_upstreams(out: output.Output, answer: fleet_data.FleetAnswer) -> None:
     """Writes one line for each upstream, summed over hosts."""
     if not answer.is_complete:
-        out.line("upstreams of so many hosts: name one --service")
+        out.line("upstreams of a large fleet: use --all --service NAME")
         return
     out.table(
         (
--- a/packages/ctl/sapphire_ctl/fleet/client.py
+++ b/packages/ctl/sapphire_ctl/fleet/client.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Iterable
 from collections.abc import Mapping
-import dataclasses
 import ssl
 from typing import TypeVar
 
@@ -12,70 +11,18 @@
 import pydantic
 
 from sapphire_ctl import failures
+from sapphire_ctl.fleet import data
+from sapphire_ctl.fleet import discovery
 from sapphire_data import clock
 from sapphire_wire import api
 
 MAX_CONCURRENT_HOSTS = 64
-MAX_HOSTS = 20_000
 MAX_ANSWER_BYTES = 67_108_864
-# Beyond this many hosts, only the first that are asked list what they know of
-# members and upstreams.
-MAX_DETAILED_HOSTS = 200
 _HTTP_OK = 200
 
 AnswerT = TypeVar("AnswerT", bound=pydantic.BaseModel)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Target:
-    """A host to ask.
-
-    Attributes:
-        address: Its IP number and API port, as in a URL.
-        host_id: Its identity where a peer has told it, else empty.
-        data_centre: Its data centre where a peer has told it, else empty.
-    """
-
-    address: str
-    host_id: str = ""
-    data_centre: str = ""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Unanswered:
-    """A host that has not answered.
-
-    Attributes:
-        target: The host.
-        failure: Why there is no answer.
-    """
-
-    target: Target
-    failure: failures.HostFailure
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class FleetAnswer:
-    """The status of all hosts.
-
-    Attributes:
-        statuses: The answers, one for each host.
-        unanswered: The hosts without one.
-        is_complete: Whether each answer lists its upstreams.
-    """
-
-    statuses: tuple[api.HostStatus, ...]
-    unanswered: tuple[Unanswered, ...]
-    is_complete: bool
-
-
-def url_address(address: str, port: int) -> str:
-    """Returns an IP number and port as a URL has them."""
-    if ":" in address:
-        return f"[{address}]:{port}"
-    return f"{address}:{port}"
-
-
 class FleetClient:
     """A client of the APIs of all hosts."""
 
@@ -105,58 +52,36 @@
         """Whether the settings name any host."""
         return bool(self._seeds)
 
-    async def statuses(self, service: str | None = None) -> FleetAnswer:
-        """Asks each host for its status, and finds hosts by those known.
+    async def statuses(
+        self, service: str | None = None, *, asks_all: bool = False
+    ) -> data.FleetAnswer:
+        """Asks hosts for their status, and finds hosts by those known.
 
         Args:
             service: The only service whose upstreams are asked for.
+            asks_all: Whether to ask all hosts of a large fleet as well.
 
         Returns:
             The answers, and the hosts without one.
         """
-        targets_by_address = {seed: Target(seed) for seed in self._seeds}
-        pending = list(targets_by_address.values())
-        answers_by_id: dict[str, api.HostStatus] = {}
-        unanswered: list[Unanswered] = []
+        found = discovery.Discovery(self._seeds, asks_all=asks_all)
         is_brief = False
-        while pending:
-            is_brief = is_brief or len(targets_by_address) > MAX_DETAILED_HOSTS
+        while targets := found.next_targets():
+            is_brief = is_brief or found.is_large
             answers, missing = await self._ask_all(
-                pending,
+                targets,
                 api.STATUS_PATH,
                 api.HostStatus,
                 _parameters(service, is_brief),
             )
-            unanswered += missing
-            pending = []
-            for answer in answers:
-                answers_by_id[answer.host_id] = answer
-                for target in _members(answer):
-                    if target.address in targets_by_address:
-                        continue
-                    if len(targets_by_address) >= MAX_HOSTS:
-                        continue
-                    targets_by_address[target.address] = target
-                    pending.append(target)
-        # A host may be known by an address that it has left.
-        missing_hosts = [
-            item
-            for item in unanswered
-            if item.target.host_id not in answers_by_id
-        ]
-        statuses = sorted(
-            answers_by_id.values(),
-            key=lambda status: (status.data_centre, status.host_id),
-        )
-        return FleetAnswer(
-            statuses=tuple(statuses),
-            unanswered=tuple(missing_hosts),
-            is_complete=service is not None or not is_brief,
+            found.take(answers, missing)
+        return found.conclude(
+            lists_upstreams=service is not None or not is_brief
         )
 
     async def slo_reports(
         self, statuses: Iterable[api.HostStatus], service: str | None = None
-    ) -> tuple[list[api.SloReport], list[Unanswered]]:
+    ) -> tuple[list[api.SloReport], list[data.Unanswered]]:
         """Asks hosts for their service-level counts.
 
         Args:
@@ -167,8 +92,8 @@
             The answers, and the hosts without one.
         """
         targets = [
-            Target(
-                url_address(status.address, status.api_port),
+            data.Target(
+                data.url_address(status.address, status.api_port),
                 status.host_id,
                 status.data_centre,
             )
@@ -183,17 +108,17 @@
 
     async def _ask_all(
         self,
-        targets: Iterable[Target],
+        targets: Iterable[data.Target],
         path: str,
         answer_type: type[AnswerT],
         parameters: Mapping[str, str],
-    ) -> tuple[list[AnswerT], list[Unanswered]]:
+    ) -> tuple[list[AnswerT], list[data.Unanswered]]:
         """Asks several hosts at a time."""
         answers: list[AnswerT] = []
-        unanswered: list[Unanswered] = []
+        unanswered: list[data.Unanswered] = []
         limiter = anyio.CapacityLimiter(MAX_CONCURRENT_HOSTS)
 
-        async def ask(http: httpx.AsyncClient, target: Target) -> None:
+        async def ask(http: httpx.AsyncClient, target: data.Target) -> None:
             async with limiter:
                 answer = await self._ask(
                     http, target, path, answer_type, parameters
@@ -201,7 +126,7 @@
             if answer.is_ok():
                 answers.append(answer.ok)
             else:
-                unanswered.append(Unanswered(target, answer.error))
+                unanswered.append(data.Unanswered(target, answer.error))
 
         async with (
             httpx.AsyncClient(
@@ -218,7 +143,7 @@
     async def _ask(
         self,
         http: httpx.AsyncClient,
-        target: Target,
+        target: data.Target,
         path: str,
         answer_type: type[AnswerT],
         parameters: Mapping[str, str],
@@ -265,19 +190,3 @@
     if is_brief:
         parameters[api.DETAIL_PARAMETER] = api.DETAIL_BRIEF
     return parameters
-
-
-def _members(status: api.HostStatus) -> list[Target]:
-    """Returns the members that a host knows and that may still answer."""
-    targets = []
-    for member in status.members:
-        if member.state == "dead" or member.host_id == status.host_id:
-            continue
-        targets.append(
-            Target(
-                url_address(member.address, member.api_port),
-                member.host_id,
-                member.data_centre,
-            )
-        )
-    return targets
--- a/packages/ctl/sapphire_ctl/fleet/view.py
+++ b/packages/ctl/sapphire_ctl/fleet/view.py
@@ -5,12 +5,14 @@
 from sapphire_core.slo import data as slo_data
 from sapphire_core.slo import merge
 from sapphire_ctl import failures
-from sapphire_ctl.fleet import client
+from sapphire_ctl.fleet import data
 from sapphire_wire import api
 
+_LEAVING = "leaving"
+
 
 def flows_by_upstream(
-    answer: client.FleetAnswer,
+    answer: data.FleetAnswer,
 ) -> dict[tuple[str, str], int] | None:
     """Adds up the flows of each upstream over hosts.
 
@@ -32,7 +34,7 @@
 
 
 def not_in_force(
-    answer: client.FleetAnswer, revision: int, digest: str
+    answer: data.FleetAnswer, revision: int, digest: str
 ) -> list[failures.NotInForce | failures.HostFailure]:
     """Lists the hosts in which a revision is not in force.
 
@@ -68,6 +70,18 @@
                 lag_ms=status.lag_ms,
             )
         )
+    for member in answer.told:
+        if member.state == _LEAVING or member.prepared_revision >= revision:
+            continue
+        found.append(
+            failures.NotInForce(
+                host=member.host_id,
+                expected_revision=revision,
+                active_revision=member.prepared_revision,
+                active_digest="",
+                lag_ms=0,
+            )
+        )
     found += [item.failure for item in answer.unanswered]
     return found
 
--- a/packages/ctl/sapphire_ctl/proving.py
+++ b/packages/ctl/sapphire_ctl/proving.py
@@ -8,7 +8,7 @@
 from sapphire_core.slo import data as slo_data
 from sapphire_ctl import failures as ctl_failures
 from sapphire_ctl import session
-from sapphire_ctl.fleet import client
+from sapphire_ctl.fleet import data as fleet_data
 from sapphire_ctl.reporting import collect
 from sapphire_ctl.reporting import data as report_data
 from sapphire_data import failures
@@ -105,7 +105,7 @@
     digest = head.change.document_digest
     problems = [
         *_check_head(head, requirements, now_ms - since_ms.ok),
-        *_check_hosts(answer, digest),
+        *_check_hosts(answer, head),
         *_check_report(report, requirements),
     ]
     found: list[failures.Failure] = [
@@ -119,7 +119,7 @@
         revision=head.version.revision,
         digest=digest,
         document=intent.ok.document,
-        hosts=len(answer.statuses),
+        hosts=len(answer.statuses) + len(answer.told),
         events=_count_events(report),
     )
     return proof, []
@@ -169,14 +169,18 @@
 
 
 def _check_hosts(
-    answer: client.FleetAnswer, digest: str
+    answer: fleet_data.FleetAnswer, head: packing.Head
 ) -> Iterable[tuple[str, str]]:
     """Yields the hosts that do not have the document in force."""
+    digest = head.change.document_digest
     for status in answer.statuses:
         if status.active_digest != digest:
             yield status.host_id, "another document is in force"
         elif status.lag_ms:
             yield status.host_id, f"lags by {status.lag_ms} ms"
+    for member in answer.told:
+        if member.prepared_revision < head.version.revision:
+            yield member.host_id, "has not prepared the revision"
     for missing in answer.unanswered:
         name = missing.target.host_id or missing.target.address
         yield name, "did not answer"
--- a/packages/ctl/sapphire_ctl/reporting/collect.py
+++ b/packages/ctl/sapphire_ctl/reporting/collect.py
@@ -9,6 +9,7 @@
 from sapphire_core.slo import merge
 from sapphire_ctl import session
 from sapphire_ctl.fleet import client
+from sapphire_ctl.fleet import data as fleet_data
 from sapphire_ctl.fleet import view
 from sapphire_ctl.reporting import data
 from sapphire_data import failures
@@ -45,6 +46,7 @@
         environment,
         reports=reports,
         unanswered=[*answer.unanswered, *missing_reports],
+        hosts_left_out=len(answer.told),
         objectives_by_service=objectives,
         history=marks,
         warnings=warnings,
@@ -56,7 +58,8 @@
     environment: str,
     *,
     reports: Iterable[api.SloReport],
-    unanswered: Iterable[client.Unanswered],
+    unanswered: Iterable[fleet_data.Unanswered],
+    hosts_left_out: int = 0,
     objectives_by_service: Mapping[str, records.Objectives],
     history: Iterable[slo_data.ChangeMark],
     warnings: Iterable[failures.Failure],
@@ -68,6 +71,7 @@
         environment: The name of the environment.
         reports: The answers of the hosts.
         unanswered: The hosts without one.
+        hosts_left_out: The hosts of a large fleet that were not asked.
         objectives_by_service: The objectives of the document in force.
         history: The changes with their authors.
         warnings: What could not be read.
@@ -98,6 +102,7 @@
             for report in known
         ),
         unanswered=tuple(unanswered),
+        hosts_left_out=hosts_left_out,
         warnings=tuple(warnings),
     )
 
--- a/packages/ctl/sapphire_ctl/reporting/data.py
+++ b/packages/ctl/sapphire_ctl/reporting/data.py
@@ -4,7 +4,7 @@
 import dataclasses
 
 from sapphire_core.slo import data as slo_data
-from sapphire_ctl.fleet import client
+from sapphire_ctl.fleet import data as fleet_data
 from sapphire_data import failures
 
 
@@ -35,6 +35,8 @@
         marks: The configuration changes, oldest first.
         hosts: The hosts that are counted.
         unanswered: The hosts that are missing from the counts.
+        hosts_left_out: The hosts of a large fleet that were not asked, since
+            a sample of hosts sees a fair sample of the flows.
         warnings: What could not be read; defaults stand in for it.
     """
 
@@ -44,5 +46,6 @@
     series_by_key: Mapping[slo_data.SeriesKey, slo_data.SeriesCounts]
     marks: tuple[slo_data.ChangeMark, ...]
     hosts: tuple[HostCoverage, ...]
-    unanswered: tuple[client.Unanswered, ...]
+    unanswered: tuple[fleet_data.Unanswered, ...]
+    hosts_left_out: int
     warnings: tuple[failures.Failure, ...]
--- a/packages/ctl/sapphire_ctl/reporting/words.py
+++ b/packages/ctl/sapphire_ctl/reporting/words.py
@@ -64,4 +64,7 @@
             f" since {rendering.utc(oldest)} (the newest since"
             f" {rendering.utc(newest)})"
         )
-    return f"{counted}, {len(report.unanswered)} did not answer"
+    counted += f", {len(report.unanswered)} did not answer"
+    if report.hosts_left_out:
+        counted += f", {report.hosts_left_out} were not asked (a sample)"
+    return counted
