--- a/packages/ctl/sapphire_ctl/commands/status.py
+++ b/packages/ctl/sapphire_ctl/commands/status.py
@@ -1,18 +1,22 @@
 """The command `status`."""
 
+from collections.abc import Collection
 import dataclasses
+from typing import Annotated
 
 import anyio
 import expression
+import typer
 
 from sapphire_ctl import changing
+from sapphire_ctl import failures as ctl_failures
 from sapphire_ctl import options
 from sapphire_ctl import output
 from sapphire_ctl import rendering
 from sapphire_ctl import running
 from sapphire_ctl import session
 from sapphire_ctl import settings
-from sapphire_ctl.fleet import client as fleet_client
+from sapphire_ctl.fleet import data as fleet_data
 from sapphire_ctl.fleet import view as fleet_view
 from sapphire_data import failures
 from sapphire_net.store import reading
@@ -31,6 +35,12 @@
 def status(
     *,
     service: options.Service = None,
+    asks_all: Annotated[
+        bool,
+        typer.Option(
+            "--all", help="Ask all hosts of a large fleet, not a sample."
+        ),
+    ] = False,
     wait_ms: options.WaitMs = 0,
     settings_path: options.Settings = settings.DEFAULT_PATH,
     environment: options.Environment = None,
@@ -38,12 +48,15 @@
 ) -> None:
     """Show host by host which revision is in force, and its flows."""
     invocation = running.start("status", settings_path, environment, as_json)
-    fields, found = anyio.run(_status, invocation, service, wait_ms)
+    fields, found = anyio.run(_status, invocation, service, asks_all, wait_ms)
     running.end(invocation, fields, found)
 
 
 async def _status(
-    invocation: session.Invocation, service: str | None, wait_ms: int
+    invocation: session.Invocation,
+    service: str | None,
+    asks_all: bool,
+    wait_ms: int,
 ) -> tuple[dict[str, object], list[failures.Failure]]:
     """Asks the store for the newest revision and the hosts for theirs."""
     fleet = session.open_fleet(invocation, invocation.environment)
@@ -69,14 +82,20 @@
                 await changing.wait_in_force(
                     opened.ok, fleet.ok, revision, digest, wait_ms
                 )
-    answer = await fleet.ok.statuses(service)
+    answer = await fleet.ok.statuses(service, asks_all=asks_all)
     newest = max(
         [revision or 0, *(item.known_revision for item in answer.statuses)]
     )
     if newest != revision:
         digest = ""
-    found += fleet_view.not_in_force(answer, newest, digest)
-    _show_hosts(invocation.output, answer, newest)
+    missing = fleet_view.not_in_force(answer, newest, digest)
+    found += missing
+    lacking = {
+        item.host
+        for item in missing
+        if isinstance(item, ctl_failures.NotInForce)
+    }
+    _show_hosts(invocation.output, answer, newest, lacking)
     _show_upstreams(invocation.output, answer)
     return (
         {
@@ -84,6 +103,7 @@
             "newest_revision": newest,
             "is_in_force": bool(answer.statuses) and not found,
             "hosts": answer.statuses,
+            "told": answer.told,
             "unanswered": answer.unanswered,
             "upstreams": _upstream_views(answer),
         },
@@ -92,7 +112,10 @@
 
 
 def _show_hosts(
-    out: output.Output, answer: fleet_client.FleetAnswer, newest: int
+    out: output.Output,
+    answer: fleet_data.FleetAnswer,
+    newest: int,
+    lacking: Collection[str],
 ) -> None:
     """Writes one line for each host."""
     out.line(f"newest revision: {newest}")
@@ -105,13 +128,28 @@
                 status.state.value,
                 status.active_revision,
                 status.prepared_revision,
-                "yes" if status.active_revision >= newest else "no",
+                "no" if status.host_id in lacking else "yes",
                 status.lag_ms,
                 len(status.members),
                 "yes" if status.is_fresh else "no",
                 rendering.short_digest(status.active_digest),
             )
         )
+    for member in answer.told:
+        rows.append(
+            (
+                member.host_id,
+                member.data_centre,
+                f"{member.state}, told by peers",
+                "-",
+                member.prepared_revision,
+                "no" if member.host_id in lacking else "yes",
+                "-",
+                "-",
+                "-",
+                "-",
+            )
+        )
     for missing in answer.unanswered:
         rows.append(
             (
@@ -168,7 +206,7 @@
 
 
 def _upstream_views(
-    answer: fleet_client.FleetAnswer,
+    answer: fleet_data.FleetAnswer,
 ) -> list[UpstreamView]:
     """Adds up what hosts say of each upstream."""
     views: dict[tuple[str, str], UpstreamView] = {}
@@ -188,12 +226,10 @@
     return [views[key] for key in sorted(views)]
 
 
-def _show_upstreams(
-    out: output.Output, answer: fleet_client.FleetAnswer
-) -> None:
+def _show_upstreams(out: output.Output, answer: fleet_data.FleetAnswer) -> None:
     """Writes one line for each upstream, summed over hosts."""
     if not answer.is_complete:
-        out.line("upstreams of so many hosts: name one --service")
+        out.line("upstreams of a large fleet: use --all --service NAME")
         return
     out.table(
         (
