--- a/packages/core/sapphire_core/configuration/spreading.py
+++ b/packages/core/sapphire_core/configuration/spreading.py
@@ -6,52 +6,22 @@
 """
 
 from collections.abc import Mapping
-import dataclasses
 import random
 
 from sapphire_core.configuration import data
+from sapphire_core.configuration import fetching
 from sapphire_core.configuration import holders
 from sapphire_core.configuration import spreading_data as messages
 from sapphire_core.configuration import watchers
 from sapphire_data import failures
 
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Settings:
-    """Times of the spreading.
-
-    Attributes:
-        boot_wait_ms: How long a host without a configuration collects offers
-            before it fetches one, so that it starts with the newest.
-        fetch_timeout_min_ms: When a fetch is given up for another source.
-        fetch_timeout_max_ms: The same after several were given up.
-        penalty_ms: How long a source that failed is not asked again.
-        silence_ms: The time without a word from any peer after which a host
-            reads the store itself.
-        poll_min_ms: The shortest time between such reads.
-        poll_max_ms: The longest time between such reads.
-        watch_check_ms: The time between a watcher's reads of the head, in
-            case its watch has gone silent.
-        watch_retry_min_ms: The shortest wait before a watch is opened again.
-        watch_retry_max_ms: The longest such wait.
-        ask_peer_ms: The time between questions to one peer, which repair
-            what gossip lost.
-    """
-
-    boot_wait_ms: int = 500
-    fetch_timeout_min_ms: int = 800
-    fetch_timeout_max_ms: int = 12_800
-    penalty_ms: int = 600
-    silence_ms: int = 1_500
-    poll_min_ms: int = 1_000
-    poll_max_ms: int = 30_000
-    watch_check_ms: int = 10_000
-    watch_retry_min_ms: int = 200
-    watch_retry_max_ms: int = 1_500
-    ask_peer_ms: int = 5_000
-
-
-DEFAULT_SETTINGS = Settings()
+# Drawn by chance, eight each leave out fewer than 1 host in 1,000;
+# questions to peers reach those.
+NOTIFY_NEAR = 8
+# A watcher stands at the root of the tree, where breadth saves the most time.
+NOTIFY_AS_WATCHER = 32
+NOTIFY_FAR = 1
+ASK_NEAR_SHARE = 0.67
 
 
 class Spreading:
@@ -71,7 +41,7 @@
         data_centre: str,
         dice: random.Random,
         now_ms: int,
-        settings: Settings = DEFAULT_SETTINGS,
+        settings: messages.Settings = messages.DEFAULT_SETTINGS,
     ) -> None:
         self.version = data.NO_VERSION
         self.newest_heard = data.NO_VERSION
@@ -80,13 +50,10 @@
         self._data_centre = data_centre
         self._dice = dice
         self._settings = settings
-        self._holders = holders.Holders()
+        self._fetching = fetching.Fetching(settings, dice, now_ms)
         self._peers: list[str] = []
         self._near: frozenset[str] = frozenset()
-        self._fetching: messages.Fetch | None = None
-        self._fetch_ends_at_ms = 0
-        self._fetch_timeout_ms = settings.fetch_timeout_min_ms
-        self._fetch_from_ms = now_ms + settings.boot_wait_ms
+        self._near_sorted: list[str] = []
         self._heard_at_ms = now_ms
         # Hosts that start together do not read the store together.
         self._read_at_ms = now_ms + dice.randrange(settings.boot_wait_ms)
@@ -122,7 +89,7 @@
             case messages.PeerHead():
                 self._on_peer_head(event, now_ms)
             case messages.StoreHead():
-                self._on_offer(event.version, holders.STORE, now_ms)
+                self._on_offer(event.version, holders.STORE)
             case messages.StoreReadFailed():
                 self._on_read_failed(now_ms)
             case messages.WatchStarted():
@@ -131,9 +98,9 @@
             case messages.WatchEnded():
                 self._on_watch_ended(now_ms)
             case messages.FetchDone():
-                self._on_fetched(event.version, actions, now_ms)
+                self._on_fetched(event, actions, now_ms)
             case messages.FetchFailed():
-                self._give_up_fetch(now_ms)
+                self._fetching.on_failed(event.fetch, now_ms)
             case messages.Tick():
                 pass
         self._start_due_work(actions, now_ms)
@@ -157,6 +124,7 @@
             for host_id, place in others.items()
             if place == self._data_centre
         )
+        self._near_sorted = sorted(self._near)
         live = {**others, self._host_id: self._data_centre}
         was_watcher = self._is_watcher
         self._is_watcher = self._host_id in watchers.choose(live)
@@ -173,16 +141,14 @@
         self._heard_at_ms = now_ms
         if self.version != data.NO_VERSION:
             self._poll_ms = self._settings.poll_min_ms
-        self._on_offer(event.version, event.host_id, now_ms)
+        self._on_offer(event.version, event.host_id)
 
-    def _on_offer(
-        self, version: data.Version, source: str, now_ms: int
-    ) -> None:
+    def _on_offer(self, version: data.Version, source: str) -> None:
         """Remembers that a source has a revision; it may be an old one."""
         if version.revision > self.newest_heard.revision:
             self.newest_heard = version
         if version.revision > self.version.revision:
-            self._holders.add(version, source, now_ms)
+            self._fetching.offer(version, source)
             return
         is_same_revision = version.revision == self.version.revision
         if not is_same_revision or version.digest == self.version.digest:
@@ -210,51 +176,38 @@
 
     def _on_fetched(
         self,
-        version: data.Version,
+        event: messages.FetchDone,
         actions: list[messages.Action],
         now_ms: int,
     ) -> None:
         """Accepts a fetched revision if it is newer than the host's own."""
-        if self._fetching is not None and (
-            version.revision < self._fetching.version.revision
-        ):
-            # The source does not have what it offered.
-            self._give_up_fetch(now_ms)
-        self._fetching = None
-        self._fetch_timeout_ms = self._settings.fetch_timeout_min_ms
+        version = event.version
+        self._fetching.on_done(event, now_ms)
         if version.revision <= self.version.revision:
             return
         self.version = version
         if version.revision > self.newest_heard.revision:
             self.newest_heard = version
-        self._holders.drop_up_to(version.revision)
+        self._fetching.drop_up_to(version.revision)
         actions.append(messages.Prepare(version))
-        actions.append(messages.Announce(version))
-
-    def _give_up_fetch(self, now_ms: int) -> None:
-        """Forgets, for a while, the offer whose fetch failed."""
-        if self._fetching is None:
-            return
-        source = self._fetching.host_id or holders.STORE
-        until_ms = now_ms + self._settings.penalty_ms
-        self._holders.refuse(self._fetching.version, source, until_ms)
-        self._fetching = None
-        if source == holders.STORE:
-            # The store offers a revision again only when it is read.
-            self._read_at_ms = min(self._read_at_ms, until_ms)
+        told = self._peers_to_notify()
+        if told:
+            actions.append(messages.Notify(told, version))
+
+    def _peers_to_notify(self) -> tuple[str, ...]:
+        """Draws a few peers nearby and at least one elsewhere."""
+        near = self._near_sorted
+        far = [peer for peer in self._peers if peer not in self._near]
+        count = NOTIFY_AS_WATCHER if self._is_watcher else NOTIFY_NEAR
+        told = self._dice.sample(near, min(count, len(near)))
+        told += self._dice.sample(far, min(NOTIFY_FAR, len(far)))
+        return tuple(told)
 
     def _start_due_work(
         self, actions: list[messages.Action], now_ms: int
     ) -> None:
         """Adds the actions whose time has come."""
-        if self._fetching is not None and now_ms >= self._fetch_ends_at_ms:
-            # A slow path needs more time for a whole configuration.
-            self._fetch_timeout_ms = min(
-                2 * self._fetch_timeout_ms, self._settings.fetch_timeout_max_ms
-            )
-            self._give_up_fetch(now_ms)
-        if self._fetching is None and now_ms >= self._fetch_from_ms:
-            self._start_fetch(actions, now_ms)
+        actions.extend(self._fetching.due(self._near, self.version, now_ms))
         is_idle = self._is_watcher and not self._is_watching
         if is_idle and now_ms >= self._watch_at_ms:
             self._is_watching = True
@@ -264,23 +217,15 @@
             actions.append(messages.ReadStoreHead())
             self._plan_next_read(now_ms)
         if now_ms >= self._ask_at_ms and self._peers:
-            peer = self._dice.choice(self._peers)
-            actions.append(messages.AskPeer(peer))
+            actions.append(messages.AskPeer(self._peer_to_ask()))
             wait_ms = self._settings.ask_peer_ms
-            if self.version == data.NO_VERSION:
-                wait_ms = self._settings.boot_wait_ms // 4
             self._ask_at_ms = now_ms + self._jittered(wait_ms)
 
-    def _start_fetch(self, actions: list[messages.Action], now_ms: int) -> None:
-        """Fetches the newest revision that is offered."""
-        version = self._holders.newest()
-        source = self._holders.choose(version, self._near, self._dice)
-        if source is None:
-            return
-        host_id = None if source == holders.STORE else source
-        self._fetching = messages.Fetch(version, host_id)
-        self._fetch_ends_at_ms = now_ms + self._fetch_timeout_ms
-        actions.append(self._fetching)
+    def _peer_to_ask(self) -> str:
+        """Draws a peer, mostly from the same data centre."""
+        if self._near and self._dice.random() < ASK_NEAR_SHARE:
+            return self._dice.choice(self._near_sorted)
+        return self._dice.choice(self._peers)
 
     def _is_read_due(self, now_ms: int) -> bool:
         """Says whether to read the head from the store now."""
--- a/packages/core/sapphire_core/configuration/spreading_test.py
+++ b/packages/core/sapphire_core/configuration/spreading_test.py
@@ -9,7 +9,7 @@
 from sapphire_core.configuration import spreading_data as messages
 from sapphire_core.configuration import watchers
 
-BOOTED_MS = spreading.DEFAULT_SETTINGS.boot_wait_ms
+BOOTED_MS = messages.DEFAULT_SETTINGS.boot_wait_ms
 FLEET = {f"h{index}": f"dc{index % 3}" for index in range(9)}
 WATCHER = min(watchers.choose(FLEET))
 LISTENER = min(set(FLEET) - watchers.choose(FLEET))
@@ -28,6 +28,12 @@
     return machine
 
 
+def done(revision: int, source: str, asked: int = 0) -> messages.FetchDone:
+    """Returns the answer of a source to a fetch."""
+    fetch = messages.Fetch(version(asked or revision), source)
+    return messages.FetchDone(version(revision), fetch)
+
+
 def of_type(actions: list[Any], kind: type) -> list[Any]:
     """Returns the actions of one type."""
     return [action for action in actions if isinstance(action, kind)]
@@ -37,31 +43,35 @@
     """Returns a host that has a revision."""
     machine = host(host_id)
     machine.handle(messages.PeerHead(FIRST, version(revision)), BOOTED_MS)
-    machine.handle(messages.FetchDone(version(revision)), BOOTED_MS)
+    machine.handle(done(revision, FIRST), BOOTED_MS)
     return machine
 
 
 class SpreadingTest(testtools.TestCase):
-    def test_newer_revision_is_fetched_prepared_and_announced(self) -> None:
+    def test_newer_revision_is_fetched_prepared_and_told_to_peers(self) -> None:
         machine = booted(LISTENER)
         offer = messages.PeerHead(FIRST, version(2))
         self.assertEqual(
             [messages.Fetch(version(2), FIRST)],
             of_type(machine.handle(offer, 1_000), messages.Fetch),
         )
-        actions = machine.handle(messages.FetchDone(version(2)), 1_010)
+        actions = machine.handle(done(2, FIRST), 1_010)
         self.assertEqual(
-            [messages.Prepare(version(2)), messages.Announce(version(2))],
-            actions[:2],
+            [messages.Prepare(version(2))],
+            of_type(actions, messages.Prepare),
         )
+        told = of_type(actions, messages.Notify)[0]
+        self.assertThat(told.version, matchers.Equals(version(2)))
+        places = {FLEET[host_id] for host_id in told.host_ids}
+        self.assertThat(len(places), matchers.Equals(2))
 
     def test_older_revision_is_never_prepared(self) -> None:
         machine = booted(WATCHER, revision=5)
         for event in (
             messages.StoreHead(version(4)),
             messages.PeerHead(FIRST, version(3)),
-            messages.FetchDone(version(4)),
-            messages.FetchDone(version(5)),
+            done(4, FIRST),
+            done(5, FIRST),
         ):
             actions = machine.handle(event, 1_000)
             self.assertEqual([], of_type(actions, messages.Fetch))
@@ -84,7 +94,9 @@
         machine = booted(LISTENER)
         machine.handle(messages.PeerHead(FIRST, version(9)), 1_000)
         machine.handle(messages.PeerHead(SECOND, version(2)), 1_000)
-        actions = machine.handle(messages.FetchFailed(), 1_100)
+        actions = machine.handle(
+            messages.FetchFailed(messages.Fetch(version(9), FIRST)), 1_100
+        )
         self.assertEqual(
             [messages.Fetch(version(2), SECOND)],
             of_type(actions, messages.Fetch),
@@ -96,18 +108,20 @@
         machine = booted(LISTENER)
         machine.handle(messages.PeerHead(FIRST, version(2)), 1_000)
         machine.handle(messages.PeerHead(SECOND, version(2)), 1_000)
-        limit_ms = spreading.DEFAULT_SETTINGS.fetch_timeout_min_ms
+        limit_ms = messages.DEFAULT_SETTINGS.fetch_timeout_min_ms
         actions = machine.handle(messages.Tick(), 1_000 + limit_ms)
-        self.assertEqual(
-            [messages.Fetch(version(2), SECOND)],
-            of_type(actions, messages.Fetch),
+        asked = of_type(actions, messages.Fetch)
+        self.assertThat(
+            asked[0], matchers.Equals(messages.Fetch(version(2), SECOND))
         )
+        # The silent source is asked once more beside the other one.
+        self.assertThat(asked, matchers.HasLength(2))
 
     def test_source_that_delivers_less_than_it_offered_is_left(self) -> None:
         machine = booted(LISTENER)
         machine.handle(messages.PeerHead(FIRST, version(9)), 1_000)
         machine.handle(messages.PeerHead(SECOND, version(9)), 1_000)
-        actions = machine.handle(messages.FetchDone(version(4)), 1_100)
+        actions = machine.handle(done(4, FIRST, asked=9), 1_100)
         self.assertEqual([version(4)], [actions[0].version])  # type: ignore[union-attr]
         self.assertEqual(
             [messages.Fetch(version(9), SECOND)],
@@ -131,7 +145,7 @@
             of_type(actions, messages.ReadStoreHead), matchers.HasLength(1)
         )
         machine.handle(messages.WatchEnded(), 100)
-        retry_ms = spreading.DEFAULT_SETTINGS.watch_retry_max_ms
+        retry_ms = messages.DEFAULT_SETTINGS.watch_retry_max_ms
         actions = machine.handle(messages.Tick(), 100 + retry_ms)
         self.assertThat(
             of_type(actions, messages.StartWatch), matchers.HasLength(1)
--- a/packages/core/sapphire_core/requests/service_pool.py
+++ b/packages/core/sapphire_core/requests/service_pool.py
@@ -5,8 +5,11 @@
 import dataclasses
 import random
 
+from sapphire_core.requests import borrowing
+from sapphire_core.requests import data
 from sapphire_core.requests import fair_queue
 from sapphire_core.requests import latency
+from sapphire_core.requests import need_pace
 from sapphire_core.requests import retry_budget
 from sapphire_core.requests import slots
 from sapphire_core.requests import upstream_gate
@@ -32,6 +35,8 @@
         claiming: The requests that wait for their claim.
         budget: The retry budget.
         observed: The time that upstreams take.
+        borrow_pace: How often slots of other hosts are tried.
+        asking: How often other hosts are asked for a slot.
         is_fresh: Whether peers confirmed this host recently; if not, cold
             upstreams get nothing from it.
     """
@@ -51,6 +56,12 @@
     observed: latency.Latency = dataclasses.field(
         default_factory=latency.Latency
     )
+    borrow_pace: borrowing.BorrowPace = dataclasses.field(
+        default_factory=borrowing.BorrowPace
+    )
+    asking: need_pace.NeedPace = dataclasses.field(
+        default_factory=need_pace.NeedPace
+    )
     is_fresh: bool = True
 
     def gate(self, name: str) -> upstream_gate.UpstreamGate | None:
@@ -151,6 +162,8 @@
         ]
         if own:
             return self._choose(own, tried, rng), False
+        if not self.borrow_pace.is_due(now_ms):
+            return None
         self.budget.refill(now_ms)
         if self.budget.tokens < BORROW_RESERVE + BORROWED_RETRY_COST:
             return None
@@ -161,8 +174,27 @@
         ]
         if not borrowed:
             return None
+        self.budget.spend(BORROWED_RETRY_COST)
+        self.borrow_pace.note_trial()
         return self._choose(borrowed, tried, rng), True
 
+    def end_borrow(
+        self,
+        fault: data.AttemptFault | None,
+        now_ms: int,
+        *,
+        is_answered: bool,
+    ) -> None:
+        """Takes in how the use of a borrowed slot ended.
+
+        The price of the retry is given back unless the upstream shed it.
+        """
+        if fault is data.AttemptFault.SHED:
+            self.borrow_pace.note_shed(now_ms)
+            return
+        self.borrow_pace.note_end(is_answered=is_answered)
+        self.budget.refund(BORROWED_RETRY_COST)
+
     def _choose(
         self,
         gates: list[upstream_gate.UpstreamGate],
--- a/packages/ctl/sapphire_ctl/fleet/client.py
+++ b/packages/ctl/sapphire_ctl/fleet/client.py
@@ -1,7 +1,7 @@
 """Asks all hosts of an environment, which name each other."""
 
 from collections.abc import Iterable
-import dataclasses
+from collections.abc import Mapping
 import ssl
 from typing import TypeVar
 
@@ -11,52 +11,18 @@
 import pydantic
 
 from sapphire_ctl import failures
+from sapphire_ctl.fleet import data
+from sapphire_ctl.fleet import discovery
 from sapphire_data import clock
 from sapphire_wire import api
 
 MAX_CONCURRENT_HOSTS = 64
-MAX_HOSTS = 20_000
 MAX_ANSWER_BYTES = 67_108_864
 _HTTP_OK = 200
 
 AnswerT = TypeVar("AnswerT", bound=pydantic.BaseModel)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Target:
-    """A host to ask.
-
-    Attributes:
-        address: Its IP number and API port, as in a URL.
-        host_id: Its identity where a peer has told it, else empty.
-        data_centre: Its data centre where a peer has told it, else empty.
-    """
-
-    address: str
-    host_id: str = ""
-    data_centre: str = ""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Unanswered:
-    """A host that has not answered.
-
-    Attributes:
-        target: The host.
-        failure: Why there is no answer.
-    """
-
-    target: Target
-    failure: failures.HostFailure
-
-
-def url_address(address: str, port: int) -> str:
-    """Returns an IP number and port as a URL has them."""
-    if ":" in address:
-        return f"[{address}]:{port}"
-    return f"{address}:{port}"
-
-
 class FleetClient:
     """A client of the APIs of all hosts."""
 
@@ -87,50 +53,35 @@
         return bool(self._seeds)
 
     async def statuses(
-        self, service: str | None = None
-    ) -> tuple[list[api.HostStatus], list[Unanswered]]:
-        """Asks each host for its status, and finds hosts by those known.
+        self, service: str | None = None, *, asks_all: bool = False
+    ) -> data.FleetAnswer:
+        """Asks hosts for their status, and finds hosts by those known.
 
         Args:
             service: The only service whose upstreams are asked for.
+            asks_all: Whether to ask all hosts of a large fleet as well.
 
         Returns:
-            The answers, one for each host, and the hosts without one.
+            The answers, and the hosts without one.
         """
-        targets_by_address = {seed: Target(seed) for seed in self._seeds}
-        pending = list(targets_by_address.values())
-        answers_by_id: dict[str, api.HostStatus] = {}
-        unanswered: list[Unanswered] = []
-        while pending:
+        found = discovery.Discovery(self._seeds, asks_all=asks_all)
+        is_brief = False
+        while targets := found.next_targets():
+            is_brief = is_brief or found.is_large
             answers, missing = await self._ask_all(
-                pending, api.STATUS_PATH, api.HostStatus, service
+                targets,
+                api.STATUS_PATH,
+                api.HostStatus,
+                _parameters(service, is_brief),
             )
-            unanswered += missing
-            pending = []
-            for answer in answers:
-                answers_by_id[answer.host_id] = answer
-                for target in _members(answer):
-                    if target.address in targets_by_address:
-                        continue
-                    if len(targets_by_address) >= MAX_HOSTS:
-                        continue
-                    targets_by_address[target.address] = target
-                    pending.append(target)
-        # A host may be known by an address that it has left.
-        missing_hosts = [
-            item
-            for item in unanswered
-            if item.target.host_id not in answers_by_id
-        ]
-        statuses = sorted(
-            answers_by_id.values(),
-            key=lambda status: (status.data_centre, status.host_id),
+            found.take(answers, missing)
+        return found.conclude(
+            lists_upstreams=service is not None or not is_brief
         )
-        return statuses, missing_hosts
 
     async def slo_reports(
         self, statuses: Iterable[api.HostStatus], service: str | None = None
-    ) -> tuple[list[api.SloReport], list[Unanswered]]:
+    ) -> tuple[list[api.SloReport], list[data.Unanswered]]:
         """Asks hosts for their service-level counts.
 
         Args:
@@ -141,38 +92,41 @@
             The answers, and the hosts without one.
         """
         targets = [
-            Target(
-                url_address(status.address, status.api_port),
+            data.Target(
+                data.url_address(status.address, status.api_port),
                 status.host_id,
                 status.data_centre,
             )
             for status in statuses
         ]
         return await self._ask_all(
-            targets, api.SLO_PATH, api.SloReport, service
+            targets,
+            api.SLO_PATH,
+            api.SloReport,
+            _parameters(service, is_brief=False),
         )
 
     async def _ask_all(
         self,
-        targets: Iterable[Target],
+        targets: Iterable[data.Target],
         path: str,
         answer_type: type[AnswerT],
-        service: str | None,
-    ) -> tuple[list[AnswerT], list[Unanswered]]:
+        parameters: Mapping[str, str],
+    ) -> tuple[list[AnswerT], list[data.Unanswered]]:
         """Asks several hosts at a time."""
         answers: list[AnswerT] = []
-        unanswered: list[Unanswered] = []
+        unanswered: list[data.Unanswered] = []
         limiter = anyio.CapacityLimiter(MAX_CONCURRENT_HOSTS)
 
-        async def ask(http: httpx.AsyncClient, target: Target) -> None:
+        async def ask(http: httpx.AsyncClient, target: data.Target) -> None:
             async with limiter:
                 answer = await self._ask(
-                    http, target, path, answer_type, service
+                    http, target, path, answer_type, parameters
                 )
             if answer.is_ok():
                 answers.append(answer.ok)
             else:
-                unanswered.append(Unanswered(target, answer.error))
+                unanswered.append(data.Unanswered(target, answer.error))
 
         async with (
             httpx.AsyncClient(
@@ -189,13 +143,12 @@
     async def _ask(
         self,
         http: httpx.AsyncClient,
-        target: Target,
+        target: data.Target,
         path: str,
         answer_type: type[AnswerT],
-        service: str | None,
+        parameters: Mapping[str, str],
     ) -> expression.Result[AnswerT, failures.HostFailure]:
         """Asks one host."""
-        parameters = {} if service is None else {api.SERVICE_PARAMETER: service}
         try:
             # The library's own time-outs restart with each chunk.
             with anyio.fail_after(self._timeout_s):
@@ -203,7 +156,7 @@
                     f"{self._scheme}://{target.address}{path}",
                     params=parameters,
                 )
-        except (httpx.HTTPError, TimeoutError) as error:
+        except (httpx.HTTPError, httpx.InvalidURL, TimeoutError) as error:
             problem = str(error) or type(error).__name__
             return expression.Error(
                 failures.HostUnreachable(target.address, problem)
@@ -229,17 +182,11 @@
             )
 
 
-def _members(status: api.HostStatus) -> list[Target]:
-    """Returns the members that a host knows and that may still answer."""
-    targets = []
-    for member in status.members:
-        if member.state == "dead" or member.host_id == status.host_id:
-            continue
-        targets.append(
-            Target(
-                url_address(member.address, member.api_port),
-                member.host_id,
-                member.data_centre,
-            )
-        )
-    return targets
+def _parameters(service: str | None, is_brief: bool) -> dict[str, str]:
+    """Returns the query parameters of a question."""
+    parameters = {}
+    if service is not None:
+        parameters[api.SERVICE_PARAMETER] = service
+    if is_brief:
+        parameters[api.DETAIL_PARAMETER] = api.DETAIL_BRIEF
+    return parameters
--- a/packages/ctl/sapphire_ctl/reporting/collect.py
+++ b/packages/ctl/sapphire_ctl/reporting/collect.py
@@ -2,12 +2,14 @@
 
 from collections.abc import Iterable
 from collections.abc import Mapping
+import statistics
 
 from sapphire_core.slo import burn
 from sapphire_core.slo import data as slo_data
 from sapphire_core.slo import merge
 from sapphire_ctl import session
 from sapphire_ctl.fleet import client
+from sapphire_ctl.fleet import data as fleet_data
 from sapphire_ctl.fleet import view
 from sapphire_ctl.reporting import data
 from sapphire_data import failures
@@ -37,13 +39,14 @@
         The report; a store that is down costs it objectives and authors, a
         host that does not answer its counts.
     """
-    statuses, missing_statuses = await fleet.statuses(service)
-    reports, missing_reports = await fleet.slo_reports(statuses, service)
+    answer = await fleet.statuses(service)
+    reports, missing_reports = await fleet.slo_reports(answer.statuses, service)
     objectives, marks, warnings = await _read_store(invocation, environment)
     return build(
         environment,
         reports=reports,
-        unanswered=[*missing_statuses, *missing_reports],
+        unanswered=[*answer.unanswered, *missing_reports],
+        hosts_left_out=len(answer.told),
         objectives_by_service=objectives,
         history=marks,
         warnings=warnings,
@@ -55,7 +58,8 @@
     environment: str,
     *,
     reports: Iterable[api.SloReport],
-    unanswered: Iterable[client.Unanswered],
+    unanswered: Iterable[fleet_data.Unanswered],
+    hosts_left_out: int = 0,
     objectives_by_service: Mapping[str, records.Objectives],
     history: Iterable[slo_data.ChangeMark],
     warnings: Iterable[failures.Failure],
@@ -67,15 +71,19 @@
         environment: The name of the environment.
         reports: The answers of the hosts.
         unanswered: The hosts without one.
+        hosts_left_out: The hosts of a large fleet that were not asked.
         objectives_by_service: The objectives of the document in force.
         history: The changes with their authors.
         warnings: What could not be read.
-        now_ms: The wall time.
+        now_ms: The wall time here, used where no host tells its own.
 
     Returns:
         The report.
     """
     known = list(reports)
+    if known:
+        # Hosts count by their own clocks, and the operator's may be wrong.
+        now_ms = statistics.median_low(report.now_ms for report in known)
     series_by_key = view.series_by_key(known)
     marks = merge.merge_marks([*view.marks(known), *history])
     burns = burn.evaluate_all(
@@ -94,6 +102,7 @@
             for report in known
         ),
         unanswered=tuple(unanswered),
+        hosts_left_out=hosts_left_out,
         warnings=tuple(warnings),
     )
 
--- a/packages/node/sapphire_node/daemon.py
+++ b/packages/node/sapphire_node/daemon.py
@@ -30,8 +30,9 @@
 from sapphire_node import messages
 from sapphire_node import prober
 from sapphire_node import status
-from sapphire_node import store_poller
 from sapphire_node import subscribers
+from sapphire_node import unclaimable_store
+from sapphire_node.configuration import keeper
 from sapphire_node.requests import asgi
 from sapphire_node.requests import service as request_service
 from sapphire_wire import api as operator_api
@@ -41,6 +42,7 @@
 
 INBOX_MESSAGES = 4_096
 HOST_ID_CHARACTERS = 12
+API_GRACE_MS = 500
 
 
 class Outcome(enum.Enum):
@@ -72,10 +74,12 @@
 
     Attributes:
         fabric: Takes packets of the fabric.
+        relayed: Sends packets that other hosts handed over.
         control: Takes control messages.
     """
 
     fabric: abc.UDPSocket
+    relayed: abc.UDPSocket
     control: abc.UDPSocket
 
 
@@ -93,9 +97,10 @@
     try:
         async with (
             await _open_udp(address, settings.ports.fabric) as fabric,
+            await _open_udp(address, 0) as relayed,
             await _open_udp(address, settings.ports.control) as control_udp,
         ):
-            daemon = Daemon(loaded, Sockets(fabric, control_udp))
+            daemon = Daemon(loaded, Sockets(fabric, relayed, control_udp))
             return await daemon.run()
     except OSError as error:
         event_log.log(
@@ -140,14 +145,16 @@
         self._to_forwarder = to_forwarder
         self._forwarder = forwarder.Forwarder(
             flow_router.Router(self._own.host_id),
-            sockets.fabric,
+            forwarder.Sockets(sockets.fabric, sockets.relayed),
             to_control,
             self._time,
         )
         self._prober = prober.Prober(self._own.host_id, to_forwarder)
-        self._configuration = store_poller.StorePoller(settings.store)
+        self._configuration = keeper.Keeper(
+            self._own, settings.store, to_control, self._time
+        )
         self._requests = request_service.RequestService(
-            self._own.host_id, store_poller.UnclaimableStore(), self._time
+            self._own.host_id, unclaimable_store.UnclaimableStore(), self._time
         )
         self._control = control.ControlPlane(
             self._own,
@@ -200,6 +207,7 @@
         tasks.start_soon(self._forwarder.serve_inbox, self._forwarder_inbox)
         tasks.start_soon(self._forwarder.tick)
         tasks.start_soon(self._control.serve_datagrams)
+        tasks.start_soon(self._control.serve_outgoing)
         tasks.start_soon(self._control.serve_inbox, self._control_inbox)
         tasks.start_soon(self._control.tick)
         tasks.start_soon(self._prober.run)
@@ -243,6 +251,7 @@
             self._own.address,
             self._own.api_port,
             anyio.sleep_forever,
+            grace_ms=API_GRACE_MS,
         )
 
     async def _serve_requests(self, stop: anyio.Event) -> None:
@@ -299,7 +308,7 @@
         """Returns the tasks that take messages of the control plane."""
         return subscribers.Subscribers(
             self._to_forwarder,
-            self._configuration.take_fact,
+            self._configuration.take_notice,
             (
                 self._configuration.take_view,
                 self._requests.set_view,
