--- a/packages/lab/sapphire_lab/slopes/configuration_slopes.py
+++ b/packages/lab/sapphire_lab/slopes/configuration_slopes.py
@@ -10,6 +10,7 @@
 from sapphire_lab.slopes import fit
 from sapphire_lab.slopes import meters
 from sapphire_wire.documents import packing
+from sapphire_wire.documents import unpacking
 
 _SERVICES = (1_000, 2_000, 4_000)
 _TARGETS = 3
@@ -26,6 +27,7 @@
     writes: dict[float, float] = {}
     pack_us: dict[float, float] = {}
     unpack_us: dict[float, float] = {}
+    next_us: dict[float, float] = {}
     for count in _SERVICES:
         targets = float(count * _TARGETS)
         before, memory[targets] = meters.memory_bytes(
@@ -44,10 +46,16 @@
         pack_us[targets] = meters.least_us(
             functools.partial(packing.pack, before, builders.change()), rounds=3
         )
-        decoded = packing.unpack_head(packed.head).ok
+        old_head = packing.unpack_head(packed.head).ok
+        new_head = packing.unpack_head(after.head).ok
+        parts = {**packed.parts_by_digest, **after.parts_by_digest}
         unpack_us[targets] = meters.least_us(
-            functools.partial(packing.unpack, decoded, packed.parts_by_digest),
-            rounds=3,
+            functools.partial(unpacking.unpack, old_head, parts), rounds=3
+        )
+        next_us[targets] = meters.least_us(
+            functools.partial(
+                unpacking.unpack_next, new_head, parts, old_head, before
+            )
         )
     return [
         fit.line("configuration_memory", "bytes", "target", memory),
@@ -57,6 +65,7 @@
         fit.line("store_writes", "keys", "target", writes),
         fit.line("pack_us", "us", "target", pack_us),
         fit.line("unpack_us", "us", "target", unpack_us),
+        fit.line("unpack_next_us", "us", "target", next_us),
         _series(),
     ]
 
