Allowances for hosts and facts apart; a repair stays with the peer that differs

Cause, found by a test with each message encoded: while 20 facts spread among 36 hosts, deaths were not known elsewhere after 16 s, since facts used up the common allowance; and a host that lacked a fact asked for later pages from a peer that lacked it too, so 18 of 20 facts was the end.

--- a/packages/core/sapphire_core/membership/data.py
+++ b/packages/core/sapphire_core/membership/data.py
@@ -191,8 +191,8 @@
             centres it is two rounds of probes.
         seed_interval_ms: The time between two attempts at addresses that
             belong to no live member.
-        sync_interval_ms: The time before a different digest at a peer leads
-            to a synchronisation.
+        sync_interval_ms: The time without a change here after which a
+            different digest at a peer leads to a synchronisation.
         dead_retention_ms: The time for which dead members are remembered.
         rejoin_backoff_ms: The first delay before a host that was declared
             dead more than once returns; it doubles.
@@ -200,7 +200,8 @@
         max_message_bytes: The largest encoded message.
         news_bytes_per_second: The rate of news above which it waits; probes
             and their answers are not counted.
-        news_burst_bytes: The bytes that may exceed the rate at a time.
+        news_burst_bytes: The bytes that may exceed the rate at a time. Half
+            of both is for changed hosts and half for facts.
     """
 
     probe_interval_ms: int = 500
@@ -222,5 +223,5 @@
     rejoin_backoff_ms: int = 1_000
     max_rejoin_backoff_ms: int = 30_000
     max_message_bytes: int = 1_200
-    news_bytes_per_second: int = 1_500
-    news_burst_bytes: int = 12_000
+    news_bytes_per_second: int = 2_000
+    news_burst_bytes: int = 16_000
--- a/packages/core/sapphire_core/membership/detector.py
+++ b/packages/core/sapphire_core/membership/detector.py
@@ -51,6 +51,13 @@
         self._forwards_by_number.clear()
         self._state.suspicions.extend_all(pause_ms)
 
+    def forget_unknown(self) -> None:
+        """Forgets when hosts were heard that are no longer known."""
+        known = self._state.hosts.entries_by_id
+        for host_id in list(self._heard_ms_by_id):
+            if host_id not in known:
+                del self._heard_ms_by_id[host_id]
+
     def on_message(self, message: data.GossipMessage, now_ms: int) -> None:
         """Takes a message whose entries have been merged.
 
--- a/packages/core/sapphire_core/membership/membership.py
+++ b/packages/core/sapphire_core/membership/membership.py
@@ -273,6 +273,7 @@
         retention_ms = self._state.settings.dead_retention_ms
         self._state.hosts.forget_dead(now_ms - retention_ms)
         self._state.facts.expire(now_ms)
+        self._detector.forget_unknown()
 
     def _notice_pause(self, now_ms: int) -> None:
         """Drops what a pause of this process made unreliable."""
--- a/packages/core/sapphire_core/membership/news.py
+++ b/packages/core/sapphire_core/membership/news.py
@@ -1,6 +1,7 @@
 """What has changed lately and how often each change was passed on."""
 
 from collections.abc import Callable
+from collections.abc import Container
 import dataclasses
 import enum
 
@@ -65,8 +66,8 @@
     def hear(self, key: NewsKey) -> None:
         """Counts that another host passed on the same piece of news.
 
-        What others know already is soon known to all, so it is pushed less
-        often from here. Probes still carry it as often as before.
+        What others know already is soon known to all, so it is passed on
+        less often from here.
 
         Args:
             key: Its subject.
@@ -74,6 +75,7 @@
         item = self._items_by_key.get(key)
         if item is None:
             return
+        item.transmissions += 1
         item.pushes_left -= 1
         if item.pushes_left <= 0:
             self._hot_keys.pop(key, None)
@@ -99,21 +101,19 @@
         self,
         budget_bytes: int,
         size_of: Callable[[NewsKey], int | None],
+        kinds: Container[NewsKind],
         hot_only: bool = False,
-        facts_only: bool = False,
     ) -> list[NewsKey]:
         """Picks the news of one message.
 
-        Facts go first: a backlog of changed hosts, as after the loss or the
-        return of a data centre, must not delay a configuration. Among equals
-        the least passed on goes first, and the newest among those.
+        Facts go first, then the least passed on, then the newest.
 
         Args:
             budget_bytes: The room in the message.
             size_of: The size of a piece of news, or None if it does not go
                 to this receiver.
+            kinds: The kinds that may be picked.
             hot_only: Whether to pick only news that has to be pushed.
-            facts_only: Whether to leave out changed hosts.
 
         Returns:
             The subjects that fit.
@@ -121,8 +121,7 @@
         items = self._items_by_key
         keys = list(self._hot_keys) if hot_only else list(items)
         keys.reverse()
-        if facts_only:
-            keys = [key for key in keys if key.kind is NewsKind.FACT]
+        keys = [key for key in keys if key.kind in kinds]
         keys.sort(
             key=lambda key: (
                 key.kind is NewsKind.MEMBER,
--- a/packages/core/sapphire_core/membership/outbox.py
+++ b/packages/core/sapphire_core/membership/outbox.py
@@ -11,8 +11,6 @@
 from sapphire_core.membership import roster
 from sapphire_data import records
 
-# Changed hosts wait when the allowance falls to this share; facts do not.
-_FACT_RESERVE_SHARE = 0.5
 _MIN_TRANSMISSIONS = 8
 _BACKLOG_ITEMS = 64
 _BACKLOG_TRANSMISSIONS = 2
@@ -34,9 +32,15 @@
         self._facts = facts
         self._actions: list[data.Action] = []
         self.news = news.NewsQueue(settings.push_rounds)
-        self.rate = rate_limit.RateLimit(
-            settings.news_bytes_per_second, settings.news_burst_bytes
-        )
+        # A backlog of changed hosts, as after the loss of a data centre, must
+        # not delay a configuration, nor a run of facts the death of a host.
+        self._rates_by_kind = {
+            kind: rate_limit.RateLimit(
+                settings.news_bytes_per_second // len(news.NewsKind),
+                settings.news_burst_bytes // len(news.NewsKind),
+            )
+            for kind in news.NewsKind
+        }
 
     def add(self, action: data.Action) -> None:
         """Adds an action that is not a message."""
@@ -66,9 +70,13 @@
         """Notes that another host knows a fact as well."""
         self.news.hear(news.NewsKey(news.NewsKind.FACT, fact_key))
 
-    def has_tokens(self, now_ms: int) -> bool:
-        """Returns whether the allowance for news is not used up."""
-        return self.rate.has_tokens(now_ms)
+    def kinds_allowed(self, now_ms: int) -> set[news.NewsKind]:
+        """Returns the kinds of news whose allowance is not used up."""
+        return {
+            kind
+            for kind, rate in self._rates_by_kind.items()
+            if rate.has_tokens(now_ms)
+        }
 
     def send_plain(
         self, address: str, port: int, message: data.GossipMessage
@@ -90,12 +98,10 @@
             now_ms: The time in milliseconds.
         """
         keys: list[news.NewsKey] = []
-        if len(self.news) and self.has_tokens(now_ms):
+        if len(self.news):
             keys = self._pick(target, message, False, now_ms)
-            plain_bytes = message_size.message_bytes(message)
             message = self._fill(message, keys, now_ms)
-            news_bytes = message_size.message_bytes(message) - plain_bytes
-            self.rate.charge(news_bytes)
+            self._charge(keys, now_ms)
         self.send_plain(target.address, target.control_port, message)
         self.news.count(keys, self._transmission_limit())
 
@@ -118,8 +124,10 @@
             if not keys:
                 continue
             filled = self._fill(message, keys, now_ms)
-            size = message_size.message_bytes(filled)
-            self.rate.charge(size + message_size.DATAGRAM_OVERHEAD_BYTES)
+            self._charge(keys, now_ms)
+            overhead_bytes = message_size.message_bytes(message)
+            overhead_bytes += message_size.DATAGRAM_OVERHEAD_BYTES
+            self._rates_by_kind[keys[0].kind].charge(overhead_bytes)
             self.send_plain(target.address, target.control_port, filled)
             pushed.update(dict.fromkeys(keys))
         self.news.end_push(list(pushed))
@@ -154,8 +162,14 @@
         size_of = self._size_of(now_ms, is_local)
         if not is_local:
             size_of = self._size_of_remote(now_ms, hot_only)
-        is_short = not self.rate.has_tokens(now_ms, _FACT_RESERVE_SHARE)
-        return self.news.pick(room, size_of, hot_only, facts_only=is_short)
+        kinds = self.kinds_allowed(now_ms)
+        return self.news.pick(room, size_of, kinds, hot_only)
+
+    def _charge(self, keys: list[news.NewsKey], now_ms: int) -> None:
+        """Takes what was sent from the allowance of its kind."""
+        size_of = self._size_of(now_ms, is_local=False)
+        for key in keys:
+            self._rates_by_kind[key.kind].charge(size_of(key) or 0)
 
     def _size_of(
         self, now_ms: int, is_local: bool
--- a/packages/core/sapphire_core/membership/rate_limit.py
+++ b/packages/core/sapphire_core/membership/rate_limit.py
@@ -10,18 +10,17 @@
         self._tokens = float(burst_bytes)
         self._updated_ms = 0
 
-    def has_tokens(self, now_ms: int, reserve_share: float = 0.0) -> bool:
+    def has_tokens(self, now_ms: int) -> bool:
         """Returns whether news may be sent.
 
         Args:
             now_ms: The time in milliseconds.
-            reserve_share: The share of the burst that is kept for others.
         """
         elapsed_ms = max(0, now_ms - self._updated_ms)
         self._updated_ms = now_ms
         self._tokens += elapsed_ms * self._bytes_per_second / 1_000
         self._tokens = min(self._tokens, float(self._burst_bytes))
-        return self._tokens > reserve_share * self._burst_bytes
+        return self._tokens > 0
 
     def charge(self, size: int) -> None:
         """Takes the bytes of a message that is sent.
--- a/packages/core/sapphire_core/membership/spreading.py
+++ b/packages/core/sapphire_core/membership/spreading.py
@@ -32,7 +32,7 @@
         interval_ms = settings.push_interval_ms
         if pushed_ms is not None and now_ms - pushed_ms < interval_ms:
             return
-        if not current.outbox.rate.has_tokens(now_ms):
+        if not current.outbox.kinds_allowed(now_ms):
             return
         self._pushed_ms = now_ms
         target_ids = current.pick_local(settings.push_fanout)
--- a/packages/core/sapphire_core/membership/sync.py
+++ b/packages/core/sapphire_core/membership/sync.py
@@ -21,6 +21,7 @@
             for everything.
         cursor: The position of the next page.
         asked_ms: When the page was asked for last.
+        peer_id: The peer whose state differs; empty where any peer will do.
         failures: The requests in a row that got no page.
     """
 
@@ -28,6 +29,7 @@
     bucket_digests: tuple[int, ...]
     cursor: int
     asked_ms: int
+    peer_id: str = ""
     failures: int = 0
 
 
--- a/packages/core/sapphire_core/membership/synchroniser.py
+++ b/packages/core/sapphire_core/membership/synchroniser.py
@@ -22,7 +22,8 @@
         self._state = shared
         self._sync: sync.Sync | None = None
         self._last_number = 0
-        self._differs_since_ms_by_data_centre: dict[str, int] = {}
+        self._differing_digest: int | None = None
+        self._differs_since_ms = 0
         self._page_rate = rate_limit.RateLimit(
             _PAGE_BYTES_PER_SECOND, _PAGE_BURST_BYTES
         )
@@ -66,17 +67,18 @@
         if not shared.freshness.is_joined:
             self._begin((), now_ms, message.origin)
             return
-        # A whole data centre may lack the same news, so that equal digests
-        # there say nothing of the digests of another.
-        since_ms_by_name = self._differs_since_ms_by_data_centre
-        data_centre = message.origin.host.data_centre
-        if message.digest == shared.digest():
-            since_ms_by_name.pop(data_centre, None)
+        digest = shared.digest()
+        if message.digest == digest:
             return
-        since_ms = since_ms_by_name.setdefault(data_centre, now_ms)
-        if now_ms - since_ms < shared.settings.sync_interval_ms:
+        # Equal digests of others say nothing: they may lack the same news. News
+        # on its way would have changed the own digest in the interval.
+        if self._differing_digest != digest:
+            self._differing_digest = digest
+            self._differs_since_ms = now_ms
+        differs_ms = now_ms - self._differs_since_ms
+        if differs_ms < shared.settings.sync_interval_ms:
             return
-        del since_ms_by_name[data_centre]
+        self._differs_since_ms = now_ms
         self._begin(shared.hosts.bucket_digests(), now_ms, message.origin)
 
     def _begin(
@@ -87,12 +89,23 @@
     ) -> None:
         """Begins a synchronisation with a peer."""
         self._last_number += 1
-        self._sync = sync.Sync(self._last_number, bucket_digests, 0, now_ms)
+        # A peer elsewhere in the own data centre may lack what this one has.
+        peer_id = peer.host.host_id if bucket_digests else ""
+        self._sync = sync.Sync(
+            self._last_number, bucket_digests, 0, now_ms, peer_id
+        )
         self._ask_peer(self._sync, peer, now_ms)
 
     def _ask(self, current: sync.Sync, now_ms: int) -> None:
-        """Asks a random peer for the next page, so that the load spreads."""
+        """Asks for the next page, at a join from any peer to spread it."""
         shared = self._state
+        if current.peer_id:
+            known = shared.hosts.live_entry(current.peer_id)
+            if known is None:
+                self._sync = None
+                return
+            self._ask_peer(current, known, now_ms)
+            return
         peer_ids = shared.pick_local(1)
         if not peer_ids:
             for name in shared.other_data_centres():
--- a/packages/lab/sapphire_lab/membership/network.py
+++ b/packages/lab/sapphire_lab/membership/network.py
@@ -20,6 +20,8 @@
 # the identities of sender and receiver and the time.
 Link = Callable[[str, str, int], tuple[int, ...]]
 
+Carry = Callable[[data.GossipMessage], data.GossipMessage]
+
 
 @dataclasses.dataclass(slots=True)
 class Node:
@@ -65,6 +67,7 @@
         nodes_by_id: All hosts that were ever started.
         link: The delays of messages; replaced to bring about faults.
         keeps_views: Whether reported views are kept.
+        carry: What becomes of a message on its way, such as its encoding.
     """
 
     def __init__(self, seed: int, keeps_views: bool = True) -> None:
@@ -73,6 +76,7 @@
         self.rng = random.Random(seed)
         self.link: Link = lambda source, target, now_ms: (1,)
         self.keeps_views = keeps_views
+        self.carry: Carry = lambda message: message
         self._ids_by_address: dict[str, str] = {}
         self._sequence = itertools.count()
         self._events: list[tuple[int, int, str, data.GossipMessage | None]] = []
@@ -155,7 +159,8 @@
         if target_id is None:
             return
         for delay_ms in self.link(host_id, target_id, self.now_ms):
-            self._schedule(delay_ms, target_id, action.message)
+            message = self.carry(action.message)
+            self._schedule(delay_ms, target_id, message)
 
     def _schedule(
         self, delay_ms: int, host_id: str, message: data.GossipMessage | None
