Non-idempotent requests are claimed in the store, one transaction for a batch

Cause of 1,420 unknown orders in the demonstration: no claims reached the store. A batch of unseen ids costs one call; held ids cost one more.

--- a/packages/lab/sapphire_lab/config/fakes.py
+++ b/packages/lab/sapphire_lab/config/fakes.py
@@ -3,6 +3,7 @@
 from collections.abc import Coroutine
 from collections.abc import Generator
 from collections.abc import Sequence
+import dataclasses
 import enum
 from typing import Any
 from typing import Generic
@@ -108,6 +109,7 @@
         self,
         compares: Sequence[data.Compare],
         writes: Sequence[data.Put | data.Delete],
+        reads_otherwise: Sequence[str] = (),
     ) -> expression.Result[data.TransactionAnswer, failures.StoreFailure]:
         """Writes if all conditions hold; see `protocol.Store`."""
         await Pause()
@@ -119,6 +121,13 @@
         if fault in (Fault.LOST_REQUEST, Fault.LATE_EFFECT):
             return expression.Error(failures.StoreOutcomeUnknown("fault"))
         answer = self._apply(compares, writes)
+        if not answer.succeeded:
+            found = [
+                item
+                for key, item in self.state.items_by_key.items()
+                if key in reads_otherwise
+            ]
+            answer = dataclasses.replace(answer, items=tuple(found))
         await Pause()
         if fault is Fault.LOST_ANSWER:
             return expression.Error(failures.StoreOutcomeUnknown("fault"))
--- a/packages/lab/sapphire_lab/stand_ins/store.py
+++ b/packages/lab/sapphire_lab/stand_ins/store.py
@@ -186,10 +186,17 @@
             if not self.state.holds(key, int(compare["mod_revision"])):
                 succeeded = False
         branch = body.get("success" if succeeded else "failure", ())
-        self.state.apply([_decode_write(operation) for operation in branch])
+        reads = [item for item in branch if "request_range" in item]
+        writes = [item for item in branch if "request_range" not in item]
+        self.state.apply([_decode_write(operation) for operation in writes])
         answer: dict[str, Any] = {"header": self._header()}
         if succeeded:
             answer["succeeded"] = True
+        if reads:
+            answer["responses"] = [
+                {"response_range": self._range(item["request_range"])}
+                for item in reads
+            ]
         return answer
 
     def _grant(self, body: Any) -> Any:
--- a/packages/net/sapphire_net/store/client.py
+++ b/packages/net/sapphire_net/store/client.py
@@ -78,11 +78,12 @@
         self,
         compares: Sequence[data.Compare],
         writes: Sequence[data.Put | data.Delete],
+        reads_otherwise: Sequence[str] = (),
     ) -> expression.Result[data.TransactionAnswer, failures.StoreFailure]:
         """Writes if all conditions hold; see `protocol.Store`."""
         return await self._call(
             gateway.TRANSACTION_PATH,
-            gateway.transaction_request(compares, writes),
+            gateway.transaction_request(compares, writes, reads_otherwise),
             gateway.decode_transaction,
             is_write=True,
         )
--- a/packages/net/sapphire_net/store/data.py
+++ b/packages/net/sapphire_net/store/data.py
@@ -84,10 +84,13 @@
     Attributes:
         succeeded: Whether all conditions held and the writes took effect.
         store_revision: The store revision after the transaction.
+        items: Where a condition did not hold, the keys that were to be read
+            then, as far as they exist.
     """
 
     succeeded: bool
     store_revision: int
+    items: tuple[KeyValue, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/net/sapphire_net/store/environment.py
+++ b/packages/net/sapphire_net/store/environment.py
@@ -44,6 +44,11 @@
         """The prefix of the keys of all heads."""
         return f"{self.prefix}history/"
 
+    @property
+    def claims_prefix(self) -> str:
+        """The prefix of the keys of claimed request ids."""
+        return f"{self.prefix}claims/"
+
     @property
     def parts_prefix(self) -> str:
         """The prefix of the keys of all parts."""
--- a/packages/net/sapphire_net/store/gateway.py
+++ b/packages/net/sapphire_net/store/gateway.py
@@ -61,6 +61,7 @@
 def transaction_request(
     compares: Sequence[data.Compare],
     writes: Sequence[data.Put | data.Delete],
+    reads_otherwise: Sequence[str] = (),
 ) -> dict[str, Any]:
     """Returns the body of a transaction."""
     return {
@@ -74,6 +75,10 @@
             for compare in compares
         ],
         "success": [_write_operation(write) for write in writes],
+        "failure": [
+            {"request_range": {"key": encode_key(key)}}
+            for key in reads_otherwise
+        ],
     }
 
 
@@ -106,9 +111,14 @@
     Raises:
         One of `DECODE_ERRORS`: The body does not follow the protocol.
     """
+    items: list[data.KeyValue] = []
+    for response in body.get("responses", ()):
+        found = response.get("response_range") or {}
+        items.extend(decode_item(item) for item in found.get("kvs", ()))
     return data.TransactionAnswer(
         succeeded=bool(body.get("succeeded", False)),
         store_revision=int(body["header"]["revision"]),
+        items=tuple(items),
     )
 
 
--- a/packages/net/sapphire_net/store/protocol.py
+++ b/packages/net/sapphire_net/store/protocol.py
@@ -39,12 +39,14 @@
         self,
         compares: Sequence[data.Compare],
         writes: Sequence[data.Put | data.Delete],
+        reads_otherwise: Sequence[str] = (),
     ) -> expression.Result[data.TransactionAnswer, failures.StoreFailure]:
         """Writes all keys at once if all conditions hold.
 
         Args:
             compares: The conditions.
             writes: The writes; no key twice.
+            reads_otherwise: The keys to read if a condition does not hold.
 
         Returns:
             Whether it took effect; `StoreOutcomeUnknown` if the answer was
--- a/packages/node/sapphire_node/daemon.py
+++ b/packages/node/sapphire_node/daemon.py
@@ -30,8 +30,8 @@
 from sapphire_node import messages
 from sapphire_node import prober
 from sapphire_node import status
+from sapphire_node import store_claims
 from sapphire_node import subscribers
-from sapphire_node import unclaimable_store
 from sapphire_node.configuration import keeper
 from sapphire_node.requests import asgi
 from sapphire_node.requests import service as request_service
@@ -154,7 +154,9 @@
             self._own, settings.store, to_control, self._time
         )
         self._requests = request_service.RequestService(
-            self._own.host_id, unclaimable_store.UnclaimableStore(), self._time
+            self._own.host_id,
+            store_claims.open_claims(settings.store, self._time),
+            self._time,
         )
         self._control = control.ControlPlane(
             self._own,
--- /dev/null
+++ b/packages/node/sapphire_node/store_claims.py
@@ -0,0 +1,34 @@
+"""Opens the store of claims that a daemon's requests use."""
+
+import ssl
+
+from sapphire_data import clock
+from sapphire_net.store import claim_store
+from sapphire_net.store import client as store_client
+from sapphire_net.store import environment as environments
+from sapphire_wire import settings as settings_lib
+
+
+def open_claims(
+    settings: settings_lib.StoreSettings,
+    time: clock.Clock,
+    context: ssl.SSLContext | None = None,
+) -> claim_store.StoreClaims:
+    """Opens the store of claims; its connections end with the process.
+
+    Args:
+        settings: How to reach the store.
+        time: The clock.
+        context: The TLS context for the store; none for the library's
+            default.
+
+    Returns:
+        The store of claims.
+    """
+    http = store_client.open_client(
+        str(settings.endpoints[0]), ssl_context=context
+    )
+    environment = environments.Environment(
+        store_client.GatewayStore(http), settings.prefix
+    )
+    return claim_store.StoreClaims(environment, time)
