--- a/packages/wire/sapphire_wire/documents/unpacking.py
+++ b/packages/wire/sapphire_wire/documents/unpacking.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 import dataclasses
+import sys
 from typing import Any
 import zlib
 
@@ -43,15 +44,18 @@
     Returns:
         The configuration, or why it cannot be read.
     """
-    decoded = _decode(head.part_digests, parts_by_digest)
-    if decoded.is_error():
-        return expression.Error(decoded.error)
-    found = decoded.ok
     pools: dict[str, dict[str, records.Upstream]] = {}
     members: dict[tuple[str, int], list[str]] = {}
-    _add_upstreams(found.upstreams, pools, members)
+    headers: list[Any] = []
+    # One part at a time, because thrift records take much memory.
+    for digest in head.part_digests:
+        decoded = _decode((digest,), parts_by_digest)
+        if decoded.is_error():
+            return expression.Error(decoded.error)
+        headers.extend(decoded.ok.services)
+        _add_upstreams(decoded.ok.upstreams, pools, members)
     services_by_name: dict[str, records.Service] = {}
-    for record in found.services:
+    for record in headers:
         if not record.generations:
             return _unreadable(f"service {record.name} has no generation")
         services_by_name[record.name] = _service_of(
@@ -234,7 +238,7 @@
         intent = records.UpstreamIntent.DRAIN
     return records.Upstream(
         name=record.name,
-        data_centre=record.data_centre,
+        data_centre=sys.intern(record.data_centre),
         address=record.address,
         packet_port=record.packet_port,
         request_port=record.request_port,
