--- /dev/null
+++ b/packages/lab/sapphire_lab/config/size.py
@@ -0,0 +1,79 @@
+"""Measures one change at the size to design for: bytes, time and memory."""
+
+import json
+import random
+import resource
+import time
+from typing import Annotated
+
+import typer
+
+from sapphire_lab.config import builders
+from sapphire_wire.documents import bundle
+from sapphire_wire.documents import packing
+
+SERVICES = 24_000
+UPSTREAMS = 73_000
+DATA_CENTRES = 10
+CHANGES_PER_S = 11_000 / 86_400
+REPEATS = 10
+KIB_PER_MB = 1_024
+
+
+def pools(seed: int) -> dict[str, dict[str, str]]:
+    """Spreads the upstreams over services and data centres."""
+    dice = random.Random(seed)
+    built: dict[str, dict[str, str]] = {}
+    for index in range(UPSTREAMS):
+        service = f"service-{index % SERVICES}"
+        place = f"dc-{dice.randrange(DATA_CENTRES)}"
+        built.setdefault(service, {})[f"upstream-{index}"] = place
+    return built
+
+
+def main(seed: Annotated[int, typer.Option()] = 1) -> None:
+    """Measures one change of one upstream and prints the result as JSON."""
+    fleet = pools(seed)
+    first = builders.configuration(fleet)
+    second = builders.configuration(fleet, first, drained=("upstream-7",))
+    before = packing.pack(first, builders.change())
+    after = packing.pack(second, builders.change("w2"))
+    new_parts = {
+        digest: part
+        for digest, part in after.parts_by_digest.items()
+        if digest not in before.parts_by_digest
+    }
+    started_s = time.process_time()
+    held = bundle.assemble(before.head, before.parts_by_digest, None).ok
+    whole_ms = (time.process_time() - started_s) * 1_000
+    started_s = time.process_time()
+    for _ in range(REPEATS):
+        bundle.assemble(after.head, new_parts, held)
+    change_ms = (time.process_time() - started_s) * 1_000 / REPEATS
+    change_bytes = len(after.head) + sum(map(len, new_parts.values()))
+    usage = resource.getrusage(resource.RUSAGE_SELF)
+    print(
+        json.dumps(
+            {
+                "seed": seed,
+                "services": SERVICES,
+                "upstreams": UPSTREAMS,
+                "parts": len(after.parts_by_digest),
+                "whole_bytes": sum(map(len, after.parts_by_digest.values())),
+                "head_bytes": len(after.head),
+                "parts_of_a_change": len(new_parts),
+                "bytes_of_a_change": change_bytes,
+                "bytes_per_s": round(change_bytes * CHANGES_PER_S),
+                "decode_whole_ms": round(whole_ms),
+                "decode_change_ms": round(change_ms, 1),
+                "decode_core_share": round(
+                    change_ms / 1_000 * CHANGES_PER_S, 5
+                ),
+                "peak_process_mb": round(usage.ru_maxrss / KIB_PER_MB),
+            }
+        )
+    )
+
+
+if __name__ == "__main__":
+    typer.run(main)
