--- a/packages/core/sapphire_core/configuration/spreading_test.py
+++ b/packages/core/sapphire_core/configuration/spreading_test.py
@@ -1,6 +1,8 @@
 import random
 from typing import Any
 
+import hypothesis
+from hypothesis import strategies
 import testtools
 from testtools import matchers
 
@@ -184,6 +186,82 @@
         self.assertThat(reads, matchers.LessThan(120 // 15 + 6))
 
 
+REVISIONS = strategies.integers(0, 6)
+SOURCES = strategies.sampled_from([FIRST, SECOND, THIRD])
+DRAWN_EVENTS = strategies.one_of(
+    strategies.builds(
+        lambda source, revision: messages.PeerHead(source, version(revision)),
+        SOURCES,
+        REVISIONS,
+    ),
+    strategies.builds(
+        lambda revision: messages.StoreHead(version(revision)), REVISIONS
+    ),
+    strategies.builds(done, REVISIONS, SOURCES, strategies.integers(1, 6)),
+    strategies.builds(
+        lambda source, asked: messages.FetchFailed(
+            messages.Fetch(version(asked), source)
+        ),
+        SOURCES,
+        REVISIONS,
+    ),
+    strategies.sampled_from(
+        [
+            messages.Tick(),
+            messages.WatchStarted(),
+            messages.WatchEnded(),
+            messages.StoreReadFailed(),
+            messages.ViewChanged(FLEET),
+            messages.ViewChanged({}),
+        ]
+    ),
+)
+
+
+class AnyOrderTest(testtools.TestCase):
+    """Events come late, twice, crossed and after pauses of any length."""
+
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=200)
+    @hypothesis.given(
+        strategies.sampled_from([WATCHER, LISTENER]),
+        strategies.lists(
+            strategies.tuples(DRAWN_EVENTS, strategies.integers(0, 20_000)),
+            max_size=40,
+        ),
+    )
+    def test_revision_never_goes_back_and_the_newest_is_reached(
+        self, host_id: str, steps: list[tuple[messages.Event, int]]
+    ) -> None:
+        machine = host(host_id)
+        now_ms = 0
+        prepared = [0]
+        for event, pause_ms in steps:
+            now_ms += pause_ms
+            for action in machine.handle(event, now_ms):
+                if isinstance(action, messages.Prepare):
+                    prepared.append(action.version.revision)
+        self._serve(machine, now_ms, prepared)
+        self.assertEqual(sorted(set(prepared)), prepared)
+        self.assertThat(machine.version.revision, matchers.Equals(9))
+
+    def _serve(
+        self, machine: spreading.Spreading, now_ms: int, prepared: list[int]
+    ) -> None:
+        """Lets one peer offer and deliver revision 9 while all else fails."""
+        for _ in range(400):
+            now_ms += 50
+            event: messages.Event = messages.PeerHead(SECOND, version(9))
+            for action in machine.handle(event, now_ms):
+                if not isinstance(action, messages.Fetch):
+                    continue
+                answer: messages.Event = messages.FetchFailed(action)
+                if action.host_id == SECOND and action.version.revision == 9:
+                    answer = messages.FetchDone(version(9), action)
+                for after in machine.handle(answer, now_ms):
+                    if isinstance(after, messages.Prepare):
+                        prepared.append(after.version.revision)
+
+
 class WatchersTest(testtools.TestCase):
     def test_each_data_centre_has_one_and_the_fleet_at_least_three(
         self,
--- a/packages/node/sapphire_node/configuration/keeper.py
+++ b/packages/node/sapphire_node/configuration/keeper.py
@@ -196,7 +196,10 @@
         peer_http: httpx.AsyncClient,
     ) -> None:
         """Gives the state machine one event and carries out its actions."""
+        fork_count = len(self._spreading.forks)
         actions = self._spreading.handle(arrival.event, self._time.now_ms())
+        for fork in self._spreading.forks[fork_count:]:
+            event_log.log_failure(_LOGGER, "revision_forked", fork)
         for action in actions:
             match action:
                 case spreading_data.StartWatch():
