--- a/packages/wire/sapphire_wire/flow_messages_test.py
+++ b/packages/wire/sapphire_wire/flow_messages_test.py
@@ -14,6 +14,7 @@
         page = data.HandoverPage(
             service="rota",
             buckets=(1, 2),
+            kept_buckets=(1, 2),
             complete_buckets=(2,),
             upstreams=("a", "b"),
             flow_hashes=(0, HIGHEST_HASH),
@@ -32,16 +33,38 @@
             self.expectThat(answer.ok, matchers.Equals(request))
 
     def test_a_page_that_names_no_upstream_is_refused(self) -> None:
-        page = data.HandoverPage("rota", (), (), ("a",), (5,), (1,), True)
+        page = data.HandoverPage(
+            service="rota",
+            buckets=(),
+            kept_buckets=(),
+            complete_buckets=(),
+            upstreams=("a",),
+            flow_hashes=(5,),
+            upstream_indices=(1,),
+            is_last=True,
+        )
         decoded = flow_messages.decode_handover_page(
             flow_messages.encode_handover_page(page)
         )
         self.assertThat(decoded.is_error(), matchers.Equals(True))
 
-    def test_a_relay_without_an_entry_host_is_refused(self) -> None:
-        body = flow_messages.encode_relay(data.Relay("h", (), None, 1), b"x")
-        decoded = flow_messages.decode_relay(body)
-        self.assertThat(decoded.is_error(), matchers.Equals(True))
+    def test_a_relay_without_hosts_or_fabric_is_refused(self) -> None:
+        for visited, fabric in (
+            ((), ("127.0.0.1", 1)),
+            (("h",), ("localhost", 1)),
+            (("h",), ("127.0.0.1", 0)),
+        ):
+            relay = data.Relay("h2", visited, None, 1)
+            body = flow_messages.encode_relay(relay, b"x", fabric)
+            decoded = flow_messages.decode_relay(body)
+            self.expectThat(decoded.is_error(), matchers.Equals(True))
+
+    def test_a_relay_names_where_the_packet_came_from(self) -> None:
+        relay = data.Relay("h2", ("h1",), "u", 3)
+        body = flow_messages.encode_relay(relay, b"x", ("127.0.0.1", 6080))
+        decoded = flow_messages.decode_relay(body).ok
+        self.assertEqual(("127.0.0.1", 6080), decoded.fabric)
+        self.assertEqual(data.RelayHeader(("h1",), "u", 3), decoded.header)
 
     @hypothesis.settings(derandomize=True, deadline=None)
     @hypothesis.given(strategies.binary(max_size=200))
