--- a/packages/core/sapphire_core/flows/keeper_role.py
+++ b/packages/core/sapphire_core/flows/keeper_role.py
@@ -5,6 +5,7 @@
 from sapphire_core.flows import data
 from sapphire_core.flows import exceptions_table
 from sapphire_core.flows import failures
+from sapphire_core.flows import history_use
 from sapphire_core.flows import keepers as keepers_lib
 from sapphire_core.flows import placement
 from sapphire_core.flows import routes as routes_lib
@@ -57,6 +58,7 @@
         prepared_revision: The newest revision that this host has prepared.
         is_provisional: Whether the first configuration awaits its barrier.
         suspects: Hosts that do not answer but are not yet dead.
+        history: The generations that flows of this host need.
 
     Args:
         host_id: The identity of this host.
@@ -73,6 +75,7 @@
         self.prepared_revision = 0
         self.is_provisional = False
         self.suspects: frozenset[str] = frozenset()
+        self.history = history_use.HistoryUse()
         self._host_id = host_id
         self._keepers = keepers
         self._ramp = ramp
@@ -154,7 +157,7 @@
         recorded = placements.exceptions.get(packet.flow_hash)
         if recorded is not None:
             return self._known(routes, placements, packet, recorded)
-        return self._miss(routes, placements, packet)
+        return self._miss(routes, placements, packet, now_ms)
 
     def accept(
         self,
@@ -333,6 +336,7 @@
         routes: routes_lib.Routes,
         placements: Placements,
         packet: Packet,
+        now_ms: int,
     ) -> data.Decision:
         """Answers for a flow that is not recorded here, or asks on."""
         bucket = packet.flow_hash % routes.bucket_count
@@ -343,6 +347,7 @@
                     continue
                 if self._may_visit(host_id, packet):
                     return self._relay(host_id, packet, None)
+        self.history.note_base(routes, bucket, now_ms)
         base = routes.base_owner(bucket)
         if base is None:
             return data.GiveUp(failures.NoUpstream(routes.name))
--- a/packages/core/sapphire_core/flows/router.py
+++ b/packages/core/sapphire_core/flows/router.py
@@ -4,6 +4,7 @@
 from sapphire_core.flows import exceptions_table
 from sapphire_core.flows import failures
 from sapphire_core.flows import handover
+from sapphire_core.flows import history_cut
 from sapphire_core.flows import keeper_role
 from sapphire_core.flows import keepers as keepers_lib
 from sapphire_core.flows import overlays as overlays_lib
@@ -128,8 +129,11 @@
             view: The membership.
             now_ms: The current time.
         """
+        was_fresh = self._is_fresh(now_ms)
         self._fresh_until_ms = -1
         if view.is_fresh:
+            if not was_fresh:
+                self._ramp.ramp.note_regained(now_ms)
             self._fresh_until_ms = now_ms + VIEW_VALID_MS
             if self._newer_since_ms is not None:
                 limit_ms = self._newer_since_ms + NEWER_GRACE_MS
@@ -268,6 +272,33 @@
         """
         return self._handover.is_released(now_ms)
 
+    def need_reports(self, now_ms: int) -> list[history_cut.NeedReport]:
+        """Returns what the flows of this host need of the pool history.
+
+        It walks over all recorded flows; once a minute is enough.
+
+        Args:
+            now_ms: The current time.
+
+        Returns:
+            A report for each service, to be spread as gossip facts.
+        """
+        reports = []
+        ramping = self._ramp.ramp.cold_upstreams()
+        for routes in self._tables.routes_by_key.values():
+            placements = self._role.placements(routes.name, now_ms)
+            reports.append(
+                self._role.history.report(
+                    self._host_id,
+                    routes,
+                    placements.exceptions.items(),
+                    ramping,
+                    idle_ms=exceptions_table.PERIOD_MS,
+                    now_ms=now_ms,
+                )
+            )
+        return reports
+
     def tick(self, now_ms: int) -> list[data.Action]:
         """Advances timers.
 
@@ -319,6 +350,8 @@
         """Computes the routes again where anything changed."""
         self._tables.rebuild(self._ramp.ramp.cold_upstreams(), now_ms)
         self._handover.note_routes(now_ms, is_trusted)
+        for routes in self._tables.routes_by_key.values():
+            self._role.history.note_start(routes.name, now_ms)
         self._settled_by_key = {
             key: (routes.decisions, routes.bucket_count)
             for key, routes in self._tables.routes_by_key.items()
--- a/packages/core/sapphire_core/flows/start_ramp.py
+++ b/packages/core/sapphire_core/flows/start_ramp.py
@@ -117,6 +117,20 @@
         for cold in self._cold_by_name.values():
             self._assign(cold, now_ms)
 
+    def note_regained(self, now_ms: int) -> None:
+        """Takes all slots over anew, after this host was not fresh.
+
+        Others may have taken the slots meanwhile and hold them until they
+        learn that this host is back.
+
+        Args:
+            now_ms: The current time.
+        """
+        for cold in self._cold_by_name.values():
+            for slot in cold.slots:
+                if slot.held_since_ms is not None:
+                    slot.held_since_ms = now_ms
+
     def admits(self, name: str, is_fresh: bool, now_ms: int) -> bool:
         """Returns whether an upstream may get one more new flow from here.
 
--- a/packages/lab/sapphire_lab/flows/measure.py
+++ b/packages/lab/sapphire_lab/flows/measure.py
@@ -36,7 +36,7 @@
     broken = {}
     for method, name in enumerate(tally.METHODS):
         broken[name] = sum(run.tally.broken[method] for run in runs)
-    packets = sum(run.packets for run in runs)
+    packets = sum(run.packets[tally.FULL] for run in runs)
     state_bytes = sum(run.state_bytes() for run in runs)
     today = figures.imbalance(7, figures.TODAY_BUCKETS, seed)
     large = figures.imbalance(figures.LARGE_POOL, figures.LARGE_BUCKETS, seed)
@@ -55,8 +55,8 @@
             ),
             1,
         ),
-        "us_per_packet": _microseconds(runs, tally.FULL, packets),
-        "us_per_packet_baseline": _microseconds(runs, 0, packets),
+        "us_per_packet": _microseconds(runs, tally.FULL),
+        "us_per_packet_baseline": _microseconds(runs, 0),
         "bytes_per_flow": round(
             state_bytes / sum(len(run.flows) for run in runs), 1
         ),
@@ -72,9 +72,10 @@
     }
 
 
-def _microseconds(runs: list[run_lib.Run], method: int, packets: int) -> float:
+def _microseconds(runs: list[run_lib.Run], method: int) -> float:
     """Returns the time of a method for each packet."""
     seconds = sum(run.seconds[method] for run in runs)
+    packets = sum(run.packets[method] for run in runs)
     return round(seconds / packets * 1e6, 2)
 
 
--- a/packages/lab/sapphire_lab/flows/run.py
+++ b/packages/lab/sapphire_lab/flows/run.py
@@ -21,6 +21,9 @@
 REPEAT_MS = 2_000
 CHURN_PER_STEP = 8
 REPEATED_OPENING = 0.02
+ALL_METHODS = range(3)
+BASELINES = range(2)
+FULL_ONLY = range(2, 3)
 NOT_SENT = data.Drop(failures.UnknownService())
 
 
@@ -42,7 +45,7 @@
         self.operator = scenario.Operator(deployment)
         self.flows: list[tally_lib.Flow] = []
         self.opened = 0
-        self.packets = 0
+        self.packets = [0, 0, 0]
         self.seconds = [0.0, 0.0, 0.0]
         self._due: dict[int, list[tally_lib.Flow]] = {}
         self._waiting: dict[int, list[tally_lib.Flow]] = {}
@@ -84,12 +87,13 @@
         lost = []
         for flow in self.flows:
             for host_id in self.world.hosts_by_id:
-                if self._speak(flow, host_id) is None:
+                if self._speak(flow, host_id, FULL_ONLY) is None:
                     lost.append(flow)
+            self._speak(flow, self._entry(), BASELINES)
         for _ in range(REPEAT_MS // STEP_MS):
             self.world.step(STEP_MS)
         for flow in lost:
-            self._speak(flow, self._entry(), is_last=True)
+            self._speak(flow, self._entry(), FULL_ONLY, is_last=True)
 
     def state_bytes(self) -> int:
         """Returns the bytes of recorded flows on all hosts."""
@@ -173,7 +177,11 @@
         self._due.setdefault(due_ms, []).append(flow)
 
     def _speak(
-        self, flow: tally_lib.Flow, entry: str, is_last: bool = False
+        self,
+        flow: tally_lib.Flow,
+        entry: str,
+        methods: range = ALL_METHODS,
+        is_last: bool = False,
     ) -> data.Decision | None:
         """Sends a packet of an open flow and checks where it ends.
 
@@ -181,7 +189,7 @@
             The decision of the full router; None if the packet was lost.
         """
         full: data.Decision | None = NOT_SENT
-        for method in range(3):
+        for method in methods:
             name = flow.upstreams[method]
             if flow.ended[method] or name is None:
                 continue
@@ -215,7 +223,7 @@
         is_closing: bool = False,
     ) -> data.Decision | None:
         """Sends a packet by one method."""
-        self.packets += method == tally_lib.FULL
+        self.packets[method] += 1
         begin = time.perf_counter()
         decision: data.Decision | None
         if method == tally_lib.FULL:
--- a/packages/lab/sapphire_lab/flows/world.py
+++ b/packages/lab/sapphire_lab/flows/world.py
@@ -16,6 +16,7 @@
 CONFIGURATION_DELAY_MS = (0, 1_500)
 OVERLAY_DELAY_MS = (50, 900)
 DETECTION_MS = (1_000, 2_200)
+SYNC_MS = 1_000
 VIEW_PERIOD_MS = 200
 
 
@@ -95,6 +96,7 @@
         for overlay in self._overlays.values():
             router.apply_overlay(overlay, self.now_ms)
         self._announce(own)
+        self.after(SYNC_MS, lambda: self._sync(host_id))
 
     def leave(self, host_id: str) -> None:
         """Asks a host to stop; it goes once its records are handed over."""
@@ -186,6 +188,19 @@
             if other != member.host.host_id:
                 self._tell(other, member, self.rng.randint(*MEMBER_DELAY_MS))
 
+    def _sync(self, host_id: str) -> None:
+        """Tells a host what it missed while it was starting."""
+        if host_id not in self.hosts_by_id:
+            return
+        for other, host in self.hosts_by_id.items():
+            if other != host_id:
+                delay_ms = self.rng.randint(*MEMBER_DELAY_MS)
+                self._tell(host_id, host.known[other], delay_ms)
+        known = self.hosts_by_id[host_id].known
+        for other in list(known):
+            if other not in self.hosts_by_id:
+                del known[other]
+
     def _tell(
         self, receiver: str, member: records.Member, delay_ms: int
     ) -> None:
