--- a/packages/core/sapphire_core/flows/keeper_role.py
+++ b/packages/core/sapphire_core/flows/keeper_role.py
@@ -237,6 +237,12 @@
         first = self._keepers.first(routes.name, bucket) or self._host_id
         if first != self._host_id and self._may_visit(first, packet):
             return self._relay(first, packet, None)
+        keepers = self._keepers.keepers(routes.name, bucket)
+        is_keeper = not keepers or self._host_id in keepers
+        if not is_keeper and self._may_visit(self._host_id, packet):
+            # The first keeper still takes this host for the first one. It
+            # places the flow when the packet comes back.
+            return self._relay(first, packet, None)
         exceptions = placements.exceptions
         recorded = exceptions.get(packet.flow_hash)
         if recorded is not None and self._is_usable(
