The first revision is announced as activated

The router compared the active revision before and after the barrier; the first one is active from its preparation on, so that its activation was never announced: the status showed no digest and a lag that grew. The router now compares with the revision that it announced last. The new test fails without the change and passes with it.

--- a/packages/core/sapphire_core/flows/router.py
+++ b/packages/core/sapphire_core/flows/router.py
@@ -49,6 +49,7 @@
         self._fresh_until_ms = -1
         self._newer_since_ms: int | None = None
         self._prepared_everywhere = 0
+        self._announced_revision = 0
         self._settled_by_key: dict[bytes, _Settled] = {}
         self._pending_actions: list[data.Action] = []
 
@@ -303,14 +304,16 @@
         self, now_ms: int, is_trusted: bool, *, is_forced: bool
     ) -> None:
         """Activates what has passed its barrier and rebuilds the tables."""
-        before = self._revisions.active
         changed = self._revisions.advance(self._prepared_everywhere, now_ms)
         self._role.is_provisional = self._revisions.is_provisional
         self._role.prepared_revision = self._revisions.newest_revision
         active = self._revisions.active
         if active is not None and active is not self._ramp.noted:
             self._ramp.note_activation(active, now_ms)
-        if active is not None and active is not before:
+        # The first revision is active as soon as it is prepared, so a change
+        # within `advance` alone would miss it.
+        if active is not None and active.revision != self._announced_revision:
+            self._announced_revision = active.revision
             self._pending_actions.append(data.Activated(active.revision))
         if changed or is_forced:
             self._rebuild(now_ms, is_trusted)
--- a/packages/core/sapphire_core/flows/router_test.py
+++ b/packages/core/sapphire_core/flows/router_test.py
@@ -145,6 +145,25 @@
         self.assertEqual([], cluster.broken(placed))
 
 
+class ActivationTest(testtools.TestCase):
+    def test_each_revision_is_announced_once_also_the_first(self) -> None:
+        one = router.Router("h1")
+        told: list[int] = []
+        for revision in (1, 2):
+            service = rota("abc", "bcd") if revision > 1 else rota("abc")
+            one.prepare(builders.configuration(revision, [service]), 0)
+            view = builders.view(members(), revision)
+            one.set_view(view, 0)
+            for now_ms in (0, 100):
+                told.extend(
+                    action.revision
+                    for action in one.tick(now_ms)
+                    if isinstance(action, data.Activated)
+                )
+            self.assertThat(told[-1:], matchers.Equals([revision]))
+        self.assertThat(told, matchers.Equals([1, 2]))
+
+
 class DataCentreTest(testtools.TestCase):
     def test_flows_survive_a_return_that_hosts_activate_one_by_one(
         self,
