Requests: needs are remembered, trials only where loans do not reach; measured

Cause: a lender answered a need only when it arrived, so slots fell idle a moment later while others waited; trials of foreign slots went on although loans worked; two mean deviations of latency let requests time out while they ran. Capacity is now that of the runs drawn in the same run.

--- a/packages/core/sapphire_core/requests/borrowing.py
+++ b/packages/core/sapphire_core/requests/borrowing.py
@@ -4,8 +4,8 @@
 
 from sapphire_core.requests import backoff
 
-MIN_INTERVAL_MS = 10
-MAX_INTERVAL_MS = 2_000
+MIN_INTERVAL_MS = 50
+MAX_INTERVAL_MS = 4_000
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/core/sapphire_core/requests/data.py
+++ b/packages/core/sapphire_core/requests/data.py
@@ -175,12 +175,10 @@
     Attributes:
         host_id: The host.
         service: The service.
-        wanted: The slots that it could use.
     """
 
     host_id: str
     service: str
-    wanted: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -204,9 +202,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SlotReturn:
-    """A host gives a slot back before the loan has ended."""
+    """A host gives a slot back before the loan has ended.
 
+    Attributes:
+        host_id: The host that borrowed.
+        loan: The loan.
+        is_unneeded: Whether no request waits there any more.
+    """
+
+    host_id: str
     loan: SlotLoan
+    is_unneeded: bool
 
 
 PeerMessage = SlotNeed | SlotLoan | SlotReturn
--- /dev/null
+++ b/packages/core/sapphire_core/requests/engine_test.py
@@ -0,0 +1,300 @@
+import dataclasses
+import random
+
+import testtools
+from testtools import matchers
+
+from sapphire_core.requests import data
+from sapphire_core.requests import engine
+from sapphire_core.requests import failures
+from sapphire_data import records
+from sapphire_lab.requests import builders
+
+Fault = data.AttemptFault
+Outcome = data.Outcome
+
+
+def make_engine(slots: int = 1, upstreams: int = 1) -> engine.Engine:
+    host = engine.Engine("h1", random.Random(1))
+    targets = [
+        builders.upstream(f"u{number}", slots=slots)
+        for number in range(upstreams)
+    ]
+    one = builders.service(targets)
+    host.set_configuration(builders.configuration([one]), 0)
+    return host
+
+
+def sends(actions: list[data.Action]) -> list[data.Send]:
+    return [each for each in actions if isinstance(each, data.Send)]
+
+
+def finishes(actions: list[data.Action]) -> list[data.Finish]:
+    return [each for each in actions if isinstance(each, data.Finish)]
+
+
+def calls(actions: list[data.Action]) -> list[data.ClaimBatch]:
+    return [
+        each.batch for each in actions if isinstance(each, data.ApplyClaims)
+    ]
+
+
+def arrive(
+    host: engine.Engine, request: data.Request, now_ms: int = 0
+) -> list[data.Action]:
+    return host.handle(data.RequestArrived(request), now_ms)
+
+
+@dataclasses.dataclass(frozen=True)
+class Case:
+    fault: data.AttemptFault
+    is_idempotent: bool
+    outcome: data.Outcome | None
+
+
+# The outcome None is a retry.
+CASES = (
+    Case(Fault.UNREACHABLE, False, None),
+    Case(Fault.SHED, False, None),
+    Case(Fault.CONNECTION_LOST, False, Outcome.UNKNOWN),
+    Case(Fault.TRUNCATED, False, Outcome.UNKNOWN),
+    Case(Fault.TOO_LARGE, False, Outcome.UNKNOWN),
+    Case(Fault.MISMATCHED, False, Outcome.UNKNOWN),
+    Case(Fault.UNREACHABLE, True, None),
+    Case(Fault.SHED, True, None),
+    Case(Fault.CONNECTION_LOST, True, None),
+    Case(Fault.TRUNCATED, True, None),
+    Case(Fault.MISMATCHED, True, None),
+)
+
+
+class AttemptFaultTest(testtools.TestCase):
+    def test_fault_table_of_attempts(self) -> None:
+        for case in CASES:
+            host = make_engine(upstreams=2)
+            request = builders.request(is_idempotent=case.is_idempotent)
+            sent = sends(arrive(host, request))[0]
+            failed = data.AttemptFailed(sent.attempt_id, case.fault)
+            actions = host.handle(failed, 10)
+            ended = [each.outcome for each in finishes(actions)]
+            expected = [] if case.outcome is None else [case.outcome]
+            self.assertThat(ended, matchers.Equals(expected), str(case))
+            retried = len(sends(actions))
+            wanted = 1 if case.outcome is None else 0
+            self.assertThat(retried, matchers.Equals(wanted), str(case))
+
+    def test_refusal_after_a_lost_attempt_is_unknown(self) -> None:
+        host = make_engine(upstreams=2)
+        request = builders.request(is_idempotent=True, retries_left=1)
+        first = sends(arrive(host, request))[0]
+        lost = data.AttemptFailed(first.attempt_id, Fault.CONNECTION_LOST)
+        second = sends(host.handle(lost, 10))[0]
+        shed = data.AttemptFailed(second.attempt_id, Fault.SHED)
+        end = finishes(host.handle(shed, 20))[0]
+        self.assertThat(end.outcome, matchers.Equals(Outcome.UNKNOWN))
+
+    def test_last_proven_refusal_is_not_run_with_a_time(self) -> None:
+        host = make_engine()
+        sent = sends(arrive(host, builders.request(retries_left=0)))[0]
+        shed = data.AttemptFailed(sent.attempt_id, Fault.SHED)
+        end = finishes(host.handle(shed, 10))[0]
+        self.assertThat(end.outcome, matchers.Equals(Outcome.NOT_RUN))
+        self.assertIsNotNone(end.retry_after_ms)
+
+    def test_shed_of_another_attempt_proves_nothing(self) -> None:
+        host = make_engine()
+        sent = sends(arrive(host, builders.request()))[0]
+        shed = data.AttemptFailed(
+            sent.attempt_id, Fault.SHED, echoed_id="other-1"
+        )
+        end = finishes(host.handle(shed, 10))[0]
+        self.assertThat(end.outcome, matchers.Equals(Outcome.UNKNOWN))
+
+
+class AnswerTest(testtools.TestCase):
+    def answer(self, attempt_id: str, echoed_id: str) -> data.AnswerArrived:
+        return data.AnswerArrived(attempt_id, echoed_id, "b", "whole")
+
+    def test_duplicated_late_crossed_and_foreign_are_dropped(self) -> None:
+        host = make_engine(slots=2)
+        one = sends(arrive(host, builders.request(1)))[0].attempt_id
+        two = sends(arrive(host, builders.request(2)))[0].attempt_id
+        crossed = finishes(host.handle(self.answer(one, two), 1))
+        outcomes = [each.outcome for each in crossed]
+        self.assertThat(outcomes, matchers.Equals([Outcome.UNKNOWN]))
+        self.assertIsNone(crossed[0].answer)
+        whole = finishes(host.handle(self.answer(two, two), 2))
+        self.assertEqual("whole", whole[0].answer)
+        for attempt_id, count in ((two, "duplicated"), (one, "late")):
+            ignored = host.handle(self.answer(attempt_id, attempt_id), 3)
+            self.assertEqual([], finishes(ignored))
+            counted = host.counters[f"answers_{count}"]
+            self.assertThat(counted, matchers.Equals(1))
+        host.handle(self.answer("elsewhere", "elsewhere"), 4)
+        foreign = host.counters["answers_foreign"]
+        self.assertThat(foreign, matchers.Equals(1))
+
+    def test_deadline_cancels_at_the_upstream_and_is_unknown(self) -> None:
+        host = make_engine()
+        sent = sends(arrive(host, builders.request(deadline_ms=100)))[0]
+        actions = host.handle(data.Tick(), 100)
+        self.assertIn(data.CancelAttempt(sent.attempt_id), actions)
+        end = finishes(actions)[0]
+        self.assertThat(end.outcome, matchers.Equals(Outcome.UNKNOWN))
+
+    def test_caller_that_leaves_cancels_at_the_upstream(self) -> None:
+        host = make_engine()
+        sent = sends(arrive(host, builders.request()))[0]
+        actions = host.handle(data.CallerLeft(1), 5)
+        self.assertIn(data.CancelAttempt(sent.attempt_id), actions)
+        self.assertTrue(host.is_idle)
+
+
+class ClaimTest(testtools.TestCase):
+    def claim(self, host: engine.Engine) -> data.ClaimBatch:
+        return calls(arrive(host, builders.request(key="k")))[0]
+
+    def held(self, batch: data.ClaimBatch) -> data.ClaimsApplied:
+        nonces = {claim.key: claim.nonce for claim in batch.creates}
+        return data.ClaimsApplied(batch.batch_id, nonces)
+
+    def test_nothing_is_sent_before_the_claim_is_held(self) -> None:
+        host = make_engine()
+        actions = arrive(host, builders.request(key="k"))
+        self.assertEqual([], sends(actions))
+        after = host.handle(self.held(calls(actions)[0]), 5)
+        self.assertThat(len(sends(after)), matchers.Equals(1))
+
+    def test_claim_of_another_arrival_is_unknown(self) -> None:
+        host = make_engine()
+        batch = self.claim(host)
+        key = batch.creates[0].key
+        other = data.ClaimsApplied(batch.batch_id, {key: "h2/7"})
+        end = finishes(host.handle(other, 5))[0]
+        self.assertThat(end.outcome, matchers.Equals(Outcome.UNKNOWN))
+        duplicate = failures.DuplicateRequest()
+        self.assertEqual(duplicate, end.failure)
+
+    def test_store_down_is_unknown_and_gives_the_claim_back(self) -> None:
+        host = make_engine()
+        batch = self.claim(host)
+        host.handle(data.ClaimsFailed(batch.batch_id), 500)
+        second = calls(host.handle(data.Tick(), 700))[0]
+        actions = host.handle(data.ClaimsFailed(second.batch_id), 900)
+        end = finishes(actions)[0]
+        self.assertThat(end.outcome, matchers.Equals(Outcome.UNKNOWN))
+        self.assertIsNotNone(end.retry_after_ms)
+        later = calls(host.handle(data.Tick(), 9_000))[0]
+        self.assertThat(later.releases, matchers.Equals(batch.creates))
+
+    def test_claim_of_a_request_that_may_have_run_is_kept(self) -> None:
+        for is_answered in (False, True):
+            host = make_engine()
+            batch = self.claim(host)
+            sent = sends(host.handle(self.held(batch), 5))[0]
+            event: data.Event = data.CallerLeft(1)
+            if is_answered:
+                event = data.AnswerArrived(sent.attempt_id, None, None, "w")
+            host.handle(event, 10)
+            releases = [
+                claim
+                for call in calls(host.handle(data.Tick(), 1_000))
+                for claim in call.releases
+            ]
+            self.assertEqual([], releases)
+
+    def test_draining_host_claims_before_it_says_not_run(self) -> None:
+        host = make_engine()
+        host.begin_drain()
+        batch = self.claim(host)
+        actions = host.handle(self.held(batch), 5)
+        end = finishes(actions)[0]
+        self.assertThat(end.outcome, matchers.Equals(Outcome.NOT_RUN))
+        releases = calls(actions)[0].releases
+        self.assertThat(releases, matchers.Equals(batch.creates))
+
+
+class LimitTest(testtools.TestCase):
+    def test_full_queue_makes_room_for_another_caller(self) -> None:
+        host = engine.Engine("h1", random.Random(1))
+        limits = records.Limits(max_queue=4)
+        one = builders.service([builders.upstream()], limits=limits)
+        host.set_configuration(builders.configuration([one]), 0)
+        for serial in range(6):
+            arrive(host, builders.request(serial, caller="busy"))
+        actions = arrive(host, builders.request(9, caller="quiet"))
+        refused = [each.serial for each in finishes(actions)]
+        self.assertThat(refused, matchers.Equals([4]))
+
+    def test_hopeless_request_is_refused_at_once(self) -> None:
+        host = make_engine()
+        first = sends(arrive(host, builders.request(1, deadline_ms=900)))[0]
+        answer = data.AnswerArrived(first.attempt_id, None, None, "whole")
+        host.handle(answer, 400)
+        for serial in (2, 3):
+            arrive(host, builders.request(serial, deadline_ms=5_000), 400)
+        late = builders.request(4, deadline_ms=700)
+        end = finishes(arrive(host, late, 400))[0]
+        self.assertIsInstance(end.failure, failures.DeadlineHopeless)
+        self.assertThat(end.outcome, matchers.Equals(Outcome.NOT_RUN))
+
+    def test_draining_and_out_upstreams_get_no_new_work(self) -> None:
+        drain = records.UpstreamIntent.DRAIN
+        draining = builders.service([builders.upstream(intent=drain)])
+        away = builders.service([builders.upstream()])
+        out = frozenset({builders.CENTRE})
+        for configuration in (
+            builders.configuration([draining]),
+            builders.configuration([away], out=out),
+        ):
+            host = engine.Engine("h1", random.Random(1))
+            host.set_configuration(configuration, 0)
+            end = finishes(arrive(host, builders.request()))[0]
+            refusal = failures.NoUpstream()
+            self.assertEqual(refusal, end.failure)
+
+    def test_data_centre_out_ends_attempts_after_the_grace(self) -> None:
+        host = make_engine()
+        sent = sends(arrive(host, builders.request(deadline_ms=60_000)))[0]
+        one = builders.service([builders.upstream("u0")])
+        out = frozenset({builders.CENTRE})
+        host.set_configuration(builders.configuration([one], out=out), 100)
+        early = host.handle(data.Tick(), 1_000)
+        self.assertEqual([], early)
+        late = host.handle(data.Tick(), 1_100)
+        self.assertIn(data.CancelAttempt(sent.attempt_id), late)
+
+    def test_upstream_with_a_new_boot_id_gets_one_slot(self) -> None:
+        host = make_engine(slots=3)
+        for number, boot_id in enumerate(("b1", "b2")):
+            sent = sends(arrive(host, builders.request(number)))[0]
+            answer = data.AnswerArrived(sent.attempt_id, None, boot_id, "w")
+            host.handle(answer, 10)
+        opened = [
+            len(sends(arrive(host, builders.request(number), 20)))
+            for number in range(5, 8)
+        ]
+        self.assertThat(opened, matchers.Equals([1, 0, 0]))
+
+    def test_idle_slot_is_lent_and_comes_back_by_itself(self) -> None:
+        lent = [self.lent_by("h1", "h2"), self.lent_by("h2", "h1")]
+        self.assertThat(sorted(lent), matchers.Equals([False, True]))
+
+    def lent_by(self, name: str, other: str) -> bool:
+        host = engine.Engine(name, random.Random(1))
+        one = builders.service([builders.upstream("u0")])
+        host.set_configuration(builders.configuration([one]), 0)
+        host.set_view(builders.view([name, other]), 0)
+        need = data.PeerTold(data.SlotNeed(other, builders.SERVICE))
+        lent = [
+            each.message
+            for each in host.handle(need, 0)
+            if isinstance(each, data.TellPeer)
+        ]
+        if not lent:
+            return False
+        waiting = sends(arrive(host, builders.request(), 10))
+        self.assertEqual([], waiting)
+        back = sends(host.handle(data.Tick(), 300))
+        self.assertThat(len(back), matchers.Equals(1))
+        return True
--- a/packages/core/sapphire_core/requests/latency.py
+++ b/packages/core/sapphire_core/requests/latency.py
@@ -4,7 +4,7 @@
 
 GAIN = 0.125
 DEVIATION_GAIN = 0.25
-DEVIATIONS = 2.0
+DEVIATIONS = 4.0
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/core/sapphire_core/requests/lending.py
+++ b/packages/core/sapphire_core/requests/lending.py
@@ -1,21 +1,22 @@
 """Hosts lend each other idle slots for a short time.
 
 The slots of a service seldom divide evenly among hosts. A host whose requests
-wait asks a few others; one with an idle slot may lend it. A loan ends by
-itself at its lender, so a lost message wastes a slot for the loan time at
-most, and a doubled one changes nothing.
+wait asks a few others; one that has an idle slot now or soon lends it, since
+its own next request is only likely, while the other's already waits. A loan
+ends by itself at its lender, so a lost message wastes a slot for the loan time
+at most, and a doubled one changes nothing.
 """
 
 from sapphire_core.requests import data
 from sapphire_core.requests import host_state
+from sapphire_core.requests import need_pace
 from sapphire_core.requests import service_pool
 from sapphire_core.requests import upstream_gate
 
-LOAN_MS = 500
+LOAN_MS = 300
+# A need is remembered for the longest time between two times of asking.
+NEED_MS = need_pace.MAX_INTERVAL_MS
 MAX_ASKED = 8
-MAX_WANTED = 4
-# Loans offered for each slot wanted, over all hosts asked.
-OFFERS_PER_WANTED = 3.0
 
 
 def settle(
@@ -25,6 +26,8 @@
     for gate in pool.gates_by_name.values():
         if gate.loans_by_id:
             _give_back(state, pool, gate, now_ms)
+    if pool.need_ends_ms:
+        _lend_idle(state, pool, now_ms)
     if pool.queue.length and now_ms >= pool.asking.next_ms:
         _ask(state, pool, now_ms)
 
@@ -34,16 +37,20 @@
 ) -> None:
     """Takes in a message of another host."""
     match message:
-        case data.SlotNeed(_, service):
+        case data.SlotNeed(host_id, service):
             pool = state.pools_by_service.get(service)
-            if pool is not None:
-                _consider(state, pool, message, now_ms)
+            if pool is not None and host_id in state.peer_ids:
+                pool.need_ends_ms[host_id] = now_ms + NEED_MS
         case data.SlotLoan():
             _take_loan(state, message, now_ms)
-        case data.SlotReturn(loan):
+        case data.SlotReturn(_, loan):
             pool = state.pools_by_service.get(loan.service)
-            gate = pool.gate(loan.upstream) if pool is not None else None
-            if gate is not None and loan.lender == state.host_id:
+            if pool is None or loan.lender != state.host_id:
+                return
+            if message.is_unneeded:
+                pool.need_ends_ms.pop(message.host_id, None)
+            gate = pool.gate(loan.upstream)
+            if gate is not None:
                 gate.lent_until_ms.pop(loan.loan_id, None)
 
 
@@ -51,36 +58,38 @@
     state: host_state.HostState, pool: service_pool.ServicePool, now_ms: int
 ) -> None:
     pool.asking.note_asked(now_ms)
-    wanted = min(MAX_WANTED, pool.queue.length)
-    need = data.SlotNeed(state.host_id, pool.service.name, wanted)
+    need = data.SlotNeed(state.host_id, pool.service.name)
     count = min(MAX_ASKED, len(state.peer_ids))
     for peer_id in state.rng.sample(state.peer_ids, count):
         state.actions.append(data.TellPeer(peer_id, need))
 
 
-def _consider(
+def _lend_idle(
+    state: host_state.HostState, pool: service_pool.ServicePool, now_ms: int
+) -> None:
+    for host_id, end_ms in list(pool.need_ends_ms.items()):
+        if now_ms >= end_ms or host_id not in state.peer_ids:
+            del pool.need_ends_ms[host_id]
+    if pool.queue.length:
+        return
+    for gate in pool.gates_by_name.values():
+        if not pool.need_ends_ms:
+            return
+        if gate.loans_by_id or gate.is_cold(now_ms):
+            continue
+        if gate.has_own_slot(now_ms):
+            _lend(state, pool, gate, now_ms)
+
+
+def _lend(
     state: host_state.HostState,
     pool: service_pool.ServicePool,
-    need: data.SlotNeed,
+    gate: upstream_gate.UpstreamGate,
     now_ms: int,
 ) -> None:
-    if pool.queue.length or need.host_id not in state.peer_ids:
-        return
-    idle = [
-        gate
-        for gate in pool.gates_by_name.values()
-        if gate.has_own_slot(now_ms)
-        and not gate.loans_by_id
-        and not gate.is_cold(now_ms)
-    ]
-    asked = min(MAX_ASKED, len(state.peer_ids))
-    chance = need.wanted * OFFERS_PER_WANTED / asked
-    if not idle or state.rng.random() >= chance:
-        return
-    gate = state.rng.choice(idle)
+    host_id = state.rng.choice(list(pool.need_ends_ms))
     state.loan_count += 1
     state.counters["slots_lent"] += 1
-    # The last attempt of the borrower may still run when the loan ends.
     gate.lent_until_ms[state.loan_count] = now_ms + LOAN_MS
     loan = data.SlotLoan(
         state.host_id,
@@ -89,7 +98,7 @@
         gate.upstream.name,
         LOAN_MS,
     )
-    state.actions.append(data.TellPeer(need.host_id, loan))
+    state.actions.append(data.TellPeer(host_id, loan))
 
 
 def _take_loan(
@@ -121,5 +130,6 @@
         if gate.in_flight > gate.usable_slots(now_ms) - spare:
             continue
         del gate.loans_by_id[key]
-        back = data.SlotReturn(held.loan)
+        is_unneeded = pool.queue.length == 0
+        back = data.SlotReturn(state.host_id, held.loan, is_unneeded)
         state.actions.append(data.TellPeer(held.loan.lender, back))
--- a/packages/core/sapphire_core/requests/need_pace.py
+++ b/packages/core/sapphire_core/requests/need_pace.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-MIN_INTERVAL_MS = 30
+MIN_INTERVAL_MS = 250
 MAX_INTERVAL_MS = 1_000
 
 
@@ -13,10 +13,12 @@
     Attributes:
         next_ms: The other hosts are not asked before this time.
         interval_ms: The time between two times of asking.
+        has_answer: Whether any host has ever lent a slot.
     """
 
     next_ms: int = 0
     interval_ms: int = MIN_INTERVAL_MS
+    has_answer: bool = False
 
     def note_asked(self, now_ms: int) -> None:
         """Takes in that the other hosts are asked."""
@@ -26,3 +28,4 @@
     def note_loan(self) -> None:
         """Takes in that one has lent a slot."""
         self.interval_ms = MIN_INTERVAL_MS
+        self.has_answer = True
--- a/packages/core/sapphire_core/requests/service_pool.py
+++ b/packages/core/sapphire_core/requests/service_pool.py
@@ -37,6 +37,8 @@
         observed: The time that upstreams take.
         borrow_pace: How often slots of other hosts are tried.
         asking: How often other hosts are asked for a slot.
+        need_ends_ms: Until when another host's need for a slot is remembered,
+            by host.
         is_fresh: Whether peers confirmed this host recently; if not, cold
             upstreams get nothing from it.
     """
@@ -62,6 +64,7 @@
     asking: need_pace.NeedPace = dataclasses.field(
         default_factory=need_pace.NeedPace
     )
+    need_ends_ms: dict[str, int] = dataclasses.field(default_factory=dict)
     is_fresh: bool = True
 
     def gate(self, name: str) -> upstream_gate.UpstreamGate | None:
@@ -162,6 +165,8 @@
         ]
         if own:
             return self._choose(own, tried, rng), False
+        if self.asking.has_answer and self.own_slots() > 0:
+            return None
         if not self.borrow_pace.is_due(now_ms):
             return None
         self.budget.refill(now_ms)
@@ -206,9 +211,13 @@
         least = min(gate.in_flight for gate in candidates)
         return rng.choice([g for g in candidates if g.in_flight == least])
 
+    def own_slots(self) -> int:
+        """Returns the slots of this host."""
+        return sum(len(g.slot_numbers) for g in self.gates_by_name.values())
+
     def concurrency(self) -> int:
         """Returns the attempts that this host may keep in flight."""
-        own = sum(len(g.slot_numbers) for g in self.gates_by_name.values())
+        own = self.own_slots()
         in_flight = sum(g.in_flight for g in self.gates_by_name.values())
         return max(1, own, in_flight)
 
--- a/packages/core/sapphire_core/requests/upstream_gate.py
+++ b/packages/core/sapphire_core/requests/upstream_gate.py
@@ -75,6 +75,8 @@
 
     def has_own_slot(self, now_ms: int) -> bool:
         """Whether a slot of this host is free and may be used."""
+        if self.in_flight >= len(self.slot_numbers) + len(self.loans_by_id):
+            return False
         if now_ms < self.blocked_until_ms:
             return False
         return self.in_flight < self.usable_slots(now_ms)
@@ -100,7 +102,7 @@
         """Whether a slot of another host may be tried."""
         if now_ms < self.blocked_until_ms or self.is_cold(now_ms):
             return False
-        return self.in_flight < self.upstream.slots
+        return self.in_flight + len(self.lent_until_ms) < self.upstream.slots
 
     def set_cold(self, now_ms: int) -> None:
         """Starts the warm-up."""
--- a/packages/lab/sapphire_lab/requests/measure.py
+++ b/packages/lab/sapphire_lab/requests/measure.py
@@ -78,7 +78,7 @@
     ratios = []
     for service in _services(run):
         answered = _answered(run, service, SETTLE_MS, end_ms)
-        borne = run.capacity_per_second(service) * LOAD_MS / 1_000
+        borne = run.borne_per_second(service) * LOAD_MS / 1_000
         ratios.append(answered / borne)
     _finish(run)
     return run, min(ratios)
--- a/packages/lab/sapphire_lab/requests/scenario.py
+++ b/packages/lab/sapphire_lab/requests/scenario.py
@@ -91,6 +91,22 @@
         targets = self.site.targets_by_service[service]
         return targets * self.site.slots * 1_000 / MEAN_RUN_MS
 
+    def borne_per_second(self, service: str) -> float:
+        """Returns what the upstreams of a service bore in this very run.
+
+        It is their slots divided by the mean time of the runs drawn.
+        """
+        runs = 0
+        run_time_ms = 0
+        slots = 0
+        for upstream in self.upstreams_by_name.values():
+            if not upstream.record.name.startswith(f"{service}-"):
+                continue
+            runs += upstream.runs
+            run_time_ms += upstream.run_time_ms
+            slots += upstream.record.slots
+        return slots * 1_000 * runs / max(1, run_time_ms)
+
     def set_load(self, load: float) -> None:
         """Offers a multiple of what the upstreams bear, to each service."""
         for service in self.site.targets_by_service:
--- a/packages/lab/sapphire_lab/requests/upstream_fake.py
+++ b/packages/lab/sapphire_lab/requests/upstream_fake.py
@@ -62,6 +62,8 @@
         attempts: The attempts that reached it.
         sheds: The attempts that it shed.
         answers: The answers that it gave.
+        runs: The runs that it started.
+        run_time_ms: The time that these runs take, all together.
         falls: How often it fell over while cold.
     """
 
@@ -74,6 +76,8 @@
     sheds: int = 0
     answers: int = 0
     falls: int = 0
+    runs: int = 0
+    run_time_ms: int = 0
     boot_number: int = 1
     is_up: bool = True
     cold_until_ms: int = 0
@@ -117,7 +121,10 @@
         start = (self.sim.now_ms, run.arrival)
         self.log.starts_by_id[run.request_id].append(start)
         self._runs_by_attempt[attempt_id] = run
-        self.sim.after(self._run_ms(), lambda: self._finish(run))
+        run_ms = self._run_ms()
+        self.runs += 1
+        self.run_time_ms += run_ms
+        self.sim.after(run_ms, lambda: self._finish(run))
 
     def cancel(self, attempt_id: str) -> None:
         """Stops a run whose connection was closed."""
