--- a/packages/node/sapphire_node/requests/service.py
+++ b/packages/node/sapphire_node/requests/service.py
@@ -1,5 +1,6 @@
 """The task that owns the requests of a host."""
 
+from collections.abc import Callable
 from collections.abc import Iterator
 from collections.abc import Mapping
 import contextlib
@@ -87,6 +88,9 @@
 )
 
 
+TellPeer = Callable[[str, core_data.PeerMessage], None]
+
+
 class RequestService:
     """Runs the core of one host over HTTP/1.1.
 
@@ -107,6 +111,7 @@
         service_clock: clock.Clock,
         *,
         rng: random.Random | None = None,
+        tell_peer: TellPeer | None = None,
         upload_memory_bytes: int = UPLOAD_MEMORY_BYTES,
         answer_memory_bytes: int = ANSWER_MEMORY_BYTES,
     ) -> None:
@@ -115,6 +120,7 @@
         self.answer_memory = answer_memory.AnswerMemory(answer_memory_bytes)
         self.services_by_name: Mapping[str, records.Service] = {}
         self._claim_store = claim_store
+        self._tell_peer = tell_peer
         self._engine = engine.Engine(host_id, rng or random.Random())
         self._submits_by_serial: dict[int, Submit] = {}
         self._configuration: records.Configuration | None = None
@@ -148,6 +154,10 @@
         """Takes in the membership."""
         self.post(SetView(view))
 
+    def peer_told(self, message: core_data.PeerMessage) -> None:
+        """Takes in a message about idle slots from another host."""
+        self.post(core_data.PeerTold(message))
+
     def begin_drain(self) -> None:
         """Refuses new requests as not run; those in flight are finished."""
         self.post(BeginDrain())
@@ -261,6 +271,9 @@
             case core_data.Finish(serial):
                 submit = self._submits_by_serial.pop(serial)
                 self._reply(submit, action)
+            case core_data.TellPeer(host_id, peer_message):
+                if self._tell_peer is not None:
+                    self._tell_peer(host_id, peer_message)
             case core_data.ApplyClaims(batch):
                 tasks.start_soon(self._apply, batch)
 
--- a/packages/wire/sapphire_wire/message_kind.py
+++ b/packages/wire/sapphire_wire/message_kind.py
@@ -14,3 +14,4 @@
     HANDOVER_REQUEST = 3
     HANDOVER_PAGE = 4
     CONFIGURATION_NOTICE = 5
+    SLOT_MESSAGE = 6
