--- a/packages/net/sapphire_net/store/claim_store.py
+++ b/packages/net/sapphire_net/store/claim_store.py
@@ -18,6 +18,7 @@
 from sapphire_net.store import environment as environments
 
 RETENTION_MS = 3_600_000
+LEASE_USE_MS = 600_000
 MAX_ROUNDS = 4
 
 _ABSENT = 0
@@ -70,6 +71,9 @@
                 compares, writes, [self._key(key) for key in keys]
             )
             if answer.is_error():
+                # The store may have lost the lease, so the next call asks
+                # for another.
+                self._lease_until_ms = 0
                 return expression.Error(
                     request_failures.ClaimFailure(str(answer.error))
                 )
@@ -133,17 +137,19 @@
     async def _current_lease(
         self,
     ) -> expression.Result[int, request_failures.ClaimFailure]:
-        """Returns the lease of new claims; each lives for its retention."""
+        """Returns the lease of new claims, which outlives their retention."""
         now_ms = self._time.now_ms()
         if now_ms < self._lease_until_ms:
             return expression.Ok(self._lease_id)
-        granted = await self._environment.store.grant_lease(2 * RETENTION_MS)
+        granted = await self._environment.store.grant_lease(
+            RETENTION_MS + LEASE_USE_MS
+        )
         if granted.is_error():
             return expression.Error(
                 request_failures.ClaimFailure(str(granted.error))
             )
         self._lease_id = granted.ok.lease_id
-        self._lease_until_ms = now_ms + RETENTION_MS
+        self._lease_until_ms = now_ms + LEASE_USE_MS
         return expression.Ok(self._lease_id)
 
     def _by_claim_key(
--- a/packages/net/sapphire_net/store/claim_store_test.py
+++ b/packages/net/sapphire_net/store/claim_store_test.py
@@ -103,24 +103,36 @@
 
         run(check)
 
-    def test_a_repeated_call_finds_its_own_claim_after_a_lost_answer(
+    def test_a_call_repeated_after_each_fault_finds_its_own_claim(
         self,
     ) -> None:
         async def check(bench: Bench) -> None:
             await holders(bench.first, batch(0, {"warm": "n"}))
-            bench.stand_in.set_faults(store_faults.Faults(lost_answers=1))
-            wanted = batch(1, {"a": "n1"})
-            lost = await bench.first.apply(wanted)
-            self.assertTrue(lost.is_error())
-            self.assertEqual({"a": "n1"}, await holders(bench.first, wanted))
+            faults_table = (
+                store_faults.Faults(is_down=True),
+                store_faults.Faults(lost_requests=1),
+                store_faults.Faults(lost_answers=1),
+                store_faults.Faults(writes_per_second=0),
+            )
+            for number, faults in enumerate(faults_table, start=1):
+                bench.stand_in.set_faults(faults)
+                wanted = batch(number, {f"k{number}": "n1"})
+                failed = await bench.first.apply(wanted)
+                self.assertTrue(failed.is_error(), str(faults))
+                bench.stand_in.set_faults(store_faults.Faults())
+                held = await holders(bench.first, wanted)
+                self.assertEqual({f"k{number}": "n1"}, held)
 
         run(check)
 
-    def test_a_store_that_is_down_is_a_typed_failure(self) -> None:
+    def test_a_lapsed_lease_is_replaced(self) -> None:
         async def check(bench: Bench) -> None:
-            bench.stand_in.set_faults(store_faults.Faults(is_down=True))
-            outcome = await bench.first.apply(batch(1, {"a": "n1"}))
-            self.assertTrue(outcome.is_error())
+            await holders(bench.first, batch(1, {"a": "n1"}))
+            for lease_id in list(bench.stand_in.state.leases_by_id):
+                bench.stand_in.state.revoke(lease_id)
+            await bench.first.apply(batch(2, {"b": "n1"}))
+            held = await holders(bench.first, batch(3, {"b": "n1"}))
+            self.assertEqual({"b": "n1"}, held)
 
         run(check)
 
