--- a/packages/lab/sapphire_lab/stand_ins/host_api.py
+++ b/packages/lab/sapphire_lab/stand_ins/host_api.py
@@ -8,13 +8,13 @@
 
 import anyio
 import hypercorn.asyncio
-import hypercorn.config
 from starlette import applications
 from starlette import requests
 from starlette import responses
 from starlette import routing
 
 from sapphire_lab.stand_ins import store
+from sapphire_net import http_server
 from sapphire_net.store import environment as environments
 from sapphire_wire import api
 from sapphire_wire.documents import packing
@@ -22,21 +22,6 @@
 SHUTDOWN_S = 0.2
 
 
-class _Config(hypercorn.config.Config):
-    """A server configuration with a TLS context that is given."""
-
-    tls_context: ssl.SSLContext | None = None
-
-    @property
-    def ssl_enabled(self) -> bool:
-        """Whether there is a TLS context."""
-        return self.tls_context is not None
-
-    def create_ssl_context(self) -> ssl.SSLContext | None:
-        """Returns the TLS context."""
-        return self.tls_context
-
-
 class FakeHost:
     """A host that has in force what a stand-in store holds.
 
@@ -151,7 +136,7 @@
     """
     listener = socket.create_server(("127.0.0.1", 0))
     host.port = listener.getsockname()[1]
-    config = _Config()
+    config = http_server.ServerConfig()
     config.tls_context = tls_context
     config.bind = [f"fd://{listener.detach()}"]
     config.graceful_timeout = SHUTDOWN_S
--- a/packages/net/sapphire_net/http_server.py
+++ b/packages/net/sapphire_net/http_server.py
@@ -12,16 +12,20 @@
 MS_PER_SECOND = 1_000
 DEFAULT_KEEP_ALIVE_MS = 60_000
 DEFAULT_GRACE_MS = 30_000
+CANCELLED_GRACE_MS = 200
 BACKLOG_CONNECTIONS = 1_024
 
 AsgiApp = Callable[[Any, Any, Any], Awaitable[None]]
 
 
-class _ServerConfig(hypercorn.config.Config):
+class ServerConfig(hypercorn.config.Config):
     """A configuration that takes a live TLS context.
 
     The library builds its context from files once; a context that others
     keep up to date allows certificates to change without a restart.
+
+    Attributes:
+        tls_context: The context; None serves in the clear.
     """
 
     tls_context: ssl.SSLContext | None = None
@@ -58,7 +62,7 @@
     Raises:
         OSError: When the port cannot be bound.
     """
-    config = _ServerConfig()
+    config = ServerConfig()
     config.tls_context = tls_context
     host = f"[{address}]" if ":" in address else address
     config.bind = [f"{host}:{port}"]
@@ -74,6 +78,11 @@
         tasks.start_soon(_run, app, config, stop)
         try:
             await wait_for_stop()
+        except BaseException:
+            # What answers the open requests is cancelled likewise, so that
+            # there is nothing to wait for.
+            config.graceful_timeout = CANCELLED_GRACE_MS / MS_PER_SECOND
+            raise
         finally:
             stop.set()
 
