--- /dev/null
+++ b/packages/lab/sapphire_lab/daemon/bench.py
@@ -0,0 +1,314 @@
+"""Runs whole daemons over loopback sockets in the process of a test."""
+
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+import contextlib
+import dataclasses
+import ipaddress
+import json
+import pathlib
+import signal
+import socket
+import ssl
+from typing import Any
+
+import anyio
+from anyio import abc
+from anyio.streams import memory
+import httpx
+
+from sapphire_lab.config import builders as config_builders
+from sapphire_lab.trust import builders as trust_builders
+from sapphire_lab.trust import certificates
+from sapphire_net.store import changes
+from sapphire_net.store import client as store_client
+from sapphire_net.store import environment as environments
+from sapphire_net.store import reading
+from sapphire_net.trust import tls
+from sapphire_node import api
+from sapphire_node import daemon
+from sapphire_node import loading
+
+PREFIX = "/trial/"
+POLL_S = 0.02
+WAIT_S = 20
+REREAD_MS = 50
+DRAIN_TIMEOUT_MS = 5_000
+_POOLS = {"rota": {"rota-1": "tacoma"}}
+# Nothing listens on it: connections are refused at once.
+DOWN_STORE_URL = "http://127.0.0.1:9"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HostFiles:
+    """The files and sockets of one daemon.
+
+    Attributes:
+        directory: Where its files are.
+        address: Its IP number.
+        ports: Its ports by name.
+        tls_files: Its certificate; None serves the API in the clear.
+    """
+
+    directory: pathlib.Path
+    address: str
+    ports: dict[str, int]
+    tls_files: tls.TlsFiles | None
+
+    @property
+    def settings_file(self) -> pathlib.Path:
+        """The settings of the daemon."""
+        return self.directory / "host.json5"
+
+    @property
+    def key_file(self) -> pathlib.Path:
+        """The keys of control messages."""
+        return self.directory / "keys.json5"
+
+    @property
+    def api_url(self) -> str:
+        """The base URL of the API."""
+        scheme = "http" if self.tls_files is None else "https"
+        return f"{scheme}://{self.address}:{self.ports['api']}"
+
+
+def create(
+    parent: pathlib.Path,
+    address: str,
+    store_url: str,
+    *,
+    data_centre: str = "tacoma",
+    seeds: tuple[HostFiles, ...] = (),
+    authority: certificates.Authority | None = None,
+    leave_notice_ms: int = 0,
+) -> HostFiles:
+    """Writes the files of a daemon.
+
+    Args:
+        parent: Where its directory is made.
+        address: Its IP number, of loopback.
+        store_url: The base URL of the store.
+        data_centre: The name of its data centre.
+        seeds: The hosts to contact first.
+        authority: Issues its certificate; None for an API in the clear.
+        leave_notice_ms: How long it still takes work once it leaves.
+
+    Returns:
+        The files.
+    """
+    directory = parent / address
+    directory.mkdir()
+    tls_files = None
+    trust: dict[str, Any] = {
+        "key_ring_file": "keys.json5",
+        "reread_ms": REREAD_MS,
+    }
+    if authority is not None:
+        tls_files = authority.issue(
+            directory / "tls",
+            address,
+            "host",
+            address=ipaddress.IPv4Address(address),
+        )
+        trust["tls"] = {
+            "certificate_file": "tls/certificate.pem",
+            "key_file": "tls/key.pem",
+            "authority_file": "tls/authorities.pem",
+        }
+    files = HostFiles(directory, address, _free_ports(address), tls_files)
+    trust_builders.write_key_file(
+        files.key_file, {1: trust_builders.secret(1)}, 1
+    )
+    settings = {
+        "data_centre": data_centre,
+        "address": address,
+        "ports": files.ports,
+        "seeds": [
+            {"address": seed.address, "control_port": seed.ports["control"]}
+            for seed in seeds
+        ],
+        "store": {"endpoints": [store_url], "prefix": PREFIX},
+        "trust": trust,
+        "leave_notice_ms": leave_notice_ms,
+        "fabric_quiet_ms": 0,
+        "drain_timeout_ms": DRAIN_TIMEOUT_MS,
+    }
+    files.settings_file.write_text(json.dumps(settings))
+    return files
+
+
+def _free_ports(address: str) -> dict[str, int]:
+    """Returns ports that were free a moment ago."""
+    ports = {}
+    with contextlib.ExitStack() as stack:
+        for name, kind in (
+            ("fabric", socket.SOCK_DGRAM),
+            ("control", socket.SOCK_DGRAM),
+            ("api", socket.SOCK_STREAM),
+            ("requests", socket.SOCK_STREAM),
+        ):
+            probe = stack.enter_context(socket.socket(socket.AF_INET, kind))
+            probe.bind((address, 0))
+            ports[name] = probe.getsockname()[1]
+    return ports
+
+
+class RunningHost:
+    """A daemon that runs in the process of the test.
+
+    Attributes:
+        files: Its files.
+        outcome: How it ended; None while it runs.
+    """
+
+    def __init__(self, files: HostFiles) -> None:
+        self.files = files
+        self.outcome: daemon.Outcome | None = None
+        self._ended = anyio.Event()
+        self._send: memory.MemoryObjectSendStream[signal.Signals]
+        self._send, self._signals = anyio.create_memory_object_stream[
+            signal.Signals
+        ](2)
+
+    async def run(self) -> None:
+        """Runs the daemon to its end."""
+        loaded, errors = loading.load(self.files.settings_file)
+        if loaded is None:
+            raise ValueError(errors)
+        self.outcome = await daemon.run_until(loaded, self._signals)
+        self._ended.set()
+
+    def terminate(self) -> None:
+        """Sends the signal that begins the departure."""
+        self._send.send_nowait(signal.SIGTERM)
+
+    async def wait_ended(self) -> daemon.Outcome | None:
+        """Waits for the end of the daemon and says how it ended."""
+        with anyio.fail_after(WAIT_S):
+            await self._ended.wait()
+        return self.outcome
+
+
+async def start(files: HostFiles, tasks: abc.TaskGroup) -> RunningHost:
+    """Starts a daemon and waits until its API listens.
+
+    Args:
+        files: Its files.
+        tasks: Runs it.
+
+    Returns:
+        The daemon.
+    """
+    host = RunningHost(files)
+    tasks.start_soon(host.run)
+    with anyio.fail_after(WAIT_S):
+        while host.outcome is None:
+            try:
+                stream = await anyio.connect_tcp(
+                    files.address, files.ports["api"]
+                )
+            except OSError:
+                await anyio.sleep(POLL_S)
+                continue
+            await stream.aclose()
+            break
+    return host
+
+
+@contextlib.asynccontextmanager
+async def client(
+    files: tls.TlsFiles | None = None,
+) -> AsyncIterator[httpx.AsyncClient]:
+    """Opens a client of the API that makes a connection for each request.
+
+    Args:
+        files: The certificate that it shows; None speaks in the clear.
+
+    Yields:
+        The client.
+    """
+    verify: ssl.SSLContext | bool = False
+    if files is not None:
+        verify = ssl.create_default_context(cafile=files.authorities)
+        verify.load_cert_chain(files.certificate, files.private_key)
+    async with httpx.AsyncClient(
+        verify=verify,
+        trust_env=False,
+        timeout=WAIT_S,
+        limits=httpx.Limits(max_keepalive_connections=0),
+    ) as http:
+        yield http
+
+
+async def wait_until(
+    http: httpx.AsyncClient,
+    url: str,
+    is_reached: Callable[[httpx.Response], bool],
+) -> httpx.Response:
+    """Asks until an answer is as wanted.
+
+    Args:
+        http: The client.
+        url: What to ask for.
+        is_reached: Whether an answer is as wanted.
+
+    Returns:
+        That answer.
+
+    Raises:
+        TimeoutError: When no answer was in time.
+    """
+    with anyio.fail_after(WAIT_S):
+        while True:
+            answer = await http.get(url)
+            if is_reached(answer):
+                return answer
+            await anyio.sleep(POLL_S)
+
+
+async def wait_admitted(http: httpx.AsyncClient, files: HostFiles) -> None:
+    """Waits until a host takes the client's certificate.
+
+    Args:
+        http: The client.
+        files: The host.
+
+    Raises:
+        TimeoutError: When it did not in time.
+    """
+    with anyio.fail_after(WAIT_S):
+        while True:
+            try:
+                await http.get(files.api_url + api.HEALTH_PATH)
+            except httpx.TransportError:
+                await anyio.sleep(POLL_S)
+                continue
+            return
+
+
+async def publish(store_url: str, drained: tuple[str, ...] = ()) -> None:
+    """Puts a document with one service and one upstream in force.
+
+    Args:
+        store_url: The base URL of the store.
+        drained: The upstreams that drain.
+    """
+    async with store_client.open_client(store_url) as http:
+        environment = environments.Environment(
+            store_client.GatewayStore(http), PREFIX
+        )
+        seen = (await reading.read_snapshot(environment)).ok
+        applied = await changes.apply(
+            environment,
+            seen,
+            changes.Intent(
+                document=config_builders.document_bytes(
+                    _POOLS, drained=drained
+                ),
+                bindings=config_builders.bindings_bytes(_POOLS, network=127),
+                author="ann",
+                acknowledged=("tacoma",),
+            ),
+        )
+        if applied.is_error():
+            raise ValueError(applied.error)
--- a/packages/net/sapphire_net/trust/roles.py
+++ b/packages/net/sapphire_net/trust/roles.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Mapping
+import contextvars
 import dataclasses
 import enum
 from typing import Any
@@ -37,6 +38,12 @@
     role: Role
 
 
+# The peer of the TLS connection that the current task serves.
+PEER: contextvars.ContextVar[Identity | None] = contextvars.ContextVar(
+    "sapphirearch_tls_peer", default=None
+)
+
+
 def identify(
     certificate: Mapping[str, Any] | None, permitted: frozenset[Role]
 ) -> expression.Result[Identity, failures.RoleRefused]:
--- a/packages/net/sapphire_net/trust/tls.py
+++ b/packages/net/sapphire_net/trust/tls.py
@@ -45,9 +45,12 @@
     permitted_roles: frozenset[roles.Role] = frozenset()
 
 
-def _refuse_other_roles(connection: ssl.SSLObject | ssl.SSLSocket) -> None:
+def _admit(connection: ssl.SSLObject | ssl.SSLSocket) -> roles.Identity:
     """Ends a handshake whose peer has no permitted role.
 
+    Returns:
+        The identity of the peer.
+
     Raises:
         ssl.SSLCertVerificationError: When the role is not permitted.
     """
@@ -60,6 +63,7 @@
         raise ssl.SSLCertVerificationError(
             f"{refused.code} subject={refused.subject!r} role={refused.role!r}"
         )
+    return identified.ok
 
 
 class _RoleObject(ssl.SSLObject):
@@ -68,7 +72,9 @@
     def do_handshake(self) -> None:
         """Shakes hands, then checks the role of the peer."""
         super().do_handshake()
-        _refuse_other_roles(self)
+        # Asynchronous servers start the task of a connection within the call
+        # that ends its handshake, so that the task inherits the identity.
+        roles.PEER.set(_admit(self))
 
 
 class _RoleSocket(ssl.SSLSocket):
@@ -77,7 +83,7 @@
     def do_handshake(self, block: bool = False) -> None:
         """Shakes hands, then checks the role of the peer."""
         super().do_handshake(block)
-        _refuse_other_roles(self)
+        _admit(self)
 
 
 def create_context(
--- a/packages/node/sapphire_node/api.py
+++ b/packages/node/sapphire_node/api.py
@@ -9,6 +9,7 @@
 from starlette import responses
 from starlette import routing
 
+from sapphire_net.trust import roles
 from sapphire_node import lifecycle
 from sapphire_wire import api
 
@@ -18,6 +19,7 @@
 CONFIGURATION_PATH = "/v1/configuration"
 KNOWN_REVISION_PARAMETER = "known"
 
+HTTP_FORBIDDEN = 403
 HTTP_NOT_FOUND = 404
 HTTP_UNAVAILABLE = 503
 _METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
@@ -44,11 +46,15 @@
     configuration: Callable[[int], bytes | None]
 
 
-def create_app(readers: Readers) -> applications.Starlette:
+def create_app(
+    readers: Readers, *, requires_role: bool = False
+) -> applications.Starlette:
     """Creates the application.
 
     Args:
         readers: What it reads.
+        requires_role: Whether only peers with a host's certificate may fetch
+            configurations; each connection is served over TLS then.
 
     Returns:
         The application.
@@ -70,12 +76,19 @@
         return responses.Response(readers.metrics(), media_type=_METRICS_TYPE)
 
     async def status(request: requests.Request) -> responses.Response:
-        return _model(readers.status(_service(request)))
+        service = _service(request)
+        answer = readers.status(service)
+        detail = request.query_params.get(api.DETAIL_PARAMETER)
+        if detail == api.DETAIL_BRIEF:
+            answer = api.shorten(answer, service)
+        return _model(answer)
 
     async def slo(request: requests.Request) -> responses.Response:
         return _model(readers.slo(_service(request)))
 
     async def configuration(request: requests.Request) -> responses.Response:
+        if requires_role and not _is_host():
+            return responses.Response(status_code=HTTP_FORBIDDEN)
         record = readers.configuration(_known_revision(request))
         if record is None:
             return responses.Response(status_code=HTTP_NOT_FOUND)
@@ -93,6 +106,12 @@
     )
 
 
+def _is_host() -> bool:
+    """Returns whether the peer of the current connection is a host."""
+    peer = roles.PEER.get()
+    return peer is not None and peer.role is roles.Role.HOST
+
+
 def _service(request: requests.Request) -> str | None:
     """Returns the service that a request is limited to, if any."""
     return request.query_params.get(api.SERVICE_PARAMETER)
--- /dev/null
+++ b/packages/node/sapphire_node/daemon_trust_test.py
@@ -0,0 +1,145 @@
+"""Two daemons whose API is served over TLS, with rotation."""
+
+import ipaddress
+import pathlib
+import tempfile
+
+import anyio
+import httpx
+import testtools
+
+from sapphire_data import clock
+from sapphire_lab.daemon import bench
+from sapphire_lab.stand_ins import store
+from sapphire_lab.trust import builders
+from sapphire_lab.trust import certificates
+from sapphire_net.trust import tls
+
+FIRST = "127.71.1.1"
+SECOND = "127.71.1.2"
+REVISION_PATH = "/v1/configuration"
+STATUS_PATH = "/v1/status"
+
+
+async def ask(url: str, files: tls.TlsFiles | None) -> int | str:
+    """Returns the status of the answer, or the error of the connection."""
+    async with bench.client(files) as http:
+        try:
+            return (await http.get(url)).status_code
+        except httpx.TransportError as error:
+            return type(error).__name__
+
+
+class DaemonTrustTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        temporary = tempfile.TemporaryDirectory()
+        self.addCleanup(temporary.cleanup)
+        self.directory = pathlib.Path(temporary.name)
+        self.authority = certificates.Authority("trial")
+
+    def issue(
+        self, authority: certificates.Authority, name: str, unit: str
+    ) -> tls.TlsFiles:
+        return authority.issue(self.directory / name, name, unit)
+
+    def test_peers_fetch_over_tls_and_others_may_not(self) -> None:
+        anyio.run(self._fetch_and_refuse, backend_options={"use_uvloop": True})
+
+    async def _fetch_and_refuse(self) -> None:
+        stand_in = store.StandInStore(clock.MonotonicClock())
+        operator = self.issue(self.authority, "ann", "operator")
+        entry = self.issue(self.authority, "entry", "host")
+        other = certificates.Authority("other")
+        foreign = self.issue(other, "foreign", "operator")
+        foreign.authorities.write_bytes(self.authority.pem())
+        async with (
+            store.running(stand_in) as url,
+            anyio.create_task_group() as tasks,
+            bench.client(operator) as http,
+        ):
+            await bench.publish(url)
+            one = bench.create(
+                self.directory, FIRST, url, authority=self.authority
+            )
+            # The store is out of reach for the second host, so that it has
+            # what it has from the first one.
+            two = bench.create(
+                self.directory,
+                SECOND,
+                bench.DOWN_STORE_URL,
+                seeds=(one,),
+                authority=self.authority,
+            )
+            for files in (one, two):
+                await bench.start(files, tasks)
+            await bench.wait_until(
+                http,
+                two.api_url + STATUS_PATH,
+                lambda answer: answer.json()["active_revision"] == 1,
+            )
+            for files in (one, two):
+                fetch_url = files.api_url + REVISION_PATH
+                self.assertEqual(200, await ask(fetch_url, entry))
+                self.assertEqual(403, await ask(fetch_url, operator))
+                plain_url = fetch_url.replace("https", "http")
+                for refused in (
+                    await ask(plain_url, None),
+                    await ask(fetch_url, None),
+                    await ask(fetch_url, foreign),
+                ):
+                    self.assertIsInstance(refused, str)
+            tasks.cancel_scope.cancel()
+
+    def test_keys_and_certificates_change_without_restart(self) -> None:
+        anyio.run(self._rotate, backend_options={"use_uvloop": True})
+
+    async def _rotate(self) -> None:
+        stand_in = store.StandInStore(clock.MonotonicClock())
+        old = self.issue(self.authority, "ann", "operator")
+        following = certificates.Authority("following")
+        new = self.issue(following, "bob", "operator")
+        async with (
+            store.running(stand_in) as url,
+            anyio.create_task_group() as tasks,
+        ):
+            one = bench.create(
+                self.directory, FIRST, url, authority=self.authority
+            )
+            two = bench.create(
+                self.directory,
+                SECOND,
+                bench.DOWN_STORE_URL,
+                seeds=(one,),
+                authority=self.authority,
+            )
+            for files in (one, two):
+                await bench.start(files, tasks)
+            self.assertIsInstance(
+                await ask(two.api_url + STATUS_PATH, new), str
+            )
+            for files in (one, two):
+                following.issue(
+                    files.directory / "tls",
+                    files.address,
+                    "host",
+                    address=ipaddress.IPv4Address(files.address),
+                )
+                builders.write_key_file(
+                    files.key_file, {2: builders.secret(2)}, 2
+                )
+            async with bench.client(new) as http:
+                for files in (one, two):
+                    await bench.wait_admitted(http, files)
+                # Only a fetch from the first host under the new authority and
+                # notices under the new key bring this revision to the second.
+                await bench.publish(url)
+                await bench.wait_until(
+                    http,
+                    two.api_url + STATUS_PATH,
+                    lambda answer: answer.json()["active_revision"] == 1,
+                )
+            self.assertIsInstance(
+                await ask(two.api_url + STATUS_PATH, old), str
+            )
+            tasks.cancel_scope.cancel()
--- /dev/null
+++ b/packages/node/sapphire_node/loading.py
@@ -0,0 +1,97 @@
+"""Reads the settings of a host and the files that they name."""
+
+import dataclasses
+import pathlib
+
+from sapphire_data import failures
+from sapphire_net.trust import keys
+from sapphire_net.trust import roles
+from sapphire_net.trust import tls
+from sapphire_wire import settings as settings_lib
+from sapphire_wire import validation
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ApiTls:
+    """The TLS contexts of the API, which follow their files.
+
+    Attributes:
+        server: Admits hosts and operators.
+        client: Admits only hosts at the other end.
+    """
+
+    server: tls.ReloadingTls
+    client: tls.ReloadingTls
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadedSettings:
+    """The settings with what they refer to.
+
+    Attributes:
+        settings: The validated settings.
+        key_file: The file of the keys of control messages.
+        ring: The keys of control messages.
+        api_tls: The contexts of the API; None serves it in the clear.
+    """
+
+    settings: settings_lib.Settings
+    key_file: pathlib.Path
+    ring: keys.KeyRing
+    api_tls: ApiTls | None
+
+
+def load(
+    path: pathlib.Path,
+) -> tuple[LoadedSettings | None, list[failures.Failure]]:
+    """Reads the settings with the key file and certificates.
+
+    Args:
+        path: The settings file; names in it are relative to its directory.
+
+    Returns:
+        The settings, None if any file cannot be used, and all failures.
+    """
+    try:
+        content = path.read_bytes()
+    except OSError as error:
+        problem = error.strerror or "unreadable"
+        return None, [failures.UnreadableInput(str(path), problem)]
+    parsed, errors = validation.parse(settings_lib.Settings, content, str(path))
+    if parsed is None:
+        return None, errors
+    key_file = path.parent / parsed.trust.key_ring_file
+    ring = keys.load_key_ring(key_file)
+    if ring.is_error():
+        errors.append(ring.error)
+    api_tls = None
+    if parsed.trust.tls is not None:
+        api_tls, tls_errors = _open_tls(parsed.trust.tls, path.parent)
+        errors.extend(tls_errors)
+    if errors:
+        return None, errors
+    return LoadedSettings(parsed, key_file, ring.ok, api_tls), []
+
+
+def _open_tls(
+    named: settings_lib.TlsSettings, directory: pathlib.Path
+) -> tuple[ApiTls | None, list[failures.Failure]]:
+    """Opens the contexts of both ends."""
+    files = tls.TlsFiles(
+        certificate=directory / named.certificate_file,
+        private_key=directory / named.key_file,
+        authorities=directory / named.authority_file,
+    )
+    server = tls.open_reloading(
+        files, is_server=True, permitted_roles=roles.ANY_ROLE
+    )
+    if server.is_error():
+        return None, [server.error]
+    client = tls.open_reloading(
+        files,
+        is_server=False,
+        permitted_roles=frozenset({roles.Role.HOST}),
+    )
+    if client.is_error():
+        return None, [client.error]
+    return ApiTls(server.ok, client.ok), []
--- a/packages/node/sapphire_node/main.py
+++ b/packages/node/sapphire_node/main.py
@@ -10,9 +10,8 @@
 
 from sapphire_data import failures
 from sapphire_net import event_log
-from sapphire_net.trust import keys
 from sapphire_node import daemon
-from sapphire_wire import settings as settings_lib
+from sapphire_node import loading
 from sapphire_wire import validation
 
 app = typer.Typer(
@@ -59,7 +58,7 @@
 
     Exit status: 0 valid, 2 not valid.
     """
-    _, errors = _load(path)
+    _, errors = loading.load(path)
     if as_json:
         typer.echo(json.dumps({"errors": [_as_dict(e) for e in errors]}))
     else:
@@ -81,7 +80,7 @@
     Exit status: 0 left cleanly, 1 failed, 2 settings not valid, 3 stopped
     with work still open.
     """
-    loaded, errors = _load(path)
+    loaded, errors = loading.load(path)
     if loaded is None or errors:
         for line in validation.describe(errors):
             typer.echo(line, err=True)
@@ -103,22 +102,6 @@
 }
 
 
-def _load(
-    path: pathlib.Path,
-) -> tuple[daemon.LoadedSettings | None, list[failures.Failure]]:
-    """Reads the settings and the key file that they name."""
-    parsed, errors = validation.parse(
-        settings_lib.Settings, path.read_bytes(), str(path)
-    )
-    if parsed is None:
-        return None, errors
-    key_file = path.parent / parsed.trust.key_ring_file
-    ring = keys.load_key_ring(key_file)
-    if ring.is_error():
-        return None, [*errors, ring.error]
-    return daemon.LoadedSettings(parsed, path.parent, ring.ok), errors
-
-
 def _as_dict(failure: failures.Failure) -> dict[str, str]:
     """Returns a failure with the name of its type, for JSON."""
     fields = {
--- a/packages/node/sapphire_node/status.py
+++ b/packages/node/sapphire_node/status.py
@@ -2,8 +2,6 @@
 
 import dataclasses
 
-from sapphire_core.slo import counters as slo_counters
-from sapphire_data import clock
 from sapphire_data import records
 from sapphire_node import forwarder
 from sapphire_node import lifecycle
@@ -70,52 +68,6 @@
     )
 
 
-def read_slo(
-    own: records.HostAddress,
-    levels: slo_counters.SloCounters,
-    service: str | None,
-) -> api.SloReport:
-    """Returns the counts of service levels of a host.
-
-    Args:
-        own: The identity of the host.
-        levels: The counts.
-        service: The only service to report; None for all.
-
-    Returns:
-        The counts.
-    """
-    now_ms = clock.wall_time_ms()
-    series = []
-    for counts in levels.snapshot(now_ms, service):
-        tiers = []
-        for width_ms, by_index in counts.tiers_by_width_ms.items():
-            buckets = tuple(
-                api.SloBucket(index=index, good=item.good, total=item.total)
-                for index, item in by_index.items()
-            )
-            tiers.append(api.SloTier(width_ms=width_ms, buckets=buckets))
-        series.append(
-            api.SloSeries(
-                service=counts.key.service,
-                objective=counts.key.objective.value,
-                tiers=tuple(tiers),
-            )
-        )
-    marks = tuple(
-        api.ChangeMark(revision=mark.revision, activated_ms=mark.at_ms)
-        for mark in levels.marks()
-    )
-    return api.SloReport(
-        host_id=own.host_id,
-        data_centre=own.data_centre,
-        since_ms=levels.since_ms,
-        now_ms=now_ms,
-        series=tuple(series),
-        marks=marks,
-    )
-
-
 def _member(member: records.Member) -> api.MemberStatus:
     """Returns what the status says of a member."""
     return api.MemberStatus(
--- a/packages/wire/sapphire_wire/settings.py
+++ b/packages/wire/sapphire_wire/settings.py
@@ -79,10 +79,12 @@
         key_ring_file: The JSON file of keys that seal control messages.
         tls: The certificates of the API; without them the API is only served
             on a loopback address.
+        reread_ms: The time after which the files are read again.
     """
 
     key_ring_file: str
     tls: TlsSettings | None = None
+    reread_ms: int = pydantic.Field(default=2_000, ge=50, le=60_000)
 
 
 class Settings(validation.StrictModel):
