--- a/packages/node/sapphire_node/parts.py
+++ b/packages/node/sapphire_node/parts.py
@@ -22,8 +22,8 @@
 from sapphire_node import loading
 from sapphire_node import messages
 from sapphire_node import prober
+from sapphire_node import store_claims
 from sapphire_node import subscribers
-from sapphire_node import unclaimable_store
 from sapphire_node.configuration import keeper
 from sapphire_node.requests import service as request_service
 from sapphire_wire import settings as settings_lib
@@ -102,7 +102,7 @@
         own, settings.store, to_control, time, peer_context=peer_context
     )
     requests = request_service.RequestService(
-        own.host_id, unclaimable_store.UnclaimableStore(), time
+        own.host_id, store_claims.open_claims(settings.store, time), time
     )
     control_plane = control.ControlPlane(
         own,
