Probes of upstreams change their state on all hosts; hosts replaced together in the demonstration

A new boot identity is spread as a cold upstream, two lost probes in a row over the failing time as a failed one, a return as cold. The demonstration replaces two hosts at once while an upstream drains.

--- a/packages/lab/sapphire_lab/demo/scenario.py
+++ b/packages/lab/sapphire_lab/demo/scenario.py
@@ -94,8 +94,7 @@
             tasks.start_soon(self._world.keep_ordering)
             await self._drain_upstream()
             await self._join_upstream(tasks)
-            await self._replace_host(1)
-            await self._replace_host(5)
+            await self._replace_hosts(1, 5)
             await self._move_data_centre()
             tasks.cancel_scope.cancel()
         self._count()
@@ -146,6 +145,16 @@
         world.open_feeds(2)
         await anyio.sleep(SETTLE_S)
 
+    async def _replace_hosts(self, *numbers: int) -> None:
+        """Replaces entry hosts together, while another upstream drains."""
+        world = self._world
+        name = world.intent.upstreams[1].name
+        async with anyio.create_task_group() as tasks:
+            for number in numbers:
+                tasks.start_soon(self._replace_host, number)
+            world.intent.draining |= {name}
+            await self._change(f"drain {name}")
+
     async def _replace_host(self, number: int) -> None:
         """Replaces an entry host by another at a new address."""
         world = self._world
--- a/packages/lab/sapphire_lab/stand_ins/request_upstream.py
+++ b/packages/lab/sapphire_lab/stand_ins/request_upstream.py
@@ -151,7 +151,8 @@
         body = json.dumps(
             {"status": "ok", "running": running, "slots": self.slots}
         ).encode()
-        await self._send(connection, stream, 200, [], body)
+        boot = [("x-boot-id", self.boot_id)]
+        await self._send(connection, stream, 200, boot, body)
 
     async def _answer(
         self,
--- a/packages/node/sapphire_node/forwarder.py
+++ b/packages/node/sapphire_node/forwarder.py
@@ -16,12 +16,14 @@
 from sapphire_core.flows import data as flow_data
 from sapphire_core.flows import failures as flow_failures
 from sapphire_core.flows import router as flow_router
+from sapphire_core.flows import upstream_health
 from sapphire_core.slo import counters as slo_counters
 from sapphire_data import clock
 from sapphire_data import failures
 from sapphire_data import records
 from sapphire_net import event_log
 from sapphire_node import change_log
+from sapphire_node import health_judgement
 from sapphire_node import messages
 from sapphire_wire import flow_messages
 from sapphire_wire import ip_packet
@@ -103,6 +105,7 @@
             collections.Counter()
         )
         self.changes = change_log.ChangeLog()
+        self._health = upstream_health.UpstreamHealth()
         self._hosts_by_id: dict[str, records.HostAddress] = {}
 
     async def serve_fabric(self) -> None:
@@ -138,7 +141,7 @@
             inbox: The messages.
         """
         async for message in inbox:
-            await self._handle(message)
+            await self.handle(message)
 
     async def tick(self) -> None:
         """Gives the router the time at regular intervals until cancelled."""
@@ -147,8 +150,12 @@
             await self._send_actions(actions)
             await anyio.sleep(TICK_MS / clock.MS_PER_SECOND)
 
-    async def _handle(self, message: messages.ToForwarder) -> None:
-        """Handles one message."""
+    async def handle(self, message: messages.ToForwarder) -> None:
+        """Handles one message of another task.
+
+        Args:
+            message: The message.
+        """
         now_ms = self._time.now_ms()
         if isinstance(message, messages.ControlReceived):
             await self._handle_control(message, now_ms)
@@ -173,7 +180,35 @@
             self.router.note_newer_revision(message.revision, now_ms)
             return
         if isinstance(message, messages.OverlayLearned):
+            self._health.note_overlay(message.overlay)
             self.router.apply_overlay(message.overlay, now_ms)
+            return
+        await self._judge(message, now_ms)
+
+    async def _judge(
+        self, probed: messages.UpstreamProbed, now_ms: int
+    ) -> None:
+        """Tells all hosts if a probe changes the state of an upstream."""
+        overlay = health_judgement.judge(
+            self._health, probed, self.router.overlays(), now_ms
+        )
+        if overlay is None or not self.router.apply_overlay(overlay, now_ms):
+            return
+        event_log.log(
+            _LOGGER,
+            logging.WARNING,
+            "upstream_state_changed",
+            upstream=overlay.upstream,
+            state=overlay.state.value,
+            version=overlay.version,
+        )
+        await self._outbox.send(
+            messages.PublishFact(
+                flow_messages.OVERLAY_KEY_PREFIX + overlay.upstream,
+                overlay.version,
+                flow_messages.encode_overlay(overlay),
+            )
+        )
 
     async def _handle_control(
         self, message: messages.ControlReceived, now_ms: int
--- /dev/null
+++ b/packages/node/sapphire_node/health_judgement_test.py
@@ -0,0 +1,56 @@
+import testtools
+
+from sapphire_core.flows import data
+from sapphire_core.flows import upstream_health
+from sapphire_node import health_judgement
+from sapphire_node import messages
+
+STEP_MS = 1_000
+
+
+class JudgeTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.health = upstream_health.UpstreamHealth()
+        self.overlays: list[data.Overlay] = []
+        self.now_ms = 0
+
+    def probe(self, boot_id: str | None) -> data.Overlay | None:
+        """Probes once; None stands for no answer."""
+        self.now_ms += STEP_MS
+        probed = messages.UpstreamProbed(
+            "u1", boot_id is not None, boot_id or ""
+        )
+        overlay = health_judgement.judge(
+            self.health, probed, self.overlays, self.now_ms
+        )
+        if overlay is not None:
+            self.overlays = [overlay]
+        return overlay
+
+    def test_steady_answers_change_nothing(self) -> None:
+        for _ in range(20):
+            self.assertIs(None, self.probe("boot-1"))
+
+    def test_a_restart_between_two_probes_is_cold(self) -> None:
+        self.probe("boot-1")
+        overlay = self.probe("boot-2")
+        assert overlay is not None
+        self.assertEqual(data.OverlayState.COLD, overlay.state)
+        self.assertEqual("boot-2", overlay.boot_id)
+
+    def test_one_lost_probe_does_not_fail_an_upstream(self) -> None:
+        for boot_id in ("boot-1", None, "boot-1", None, "boot-1"):
+            self.assertIs(None, self.probe(boot_id))
+
+    def test_an_upstream_that_stays_away_fails_and_returns_cold(self) -> None:
+        self.probe("boot-1")
+        states = [self.probe(None) for _ in range(20)]
+        failed = [state for state in states if state is not None]
+        self.assertEqual(1, len(failed))
+        self.assertEqual(data.OverlayState.FAILED, failed[0].state)
+        returned = [self.probe("boot-1") for _ in range(20)]
+        back = [state for state in returned if state is not None]
+        self.assertEqual(1, len(back))
+        self.assertEqual(data.OverlayState.COLD, back[0].state)
+        self.assertGreater(back[0].version, failed[0].version)
