Requests: planned stop, leaving callers and cut uploads over real sockets

A stop with three requests running and one queued cuts none; a caller that leaves ends the run at its upstream; an upload cut short reaches no upstream and gives its memory back.

--- /dev/null
+++ b/packages/node/sapphire_node/requests/listener_test.py
@@ -0,0 +1,146 @@
+"""The carriage over real sockets: callers, hypercorn, httpx, an upstream."""
+
+from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
+import contextlib
+import dataclasses
+import socket
+
+import anyio
+import httpx
+import testtools
+from testtools import matchers
+
+from sapphire_data import clock
+from sapphire_lab.requests import builders
+from sapphire_lab.requests import claim_store_fake
+from sapphire_lab.stand_ins import request_upstream
+from sapphire_node.requests import asgi
+from sapphire_node.requests import listener
+from sapphire_node.requests import service
+
+POLL_S = 0.005
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+@dataclasses.dataclass
+class Bench:
+    port: int
+    upstream: request_upstream.RequestUpstream
+    service: service.RequestService
+    stop: anyio.Event
+    stopped: anyio.Event
+
+
+@contextlib.asynccontextmanager
+async def open_bench(service_ms: int) -> AsyncIterator[Bench]:
+    upstream = request_upstream.RequestUpstream(service_ms=service_ms)
+    store = claim_store_fake.FakeClaimStore()
+    host = service.RequestService("h1", store, clock.MonotonicClock())
+    bench = Bench(free_port(), upstream, host, anyio.Event(), anyio.Event())
+
+    async def serve() -> None:
+        app = asgi.RequestApp(host)
+        # The types of ASGI libraries differ in name only.
+        await listener.serve(app, "127.0.0.1", bench.port, bench.stop)  # type: ignore[arg-type]
+        bench.stopped.set()
+
+    async with anyio.create_task_group() as tasks:
+        await tasks.start(upstream.serve)
+        await tasks.start(host.run)
+        target = builders.upstream(port=upstream.port, slots=3)
+        one = builders.service([target])
+        host.set_configuration(builders.configuration([one]))
+        tasks.start_soon(serve)
+        await wait_for_port(bench.port)
+        yield bench
+        bench.stop.set()
+        await bench.stopped.wait()
+        tasks.cancel_scope.cancel()
+
+
+async def wait_for_port(port: int) -> None:
+    while True:
+        try:
+            stream = await anyio.connect_tcp("127.0.0.1", port)
+        except OSError:
+            await anyio.sleep(POLL_S)
+            continue
+        await stream.aclose()
+        return
+
+
+async def post(port: int, key: str) -> httpx.Response:
+    headers = {"host": builders.SERVICE, "idempotency-key": key}
+    async with httpx.AsyncClient(trust_env=False) as client:
+        url = f"http://127.0.0.1:{port}/plans"
+        return await client.post(url, headers=headers, content=b"x" * 100_000)
+
+
+class ListenerTest(testtools.TestCase):
+    def test_planned_stop_cuts_no_request_in_flight(self) -> None:
+        async def run() -> None:
+            async with open_bench(service_ms=300) as bench:
+                answers: list[httpx.Response] = []
+
+                async def one(key: str) -> None:
+                    answers.append(await post(bench.port, key))
+
+                async with anyio.create_task_group() as tasks:
+                    for key in ("a", "b", "c", "queued"):
+                        tasks.start_soon(one, key)
+                    while bench.upstream.running < 3:
+                        await anyio.sleep(POLL_S)
+                    bench.service.begin_drain()
+                    bench.stop.set()
+                await bench.service.wait_idle()
+                await bench.stopped.wait()
+                statuses = [answer.status_code for answer in answers]
+                self.assertThat(statuses, matchers.Equals([200] * 4))
+                sizes = {answer.json()["body_bytes"] for answer in answers}
+                self.assertThat(sizes, matchers.Equals({100_000}))
+
+        with_limit(run)
+
+    def test_caller_that_leaves_cancels_the_run(self) -> None:
+        async def run() -> None:
+            async with open_bench(service_ms=20_000) as bench:
+                with anyio.move_on_after(0.3):
+                    await post(bench.port, "a")
+                while bench.upstream.cancelled == 0:
+                    await anyio.sleep(POLL_S)
+                self.assertThat(bench.upstream.running, matchers.Equals(0))
+
+        with_limit(run)
+
+    def test_upload_cut_short_reaches_no_upstream(self) -> None:
+        async def run() -> None:
+            async with open_bench(service_ms=1) as bench:
+                stream = await anyio.connect_tcp("127.0.0.1", bench.port)
+                head = (
+                    f"POST /plans HTTP/1.1\r\nhost: {builders.SERVICE}\r\n"
+                    "content-length: 1000\r\n\r\n"
+                )
+                await stream.send(head.encode() + b"x" * 500)
+                await stream.aclose()
+                await post(bench.port, "whole")
+                runs = dict(bench.upstream.runs_by_id)
+                self.assertThat(runs, matchers.Equals({"whole": 1}))
+                used = bench.service.upload_memory.used_bytes
+                self.assertThat(used, matchers.Equals(0))
+
+        with_limit(run)
+
+
+def with_limit(test: Callable[[], Awaitable[None]]) -> None:
+    async def body() -> None:
+        with anyio.fail_after(30):
+            await test()
+
+    anyio.run(body)
