--- a/packages/core/sapphire_core/flows/router.py
+++ b/packages/core/sapphire_core/flows/router.py
@@ -4,6 +4,7 @@
 from sapphire_core.flows import exceptions_table
 from sapphire_core.flows import failures
 from sapphire_core.flows import handover
+from sapphire_core.flows import history_cut
 from sapphire_core.flows import keeper_role
 from sapphire_core.flows import keepers as keepers_lib
 from sapphire_core.flows import overlays as overlays_lib
@@ -49,6 +50,7 @@
         self._fresh_until_ms = -1
         self._newer_since_ms: int | None = None
         self._prepared_everywhere = 0
+        self._announced_revision = 0
         self._settled_by_key: dict[bytes, _Settled] = {}
         self._pending_actions: list[data.Action] = []
 
@@ -128,8 +130,11 @@
             view: The membership.
             now_ms: The current time.
         """
+        was_fresh = self._is_fresh(now_ms)
         self._fresh_until_ms = -1
         if view.is_fresh:
+            if not was_fresh:
+                self._ramp.ramp.note_regained(now_ms)
             self._fresh_until_ms = now_ms + VIEW_VALID_MS
             if self._newer_since_ms is not None:
                 limit_ms = self._newer_since_ms + NEWER_GRACE_MS
@@ -268,6 +273,33 @@
         """
         return self._handover.is_released(now_ms)
 
+    def need_reports(self, now_ms: int) -> list[history_cut.NeedReport]:
+        """Returns what the flows of this host need of the pool history.
+
+        It walks over all recorded flows; once a minute is enough.
+
+        Args:
+            now_ms: The current time.
+
+        Returns:
+            A report for each service, to be spread as gossip facts.
+        """
+        reports = []
+        ramping = self._ramp.ramp.cold_upstreams()
+        for routes in self._tables.routes_by_key.values():
+            placements = self._role.placements(routes.name, now_ms)
+            reports.append(
+                self._role.history.report(
+                    self._host_id,
+                    routes,
+                    placements.exceptions.items(),
+                    ramping,
+                    idle_ms=exceptions_table.PERIOD_MS,
+                    now_ms=now_ms,
+                )
+            )
+        return reports
+
     def tick(self, now_ms: int) -> list[data.Action]:
         """Advances timers.
 
@@ -303,14 +335,16 @@
         self, now_ms: int, is_trusted: bool, *, is_forced: bool
     ) -> None:
         """Activates what has passed its barrier and rebuilds the tables."""
-        before = self._revisions.active
         changed = self._revisions.advance(self._prepared_everywhere, now_ms)
         self._role.is_provisional = self._revisions.is_provisional
         self._role.prepared_revision = self._revisions.newest_revision
         active = self._revisions.active
         if active is not None and active is not self._ramp.noted:
             self._ramp.note_activation(active, now_ms)
-        if active is not None and active is not before:
+        # The first revision is active as soon as it is prepared, so a change
+        # within `advance` alone would miss it.
+        if active is not None and active.revision != self._announced_revision:
+            self._announced_revision = active.revision
             self._pending_actions.append(data.Activated(active.revision))
         if changed or is_forced:
             self._rebuild(now_ms, is_trusted)
@@ -319,6 +353,8 @@
         """Computes the routes again where anything changed."""
         self._tables.rebuild(self._ramp.ramp.cold_upstreams(), now_ms)
         self._handover.note_routes(now_ms, is_trusted)
+        for routes in self._tables.routes_by_key.values():
+            self._role.history.note_start(routes.name, now_ms)
         self._settled_by_key = {
             key: (routes.decisions, routes.bucket_count)
             for key, routes in self._tables.routes_by_key.items()
--- a/packages/lab/sapphire_lab/config/fakes.py
+++ b/packages/lab/sapphire_lab/config/fakes.py
@@ -123,6 +123,7 @@
         self,
         compares: Sequence[data.Compare],
         writes: Sequence[data.Put | data.Delete],
+        reads_otherwise: Sequence[str] = (),
     ) -> expression.Result[data.TransactionAnswer, failures.StoreFailure]:
         """Writes if all conditions hold; see `protocol.Store`."""
         await Pause()
@@ -139,6 +140,13 @@
             return expression.Error(
                 failures.StoreRejected(str(error), status=HTTP_BAD_REQUEST)
             )
+        if not answer.succeeded:
+            found = [
+                item
+                for key, item in self.state.items_by_key.items()
+                if key in reads_otherwise
+            ]
+            answer = dataclasses.replace(answer, items=tuple(found))
         await Pause()
         if fault is Fault.LOST_ANSWER:
             return expression.Error(failures.StoreOutcomeUnknown("fault"))
