--- a/packages/lab/sapphire_lab/config/keeper_test.py
+++ b/packages/lab/sapphire_lab/config/keeper_test.py
@@ -24,11 +24,13 @@
 from sapphire_net import http_server
 from sapphire_net.store import changes
 from sapphire_net.store import client
+from sapphire_net.store import data as store_data
 from sapphire_net.store import environment
 from sapphire_net.store import reading
 from sapphire_node import api
 from sapphire_node import messages
 from sapphire_node.configuration import keeper
+from sapphire_node.configuration import store_link
 from sapphire_wire import settings as settings_lib
 
 PREFIX = "/test/"
@@ -225,6 +227,24 @@
 
         run(body)
 
+    def test_unused_keys_are_deleted_and_hosts_go_on(self) -> None:
+        async def body(
+            stand_in: Any, operators: Any, hosts: list[Host]
+        ) -> None:
+            await change(operators)
+            stray = operators.part_key(b"not named by any head")
+            await operators.store.transact([], [store_data.Put(stray, b"x")])
+            link = store_link.StoreLink(
+                operators, hosts[0].keeper.put, clock.MonotonicClock()
+            )
+            await link.collect_once()
+            self.assertNotIn(stray, stand_in.state.items_by_key)
+            await change(operators, drained=("rota-1",))
+            for host in hosts:
+                await host.reach(2)
+
+        run(body)
+
     def test_old_reads_of_the_store_do_not_roll_a_host_back(self) -> None:
         async def body(
             stand_in: Any, operators: Any, hosts: list[Host]
--- a/packages/node/sapphire_node/configuration/keeper.py
+++ b/packages/node/sapphire_node/configuration/keeper.py
@@ -17,12 +17,11 @@
 from sapphire_data import records
 from sapphire_net import event_log
 from sapphire_net.store import client as store_client
-from sapphire_net.store import data as store_data
 from sapphire_net.store import environment as environments
-from sapphire_net.store import reading
 from sapphire_node import messages
 from sapphire_node import status
 from sapphire_node.configuration import sources
+from sapphire_node.configuration import store_link
 from sapphire_wire import message_kind
 from sapphire_wire import settings as settings_lib
 from sapphire_wire.documents import bundle
@@ -83,9 +82,7 @@
             own.host_id, own.data_centre, random.Random(), time.now_ms()
         )
         self._hosts_by_id: dict[str, records.HostAddress] = {}
-        self._is_store_reachable: bool | None = None
-        self._watch_scope: anyio.CancelScope | None = None
-        self._is_reading = False
+        self._link: store_link.StoreLink | None = None
         self._fetch_count = 0
         self._inbox, self._events = anyio.create_memory_object_stream[_Arrival](
             INBOX_EVENTS
@@ -104,12 +101,19 @@
             sources.open_peer_client(self._peer_context) as peer_http,
             anyio.create_task_group() as tasks,
         ):
-            environment = environments.Environment(
-                store_client.GatewayStore(store_http), self._settings.prefix
+            store = store_client.GatewayStore(store_http)
+            link = store_link.StoreLink(
+                environments.Environment(store, self._settings.prefix),
+                self.put,
+                self._time,
             )
+            self._link = link
             tasks.start_soon(self._tick)
+            tasks.start_soon(
+                link.collect_forever, lambda: self._spreading.is_watcher
+            )
             async for arrival in self._events:
-                await self._handle(arrival, tasks, environment, peer_http)
+                await self._handle(arrival, tasks, link, peer_http)
 
     async def accepted(self) -> AsyncIterator[records.Configuration]:
         """Yields each configuration that is newer than the one before."""
@@ -164,7 +168,7 @@
         content = self._shelf.content
         return status.ConfigurationStatus(
             self._spreading.newest_heard.revision,
-            self._is_store_reachable,
+            self._link.is_reachable if self._link is not None else None,
             content.configuration if content is not None else None,
         )
 
@@ -192,7 +196,7 @@
         self,
         arrival: _Arrival,
         tasks: abc.TaskGroup,
-        environment: environments.Environment,
+        link: store_link.StoreLink,
         peer_http: httpx.AsyncClient,
     ) -> None:
         """Gives the state machine one event and carries out its actions."""
@@ -203,21 +207,18 @@
         for action in actions:
             match action:
                 case spreading_data.StartWatch():
-                    tasks.start_soon(self._watch, environment)
+                    tasks.start_soon(link.watch)
                 case spreading_data.StopWatch():
-                    if self._watch_scope is not None:
-                        self._watch_scope.cancel()
+                    link.stop_watch()
                 case spreading_data.ReadStoreHead():
-                    tasks.start_soon(self._read_head, environment)
+                    tasks.start_soon(link.read_head)
                 case spreading_data.AskPeer():
                     self._send_notice(action.host_id, wants_answer=True)
                 case spreading_data.Notify():
                     for host_id in action.host_ids:
                         self._send_notice(host_id, wants_answer=False)
                 case spreading_data.Fetch():
-                    tasks.start_soon(
-                        self._fetch, action, environment, peer_http
-                    )
+                    tasks.start_soon(self._fetch, action, link, peer_http)
                 case spreading_data.Prepare():
                     await self._accept(arrival.content)
 
@@ -248,7 +249,7 @@
     async def _fetch(
         self,
         action: spreading_data.Fetch,
-        environment: environments.Environment,
+        link: store_link.StoreLink,
         peer_http: httpx.AsyncClient,
     ) -> None:
         """Fetches a configuration; a bounded number at a time."""
@@ -261,8 +262,10 @@
         known = self._shelf.content
         try:
             if host is None:
-                fetched = await sources.fetch_from_store(environment, known)
-                self._is_store_reachable = fetched.is_ok()
+                fetched = await sources.fetch_from_store(
+                    link.environment, known
+                )
+                link.is_reachable = fetched.is_ok()
             else:
                 fetched = await sources.fetch_from_peer(
                     peer_http,
@@ -284,58 +287,3 @@
             return
         version = fetched.ok.version
         self.put(spreading_data.FetchDone(version, action), fetched.ok)
-
-    async def _read_head(self, environment: environments.Environment) -> None:
-        """Reads the head from the store, unless a read is still waiting."""
-        if self._is_reading:
-            return
-        self._is_reading = True
-        try:
-            stored = await reading.read_head(environment)
-        finally:
-            self._is_reading = False
-        self._is_store_reachable = stored.is_ok()
-        if stored.is_error():
-            event_log.log_failure(_LOGGER, "store_read_failed", stored.error)
-            self.put(spreading_data.StoreReadFailed())
-            return
-        if stored.ok.head is not None:
-            self.put(spreading_data.StoreHead(stored.ok.head.version))
-
-    async def _watch(self, environment: environments.Environment) -> None:
-        """Watches the head in the store until the watch ends."""
-        send, receive = anyio.create_memory_object_stream[
-            store_data.WatchEvent
-        ](ACCEPTED_CONFIGURATIONS)
-        with anyio.CancelScope() as scope:
-            self._watch_scope = scope
-            async with anyio.create_task_group() as tasks, send, receive:
-                tasks.start_soon(self._relay_watch, receive)
-                ended = await environment.store.watch(
-                    environment.head_key, 0, send
-                )
-                event_log.log_failure(_LOGGER, "watch_ended", ended)
-                tasks.cancel_scope.cancel()
-        if not scope.cancel_called:
-            self.put(spreading_data.WatchEnded())
-
-    async def _relay_watch(
-        self,
-        receive: memory.MemoryObjectReceiveStream[store_data.WatchEvent],
-    ) -> None:
-        """Turns the events of a watch into those of the state machine."""
-        async for event in receive:
-            if isinstance(event, store_data.WatchStarted):
-                self.put(spreading_data.WatchStarted())
-                continue
-            if event.is_deleted:
-                continue
-            item = event.item
-            stored = reading.decode_head(
-                item.key, item.value, item.mod_revision
-            )
-            if stored.is_error():
-                event_log.log_failure(_LOGGER, "head_invalid", stored.error)
-                continue
-            if stored.ok.head is not None:
-                self.put(spreading_data.StoreHead(stored.ok.head.version))
