--- a/packages/lab/sapphire_lab/config/changes_test.py
+++ b/packages/lab/sapphire_lab/config/changes_test.py
@@ -168,6 +168,11 @@
         self.assertThat(outcome.ok.stored.revision, matchers.Equals(3))
         service = self.snapshot().configuration.services_by_name["rota"]
         self.assertThat(len(service.generations), matchers.Equals(1))
+        # The document of the cut revision can still be read.
+        back = run(
+            changes.rollback(self.environment, self.snapshot(), 3, "ann")
+        )
+        self.assertThat(back.is_ok(), matchers.Equals(True))
 
     def test_revision_is_higher_than_what_hosts_report(self) -> None:
         wanted = changes.Intent(
--- a/packages/lab/sapphire_lab/config/size.py
+++ b/packages/lab/sapphire_lab/config/size.py
@@ -5,6 +5,7 @@
 import resource
 import time
 from typing import Annotated
+import zlib
 
 import typer
 
@@ -51,6 +52,8 @@
         bundle.assemble(after.head, new_parts, held)
     change_ms = (time.process_time() - started_s) * 1_000 / REPEATS
     change_bytes = len(after.head) + sum(map(len, new_parts.values()))
+    document = builders.document_bytes(fleet)
+    stored_document = zlib.compress(document, packing.COMPRESSION_LEVEL)
     usage = resource.getrusage(resource.RUSAGE_SELF)
     print(
         json.dumps(
@@ -64,6 +67,8 @@
                 "parts_of_a_change": len(new_parts),
                 "bytes_of_a_change": change_bytes,
                 "bytes_per_s": round(change_bytes * CHANGES_PER_S),
+                "document_bytes": len(document),
+                "stored_document_bytes": len(stored_document),
                 "decode_whole_ms": round(whole_ms),
                 "decode_change_ms": round(change_ms, 1),
                 "decode_core_share": round(
--- a/packages/net/sapphire_net/store/changes.py
+++ b/packages/net/sapphire_net/store/changes.py
@@ -129,11 +129,16 @@
     head = seen.stored.head
     if head is None:
         return expression.Error(change_failures.RevisionNotFound(0))
-    sources = await read_intent(environment, head, author, "cut-history")
-    if sources.is_error():
-        return expression.Error(sources.error)
     cut = merge.cut_history(seen.configuration, oldest_kept_by_service)
-    proposal = _proposal(seen, cut, sources.ok)
+    # The document and the bindings stay as the store has them.
+    change = dataclasses.replace(
+        head.change,
+        writer_id=new_writer_id(),
+        author=author,
+        action="cut-history",
+        written_ms=clock.wall_time_ms(),
+    )
+    proposal = publication.Proposal(seen, cut, change, b"", b"")
     return await publication.publish(environment, proposal)
 
 
--- a/packages/net/sapphire_net/store/publication.py
+++ b/packages/net/sapphire_net/store/publication.py
@@ -34,8 +34,9 @@
         seen: The configuration that the change was made from.
         configuration: The next configuration.
         change: Who makes it; its `writer_id` must be new.
-        document: The bytes of the document.
-        bindings: The bytes of the bindings.
+        document: The bytes of the document; not needed if the seen revision
+            has the same.
+        bindings: The bytes of the bindings, likewise.
     """
 
     seen: reading.Snapshot
@@ -80,11 +81,7 @@
         `WriteUnconfirmed` if the outcome could not be found; another
         failure if the change had no effect.
     """
-    change = dataclasses.replace(
-        proposal.change,
-        document_chunks=len(list(_source_chunks(proposal.document))),
-        bindings_chunks=len(list(_source_chunks(proposal.bindings))),
-    )
+    change = _with_chunk_counts(proposal)
     seen_head = proposal.seen.stored.head
     packed = packing.pack(
         proposal.configuration,
@@ -297,6 +294,27 @@
             yield data.Put(key, chunk)
 
 
+def _with_chunk_counts(proposal: Proposal) -> packing.Change:
+    """Returns the change with the number of chunks of its sources."""
+    change = proposal.change
+    known: dict[str, int] = {}
+    head = proposal.seen.stored.head
+    if head is not None:
+        known[head.change.document_digest] = head.change.document_chunks
+        known[head.change.bindings_digest] = head.change.bindings_chunks
+    document_chunks = known.get(change.document_digest)
+    if document_chunks is None:
+        document_chunks = len(list(_source_chunks(proposal.document)))
+    bindings_chunks = known.get(change.bindings_digest)
+    if bindings_chunks is None:
+        bindings_chunks = len(list(_source_chunks(proposal.bindings)))
+    return dataclasses.replace(
+        change,
+        document_chunks=document_chunks,
+        bindings_chunks=bindings_chunks,
+    )
+
+
 def _source_chunks(source: bytes) -> Iterable[bytes]:
     """Yields the stored chunks of a document or of bindings."""
     compressed = zlib.compress(source, packing.COMPRESSION_LEVEL)
