--- a/packages/lab/sapphire_lab/stand_ins/store_test.py
+++ b/packages/lab/sapphire_lab/stand_ins/store_test.py
@@ -215,6 +215,33 @@
 
         anyio.run(body)
 
+    def test_calls_without_effect_go_to_the_next_endpoint(self) -> None:
+        async def body(bench: Bench) -> None:
+            async with client.open_client("http://127.0.0.1:1") as http:
+                under_test = client.GatewayStore(http, [bench.base_url])
+                for _ in range(2):
+                    written = await under_test.transact(
+                        [], [data.Put("a", b"")]
+                    )
+                    self.assertThat(written.is_ok(), matchers.Equals(True))
+            # The endpoint that failed is asked once.
+            calls = under_test.calls_by_path["/v3/kv/txn"]
+            self.assertThat(calls, matchers.Equals(3))
+
+        run(body)
+
+    def test_write_of_unknown_outcome_is_not_made_again_elsewhere(self) -> None:
+        async def body(bench: Bench) -> None:
+            bench.stand_in.set_faults(store_faults.Faults(lost_answers=1))
+            async with client.open_client(bench.base_url) as http:
+                under_test = client.GatewayStore(http, [bench.base_url])
+                written = await under_test.transact([], [data.Put("a", b"")])
+            self.assertIsInstance(written.error, failures.StoreOutcomeUnknown)
+            calls = bench.stand_in.calls_by_path["/v3/kv/txn"]
+            self.assertThat(calls, matchers.Equals(1))
+
+        run(body)
+
     def test_answers_outside_the_protocol_are_typed(self) -> None:
         async def body() -> None:
             for content in (
--- a/packages/net/sapphire_net/store/client.py
+++ b/packages/net/sapphire_net/store/client.py
@@ -55,12 +55,26 @@
 class GatewayStore(protocol.Store):
     """A store behind the HTTP/JSON gateway of etcd v3.
 
+    A call that had no effect at one endpoint is made at the next one; a write
+    whose outcome is unknown is not.
+
     Attributes:
         calls_by_path: The calls made so far; a watch counts as one.
     """
 
-    def __init__(self, http: httpx.AsyncClient) -> None:
+    def __init__(
+        self, http: httpx.AsyncClient, alternatives: Sequence[str] = ()
+    ) -> None:
+        """Creates the client.
+
+        Args:
+            http: The HTTP client, with the first endpoint as its base URL.
+            alternatives: The base URLs of the other endpoints, in order.
+        """
         self._http = http
+        # The empty base stands for that of the HTTP client.
+        self._bases = ("", *(base.rstrip("/") for base in alternatives))
+        self._base_index = 0
         self.calls_by_path: collections.Counter[str] = collections.Counter()
 
     async def get(
@@ -139,7 +153,7 @@
         self.calls_by_path[gateway.WATCH_PATH] += 1
         request = self._http.build_request(
             "POST",
-            gateway.WATCH_PATH,
+            self._bases[self._base_index] + gateway.WATCH_PATH,
             json=gateway.watch_request(key, is_prefix, from_store_revision),
             # A watch waits for as long as nothing changes.
             timeout=httpx.Timeout(
@@ -152,6 +166,7 @@
         try:
             response = await self._http.send(request, stream=True)
         except httpx.HTTPError as error:
+            self._use_next_base()
             return failures.StoreUnavailable(repr(error))
         try:
             if response.status_code != _HTTP_OK:
@@ -171,10 +186,39 @@
         *,
         is_write: bool,
     ) -> expression.Result[AnswerT, failures.StoreFailure]:
-        """Makes one call and types its outcome."""
+        """Makes one call, at another endpoint if it had no effect."""
+        for _ in self._bases:
+            outcome = await self._call_once(
+                path, body, decode, is_write=is_write
+            )
+            if outcome.is_ok():
+                return outcome
+            failure = outcome.error
+            if isinstance(failure, failures.StoreOutcomeUnknown):
+                self._use_next_base()
+                return outcome
+            if not isinstance(failure, failures.StoreUnavailable):
+                return outcome
+            self._use_next_base()
+        return outcome
+
+    def _use_next_base(self) -> None:
+        """Makes the next call at the next endpoint."""
+        self._base_index = (self._base_index + 1) % len(self._bases)
+
+    async def _call_once(
+        self,
+        path: str,
+        body: dict[str, Any],
+        decode: Callable[[Any], AnswerT],
+        *,
+        is_write: bool,
+    ) -> expression.Result[AnswerT, failures.StoreFailure]:
+        """Makes one call at one endpoint and types its outcome."""
         self.calls_by_path[path] += 1
+        url = self._bases[self._base_index] + path
         try:
-            response = await self._http.post(path, json=body)
+            response = await self._http.post(url, json=body)
         except _NEVER_SENT as error:
             return expression.Error(failures.StoreUnavailable(repr(error)))
         except httpx.HTTPError as error:
--- a/packages/node/sapphire_node/configuration/keeper.py
+++ b/packages/node/sapphire_node/configuration/keeper.py
@@ -101,7 +101,8 @@
             sources.open_peer_client(self._peer_context) as peer_http,
             anyio.create_task_group() as tasks,
         ):
-            store = store_client.GatewayStore(store_http)
+            alternatives = [str(url) for url in self._settings.endpoints[1:]]
+            store = store_client.GatewayStore(store_http, alternatives)
             link = store_link.StoreLink(
                 environments.Environment(store, self._settings.prefix),
                 self.put,
