Fault tables of routing; a keeper that missed a change lets the other one place new flows

A first keeper that had not prepared a drain went on giving new flows to the draining upstream after the barrier, on behalf of hosts that knew better.

--- a/packages/core/sapphire_core/flows/keeper_role.py
+++ b/packages/core/sapphire_core/flows/keeper_role.py
@@ -238,8 +238,15 @@
         if first != self._host_id and self._may_visit(first, packet):
             return self._relay(first, packet, None)
         keepers = self._keepers.keepers(routes.name, bucket)
+        is_first_visit = self._may_visit(self._host_id, packet)
+        other = self._other_keeper(routes.name, bucket)
+        is_behind = packet.revision > self.prepared_revision
+        if is_behind and is_first_visit and other is not None:
+            # The change that this host missed may take the upstream away
+            # that it would choose; the other keeper may know.
+            return self._relay(other, packet, None)
         is_keeper = not keepers or self._host_id in keepers
-        if not is_keeper and self._may_visit(self._host_id, packet):
+        if not is_keeper and is_first_visit:
             # The first keeper still takes this host for the first one. It
             # places the flow when the packet comes back.
             return self._relay(first, packet, None)
@@ -262,7 +269,6 @@
         )
         if is_first_known and routes.is_told_by_base(bucket, upstream):
             return routes.decision_by_upstream[upstream]
-        other = self._other_keeper(routes.name, bucket)
         if other is None:
             return routes.decision_by_upstream[upstream]
         # The hosts that were visited so far do not know the placement.
