--- a/packages/lab/sapphire_lab/flows/run.py
+++ b/packages/lab/sapphire_lab/flows/run.py
@@ -16,6 +16,7 @@
 START_MS = 8_000
 END_MS = 150_000
 SPEAK_MS = 8_000
+FIRST_WORDS_MS = (100, 400)
 RETRY_MS = 1_000
 QUIET_MS = 10_000
 REPEAT_MS = 2_000
@@ -48,6 +49,7 @@
         self.packets = [0, 0, 0]
         self.seconds = [0.0, 0.0, 0.0]
         self._due: dict[int, list[tally_lib.Flow]] = {}
+        self._soon: dict[int, list[tally_lib.Flow]] = {}
         self._waiting: dict[int, list[tally_lib.Flow]] = {}
         self._changes = changes.Changes(
             self.world, self.operator, self.tally, self.rng
@@ -73,6 +75,8 @@
             for flow in self._waiting.pop(self.world.now_ms, []):
                 if flow.service in self.operator.addresses:
                     self._open(flow)
+            for flow in self._soon.pop(self.world.now_ms, []):
+                self._speak(flow, self._entry())
             for flow in self._due.pop(self.world.now_ms, []):
                 self._speak(flow, self._entry())
                 self._speak_later(flow)
@@ -124,6 +128,9 @@
         self.flows.append(flow)
         self._open(flow)
         self._speak_later(flow)
+        for delay_ms in FIRST_WORDS_MS:
+            due_ms = self.world.now_ms + delay_ms
+            self._soon.setdefault(due_ms, []).append(flow)
 
     def _open(self, flow: tally_lib.Flow) -> None:
         """Sends opening packets until every method has placed the flow."""
