Slopes of flow routing; services that a revision leaves alone keep their routes

Before, each activation computed the routes of all services again, since the retired revision was part of their inputs.

--- a/packages/core/sapphire_core/flows/route_tables.py
+++ b/packages/core/sapphire_core/flows/route_tables.py
@@ -91,7 +91,7 @@
             inputs = routes_lib.ServiceInputs(
                 views=found.views,
                 is_active=found.is_active,
-                retired=self._retired(service.name),
+                retired=self._retired(service),
                 closed_data_centres=closed,
                 out_data_centres=out,
                 unsettled=unsettled & names,
@@ -107,11 +107,17 @@
         self._withdrawn_keys -= routes_by_key.keys()
         self.routes_by_key = routes_by_key
 
-    def _retired(self, name: str) -> records.Service | None:
-        """Returns a service in the previous active configuration."""
+    def _retired(self, service: records.Service) -> records.Service | None:
+        """Returns the previous state of a service if its base differs."""
         if self._revisions.retired is None:
             return None
-        return self._revisions.retired.services_by_name.get(name)
+        services_by_name = self._revisions.retired.services_by_name
+        previous = services_by_name.get(service.name)
+        if previous is None:
+            return None
+        if previous.generations[:1] == service.generations[:1]:
+            return None
+        return previous
 
 
 def _out(configurations: list[records.Configuration]) -> frozenset[str]:
--- a/packages/core/sapphire_core/flows/service_views.py
+++ b/packages/core/sapphire_core/flows/service_views.py
@@ -32,8 +32,8 @@
     """The services that known configurations have at one address.
 
     Attributes:
-        views: The service in each configuration that has it, oldest first.
-        is_active: Whether the oldest of them is the active configuration.
+        views: The different states of the service, oldest first.
+        is_active: Whether the active configuration has the oldest of them.
         is_moving: Whether the address passes from one service to another.
     """
 
@@ -58,7 +58,11 @@
     for index, configuration in enumerate(configurations):
         for service in configuration.services_by_name.values():
             key = service_key(service.address, service.port)
-            views_by_key.setdefault(key, []).append(service)
+            views = views_by_key.setdefault(key, [])
+            # Most services are the same in all revisions; equal views are
+            # dropped so that their routes are not computed again.
+            if not views or views[-1] != service:
+                views.append(service)
             if index == 0:
                 active_keys.add(key)
     result = {}
--- a/packages/lab/sapphire_lab/flows/figures.py
+++ b/packages/lab/sapphire_lab/flows/figures.py
@@ -3,6 +3,7 @@
 import random
 import statistics
 import sys
+import time
 
 from sapphire_core.flows import bucket_table
 from sapphire_core.flows import exceptions_table
@@ -68,8 +69,6 @@
 
 def microseconds_per_rebuild(targets: int, bucket_count: int) -> float:
     """Returns the time that a host takes to prepare a change of one pool."""
-    import time
-
     samples = []
     upstreams = [builders.upstream(f"u{item}") for item in range(targets + 1)]
     names = [item.name for item in upstreams]
--- /dev/null
+++ b/packages/lab/sapphire_lab/flows/slopes.py
@@ -0,0 +1,113 @@
+"""Slopes of flow routing for the page on capacity.
+
+Each function measures two sizes and returns the growth for one more.
+"""
+
+import random
+import statistics
+import time
+
+from sapphire_core.flows import bucket_table
+from sapphire_core.flows import handover
+from sapphire_core.flows import keepers as keepers_lib
+from sapphire_core.flows import router as router_lib
+from sapphire_lab.flows import builders
+from sapphire_lab.flows import figures
+
+ATTEMPTS = 5
+
+
+def bytes_per_recorded_flow() -> float:
+    """Returns the memory of one more recorded flow on one keeper."""
+    small = figures.record_bytes(20_000) * 20_000
+    large = figures.record_bytes(100_000) * 100_000
+    return (large - small) / 80_000
+
+
+def bytes_per_bucket_of_settled_service() -> float:
+    """Returns the memory of one more bucket of a settled service."""
+    reference_bytes = 8
+    shared_flag_bytes = 1
+    table = bucket_table.owners("rota", 1_021, ("a", "b", "c"))
+    return reference_bytes + shared_flag_bytes + table.itemsize
+
+
+def microseconds_per_change_and_bucket() -> float:
+    """Returns the time to prepare a change of a pool, for each bucket."""
+    small = figures.microseconds_per_rebuild(7, 1_021)
+    large = figures.microseconds_per_rebuild(7, 4_093)
+    return (large - small) / (4_093 - 1_021)
+
+
+def microseconds_per_order_and_host() -> float:
+    """Returns the time to find the keepers of a bucket, for each host."""
+    samples = []
+    for hosts in (500, 1_500):
+        members = {}
+        for number in range(hosts):
+            host_id = f"h{number}"
+            members[host_id] = builders.member(host_id, f"dc{number % 10}")
+        keepers = keepers_lib.Keepers()
+        keepers.set_members(members)
+        begin = time.perf_counter()
+        for bucket in range(50):
+            keepers.order("rota", bucket)
+        samples.append((time.perf_counter() - begin) / 50 * 1e6)
+    return (samples[1] - samples[0]) / 1_000
+
+
+def microseconds_per_settled_packet() -> float:
+    """Returns the time of a packet whose bucket is settled."""
+    upstreams = [builders.upstream(f"u{number}") for number in range(7)]
+    names = [item.name for item in upstreams]
+    service = builders.service("rota", upstreams, [names], bucket_count=1_021)
+    router = router_lib.Router("h1")
+    view = builders.view([builders.member("h1")], 1)
+    router.set_view(view, 0)
+    router.prepare(builders.configuration(1, [service]), 0)
+    router.set_view(view, 0)
+    key = builders.key_of(service)
+    rng = random.Random(1)
+    flows = [rng.getrandbits(64) for _ in range(20_000)]
+    samples = []
+    for _ in range(ATTEMPTS):
+        begin = time.perf_counter()
+        for flow_hash in flows:
+            router.route(key, flow_hash, False, False, 100)
+        samples.append((time.perf_counter() - begin) / len(flows) * 1e6)
+    return statistics.median(samples)
+
+
+def handover_bytes_per_flow() -> float:
+    """Returns the control bytes to hand over one recorded flow."""
+    page = handover.PAGE_OVERHEAD_BYTES / handover.PAGE_FLOWS
+    return handover.FLOW_BYTES + page
+
+
+def ambiguous_share(targets: int, bucket_count: int) -> float:
+    """Returns the share of buckets that one added upstream makes ambiguous.
+
+    Args:
+        targets: The upstreams before the change.
+        bucket_count: The number of buckets.
+    """
+    before = tuple(sorted(f"u{number}" for number in range(targets)))
+    after = tuple(sorted([*before, "new"]))
+    moved = bucket_table.ambiguous_buckets(
+        "rota", bucket_count, (before, after)
+    )
+    return len(moved) / bucket_count
+
+
+def all_slopes() -> dict[str, float]:
+    """Returns every slope by name."""
+    return {
+        "bytes_per_recorded_flow": bytes_per_recorded_flow(),
+        "bytes_per_bucket": bytes_per_bucket_of_settled_service(),
+        "us_per_change_and_bucket": microseconds_per_change_and_bucket(),
+        "us_per_order_and_host": microseconds_per_order_and_host(),
+        "us_per_settled_packet": microseconds_per_settled_packet(),
+        "handover_bytes_per_flow": handover_bytes_per_flow(),
+        "ambiguous_share_7_targets": ambiguous_share(7, 1_021),
+        "ambiguous_share_73_targets": ambiguous_share(73, 10_007),
+    }
