Ends of requests count towards service levels; durations and slot messages are wired

Messages about idle slots now travel between hosts (SLOT_MESSAGE), and what cannot be carried is counted. http.server.request.duration is a histogram in seconds with the boundaries of the semantic conventions. Store calls and upload memory no longer stand among the request events, of which they are none.

--- a/packages/node/sapphire_node/daemon.py
+++ b/packages/node/sapphire_node/daemon.py
@@ -19,6 +19,7 @@
 from sapphire_node import loading
 from sapphire_node import messages
 from sapphire_node import parts as parts_lib
+from sapphire_node import request_meter
 from sapphire_node import rotation_task
 from sapphire_node.requests import asgi
 
@@ -157,7 +158,9 @@
 async def _serve_requests(parts: parts_lib.Parts, stop: anyio.Event) -> None:
     """Serves requests of callers until told to stop."""
     await http_server.serve(
-        asgi.RequestApp(parts.requests),
+        request_meter.RequestMeter(
+            asgi.RequestApp(parts.requests), parts.meters.meter
+        ),
         parts.own.address,
         parts.loaded.settings.ports.requests,
         stop.wait,
--- a/packages/node/sapphire_node/instruments.py
+++ b/packages/node/sapphire_node/instruments.py
@@ -5,12 +5,16 @@
 from sapphire_net import metrics
 from sapphire_node import control
 from sapphire_node import forwarder
+from sapphire_node import slot_carrier
 from sapphire_node.requests import service as request_service
 
 PROGRAM = "sapphirearchd"
 _PATH = "sapphirearch.packet.path"
 _DIRECTION = "network.io.direction"
 _EVENT = "sapphirearch.request.event"
+_STORE_CALLS = "store_calls"
+_UPLOAD_MEMORY = "upload_memory_bytes"
+_NOT_EVENTS = frozenset((_STORE_CALLS, _UPLOAD_MEMORY))
 
 
 def create(
@@ -18,6 +22,7 @@
     packets: forwarder.Forwarder,
     messages: control.ControlPlane,
     requests: request_service.RequestService,
+    slots: slot_carrier.SlotCarrier,
 ) -> metrics.Metrics:
     """Creates the metrics of a host.
 
@@ -26,6 +31,7 @@
         packets: The forwarding task.
         messages: The control plane.
         requests: The task that owns requests.
+        slots: Carries messages about idle slots.
 
     Returns:
         The metrics; the caller closes them.
@@ -33,16 +39,42 @@
     instruments = metrics.Metrics(PROGRAM, host_id)
     _observe_packets(instruments, packets)
     _observe_messages(instruments, messages)
+    _observe_requests(instruments, requests)
+    instruments.observe_counter(
+        "sapphirearch.slot_messages.dropped",
+        "{message}",
+        "Messages about idle slots dropped, by the reason.",
+        lambda: _by_error_type(slots.dropped_by_type),
+    )
+    return instruments
+
+
+def _observe_requests(
+    instruments: metrics.Metrics, requests: request_service.RequestService
+) -> None:
+    """Registers what the owner of the requests counts."""
     instruments.observe_counter(
         "sapphirearch.request.events",
-        "{request}",
+        "{event}",
         "Events in the life of requests.",
         lambda: {
             ((_EVENT, name),): float(count)
             for name, count in requests.counters().items()
+            if name not in _NOT_EVENTS
         },
     )
-    return instruments
+    instruments.observe_counter(
+        "sapphirearch.request.store_calls",
+        "{call}",
+        "Calls of the platform's store to claim requests.",
+        lambda: {(): float(requests.counters()[_STORE_CALLS])},
+    )
+    instruments.observe_gauge(
+        "sapphirearch.request.upload_memory",
+        "By",
+        "Memory in use for bodies of requests.",
+        lambda: {(): float(requests.counters()[_UPLOAD_MEMORY])},
+    )
 
 
 def _observe_packets(
--- a/packages/node/sapphire_node/parts.py
+++ b/packages/node/sapphire_node/parts.py
@@ -10,6 +10,7 @@
 from sapphire_core.flows import router as flow_router
 from sapphire_core.membership import data as membership_data
 from sapphire_core.membership import membership
+from sapphire_core.slo import counters as slo_counters
 from sapphire_data import clock
 from sapphire_data import records
 from sapphire_net import metrics
@@ -22,6 +23,7 @@
 from sapphire_node import loading
 from sapphire_node import messages
 from sapphire_node import prober
+from sapphire_node import slot_carrier
 from sapphire_node import store_claims
 from sapphire_node import subscribers
 from sapphire_node.configuration import keeper
@@ -101,8 +103,13 @@
     configuration = keeper.Keeper(
         own, settings.store, to_control, time, peer_context=peer_context
     )
+    slots = slot_carrier.SlotCarrier(to_control)
     requests = request_service.RequestService(
-        own.host_id, store_claims.open_claims(settings.store, time), time
+        own.host_id,
+        store_claims.open_claims(settings.store, time),
+        time,
+        tell_peer=slots.tell,
+        note_end=_note_end(packets.levels),
     )
     control_plane = control.ControlPlane(
         own,
@@ -112,7 +119,13 @@
         listeners=subscribers.Subscribers(
             to_forwarder,
             configuration.take_notice,
-            (configuration.take_view, requests.set_view, probes.take_view),
+            lambda received: slots.receive(received, requests.peer_told),
+            (
+                configuration.take_view,
+                requests.set_view,
+                probes.take_view,
+                slots.take_view,
+            ),
         ),
         time=time,
     )
@@ -127,7 +140,7 @@
         requests=requests,
         probes=probes,
         meters=instruments.create(
-            own.host_id, packets, control_plane, requests
+            own.host_id, packets, control_plane, requests, slots
         ),
         to_control=to_control,
         control_inbox=control_inbox,
@@ -136,6 +149,17 @@
     )
 
 
+def _note_end(levels: slo_counters.SloCounters) -> request_service.NoteEnd:
+    """Returns what counts the end of a request."""
+
+    def note(service: str, is_answered: bool) -> None:
+        levels.record_requests(
+            service, int(is_answered), 1, clock.wall_time_ms()
+        )
+
+    return note
+
+
 def _own_address(settings: settings_lib.Settings) -> records.HostAddress:
     """Returns the identity of this process, new at each start."""
     suffix = uuid.uuid4().hex[:HOST_ID_CHARACTERS]
--- a/packages/node/sapphire_node/requests/service.py
+++ b/packages/node/sapphire_node/requests/service.py
@@ -89,6 +89,9 @@
 
 
 TellPeer = Callable[[str, core_data.PeerMessage], None]
+# Takes the service of a request that has ended, and whether it was answered
+# within its deadline.
+NoteEnd = Callable[[str, bool], None]
 
 
 class RequestService:
@@ -112,6 +115,7 @@
         *,
         rng: random.Random | None = None,
         tell_peer: TellPeer | None = None,
+        note_end: NoteEnd | None = None,
         upload_memory_bytes: int = UPLOAD_MEMORY_BYTES,
         answer_memory_bytes: int = ANSWER_MEMORY_BYTES,
     ) -> None:
@@ -121,6 +125,7 @@
         self.services_by_name: Mapping[str, records.Service] = {}
         self._claim_store = claim_store
         self._tell_peer = tell_peer
+        self._note_end = note_end
         self._engine = engine.Engine(host_id, rng or random.Random())
         self._submits_by_serial: dict[int, Submit] = {}
         self._configuration: records.Configuration | None = None
@@ -270,6 +275,7 @@
                     scope.cancel()
             case core_data.Finish(serial):
                 submit = self._submits_by_serial.pop(serial)
+                self._note_finish(submit, action)
                 self._reply(submit, action)
             case core_data.TellPeer(host_id, peer_message):
                 if self._tell_peer is not None:
@@ -277,6 +283,16 @@
             case core_data.ApplyClaims(batch):
                 tasks.start_soon(self._apply, batch)
 
+    def _note_finish(self, submit: Submit, finish: core_data.Finish) -> None:
+        # A caller that left had no answer to wait for.
+        if self._note_end is None:
+            return
+        if finish.outcome is core_data.Outcome.CANCELLED:
+            return
+        is_in_time = self.clock.now_ms() <= submit.request.deadline_ms
+        is_answered = finish.outcome is core_data.Outcome.ANSWERED
+        self._note_end(submit.request.service, is_answered and is_in_time)
+
     def _reply(self, submit: Submit, finish: core_data.Finish) -> None:
         try:
             submit.reply.send_nowait(finish)
--- a/packages/node/sapphire_node/requests/service_test.py
+++ b/packages/node/sapphire_node/requests/service_test.py
@@ -28,6 +28,7 @@
     service: service.RequestService
     app: asgi.RequestApp
     client: httpx.AsyncClient
+    ends: list[tuple[str, bool]]
 
     async def send(
         self, method: str = "POST", key: str | None = "k1", **fields: str
@@ -48,7 +49,13 @@
 ) -> AsyncIterator[Bench]:
     upstream = request_upstream.RequestUpstream(service_ms=service_ms)
     store = claim_store_fake.FakeClaimStore()
-    host = service.RequestService("h1", store, clock.MonotonicClock())
+    ends: list[tuple[str, bool]] = []
+    host = service.RequestService(
+        "h1",
+        store,
+        clock.MonotonicClock(),
+        note_end=lambda name, is_answered: ends.append((name, is_answered)),
+    )
     app = asgi.RequestApp(host)
     async with anyio.create_task_group() as tasks:
         await tasks.start(upstream.serve)
@@ -58,7 +65,7 @@
         host.set_configuration(builders.configuration([one]))
         transport = httpx.ASGITransport(app)
         async with httpx.AsyncClient(transport=transport) as client:
-            yield Bench(upstream, store, host, app, client)
+            yield Bench(upstream, store, host, app, client, ends)
         tasks.cancel_scope.cancel()
 
 
@@ -110,6 +117,18 @@
 
         run_bench(test)
 
+    def test_ends_are_told_as_answered_in_time_or_not(self) -> None:
+        async def test(bench: Bench) -> None:
+            bench.upstream.faults.append(Fault.CLOSE_AFTER_RUN)
+            await bench.send()
+            await bench.send(key="k2")
+            self.assertEqual(
+                [(builders.SERVICE, False), (builders.SERVICE, True)],
+                bench.ends,
+            )
+
+        run_bench(test)
+
     def test_repeat_of_an_id_runs_nothing_and_is_unknown(self) -> None:
         async def test(bench: Bench) -> None:
             await bench.send()
--- a/packages/node/sapphire_node/subscribers.py
+++ b/packages/node/sapphire_node/subscribers.py
@@ -18,11 +18,13 @@
         forwarder: The task that owns the router.
         configuration_notice: Takes the notice of a peer about the revision
             that it has.
+        slot_message: Takes the message of a peer about idle slots.
         views: Take a new view of the membership, each in its own way.
     """
 
     forwarder: memory.MemoryObjectSendStream[messages.ToForwarder]
     configuration_notice: Callable[[messages.ControlReceived], None]
+    slot_message: Callable[[messages.ControlReceived], None]
     views: tuple[Callable[[records.MemberView], None], ...]
 
     async def send_control(self, message: messages.ControlReceived) -> None:
@@ -34,6 +36,9 @@
         if message.kind is message_kind.MessageKind.CONFIGURATION_NOTICE:
             self.configuration_notice(message)
             return
+        if message.kind is message_kind.MessageKind.SLOT_MESSAGE:
+            self.slot_message(message)
+            return
         await self.forwarder.send(message)
 
     async def send_overlay(self, message: messages.OverlayLearned) -> None:
