Tests of what a whole daemon says of itself

One daemon over loopback sockets with the stand-in store: health, readiness and status without a configuration, with the store down from the start, with the store lost later and during the leave; the metrics page; brief status; random bytes to all four ports raise the drop counters by exactly what was sent to the two datagram ports; an error in one task ends the daemon as failed with one line.

--- /dev/null
+++ b/packages/node/sapphire_node/daemon_life_test.py
@@ -0,0 +1,305 @@
+"""What a whole daemon says of itself while the store and its phase change."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import contextlib
+import functools
+import logging
+import pathlib
+import tempfile
+from typing import Any
+from unittest import mock
+
+import anyio
+import httpx
+import hypothesis
+from hypothesis import strategies
+import testtools
+from testtools import matchers
+
+from sapphire_data import clock
+from sapphire_lab.daemon import bench
+from sapphire_lab.stand_ins import store
+from sapphire_lab.stand_ins import store_faults
+from sapphire_node import daemon
+from sapphire_node import forwarder
+
+ADDRESS = "127.71.2.1"
+HEALTH = "/healthz"
+READY = "/readyz"
+STATUS = "/v1/status"
+SLO = "/v1/slo"
+METRICS = "/metrics"
+
+
+class Trial:
+    """One daemon, its store, and a client of its API."""
+
+    def __init__(self, directory: pathlib.Path, http: httpx.AsyncClient):
+        self.stand_in = store.StandInStore(clock.MonotonicClock())
+        self.directory = directory
+        self.http = http
+        self.store_url = ""
+        self.tasks: Any = None
+        self.host: bench.RunningHost
+
+    async def start(self, leave_notice_ms: int = 0) -> None:
+        files = bench.create(
+            self.directory,
+            ADDRESS,
+            self.store_url,
+            leave_notice_ms=leave_notice_ms,
+        )
+        self.host = await bench.start(files, self.tasks)
+
+    async def get(self, path: str) -> httpx.Response:
+        return await self.http.get(self.host.files.api_url + path)
+
+    async def wait(
+        self, path: str, is_reached: Callable[[httpx.Response], bool]
+    ) -> httpx.Response:
+        url = self.host.files.api_url + path
+        return await bench.wait_until(self.http, url, is_reached)
+
+    async def wait_ready(self) -> None:
+        await self.wait(READY, lambda answer: answer.is_success)
+
+
+def run_trial(body: Callable[[Trial], Awaitable[None]]) -> None:
+    async def run() -> None:
+        async with contextlib.AsyncExitStack() as stack:
+            name = stack.enter_context(tempfile.TemporaryDirectory())
+            http = await stack.enter_async_context(bench.client())
+            trial = Trial(pathlib.Path(name), http)
+            trial.store_url = await stack.enter_async_context(
+                store.running(trial.stand_in)
+            )
+            trial.tasks = await stack.enter_async_context(
+                anyio.create_task_group()
+            )
+            await body(trial)
+            trial.tasks.cancel_scope.cancel()
+
+    anyio.run(run, backend_options={"use_uvloop": True})
+
+
+class ReadinessTest(testtools.TestCase):
+    def test_host_without_configuration_is_healthy_and_not_ready(self) -> None:
+        async def body(trial: Trial) -> None:
+            await trial.start()
+            status = await trial.wait(
+                STATUS, lambda answer: answer.json()["is_store_reachable"]
+            )
+            self.assertEqual("starting", status.json()["state"])
+            self.assertEqual(0, status.json()["active_revision"])
+            health = await trial.get(HEALTH)
+            self.assertEqual((200, {"state": "starting"}), _read(health))
+            ready = await trial.get(READY)
+            reason = {"ready": False, "reason": "no_configuration"}
+            self.assertEqual((503, reason), _read(ready))
+            await bench.publish(trial.store_url)
+            await trial.wait_ready()
+            status = await trial.wait(
+                STATUS, lambda answer: answer.json()["active_digest"]
+            )
+            self.assertEqual("serving", status.json()["state"])
+            self.assertEqual(0, status.json()["lag_ms"])
+
+        run_trial(body)
+
+    def test_store_down_from_the_start(self) -> None:
+        async def body(trial: Trial) -> None:
+            trial.stand_in.set_faults(store_faults.Faults(is_down=True))
+            await trial.start()
+            await trial.wait(
+                STATUS,
+                lambda answer: answer.json()["is_store_reachable"] is False,
+            )
+            self.assertEqual(503, (await trial.get(READY)).status_code)
+            self.assertEqual(200, (await trial.get(HEALTH)).status_code)
+            trial.stand_in.set_faults(store_faults.Faults())
+            await bench.publish(trial.store_url)
+            await trial.wait_ready()
+
+        run_trial(body)
+
+    def test_store_lost_later_leaves_the_host_ready(self) -> None:
+        async def body(trial: Trial) -> None:
+            await bench.publish(trial.store_url)
+            await trial.start()
+            await trial.wait_ready()
+            trial.stand_in.set_faults(store_faults.Faults(is_down=True))
+            await trial.wait(
+                STATUS,
+                lambda answer: answer.json()["is_store_reachable"] is False,
+            )
+            self.assertEqual(200, (await trial.get(READY)).status_code)
+            status = (await trial.get(STATUS)).json()
+            self.assertEqual("serving", status["state"])
+            self.assertEqual(1, status["active_revision"])
+
+        run_trial(body)
+
+    def test_leaving_host_is_healthy_and_not_ready(self) -> None:
+        async def body(trial: Trial) -> None:
+            await bench.publish(trial.store_url)
+            await trial.start(leave_notice_ms=1_000)
+            await trial.wait_ready()
+            trial.host.terminate()
+            ready = await trial.wait(
+                READY, lambda answer: not answer.is_success
+            )
+            reason = {"ready": False, "reason": "leaving"}
+            self.assertEqual((503, reason), _read(ready))
+            health = await trial.get(HEALTH)
+            self.assertEqual((200, {"state": "leaving"}), _read(health))
+            outcome = await trial.host.wait_ended()
+            self.assertEqual(daemon.Outcome.LEFT, outcome)
+
+        run_trial(body)
+
+
+class MetricsTest(testtools.TestCase):
+    def test_instruments_are_served_and_requests_are_counted(self) -> None:
+        async def body(trial: Trial) -> None:
+            await bench.publish(trial.store_url)
+            await trial.start()
+            await trial.wait_ready()
+            files = trial.host.files
+            url = f"http://{files.address}:{files.ports['requests']}/"
+            # Nothing listens at the address of the upstream.
+            answer = await trial.http.get(url, headers={"host": "rota"})
+            self.assertFalse(answer.is_success)
+            async with await anyio.create_udp_socket(local_host=ADDRESS) as udp:
+                for name in ("fabric", "control"):
+                    await udp.sendto(b"x", ADDRESS, files.ports[name])
+            await trial.wait(METRICS, _has_drops)
+            text = (await trial.get(METRICS)).text
+            for line in (
+                "# TYPE http_server_request_duration_seconds histogram",
+                "# TYPE sapphirearch_packets_total counter",
+                "# TYPE sapphirearch_packets_dropped_total counter",
+                "# TYPE sapphirearch_control_io_bytes_total counter",
+                "# TYPE sapphirearch_control_dropped_total counter",
+                "# TYPE sapphirearch_request_events_total counter",
+                "# TYPE sapphirearch_members gauge",
+                "# TYPE sapphirearch_configuration_revision gauge",
+            ):
+                self.assertThat(text, matchers.Contains(line))
+            self.assertThat(
+                text,
+                matchers.MatchesRegex(
+                    r"(?s).*http_server_request_duration_seconds_count\{"
+                    rf'[^}}]*http_request_method="GET",[^}}]*'
+                    rf'http_response_status_code="{answer.status_code}"'
+                    r"[^}]*\} 1\.0"
+                ),
+            )
+            report = (await trial.get(SLO)).json()
+            series = [
+                item
+                for item in report["series"]
+                if item["objective"] == "requests_answered"
+            ]
+            counts = series[0]["tiers"][0]["buckets"][0]
+            self.assertEqual((0, 1), (counts["good"], counts["total"]))
+
+        run_trial(body)
+
+    def test_brief_status_leaves_out_members_and_upstreams(self) -> None:
+        async def body(trial: Trial) -> None:
+            await bench.publish(trial.store_url)
+            await trial.start()
+            await trial.wait_ready()
+            whole = (await trial.get(STATUS)).json()
+            brief = (await trial.get(STATUS + "?detail=brief")).json()
+            self.assertThat(whole["members"], matchers.HasLength(1))
+            self.assertThat(whole["upstreams"], matchers.HasLength(1))
+            self.assertEqual([], brief["members"] + brief["upstreams"])
+
+        run_trial(body)
+
+
+class BadInputTest(testtools.TestCase):
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=3)
+    @hypothesis.given(
+        strategies.lists(
+            strategies.binary(min_size=1, max_size=1_400),
+            min_size=20,
+            max_size=20,
+        )
+    )
+    def test_arbitrary_bytes_are_dropped_and_counted(
+        self, inputs: list[bytes]
+    ) -> None:
+        async def body(trial: Trial) -> None:
+            await bench.publish(trial.store_url)
+            await trial.start()
+            await trial.wait_ready()
+            files = trial.host.files
+            async with await anyio.create_udp_socket(local_host=ADDRESS) as udp:
+                for data in inputs:
+                    for name in ("fabric", "control"):
+                        await udp.sendto(data, ADDRESS, files.ports[name])
+            for data in inputs:
+                for name in ("api", "requests"):
+                    await _send_bytes(files.ports[name], data)
+            for name in ("packets", "control"):
+                counter = f"sapphirearch_{name}_dropped_total"
+                await trial.wait(
+                    METRICS, functools.partial(_counts, counter, len(inputs))
+                )
+            self.assertEqual(200, (await trial.get(READY)).status_code)
+            self.assertIsNone(trial.host.outcome)
+
+        run_trial(body)
+
+
+class FailedTaskTest(testtools.TestCase):
+    def test_error_in_one_task_ends_the_daemon_with_one_line(self) -> None:
+        async def body(trial: Trial) -> None:
+            await trial.start()
+            with self.assertLogs("sapphire_node.daemon", "ERROR") as logs:
+                broken = mock.patch.object(
+                    forwarder.Forwarder, "_handle", side_effect=KeyError("x")
+                )
+                with broken:
+                    await bench.publish(trial.store_url)
+                    outcome = await trial.host.wait_ended()
+            self.assertEqual(daemon.Outcome.FAILED, outcome)
+            self.assertThat(logs.records, matchers.HasLength(1))
+            self.assertEqual("task_failed", logs.records[0].getMessage())
+            self.assertEqual(logging.ERROR, logs.records[0].levelno)
+
+        run_trial(body)
+
+
+def _read(answer: httpx.Response) -> tuple[int, Any]:
+    return answer.status_code, answer.json()
+
+
+def _counts(name: str, count: int, answer: httpx.Response) -> bool:
+    return _sum(answer.text, name) == count
+
+
+def _has_drops(answer: httpx.Response) -> bool:
+    names = ("packets", "control")
+    return all(
+        _counts(f"sapphirearch_{name}_dropped_total", 1, answer)
+        for name in names
+    )
+
+
+def _sum(text: str, name: str) -> float:
+    return sum(
+        float(line.rpartition(" ")[2])
+        for line in text.splitlines()
+        if line.startswith(name)
+    )
+
+
+async def _send_bytes(port: int, data: bytes) -> None:
+    stream = await anyio.connect_tcp(ADDRESS, port)
+    async with stream:
+        with contextlib.suppress(anyio.BrokenResourceError):
+            await stream.send(data)
