--- a/packages/node/sapphire_node/daemon_life_test.py
+++ b/packages/node/sapphire_node/daemon_life_test.py
@@ -261,7 +261,7 @@
             await trial.start()
             with self.assertLogs("sapphire_node.daemon", "ERROR") as logs:
                 broken = mock.patch.object(
-                    forwarder.Forwarder, "_handle", side_effect=KeyError("x")
+                    forwarder.Forwarder, "handle", side_effect=KeyError("x")
                 )
                 with broken:
                     await bench.publish(trial.store_url)
