--- a/packages/lab/sapphire_lab/stand_ins/store.py
+++ b/packages/lab/sapphire_lab/stand_ins/store.py
@@ -9,6 +9,7 @@
 import collections
 from collections.abc import AsyncIterator
 import contextlib
+import dataclasses
 import json
 import socket
 from typing import Annotated
@@ -167,6 +168,8 @@
             items = self._old_items
         key, end = _range_of(body)
         found = self.state.select(key, end, items)
+        if body.get("keys_only", False):
+            found = [dataclasses.replace(item, value=b"") for item in found]
         limit = int(body.get("limit", 0)) or len(found)
         answer: dict[str, Any] = {"header": self._header()}
         if found:
@@ -186,10 +189,17 @@
             if not self.state.holds(key, int(compare["mod_revision"])):
                 succeeded = False
         branch = body.get("success" if succeeded else "failure", ())
-        self.state.apply([_decode_write(operation) for operation in branch])
+        reads = [item for item in branch if "request_range" in item]
+        writes = [item for item in branch if "request_range" not in item]
+        self.state.apply([_decode_write(operation) for operation in writes])
         answer: dict[str, Any] = {"header": self._header()}
         if succeeded:
             answer["succeeded"] = True
+        if reads:
+            answer["responses"] = [
+                {"response_range": self._range(item["request_range"])}
+                for item in reads
+            ]
         return answer
 
     def _grant(self, body: Any) -> Any:
