--- /dev/null
+++ b/packages/lab/sapphire_lab/config/bundle_test.py
@@ -0,0 +1,136 @@
+"""What a host gives to a peer, and what it does with a peer's bad answer."""
+
+from collections.abc import Callable
+import dataclasses
+from typing import Any
+
+import anyio
+import httpx
+import hypothesis
+from hypothesis import strategies
+import testtools
+from testtools import matchers
+
+from sapphire_core.configuration import data
+from sapphire_data import records
+from sapphire_lab.config import builders
+from sapphire_node.configuration import sources
+from sapphire_wire import codec
+from sapphire_wire.documents import bundle
+from sapphire_wire.documents import packing
+from sapphire_wire.gen.configuration import ttypes
+
+FIRST = builders.configuration()
+SECOND = builders.configuration(previous=FIRST, drained=("plans-1",))
+PEER = records.HostAddress("h1", "tacoma", "10.0.0.1", 7_000, 7_001)
+
+
+def content(configuration: records.Configuration) -> bundle.Content:
+    """Returns the content of a configuration."""
+    packed = packing.pack(configuration, builders.change(), 4)
+    built: bundle.Content = bundle.assemble(
+        packed.head, packed.parts_by_digest, None
+    ).ok
+    return built
+
+
+def shelf(*configurations: records.Configuration) -> bundle.Shelf:
+    """Returns a shelf that has held configurations, the last one now."""
+    filled = bundle.Shelf()
+    for configuration in configurations:
+        filled.put(content(configuration))
+    return filled
+
+
+class ShelfTest(testtools.TestCase):
+    def test_peer_gets_only_the_parts_that_it_lacks(self) -> None:
+        filled = shelf(FIRST, SECOND)
+        for known in (content(FIRST), None):
+            revision = known.version.revision if known is not None else 0
+            encoded = filled.encode(revision) or b""
+            decoded = bundle.decode_bundle(encoded, known).ok
+            expected = dataclasses.replace(SECOND, digest="d")
+            self.assertThat(decoded.configuration, matchers.Equals(expected))
+        whole = len(filled.encode(0) or b"")
+        changed = len(filled.encode(1) or b"")
+        self.assertThat(changed, matchers.LessThan(whole))
+
+    def test_unknown_revision_gets_all_parts(self) -> None:
+        filled = shelf(SECOND)
+        self.assertThat(filled.encode(77), matchers.Equals(filled.encode(0)))
+
+    def test_empty_shelf_gives_nothing(self) -> None:
+        self.assertIsNone(bundle.Shelf().encode(0))
+
+
+class NoticeTest(testtools.TestCase):
+    def test_notice_survives_the_round_trip(self) -> None:
+        for version in (data.NO_VERSION, content(FIRST).version):
+            body = bundle.encode_notice(version, wants_answer=True)
+            self.assertThat(
+                bundle.decode_notice(body).ok, matchers.Equals((version, True))
+            )
+
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=100)
+    @hypothesis.given(strategies.binary(max_size=100))
+    def test_arbitrary_bytes_never_raise(self, body: bytes) -> None:
+        for decoded in (
+            bundle.decode_notice(body),
+            bundle.decode_bundle(body, None),
+            bundle.decode_bundle(body, content(FIRST)),
+        ):
+            self.assertThat(
+                decoded.is_ok() != decoded.is_error(), matchers.Equals(True)
+            )
+
+
+def altered_bundle() -> bytes:
+    """Returns a bundle whose parts do not match their digests."""
+    held = content(FIRST)
+    parts = dict.fromkeys(held.parts_by_digest, b"altered")
+    return codec.encode(
+        ttypes.Bundle(head=held.head_bytes, parts_by_digest=parts)
+    )
+
+
+def refuse(_: httpx.Request) -> httpx.Response:
+    """Fails as a peer does that is gone."""
+    raise httpx.ConnectError("refused")
+
+
+def answer(status: int, body: bytes) -> Callable[[Any], httpx.Response]:
+    """Returns a peer that gives one answer."""
+    return lambda _: httpx.Response(status, content=body)
+
+
+BAD_PEERS = {
+    "gone": refuse,
+    "empty": answer(404, b""),
+    "failing": answer(500, b""),
+    "garbage": answer(200, b"\x00\x01garbage"),
+    "altered": answer(200, altered_bundle()),
+    "too long": answer(200, bytes(sources.MAX_BUNDLE_BYTES + 1)),
+}
+
+
+class FetchTest(testtools.TestCase):
+    def fetch(self, peer: Any) -> Any:
+        """Fetches from a peer that has the first revision to offer."""
+
+        async def body() -> Any:
+            transport = httpx.MockTransport(peer)
+            async with httpx.AsyncClient(transport=transport) as http:
+                return await sources.fetch_from_peer(
+                    http, PEER, None, is_encrypted=False
+                )
+
+        return anyio.run(body)
+
+    def test_each_bad_answer_is_a_typed_failure(self) -> None:
+        for name, peer in BAD_PEERS.items():
+            fetched = self.fetch(peer)
+            self.assertThat(fetched.is_error(), matchers.Equals(True), name)
+
+    def test_good_answer_is_decoded(self) -> None:
+        fetched = self.fetch(answer(200, shelf(FIRST).encode(0) or b""))
+        self.assertThat(fetched.ok.version.revision, matchers.Equals(1))
--- a/packages/node/sapphire_node/configuration/sources.py
+++ b/packages/node/sapphire_node/configuration/sources.py
@@ -61,19 +61,21 @@
     scheme = "https" if is_encrypted else "http"
     revision = known.version.revision if known is not None else 0
     url = f"{scheme}://{address}:{host.api_port}{api.CONFIGURATION_PATH}"
+    body = bytearray()
     try:
-        response = await http.get(
-            url, params={api.KNOWN_REVISION_PARAMETER: str(revision)}
-        )
+        async with http.stream(
+            "GET", url, params={api.KNOWN_REVISION_PARAMETER: str(revision)}
+        ) as response:
+            if response.status_code != _HTTP_OK:
+                problem = f"status {response.status_code}"
+                return _unreadable(host.host_id, problem)
+            async for chunk in response.aiter_bytes():
+                body += chunk
+                if len(body) > MAX_BUNDLE_BYTES:
+                    return _unreadable(host.host_id, "too long")
     except httpx.HTTPError as error:
         return _unreadable(host.host_id, repr(error))
-    if response.status_code != _HTTP_OK:
-        return _unreadable(host.host_id, f"status {response.status_code}")
-    if len(response.content) > MAX_BUNDLE_BYTES:
-        return _unreadable(host.host_id, "too long")
-    return await anyio.to_thread.run_sync(
-        _decode_bundle, response.content, known
-    )
+    return await anyio.to_thread.run_sync(_decode_bundle, bytes(body), known)
 
 
 async def fetch_from_store(
