--- a/packages/core/sapphire_core/requests/admission.py
+++ b/packages/core/sapphire_core/requests/admission.py
@@ -32,6 +32,7 @@
     """Takes in a request that has arrived whole."""
     state.counters["arrived"] += 1
     progress = life_cycle.start(request)
+    progress.is_after_drain = state.is_draining
     state.progress_by_serial[request.serial] = progress
     pool = state.pools_by_service.get(request.service)
     if pool is None:
@@ -142,7 +143,7 @@
     now_ms: int,
 ) -> None:
     request = progress.request
-    if state.is_draining:
+    if progress.is_after_drain:
         refusal = failures.HostDraining()
         finishing.finish(state, progress, refusal, DRAINING_RETRY_AFTER_MS)
         return
--- a/packages/core/sapphire_core/requests/data.py
+++ b/packages/core/sapphire_core/requests/data.py
@@ -175,10 +175,12 @@
     Attributes:
         host_id: The host.
         service: The service.
+        lasts_ms: How long it will have requests waiting, as far as it knows.
     """
 
     host_id: str
     service: str
+    lasts_ms: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/sapphire_core/requests/engine.py
+++ b/packages/core/sapphire_core/requests/engine.py
@@ -174,7 +174,8 @@
         expiry.expire(state, now_ms)
         expiry.cut_due(state, now_ms)
         for pool in state.pools_by_service.values():
-            sending.dispatch(state, pool, now_ms)
+            if pool.queue.length:
+                sending.dispatch(state, pool, now_ms)
             lending.settle(state, pool, now_ms)
         call = state.claims.poll(now_ms)
         if call is not None:
--- a/packages/core/sapphire_core/requests/engine_test.py
+++ b/packages/core/sapphire_core/requests/engine_test.py
@@ -203,6 +203,13 @@
             ]
             self.assertEqual([], releases)
 
+    def test_request_whose_claim_is_awaited_at_the_drain_is_sent(self) -> None:
+        host = make_engine()
+        batch = self.claim(host)
+        host.begin_drain()
+        sent = sends(host.handle(self.held(batch), 5))
+        self.assertThat(len(sent), matchers.Equals(1))
+
     def test_draining_host_claims_before_it_says_not_run(self) -> None:
         host = make_engine()
         host.begin_drain()
@@ -285,7 +292,7 @@
         one = builders.service([builders.upstream("u0")])
         host.set_configuration(builders.configuration([one]), 0)
         host.set_view(builders.view([name, other]), 0)
-        need = data.PeerTold(data.SlotNeed(other, builders.SERVICE))
+        need = data.PeerTold(data.SlotNeed(other, builders.SERVICE, 200))
         lent = [
             each.message
             for each in host.handle(need, 0)
--- a/packages/core/sapphire_core/requests/lending.py
+++ b/packages/core/sapphire_core/requests/lending.py
@@ -14,9 +14,10 @@
 from sapphire_core.requests import upstream_gate
 
 LOAN_MS = 300
-# A need is remembered for the longest time between two times of asking.
-NEED_MS = need_pace.MAX_INTERVAL_MS
-MAX_ASKED = 8
+# A need is remembered at most for the longest time between two askings.
+MAX_NEED_MS = need_pace.MAX_INTERVAL_MS
+MIN_NEED_MS = 50
+MAX_ASKED = 4
 
 
 def settle(
@@ -28,7 +29,7 @@
             _give_back(state, pool, gate, now_ms)
     if pool.need_ends_ms:
         _lend_idle(state, pool, now_ms)
-    if pool.queue.length and now_ms >= pool.asking.next_ms:
+    if _is_short(pool) and now_ms >= pool.asking.next_ms:
         _ask(state, pool, now_ms)
 
 
@@ -40,7 +41,8 @@
         case data.SlotNeed(host_id, service):
             pool = state.pools_by_service.get(service)
             if pool is not None and host_id in state.peer_ids:
-                pool.need_ends_ms[host_id] = now_ms + NEED_MS
+                lasts_ms = min(MAX_NEED_MS, message.lasts_ms)
+                pool.need_ends_ms[host_id] = now_ms + lasts_ms
         case data.SlotLoan():
             _take_loan(state, message, now_ms)
         case data.SlotReturn(_, loan):
@@ -54,11 +56,20 @@
                 gate.lent_until_ms.pop(loan.loan_id, None)
 
 
+def _is_short(pool: service_pool.ServicePool) -> bool:
+    """Whether more requests wait than will be sent in one mean run."""
+    waiting = pool.queue.length
+    return waiting > 0 and waiting >= pool.own_slots()
+
+
 def _ask(
     state: host_state.HostState, pool: service_pool.ServicePool, now_ms: int
 ) -> None:
     pool.asking.note_asked(now_ms)
-    need = data.SlotNeed(state.host_id, pool.service.name)
+    lasts_ms = pool.queue.length * pool.observed.mean_ms / pool.concurrency()
+    need = data.SlotNeed(
+        state.host_id, pool.service.name, max(MIN_NEED_MS, round(lasts_ms))
+    )
     count = min(MAX_ASKED, len(state.peer_ids))
     for peer_id in state.rng.sample(state.peer_ids, count):
         state.actions.append(data.TellPeer(peer_id, need))
--- a/packages/core/sapphire_core/requests/life_cycle.py
+++ b/packages/core/sapphire_core/requests/life_cycle.py
@@ -71,6 +71,7 @@
         attempt_id: The attempt in flight, or None.
         attempt_count: The attempts made.
         tried: The names of the upstreams that failed it.
+        is_after_drain: Whether it arrived when its host was draining.
         wait_until_ms: When it is refused if it still waits.
     """
 
@@ -82,6 +83,7 @@
     attempt_id: str | None = None
     attempt_count: int = 0
     tried: tuple[str, ...] = ()
+    is_after_drain: bool = False
     wait_until_ms: int = 0
 
     @property
--- a/packages/core/sapphire_core/requests/need_pace.py
+++ b/packages/core/sapphire_core/requests/need_pace.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-MIN_INTERVAL_MS = 250
+MIN_INTERVAL_MS = 800
 MAX_INTERVAL_MS = 1_000
 
 
--- a/packages/lab/sapphire_lab/requests/scenario.py
+++ b/packages/lab/sapphire_lab/requests/scenario.py
@@ -164,6 +164,8 @@
         seed: The seed of all random choices.
         is_baseline: Whether the hosts retry always instead.
     """
+    # The library of back-off draws from the generator of the process.
+    random.seed(f"{seed}/backoff")
     sim = simulation.Simulation()
     log = upstream_fake.RunLog()
     upstreams_by_name = {}
--- a/packages/wire/idl/requests.thrift
+++ b/packages/wire/idl/requests.thrift
@@ -4,6 +4,7 @@
 // A host has requests of a service waiting and no free slot.
 struct SlotNeed {
   1: required string service_name,
+  2: required i32 lasts_ms,     // How long requests will wait there.
 }
 
 // A host lends an idle slot of an upstream.
--- a/packages/wire/sapphire_wire/gen/requests/ttypes.py
+++ b/packages/wire/sapphire_wire/gen/requests/ttypes.py
@@ -20,12 +20,14 @@
     """
     Attributes:
      - service_name
+     - lasts_ms
 
     """
 
 
-    def __init__(self, service_name=None,):
+    def __init__(self, service_name=None, lasts_ms=None,):
         self.service_name = service_name
+        self.lasts_ms = lasts_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -41,6 +43,11 @@
                     self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.lasts_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -55,12 +62,18 @@
             oprot.writeFieldBegin('service_name', TType.STRING, 1)
             oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
             oprot.writeFieldEnd()
+        if self.lasts_ms is not None:
+            oprot.writeFieldBegin('lasts_ms', TType.I32, 2)
+            oprot.writeI32(self.lasts_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
     def validate(self):
         if self.service_name is None:
             raise TProtocolException(message='Required field service_name is unset!')
+        if self.lasts_ms is None:
+            raise TProtocolException(message='Required field lasts_ms is unset!')
         return
 
     def __repr__(self):
@@ -343,6 +356,7 @@
 SlotNeed.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'lasts_ms', None, None, ),  # 2
 )
 all_structs.append(SlotLoan)
 SlotLoan.thrift_spec = (
--- a/packages/wire/sapphire_wire/slot_messages.py
+++ b/packages/wire/sapphire_wire/slot_messages.py
@@ -13,8 +13,8 @@
 def encode(message: data.PeerMessage) -> bytes:
     """Encodes a message; its sender stands in the envelope."""
     match message:
-        case data.SlotNeed(_, service):
-            need = ttypes.SlotNeed(service_name=service)
+        case data.SlotNeed(_, service, lasts_ms):
+            need = ttypes.SlotNeed(service_name=service, lasts_ms=lasts_ms)
             return codec.encode(ttypes.SlotMessage(need=need))
         case data.SlotLoan():
             return codec.encode(ttypes.SlotMessage(loan=_record(message)))
@@ -43,7 +43,10 @@
         return expression.Error(decoded.error)
     record = decoded.ok
     if record.need is not None:
-        return expression.Ok(data.SlotNeed(sender, record.need.service_name))
+        need = record.need
+        return expression.Ok(
+            data.SlotNeed(sender, need.service_name, need.lasts_ms)
+        )
     if record.loan is not None and record.loan.lender == sender:
         return expression.Ok(_loan(record.loan))
     if record.returned is not None:
--- a/packages/wire/sapphire_wire/slot_messages_test.py
+++ b/packages/wire/sapphire_wire/slot_messages_test.py
@@ -9,7 +9,7 @@
 class SlotMessagesTest(testtools.TestCase):
     def test_each_message_survives_the_way(self) -> None:
         messages: tuple[tuple[str, data.PeerMessage], ...] = (
-            ("h2", data.SlotNeed("h2", "rota")),
+            ("h2", data.SlotNeed("h2", "rota", 80)),
             ("h1", LOAN),
             ("h2", data.SlotReturn("h2", LOAN, is_unneeded=True)),
         )
