--- a/packages/core/sapphire_core/flows/route_tables.py
+++ b/packages/core/sapphire_core/flows/route_tables.py
@@ -39,6 +39,13 @@
         """Returns the routes of a service address, None if it has none."""
         return self.routes_by_key.get(service_key)
 
+    def by_name(self, service: str) -> Routes | None:
+        """Returns the routes of a service that is active."""
+        for routes in self.routes_by_key.values():
+            if routes.name == service and routes.inputs.is_active:
+                return routes
+        return None
+
     def without_routes(
         self, service_key: bytes, is_opening: bool
     ) -> data.Decision:
@@ -92,7 +99,7 @@
             inputs = routes_lib.ServiceInputs(
                 views=found.views,
                 is_active=found.is_active,
-                retired=self._retired(service.name),
+                retired=self._retired(service),
                 closed_data_centres=closed,
                 out_data_centres=out,
                 given_up_data_centres=given_up,
@@ -109,11 +116,17 @@
         self._withdrawn_keys -= routes_by_key.keys()
         self.routes_by_key = routes_by_key
 
-    def _retired(self, name: str) -> records.Service | None:
-        """Returns a service in the previous active configuration."""
+    def _retired(self, service: records.Service) -> records.Service | None:
+        """Returns the previous state of a service if its base differs."""
         if self._revisions.retired is None:
             return None
-        return self._revisions.retired.services_by_name.get(name)
+        services_by_name = self._revisions.retired.services_by_name
+        previous = services_by_name.get(service.name)
+        if previous is None:
+            return None
+        if previous.generations[:1] == service.generations[:1]:
+            return None
+        return previous
 
 
 def _out(configurations: list[records.Configuration]) -> frozenset[str]:
--- a/packages/lab/sapphire_lab/flows/run.py
+++ b/packages/lab/sapphire_lab/flows/run.py
@@ -16,11 +16,15 @@
 START_MS = 8_000
 END_MS = 150_000
 SPEAK_MS = 8_000
+FIRST_WORDS_MS = (100, 400)
 RETRY_MS = 1_000
 QUIET_MS = 10_000
 REPEAT_MS = 2_000
 CHURN_PER_STEP = 8
 REPEATED_OPENING = 0.02
+ALL_METHODS = range(3)
+BASELINES = range(2)
+FULL_ONLY = range(2, 3)
 NOT_SENT = data.Drop(failures.UnknownService())
 
 
@@ -42,9 +46,10 @@
         self.operator = scenario.Operator(deployment)
         self.flows: list[tally_lib.Flow] = []
         self.opened = 0
-        self.packets = 0
+        self.packets = [0, 0, 0]
         self.seconds = [0.0, 0.0, 0.0]
         self._due: dict[int, list[tally_lib.Flow]] = {}
+        self._soon: dict[int, list[tally_lib.Flow]] = {}
         self._waiting: dict[int, list[tally_lib.Flow]] = {}
         self._changes = changes.Changes(
             self.world, self.operator, self.tally, self.rng
@@ -70,6 +75,8 @@
             for flow in self._waiting.pop(self.world.now_ms, []):
                 if flow.service in self.operator.addresses:
                     self._open(flow)
+            for flow in self._soon.pop(self.world.now_ms, []):
+                self._speak(flow, self._entry())
             for flow in self._due.pop(self.world.now_ms, []):
                 self._speak(flow, self._entry())
                 self._speak_later(flow)
@@ -84,12 +91,13 @@
         lost = []
         for flow in self.flows:
             for host_id in self.world.hosts_by_id:
-                if self._speak(flow, host_id) is None:
+                if self._speak(flow, host_id, FULL_ONLY) is None:
                     lost.append(flow)
+            self._speak(flow, self._entry(), BASELINES)
         for _ in range(REPEAT_MS // STEP_MS):
             self.world.step(STEP_MS)
         for flow in lost:
-            self._speak(flow, self._entry(), is_last=True)
+            self._speak(flow, self._entry(), FULL_ONLY, is_last=True)
 
     def state_bytes(self) -> int:
         """Returns the bytes of recorded flows on all hosts."""
@@ -120,6 +128,9 @@
         self.flows.append(flow)
         self._open(flow)
         self._speak_later(flow)
+        for delay_ms in FIRST_WORDS_MS:
+            due_ms = self.world.now_ms + delay_ms
+            self._soon.setdefault(due_ms, []).append(flow)
 
     def _open(self, flow: tally_lib.Flow) -> None:
         """Sends opening packets until every method has placed the flow."""
@@ -173,7 +184,11 @@
         self._due.setdefault(due_ms, []).append(flow)
 
     def _speak(
-        self, flow: tally_lib.Flow, entry: str, is_last: bool = False
+        self,
+        flow: tally_lib.Flow,
+        entry: str,
+        methods: range = ALL_METHODS,
+        is_last: bool = False,
     ) -> data.Decision | None:
         """Sends a packet of an open flow and checks where it ends.
 
@@ -181,7 +196,7 @@
             The decision of the full router; None if the packet was lost.
         """
         full: data.Decision | None = NOT_SENT
-        for method in range(3):
+        for method in methods:
             name = flow.upstreams[method]
             if flow.ended[method] or name is None:
                 continue
@@ -215,7 +230,7 @@
         is_closing: bool = False,
     ) -> data.Decision | None:
         """Sends a packet by one method."""
-        self.packets += method == tally_lib.FULL
+        self.packets[method] += 1
         begin = time.perf_counter()
         decision: data.Decision | None
         if method == tally_lib.FULL:
--- a/packages/net/sapphire_net/store/protocol.py
+++ b/packages/net/sapphire_net/store/protocol.py
@@ -22,7 +22,12 @@
     """A key-value service with compare-and-swap, leases and watches."""
 
     async def get(
-        self, key: str, *, is_prefix: bool = False, limit: int = 0
+        self,
+        key: str,
+        *,
+        is_prefix: bool = False,
+        limit: int = 0,
+        is_keys_only: bool = False,
     ) -> expression.Result[data.RangeAnswer, failures.StoreFailure]:
         """Reads one key, or all keys with a prefix in order.
 
@@ -30,6 +35,7 @@
             key: The key or prefix.
             is_prefix: Whether to read all keys that start with it.
             limit: The most keys to return; 0 for all.
+            is_keys_only: Whether to leave out the values.
 
         Returns:
             The keys found, perhaps none; or why they cannot be read.
@@ -39,12 +45,14 @@
         self,
         compares: Sequence[data.Compare],
         writes: Sequence[data.Put | data.Delete],
+        reads_otherwise: Sequence[str] = (),
     ) -> expression.Result[data.TransactionAnswer, failures.StoreFailure]:
         """Writes all keys at once if all conditions hold.
 
         Args:
             compares: The conditions.
             writes: The writes; no key twice.
+            reads_otherwise: The keys to read if a condition does not hold.
 
         Returns:
             Whether it took effect; `StoreOutcomeUnknown` if the answer was
