Requests: tests over sockets use the server of the net package

The record of a need got a third field; the test of its carrier names it. daemon_life_test FailedTaskTest fails on main without this change (it patches Forwarder._handle, which is gone); it is reported, not touched.

--- a/packages/node/sapphire_node/requests/listener_test.py
+++ b/packages/node/sapphire_node/requests/sockets_test.py
@@ -16,8 +16,8 @@
 from sapphire_lab.requests import builders
 from sapphire_lab.requests import claim_store_fake
 from sapphire_lab.stand_ins import request_upstream
+from sapphire_net import http_server
 from sapphire_node.requests import asgi
-from sapphire_node.requests import listener
 from sapphire_node.requests import service
 
 POLL_S = 0.005
@@ -47,8 +47,7 @@
 
     async def serve() -> None:
         app = asgi.RequestApp(host)
-        # The types of ASGI libraries differ in name only.
-        await listener.serve(app, "127.0.0.1", bench.port, bench.stop)  # type: ignore[arg-type]
+        await http_server.serve(app, "127.0.0.1", bench.port, bench.stop.wait)
         bench.stopped.set()
 
     async with anyio.create_task_group() as tasks:
--- a/packages/node/sapphire_node/slot_carrier_test.py
+++ b/packages/node/sapphire_node/slot_carrier_test.py
@@ -18,7 +18,7 @@
         self.addCleanup(send.close)
         self.addCleanup(self.sent.close)
         self.carrier = slot_carrier.SlotCarrier(send)
-        self.need = request_data.SlotNeed("h1", "rota")
+        self.need = request_data.SlotNeed("h1", "rota", 80)
         members: list[records.Member] = [builders.member("h2", "salem")]
         self.carrier.take_view(builders.view(members, 0))
 
