Read plain packets from one slice; measure memory with the keys of flows

Cause: reading took 1.9 us a packet, most of it for rare forms; plain IPv4 is recognised first and its flow hashed from one slice.

--- a/packages/lab/sapphire_lab/forward/builders.py
+++ b/packages/lab/sapphire_lab/forward/builders.py
@@ -1,6 +1,7 @@
 """Builders of a router with held flows, and of the packets of these."""
 
 from collections.abc import Sequence
+import functools
 import socket
 
 from sapphire_core.flows import bucket_table
@@ -121,6 +122,9 @@
 def build_packet(number: int, flags: int) -> bytes:
     """Builds a packet of one of many flows.
 
+    Only addresses and ports are filled into a template, so that a million
+    packets are built in seconds; checksums are those of the template.
+
     Args:
         number: The number of the flow.
         flags: The TCP flags.
@@ -129,11 +133,20 @@
         The IP packet.
     """
     caller, port = divmod(number, PORTS_PER_CALLER)
+    template = _template(flags)
+    address = (10 << 24 | caller).to_bytes(4, "big")
+    ports = (FIRST_PORT + port).to_bytes(2, "big")
+    return template[:12] + address + template[16:20] + ports + template[22:]
+
+
+@functools.cache
+def _template(flags: int) -> bytes:
+    """Returns a packet with any caller."""
+    payload = PAYLOAD
+    if flags & packet_builders.SYN:
+        payload = b""
     return packet_builders.tcp_packet(
-        (f"10.0.{caller >> 8}.{caller & 255}", FIRST_PORT + port),
-        SERVICE,
-        flags,
-        payload=b"" if flags & packet_builders.SYN else PAYLOAD,
+        ("10.0.0.0", FIRST_PORT), SERVICE, flags, payload=payload
     )
 
 
--- a/packages/lab/sapphire_lab/forward/measure.py
+++ b/packages/lab/sapphire_lab/forward/measure.py
@@ -114,14 +114,12 @@
     daemon: forwarder.Forwarder, numbers: list[int], now_ms: int
 ) -> float:
     """Opens flows at the router; returns the memory that each takes."""
-    fields = [
-        builders.read_fields(builders.build_packet(number, packet_builders.SYN))
-        for number in numbers
-    ]
     tracemalloc.start()
     before = tracemalloc.get_traced_memory()[0]
-    for item in fields:
-        daemon.router.route(*item, now_ms)
+    for number in numbers:
+        packet = builders.build_packet(number, packet_builders.SYN)
+        fields = builders.read_fields(packet)
+        daemon.router.route(*fields, now_ms)
     after = tracemalloc.get_traced_memory()[0]
     tracemalloc.stop()
     return (after - before) / len(numbers)
--- a/packages/wire/sapphire_wire/ip_packet.py
+++ b/packages/wire/sapphire_wire/ip_packet.py
@@ -30,6 +30,10 @@
 _CLOSING_MASK = _FLAG_FIN | _FLAG_RST
 _IPV6 = 6
 _RESET_TTL = 64
+# An IPv4 header without options, and a TCP header behind it.
+_PLAIN_FIRST_BYTE = 0x45
+_PLAIN_BYTES = _IPV4_MIN_HEADER_BYTES + _TCP_MIN_HEADER_BYTES
+_FRAGMENT_HIGH_MASK = _FRAGMENT_MASK >> 8
 
 
 class PacketFields(NamedTuple):
@@ -88,6 +92,30 @@
     Returns:
         The fields, or why the packet cannot be routed.
     """
+    size = len(packet)
+    if (
+        size >= _PLAIN_BYTES
+        and packet[0] == _PLAIN_FIRST_BYTE
+        and packet[9] == _PROTOCOL_TCP
+        and not packet[6] & _FRAGMENT_HIGH_MASK
+        and not packet[7]
+        and packet[3] == size & 0xFF
+        and packet[2] == size >> 8
+    ):
+        # Nearly all packets are IPv4 without options; their addresses and
+        # ports lie together, so that one slice holds the whole flow.
+        flags = packet[33]
+        return PacketFields(
+            packet[16:20] + packet[22:24],
+            xxhash.xxh64_intdigest(packet[12:24]),
+            (flags & _OPENING_MASK) == _FLAG_SYN,
+            (flags & _CLOSING_MASK) != 0,
+        )
+    return _read_uncommon(packet)
+
+
+def _read_uncommon(packet: bytes) -> PacketFields | PacketFailure:
+    """Reads a packet that is not plain IPv4 with TCP, or is malformed."""
     if len(packet) < _IPV4_MIN_HEADER_BYTES + _ICMP_HEADER_BYTES:
         return _TOO_SHORT
     version = packet[0] >> 4
--- a/packages/wire/sapphire_wire/ip_packet_test.py
+++ b/packages/wire/sapphire_wire/ip_packet_test.py
@@ -52,6 +52,18 @@
             other.flow_hash, matchers.Not(matchers.Equals(opening.flow_hash))
         )
 
+    def test_options_of_the_header_do_not_change_the_flow(self) -> None:
+        plain = packet_builders.tcp_packet(CALLER, SERVICE, packet_builders.SYN)
+        size = len(plain) + 4
+        with_options = (
+            b"\x46\x00"
+            + size.to_bytes(2, "big")
+            + plain[4:20]
+            + b"\x01" * 4
+            + plain[20:]
+        )
+        self.assertEqual(read_fields(plain), read_fields(with_options))
+
     def test_icmp_error_takes_the_way_of_the_flow_it_quotes(self) -> None:
         answer = packet_builders.tcp_packet(SERVICE, CALLER)
         error = dpkt.ip.IP(
