New flows pass all hosts of the order while views of the membership may differ

Flows that speak 100 ms after they open found it: a host that had just joined placed a flow, and a former keeper that did not know of the host yet answered by the base owner, taking its own record for full. The fixed example is in router_fault_test. A host that knows no peers yet drops packets of ambiguous buckets for 5 s in place of guessing.

--- a/packages/core/sapphire_core/flows/failures.py
+++ b/packages/core/sapphire_core/flows/failures.py
@@ -15,6 +15,11 @@
     """The destination passes to another service; nobody may use it yet."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotJoined(failures.Failure):
+    """This host has just started and does not know the keepers yet."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class BarrierPending(failures.Failure):
     """A new flow cannot be placed until every host knows of the change.
--- a/packages/core/sapphire_core/flows/keeper_role.py
+++ b/packages/core/sapphire_core/flows/keeper_role.py
@@ -24,6 +24,7 @@
         is_provisional: Whether the first configuration awaits its barrier.
         suspects: Hosts that do not answer but are not yet dead.
         history: The generations that flows of this host need.
+        is_view_new: Whether other hosts may have another membership view.
 
     Args:
         host_id: The identity of this host.
@@ -39,6 +40,7 @@
     ) -> None:
         self.prepared_revision = 0
         self.is_provisional = False
+        self.is_view_new = True
         self.suspects: frozenset[str] = frozenset()
         self.history = history_use.HistoryUse()
         self._host_id = host_id
@@ -186,8 +188,8 @@
                 return decision
             return self._relay(packet.visited[index - 1], packet, upstream)
         bucket = packet.flow_hash % routes.bucket_count
-        for host_id in self._keepers.keepers(routes.name, bucket):
-            if host_id != self._host_id and self._may_visit(host_id, packet):
+        for host_id in self._witnesses(routes.name, bucket):
+            if self._may_visit(host_id, packet):
                 return self._relay(host_id, packet, upstream)
         return decision
 
@@ -236,11 +238,12 @@
         )
         if is_first_known and routes.is_told_by_base(bucket, upstream):
             return routes.decision_by_upstream[upstream]
-        if other is None:
+        witnesses = self._witnesses(routes.name, bucket)
+        if not witnesses:
             return routes.decision_by_upstream[upstream]
         # The hosts that were visited so far do not know the placement.
         unseen = dataclasses.replace(packet, visited=())
-        return self._relay(other, unseen, upstream)
+        return self._relay(witnesses[0], unseen, upstream)
 
     def _place(
         self,
@@ -350,6 +353,21 @@
         decision = routes.decision_by_upstream.get(recorded)
         return isinstance(decision, data.Forward)
 
+    def _witnesses(self, service: str, bucket: int) -> list[str]:
+        """Returns the hosts beside this one that have to know a placement.
+
+        They are the other keepers. After a change of membership they are all
+        hosts of the order, since those that were keepers before may not know
+        of the change yet.
+        """
+        keepers = self._keepers.keepers(service, bucket)
+        hosts = list(keepers)
+        if self.is_view_new:
+            for host_id in self._keepers.order(service, bucket):
+                if host_id not in keepers and host_id not in self.suspects:
+                    hosts.append(host_id)
+        return [host_id for host_id in hosts if host_id != self._host_id]
+
     def _other_keeper(self, service: str, bucket: int) -> str | None:
         """Returns a keeper of a bucket beside this host."""
         for host_id in self._keepers.keepers(service, bucket):
--- a/packages/core/sapphire_core/flows/router.py
+++ b/packages/core/sapphire_core/flows/router.py
@@ -21,6 +21,9 @@
 # A host that knows of a newer revision but cannot fetch it stops to decide
 # alone after this time.
 NEWER_GRACE_MS = 1_000
+# A host that has just started answers for ambiguous buckets once its peers
+# have confirmed it, or alone after this time.
+JOIN_MS = 5_000
 
 _Settled = tuple[list[data.Decision | None], int]
 
@@ -54,6 +57,9 @@
         self._host_id = host_id
         self._fresh_until_ms = -1
         self._newer_since_ms: int | None = None
+        self._started_ms: int | None = None
+        self._has_joined = False
+        self._members_changed_ms = 0
         self._prepared_everywhere = 0
         self._settled_by_key: dict[bytes, _Settled] = {}
         self._pending_actions: list[data.Action] = []
@@ -136,6 +142,13 @@
         """
         was_fresh = self._is_fresh(now_ms)
         self._fresh_until_ms = -1
+        if self._started_ms is None:
+            self._started_ms = now_ms
+        self._has_joined = (
+            self._has_joined
+            or view.is_fresh
+            or now_ms - self._started_ms >= JOIN_MS
+        )
         if view.is_fresh:
             if not was_fresh:
                 self._ramp.ramp.note_regained(now_ms)
@@ -158,6 +171,9 @@
             if is_leaving:
                 self._source.note_leaving(now_ms)
             self._ramp.note_view(now_ms)
+            self._members_changed_ms = now_ms
+        age_ms = now_ms - self._members_changed_ms
+        self._role.is_view_new = age_ms < handover.VIEWS_AGREE_MS
         self._advance(now_ms, view.is_fresh, is_forced=False)
 
     def apply_overlay(self, overlay: data.Overlay, now_ms: int) -> bool:
@@ -331,6 +347,12 @@
         routes = self._tables.find(service_key)
         if routes is None:
             return self._tables.without_routes(service_key, packet.is_opening)
+        if not self._has_joined:
+            bucket = packet.flow_hash % routes.bucket_count
+            settled = routes.decisions[bucket]
+            if settled is None:
+                return data.Drop(failures.NotJoined())
+            return settled
         return self._role.enter(routes, packet, self._is_fresh(now_ms), now_ms)
 
     def _is_fresh(self, now_ms: int) -> bool:
--- a/packages/core/sapphire_core/flows/router_fault_test.py
+++ b/packages/core/sapphire_core/flows/router_fault_test.py
@@ -209,6 +209,53 @@
         self.assertEqual(0, cluster.ends(early)["broken"])
 
 
+class JoinTest(testtools.TestCase):
+    def test_flows_placed_by_a_host_that_others_do_not_know_yet(self) -> None:
+        cluster, _ = changed()
+        joiner = router_lib.Router("h5")
+        cluster.fabric.routers_by_id["h5"] = joiner
+        joiner.prepare(SECOND, cluster.now_ms)
+        members = []
+        for host in cluster.fabric.routers_by_id:
+            centre = CENTRES[int(host[1:]) % 3]
+            members.append(builders.member(host, centre))
+        view = builders.view(members, prepared_everywhere=2)
+        joiner.set_view(view, cluster.now_ms)
+        placed = {}
+        for flow in range(9_000, 9_400):
+            outcome = cluster.send(flow, "h5", is_opening=True)
+            if isinstance(outcome, data.Forward):
+                placed[flow] = outcome.upstream.name
+        self.assertIn("d", placed.values())
+        self.assertEqual(0, cluster.ends(placed)["broken"])
+
+    def test_a_host_that_knows_no_peers_does_not_guess(self) -> None:
+        _, placed = changed()
+        router = router_lib.Router("h9")
+        router.prepare(SECOND, 20_000)
+        alone = builders.view([builders.member("h9")], is_fresh=False)
+        router.set_view(alone, 20_000)
+        for flow, name in placed.items():
+            decision = router.route(KEY, flow, False, False, 20_100)
+            if isinstance(decision, data.Forward):
+                self.assertEqual(name, decision.upstream.name)
+                continue
+            assert isinstance(decision, data.Drop), decision
+            self.assertIsInstance(decision.reason, failures.NotJoined)
+
+    def test_a_host_that_stays_alone_serves_what_it_can(self) -> None:
+        _, placed = changed()
+        router = router_lib.Router("h9")
+        router.prepare(SECOND, 20_000)
+        alone = builders.view([builders.member("h9")], is_fresh=False)
+        for now_ms in range(20_000, 26_000, 500):
+            router.set_view(alone, now_ms)
+            router.tick(now_ms)
+        for flow in placed:
+            decision = router.route(KEY, flow, False, False, 25_600)
+            self.assertIsInstance(decision, data.Forward)
+
+
 class DrainTest(testtools.TestCase):
     def test_a_draining_upstream_keeps_flows_and_gets_no_new_ones(
         self,
