--- a/packages/core/sapphire_core/flows/router_fault_test.py
+++ b/packages/core/sapphire_core/flows/router_fault_test.py
@@ -210,24 +210,27 @@
 
 
 class JoinTest(testtools.TestCase):
-    def test_flows_placed_by_a_host_that_others_do_not_know_yet(self) -> None:
-        cluster, _ = changed()
-        joiner = router_lib.Router("h5")
-        cluster.fabric.routers_by_id["h5"] = joiner
-        joiner.prepare(SECOND, cluster.now_ms)
-        members = []
-        for host in cluster.fabric.routers_by_id:
-            centre = CENTRES[int(host[1:]) % 3]
-            members.append(builders.member(host, centre))
-        view = builders.view(members, prepared_everywhere=2)
-        joiner.set_view(view, cluster.now_ms)
-        placed = {}
-        for flow in range(9_000, 9_400):
-            outcome = cluster.send(flow, "h5", is_opening=True)
-            if isinstance(outcome, data.Forward):
-                placed[flow] = outcome.upstream.name
-        self.assertIn("d", placed.values())
-        self.assertEqual(0, cluster.ends(placed)["broken"])
+    def test_flows_placed_by_a_host_that_one_does_not_know_yet(self) -> None:
+        for unaware in HOSTS:
+            cluster, _ = changed()
+            joiner = router_lib.Router("h5")
+            cluster.fabric.routers_by_id["h5"] = joiner
+            joiner.prepare(SECOND, cluster.now_ms)
+            members = []
+            for host in cluster.fabric.routers_by_id:
+                centre = CENTRES[int(host[1:]) % 3]
+                members.append(builders.member(host, centre))
+            view = builders.view(members, prepared_everywhere=2)
+            for host, router in cluster.fabric.routers_by_id.items():
+                if host != unaware:
+                    router.set_view(view, cluster.now_ms)
+            placed = {}
+            for flow in range(9_000, 9_400):
+                outcome = cluster.send(flow, "h5", is_opening=True)
+                if isinstance(outcome, data.Forward):
+                    placed[flow] = outcome.upstream.name
+            self.assertIn("d", placed.values())
+            self.assertEqual(0, cluster.ends(placed)["broken"], unaware)
 
     def test_a_host_that_knows_no_peers_does_not_guess(self) -> None:
         _, placed = changed()
