--- /dev/null
+++ b/packages/core/sapphire_core/configuration/spreading_test.py
@@ -0,0 +1,288 @@
+import random
+from typing import Any
+
+import hypothesis
+from hypothesis import strategies
+import testtools
+from testtools import matchers
+
+from sapphire_core.configuration import data
+from sapphire_core.configuration import spreading
+from sapphire_core.configuration import spreading_data as messages
+from sapphire_core.configuration import watchers
+
+BOOTED_MS = messages.DEFAULT_SETTINGS.boot_wait_ms
+FLEET = {f"h{index}": f"dc{index % 3}" for index in range(9)}
+WATCHER = min(watchers.choose(FLEET))
+LISTENER = min(set(FLEET) - watchers.choose(FLEET))
+FIRST, SECOND, THIRD = sorted(set(FLEET) - {WATCHER, LISTENER})[:3]
+
+
+def version(revision: int, digest: str = "") -> data.Version:
+    """Returns a revision with a digest that is its own."""
+    return data.Version(revision, digest or f"d{revision}")
+
+
+def host(host_id: str) -> spreading.Spreading:
+    """Returns the machine of a host of the fleet, with its first view."""
+    machine = spreading.Spreading(host_id, FLEET[host_id], random.Random(1), 0)
+    machine.handle(messages.ViewChanged(FLEET), 0)
+    return machine
+
+
+def done(revision: int, source: str, asked: int = 0) -> messages.FetchDone:
+    """Returns the answer of a source to a fetch."""
+    fetch = messages.Fetch(version(asked or revision), source)
+    return messages.FetchDone(version(revision), fetch)
+
+
+def of_type(actions: list[Any], kind: type) -> list[Any]:
+    """Returns the actions of one type."""
+    return [action for action in actions if isinstance(action, kind)]
+
+
+def booted(host_id: str, revision: int = 1) -> spreading.Spreading:
+    """Returns a host that has a revision."""
+    machine = host(host_id)
+    machine.handle(messages.PeerHead(FIRST, version(revision)), BOOTED_MS)
+    machine.handle(done(revision, FIRST), BOOTED_MS)
+    return machine
+
+
+class SpreadingTest(testtools.TestCase):
+    def test_newer_revision_is_fetched_prepared_and_told_to_peers(self) -> None:
+        machine = booted(LISTENER)
+        offer = messages.PeerHead(FIRST, version(2))
+        self.assertEqual(
+            [messages.Fetch(version(2), FIRST)],
+            of_type(machine.handle(offer, 1_000), messages.Fetch),
+        )
+        actions = machine.handle(done(2, FIRST), 1_010)
+        self.assertEqual(
+            [messages.Prepare(version(2))],
+            of_type(actions, messages.Prepare),
+        )
+        told = of_type(actions, messages.Notify)[0]
+        self.assertThat(told.version, matchers.Equals(version(2)))
+        places = {FLEET[host_id] for host_id in told.host_ids}
+        self.assertThat(len(places), matchers.Equals(2))
+
+    def test_older_revision_is_never_prepared(self) -> None:
+        machine = booted(WATCHER, revision=5)
+        for event in (
+            messages.StoreHead(version(4)),
+            messages.PeerHead(FIRST, version(3)),
+            done(4, FIRST),
+            done(5, FIRST),
+        ):
+            actions = machine.handle(event, 1_000)
+            self.assertEqual([], of_type(actions, messages.Fetch))
+            self.assertEqual([], of_type(actions, messages.Prepare))
+        self.assertThat(machine.version, matchers.Equals(version(5)))
+
+    def test_host_without_configuration_takes_the_newest_offer(self) -> None:
+        machine = host(LISTENER)
+        for source, revision in ((FIRST, 3), (SECOND, 7), (THIRD, 5)):
+            offer = messages.PeerHead(source, version(revision))
+            actions = machine.handle(offer, BOOTED_MS - 1)
+            self.assertEqual([], of_type(actions, messages.Fetch))
+        actions = machine.handle(messages.Tick(), BOOTED_MS)
+        self.assertEqual(
+            [messages.Fetch(version(7), SECOND)],
+            of_type(actions, messages.Fetch),
+        )
+
+    def test_failed_source_does_not_hold_up_an_older_revision(self) -> None:
+        machine = booted(LISTENER)
+        machine.handle(messages.PeerHead(FIRST, version(9)), 1_000)
+        machine.handle(messages.PeerHead(SECOND, version(2)), 1_000)
+        actions = machine.handle(
+            messages.FetchFailed(messages.Fetch(version(9), FIRST)), 1_100
+        )
+        self.assertEqual(
+            [messages.Fetch(version(2), SECOND)],
+            of_type(actions, messages.Fetch),
+        )
+        actions = machine.handle(messages.PeerHead(FIRST, version(9)), 1_150)
+        self.assertEqual([], of_type(actions, messages.Fetch))
+
+    def test_silent_source_is_given_up_for_another(self) -> None:
+        machine = booted(LISTENER)
+        machine.handle(messages.PeerHead(FIRST, version(2)), 1_000)
+        machine.handle(messages.PeerHead(SECOND, version(2)), 1_000)
+        limit_ms = messages.DEFAULT_SETTINGS.fetch_timeout_min_ms
+        actions = machine.handle(messages.Tick(), 1_000 + limit_ms)
+        asked = of_type(actions, messages.Fetch)
+        self.assertThat(
+            asked[0], matchers.Equals(messages.Fetch(version(2), SECOND))
+        )
+        # The silent source is asked once more beside the other one.
+        self.assertThat(asked, matchers.HasLength(2))
+
+    def test_source_that_delivers_less_than_it_offered_is_left(self) -> None:
+        machine = booted(LISTENER)
+        machine.handle(messages.PeerHead(FIRST, version(9)), 1_000)
+        machine.handle(messages.PeerHead(SECOND, version(9)), 1_000)
+        actions = machine.handle(done(4, FIRST, asked=9), 1_100)
+        self.assertEqual([version(4)], [actions[0].version])  # type: ignore[union-attr]
+        self.assertEqual(
+            [messages.Fetch(version(9), SECOND)],
+            of_type(actions, messages.Fetch),
+        )
+
+    def test_other_content_under_the_same_revision_is_a_failure(self) -> None:
+        machine = booted(LISTENER)
+        offered = version(1, "other")
+        machine.handle(messages.PeerHead(FIRST, offered), 1_000)
+        self.assertEqual(
+            [messages.RevisionForked(version(1), offered, FIRST)], machine.forks
+        )
+        self.assertThat(machine.version, matchers.Equals(version(1)))
+
+    def test_watcher_watches_and_reads_after_each_start(self) -> None:
+        machine = host(WATCHER)
+        actions = machine.handle(messages.Tick(), 0)
+        actions += machine.handle(messages.WatchStarted(), 1)
+        self.assertThat(
+            of_type(actions, messages.ReadStoreHead), matchers.HasLength(1)
+        )
+        machine.handle(messages.WatchEnded(), 100)
+        retry_ms = messages.DEFAULT_SETTINGS.watch_retry_max_ms
+        actions = machine.handle(messages.Tick(), 100 + retry_ms)
+        self.assertThat(
+            of_type(actions, messages.StartWatch), matchers.HasLength(1)
+        )
+
+    def test_watch_stops_when_another_host_takes_it_over(self) -> None:
+        machine = host(WATCHER)
+        alone = {WATCHER: FLEET[WATCHER]}
+        machine.handle(messages.ViewChanged(alone), 10)
+        self.assertThat(machine.is_watcher, matchers.Equals(True))
+        machine = host(LISTENER)
+        actions = machine.handle(
+            messages.ViewChanged({LISTENER: FLEET[LISTENER]}), 10
+        )
+        self.assertThat(
+            of_type(actions, messages.StartWatch), matchers.HasLength(1)
+        )
+        actions = machine.handle(messages.ViewChanged(FLEET), 20)
+        self.assertThat(
+            of_type(actions, messages.StopWatch), matchers.HasLength(1)
+        )
+
+    def test_listener_reads_the_store_only_while_it_hears_nothing(self) -> None:
+        machine = booted(LISTENER)
+        reads = 0
+        for now_ms in range(1_000, 60_000, 100):
+            event = messages.PeerHead(FIRST, version(1))
+            actions = machine.handle(event, now_ms)
+            reads += len(of_type(actions, messages.ReadStoreHead))
+        self.assertThat(reads, matchers.Equals(0))
+        for now_ms in range(60_000, 180_000, 100):
+            actions = machine.handle(messages.Tick(), now_ms)
+            reads += len(of_type(actions, messages.ReadStoreHead))
+        self.assertThat(reads, matchers.GreaterThan(3))
+        # Reads at the longest interval with jitter, and the first few.
+        self.assertThat(reads, matchers.LessThan(120 // 15 + 6))
+
+
+REVISIONS = strategies.integers(0, 6)
+SOURCES = strategies.sampled_from([FIRST, SECOND, THIRD])
+DRAWN_EVENTS = strategies.one_of(
+    strategies.builds(
+        lambda source, revision: messages.PeerHead(source, version(revision)),
+        SOURCES,
+        REVISIONS,
+    ),
+    strategies.builds(
+        lambda revision: messages.StoreHead(version(revision)), REVISIONS
+    ),
+    strategies.builds(done, REVISIONS, SOURCES, strategies.integers(1, 6)),
+    strategies.builds(
+        lambda source, asked: messages.FetchFailed(
+            messages.Fetch(version(asked), source)
+        ),
+        SOURCES,
+        REVISIONS,
+    ),
+    strategies.sampled_from(
+        [
+            messages.Tick(),
+            messages.WatchStarted(),
+            messages.WatchEnded(),
+            messages.StoreReadFailed(),
+            messages.ViewChanged(FLEET),
+            messages.ViewChanged({}),
+        ]
+    ),
+)
+
+
+class AnyOrderTest(testtools.TestCase):
+    """Events come late, twice, crossed and after pauses of any length."""
+
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=200)
+    @hypothesis.given(
+        strategies.sampled_from([WATCHER, LISTENER]),
+        strategies.lists(
+            strategies.tuples(DRAWN_EVENTS, strategies.integers(0, 20_000)),
+            max_size=40,
+        ),
+    )
+    def test_revision_never_goes_back_and_the_newest_is_reached(
+        self, host_id: str, steps: list[tuple[messages.Event, int]]
+    ) -> None:
+        machine = host(host_id)
+        now_ms = 0
+        prepared = [0]
+        for event, pause_ms in steps:
+            now_ms += pause_ms
+            for action in machine.handle(event, now_ms):
+                if isinstance(action, messages.Prepare):
+                    prepared.append(action.version.revision)
+        self._serve(machine, now_ms, prepared)
+        self.assertEqual(sorted(set(prepared)), prepared)
+        self.assertThat(machine.version.revision, matchers.Equals(9))
+
+    def _serve(
+        self, machine: spreading.Spreading, now_ms: int, prepared: list[int]
+    ) -> None:
+        """Lets one peer offer and deliver revision 9 while all else fails."""
+        for _ in range(400):
+            now_ms += 50
+            event: messages.Event = messages.PeerHead(SECOND, version(9))
+            for action in machine.handle(event, now_ms):
+                if not isinstance(action, messages.Fetch):
+                    continue
+                answer: messages.Event = messages.FetchFailed(action)
+                if action.host_id == SECOND and action.version.revision == 9:
+                    answer = messages.FetchDone(version(9), action)
+                for after in machine.handle(answer, now_ms):
+                    if isinstance(after, messages.Prepare):
+                        prepared.append(after.version.revision)
+
+
+class WatchersTest(testtools.TestCase):
+    def test_each_data_centre_has_one_and_the_fleet_at_least_three(
+        self,
+    ) -> None:
+        for hosts, data_centres, expected in (
+            (1, 1, 1),
+            (2, 1, 2),
+            (9, 1, 3),
+            (9, 3, 3),
+            (1_000, 10, 10),
+        ):
+            fleet = {
+                f"h{index}": f"dc{index % data_centres}"
+                for index in range(hosts)
+            }
+            chosen = watchers.choose(fleet)
+            self.assertThat(len(chosen), matchers.Equals(expected))
+            places = {fleet[host_id] for host_id in chosen}
+            self.assertThat(len(places), matchers.Equals(data_centres))
+
+    def test_departure_of_another_host_changes_nothing(self) -> None:
+        smaller = dict(FLEET)
+        del smaller[LISTENER]
+        self.assertEqual(watchers.choose(FLEET), watchers.choose(smaller))
--- a/packages/core/sapphire_core/flows/router_test.py
+++ b/packages/core/sapphire_core/flows/router_test.py
@@ -145,6 +145,49 @@
         self.assertEqual([], cluster.broken(placed))
 
 
+class ActivationTest(testtools.TestCase):
+    def test_each_revision_is_announced_once_also_the_first(self) -> None:
+        one = router.Router("h1")
+        told: list[int] = []
+        for revision in (1, 2):
+            service = rota("abc", "bcd") if revision > 1 else rota("abc")
+            one.prepare(builders.configuration(revision, [service]), 0)
+            view = builders.view(members(), revision)
+            one.set_view(view, 0)
+            for now_ms in (0, 100):
+                told.extend(
+                    action.revision
+                    for action in one.tick(now_ms)
+                    if isinstance(action, data.Activated)
+                )
+            self.assertThat(told[-1:], matchers.Equals([revision]))
+        self.assertThat(told, matchers.Equals([1, 2]))
+
+
+class DataCentreTest(testtools.TestCase):
+    def test_flows_survive_a_return_that_hosts_activate_one_by_one(
+        self,
+    ) -> None:
+        cluster = Cluster()
+        steps = (
+            (1, rota("abc"), ()),
+            (2, rota("abc", "bc"), ("salem",)),
+        )
+        for revision, service, out in steps:
+            cluster.prepare(
+                builders.configuration(revision, [service], out=out)
+            )
+            cluster.pass_barrier(revision)
+            cluster.advance(40_000)
+        back = rota("abc", "bc", "abc")
+        cluster.prepare(builders.configuration(3, [back]))
+        view = builders.view(members(), 3)
+        cluster.fabric.routers_by_id["h1"].set_view(view, cluster.now_ms)
+        placed = cluster.open_all(range(5_000, 8_000))
+        self.assertIn("a", placed.values())
+        self.assertEqual([], cluster.broken(placed))
+
+
 class HostChangeTest(testtools.TestCase):
     def test_flows_survive_replacement_of_all_hosts_amid_a_change(
         self,
--- /dev/null
+++ b/packages/ctl/sapphire_ctl/fleet/client.py
@@ -0,0 +1,192 @@
+"""Asks all hosts of an environment, which name each other."""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+import ssl
+from typing import TypeVar
+
+import anyio
+import expression
+import httpx
+import pydantic
+
+from sapphire_ctl import failures
+from sapphire_ctl.fleet import data
+from sapphire_ctl.fleet import discovery
+from sapphire_data import clock
+from sapphire_wire import api
+
+MAX_CONCURRENT_HOSTS = 64
+MAX_ANSWER_BYTES = 67_108_864
+_HTTP_OK = 200
+
+AnswerT = TypeVar("AnswerT", bound=pydantic.BaseModel)
+
+
+class FleetClient:
+    """A client of the APIs of all hosts."""
+
+    def __init__(
+        self,
+        seeds: Iterable[str],
+        timeout_ms: int,
+        ssl_context: ssl.SSLContext | None,
+    ) -> None:
+        """Creates a client.
+
+        Args:
+            seeds: The API addresses of some hosts.
+            timeout_ms: The longest wait for one host.
+            ssl_context: The operator's TLS context; None for plain HTTP.
+        """
+        self._seeds = tuple(dict.fromkeys(seeds))
+        self._timeout_s = timeout_ms / clock.MS_PER_SECOND
+        self._scheme = "http" if ssl_context is None else "https"
+        # The default context would read the system's authorities for nothing.
+        self._ssl_context = ssl_context or ssl.SSLContext(
+            ssl.PROTOCOL_TLS_CLIENT
+        )
+
+    @property
+    def has_seeds(self) -> bool:
+        """Whether the settings name any host."""
+        return bool(self._seeds)
+
+    async def statuses(
+        self, service: str | None = None, *, asks_all: bool = False
+    ) -> data.FleetAnswer:
+        """Asks hosts for their status, and finds hosts by those known.
+
+        Args:
+            service: The only service whose upstreams are asked for.
+            asks_all: Whether to ask all hosts of a large fleet as well.
+
+        Returns:
+            The answers, and the hosts without one.
+        """
+        found = discovery.Discovery(self._seeds, asks_all=asks_all)
+        is_brief = False
+        while targets := found.next_targets():
+            is_brief = is_brief or found.is_large
+            answers, missing = await self._ask_all(
+                targets,
+                api.STATUS_PATH,
+                api.HostStatus,
+                _parameters(service, is_brief),
+            )
+            found.take(answers, missing)
+        return found.conclude(
+            lists_upstreams=service is not None or not is_brief
+        )
+
+    async def slo_reports(
+        self, statuses: Iterable[api.HostStatus], service: str | None = None
+    ) -> tuple[list[api.SloReport], list[data.Unanswered]]:
+        """Asks hosts for their service-level counts.
+
+        Args:
+            statuses: The hosts, as `statuses` found them.
+            service: The only service that is asked for.
+
+        Returns:
+            The answers, and the hosts without one.
+        """
+        targets = [
+            data.Target(
+                data.url_address(status.address, status.api_port),
+                status.host_id,
+                status.data_centre,
+            )
+            for status in statuses
+        ]
+        return await self._ask_all(
+            targets,
+            api.SLO_PATH,
+            api.SloReport,
+            _parameters(service, is_brief=False),
+        )
+
+    async def _ask_all(
+        self,
+        targets: Iterable[data.Target],
+        path: str,
+        answer_type: type[AnswerT],
+        parameters: Mapping[str, str],
+    ) -> tuple[list[AnswerT], list[data.Unanswered]]:
+        """Asks several hosts at a time."""
+        answers: list[AnswerT] = []
+        unanswered: list[data.Unanswered] = []
+        limiter = anyio.CapacityLimiter(MAX_CONCURRENT_HOSTS)
+
+        async def ask(http: httpx.AsyncClient, target: data.Target) -> None:
+            async with limiter:
+                answer = await self._ask(
+                    http, target, path, answer_type, parameters
+                )
+            if answer.is_ok():
+                answers.append(answer.ok)
+            else:
+                unanswered.append(data.Unanswered(target, answer.error))
+
+        async with (
+            httpx.AsyncClient(
+                timeout=self._timeout_s,
+                verify=self._ssl_context,
+                trust_env=False,
+            ) as http,
+            anyio.create_task_group() as tasks,
+        ):
+            for target in targets:
+                tasks.start_soon(ask, http, target)
+        return answers, unanswered
+
+    async def _ask(
+        self,
+        http: httpx.AsyncClient,
+        target: data.Target,
+        path: str,
+        answer_type: type[AnswerT],
+        parameters: Mapping[str, str],
+    ) -> expression.Result[AnswerT, failures.HostFailure]:
+        """Asks one host."""
+        try:
+            # The library's own time-outs restart with each chunk.
+            with anyio.fail_after(self._timeout_s):
+                response = await http.get(
+                    f"{self._scheme}://{target.address}{path}",
+                    params=parameters,
+                )
+        except (httpx.HTTPError, httpx.InvalidURL, TimeoutError) as error:
+            problem = str(error) or type(error).__name__
+            return expression.Error(
+                failures.HostUnreachable(target.address, problem)
+            )
+        if response.status_code != _HTTP_OK:
+            problem = f"status {response.status_code}"
+            return expression.Error(
+                failures.HostAnswerInvalid(target.address, problem)
+            )
+        if len(response.content) > MAX_ANSWER_BYTES:
+            problem = f"more than {MAX_ANSWER_BYTES} bytes"
+            return expression.Error(
+                failures.HostAnswerInvalid(target.address, problem)
+            )
+        try:
+            return expression.Ok(
+                answer_type.model_validate_json(response.content)
+            )
+        except pydantic.ValidationError as error:
+            problem = f"{error.error_count()} invalid fields"
+            return expression.Error(
+                failures.HostAnswerInvalid(target.address, problem)
+            )
+
+
+def _parameters(service: str | None, is_brief: bool) -> dict[str, str]:
+    """Returns the query parameters of a question."""
+    parameters = {}
+    if service is not None:
+        parameters[api.SERVICE_PARAMETER] = service
+    if is_brief:
+        parameters[api.DETAIL_PARAMETER] = api.DETAIL_BRIEF
+    return parameters
--- /dev/null
+++ b/packages/ctl/sapphire_ctl/reporting/data.py
@@ -0,0 +1,51 @@
+"""Immutable records of a report."""
+
+from collections.abc import Mapping
+import dataclasses
+
+from sapphire_core.slo import data as slo_data
+from sapphire_ctl.fleet import data as fleet_data
+from sapphire_data import failures
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HostCoverage:
+    """A host whose counts are in the report.
+
+    Attributes:
+        host_id: Its identity.
+        data_centre: Its data centre.
+        since_ms: The wall time since which it counts.
+    """
+
+    host_id: str
+    data_centre: str
+    since_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BurnReport:
+    """The burn of all objectives of an environment.
+
+    Attributes:
+        environment: The name of the environment.
+        now_ms: The wall time of the report.
+        burns: The objectives, the most urgent first.
+        series_by_key: The counts behind them.
+        marks: The configuration changes, oldest first.
+        hosts: The hosts that are counted.
+        unanswered: The hosts that are missing from the counts.
+        hosts_left_out: The hosts of a large fleet that were not asked, since
+            a sample of hosts sees a fair sample of the flows.
+        warnings: What could not be read; defaults stand in for it.
+    """
+
+    environment: str
+    now_ms: int
+    burns: tuple[slo_data.ObjectiveBurn, ...]
+    series_by_key: Mapping[slo_data.SeriesKey, slo_data.SeriesCounts]
+    marks: tuple[slo_data.ChangeMark, ...]
+    hosts: tuple[HostCoverage, ...]
+    unanswered: tuple[fleet_data.Unanswered, ...]
+    hosts_left_out: int
+    warnings: tuple[failures.Failure, ...]
--- a/packages/wire/idl/configuration.thrift
+++ b/packages/wire/idl/configuration.thrift
@@ -63,3 +63,10 @@
   1: required binary head,
   2: required map<binary, binary> parts_by_digest,
 }
+
+// Which revision a host has, told to a peer in one control datagram.
+struct HeadNotice {
+  1: required i64 revision,       // 0 before the first configuration.
+  2: required binary digest,      // Of the head; empty for revision 0.
+  3: required bool wants_answer,  // Whether the peer is to tell its own.
+}
--- a/packages/wire/sapphire_wire/message_kind.py
+++ b/packages/wire/sapphire_wire/message_kind.py
@@ -11,3 +11,7 @@
 
     RELAYED_PACKET = 1
     GOSSIP = 2
+    HANDOVER_REQUEST = 3
+    HANDOVER_PAGE = 4
+    CONFIGURATION_NOTICE = 5
+    SLOT_MESSAGE = 6
