New flows are not led past hosts that leave

When two leaving hosts went within 3 s of each other, opening packets were led past the second one and lost; callers sent them again a second after their admission.

--- a/packages/core/sapphire_core/flows/keeper_role.py
+++ b/packages/core/sapphire_core/flows/keeper_role.py
@@ -364,7 +364,10 @@
         hosts = list(keepers)
         if self.is_view_new:
             for host_id in self._keepers.order(service, bucket):
-                if host_id not in keepers and host_id not in self.suspects:
+                if host_id in keepers or host_id in self.suspects:
+                    continue
+                # A leaving host answers nothing alone and may be gone.
+                if not self._keepers.is_leaving(host_id):
                     hosts.append(host_id)
         return [host_id for host_id in hosts if host_id != self._host_id]
 
