--- a/packages/node/sapphire_node/requests/asgi.py
+++ b/packages/node/sapphire_node/requests/asgi.py
@@ -1,33 +1,26 @@
 """The ASGI application that callers reach."""
 
-from collections.abc import Awaitable
-from collections.abc import Callable
-from collections.abc import MutableMapping
 import logging
-from typing import Any
 
 import anyio
 import expression
 
 from sapphire_core.requests import data as core_data
 from sapphire_core.requests import failures
-from sapphire_data import clock
 from sapphire_data import records
+from sapphire_node.requests import asgi_types
 from sapphire_node.requests import data
 from sapphire_node.requests import fields
+from sapphire_node.requests import messages
 from sapphire_node.requests import problems
 from sapphire_node.requests import service as request_service
+from sapphire_node.requests import uploads
 
 # A caller that does not take its answer for so long is given up, because the
 # answer holds memory that others need.
 DELIVERY_TIMEOUT_S = 30.0
 MEMORY_RETRY_AFTER_MS = 1_000
 
-Scope = MutableMapping[str, Any]
-Message = MutableMapping[str, Any]
-Receive = Callable[[], Awaitable[Message]]
-Send = Callable[[Message], Awaitable[None]]
-
 logger = logging.getLogger(__name__)
 
 
@@ -38,7 +31,10 @@
         self._service = service
 
     async def __call__(
-        self, scope: Scope, receive: Receive, send: Send
+        self,
+        scope: asgi_types.Scope,
+        receive: asgi_types.Receive,
+        send: asgi_types.Send,
     ) -> None:
         """Serves one exchange, or the start and stop of the server."""
         if scope["type"] == "lifespan":
@@ -49,7 +45,12 @@
         with self._service.exchange():
             await self._serve(scope, receive, send)
 
-    async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
+    async def _serve(
+        self,
+        scope: asgi_types.Scope,
+        receive: asgi_types.Receive,
+        send: asgi_types.Send,
+    ) -> None:
         headers = list(scope["headers"])
         host = fields.find(headers, fields.HOST) or ""
         name = host.rpartition(":")[0] or host
@@ -66,7 +67,7 @@
             await self._refuse(send, parsed.error, unclaimed)
             return
         request = parsed.ok
-        upload = _Upload(self._service, service)
+        upload = uploads.Upload(self._service, service)
         try:
             body = await upload.read(headers, receive, request.deadline_ms)
             if body is None:
@@ -85,12 +86,12 @@
         self,
         request: core_data.Request,
         http: data.HttpRequest,
-        receive: Receive,
-        send: Send,
+        receive: asgi_types.Receive,
+        send: asgi_types.Send,
     ) -> None:
         replies, reply = anyio.create_memory_object_stream[core_data.Finish](1)
         with replies, reply:
-            submit = request_service.Submit(request, http, replies)
+            submit = messages.Submit(request, http, replies)
             self._service.post(submit)
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._watch_caller, request.serial, receive)
@@ -98,7 +99,9 @@
                 tasks.cancel_scope.cancel()
         await self._deliver(request.service, finish, send)
 
-    async def _watch_caller(self, serial: int, receive: Receive) -> None:
+    async def _watch_caller(
+        self, serial: int, receive: asgi_types.Receive
+    ) -> None:
         while True:
             message = await receive()
             if message["type"] != "http.disconnect":
@@ -107,7 +110,7 @@
             return
 
     async def _deliver(
-        self, service: str, finish: core_data.Finish, send: Send
+        self, service: str, finish: core_data.Finish, send: asgi_types.Send
     ) -> None:
         if isinstance(finish.answer, data.HttpAnswer):
             answer = finish.answer
@@ -126,7 +129,7 @@
 
     async def _refuse(
         self,
-        send: Send,
+        send: asgi_types.Send,
         failure: failures.RequestFailure,
         outcome: core_data.Outcome,
     ) -> None:
@@ -136,7 +139,9 @@
         problem = problems.problem_answer(failure, outcome, retry_after_ms)
         await self._send_answer(send, problem)
 
-    async def _send_answer(self, send: Send, answer: data.HttpAnswer) -> None:
+    async def _send_answer(
+        self, send: asgi_types.Send, answer: data.HttpAnswer
+    ) -> None:
         headers = list(answer.headers)
         if self._service.is_draining:
             headers.append((b"connection", b"close"))
@@ -153,77 +158,8 @@
             logger.warning("event=answer_not_taken status=%d", answer.status)
 
 
-class _Upload:
-    """Reads one request body within the memory for bodies."""
-
-    def __init__(
-        self,
-        host: request_service.RequestService,
-        service: records.Service,
-    ) -> None:
-        self._host = host
-        self._service = service
-        self._reserved_bytes = 0
-
-    async def read(
-        self, headers: data.RawHeaders, receive: Receive, deadline_ms: int
-    ) -> bytes | failures.RequestFailure | None:
-        """Returns the whole body, a refusal, or None if the caller left."""
-        limit_bytes = self._service.limits.max_body_bytes
-        length = fields.whole_number(
-            headers, fields.CONTENT_LENGTH, 0, limit_bytes + 1
-        )
-        if length.is_error():
-            return length.error
-        if length.ok > limit_bytes:
-            return failures.BodyTooLarge(limit_bytes)
-        if not self._reserve(length.ok):
-            return self._exhausted()
-        remaining_ms = deadline_ms - self._host.clock.now_ms()
-        with anyio.move_on_after(remaining_ms / clock.MS_PER_SECOND):
-            return await self._read_parts(receive, limit_bytes)
-        return failures.DeadlineHopeless(0)
-
-    async def _read_parts(
-        self, receive: Receive, limit_bytes: int
-    ) -> bytes | failures.RequestFailure | None:
-        parts = []
-        size_bytes = 0
-        while True:
-            message = await receive()
-            if message["type"] == "http.disconnect":
-                return None
-            part = message.get("body", b"")
-            size_bytes += len(part)
-            if size_bytes > limit_bytes:
-                return failures.BodyTooLarge(limit_bytes)
-            missing_bytes = size_bytes - self._reserved_bytes
-            if missing_bytes > 0 and not self._reserve(missing_bytes):
-                return self._exhausted()
-            parts.append(part)
-            if not message.get("more_body", False):
-                return b"".join(parts)
-
-    def _reserve(self, size_bytes: int) -> bool:
-        name = self._service.name
-        if not self._host.upload_memory.reserve(name, size_bytes):
-            return False
-        self._reserved_bytes += size_bytes
-        return True
-
-    def _exhausted(self) -> failures.MemoryExhausted:
-        limit_bytes = self._host.upload_memory.limit_bytes
-        return failures.MemoryExhausted(limit_bytes)
-
-    def release(self) -> None:
-        """Gives the memory of the body back."""
-        name = self._service.name
-        self._host.upload_memory.release(name, self._reserved_bytes)
-        self._reserved_bytes = 0
-
-
 def _parse(
-    scope: Scope,
+    scope: asgi_types.Scope,
     headers: data.RawHeaders,
     service: records.Service,
     now_ms: int,
@@ -273,7 +209,7 @@
     return request.unclaimed_outcome
 
 
-def _target(scope: Scope) -> bytes:
+def _target(scope: asgi_types.Scope) -> bytes:
     raw_path: bytes = scope.get("raw_path") or scope["path"].encode()
     query: bytes = scope.get("query_string", b"")
     if not query:
@@ -281,7 +217,9 @@
     return raw_path + b"?" + query
 
 
-async def _serve_lifespan(receive: Receive, send: Send) -> None:
+async def _serve_lifespan(
+    receive: asgi_types.Receive, send: asgi_types.Send
+) -> None:
     while True:
         message = await receive()
         await send({"type": f"{message['type']}.complete"})
--- a/packages/node/sapphire_node/requests/fields.py
+++ b/packages/node/sapphire_node/requests/fields.py
@@ -37,7 +37,10 @@
         b"upgrade",
     }
 )
-OWN_FIELDS = frozenset({DEADLINE, RETRIES_LEFT, REQUEST_ID, OUTCOME})
+EXPECT = b"expect"
+
+# Fields that this host sets anew or has already acted upon.
+OWN_FIELDS = frozenset({DEADLINE, RETRIES_LEFT, REQUEST_ID, OUTCOME, EXPECT})
 
 
 def find(headers: data.RawHeaders, name: bytes) -> str | None:
--- a/packages/node/sapphire_node/requests/service.py
+++ b/packages/node/sapphire_node/requests/service.py
@@ -4,7 +4,6 @@
 from collections.abc import Iterator
 from collections.abc import Mapping
 import contextlib
-import dataclasses
 import logging
 import math
 import random
@@ -21,6 +20,7 @@
 from sapphire_data import records
 from sapphire_node.requests import answer_memory
 from sapphire_node.requests import data
+from sapphire_node.requests import messages
 from sapphire_node.requests import upstream_client
 
 UPLOAD_MEMORY_BYTES = 33_554_432
@@ -31,63 +31,6 @@
 logger = logging.getLogger(__name__)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Submit:
-    """A whole request and where its outcome goes.
-
-    Attributes:
-        request: The record for the core.
-        http: The request itself.
-        reply: Takes the one outcome.
-    """
-
-    request: core_data.Request
-    http: data.HttpRequest
-    reply: anyio.streams.memory.MemoryObjectSendStream[core_data.Finish]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class SetConfiguration:
-    """A configuration came into force."""
-
-    configuration: records.Configuration
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class SetView:
-    """The membership changed."""
-
-    view: records.MemberView
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class BeginDrain:
-    """The host takes no new requests."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class AttemptEnded:
-    """An attempt ended.
-
-    Attributes:
-        service: The name of the service.
-        event: How it ended.
-    """
-
-    service: str
-    event: upstream_client.AttemptEvent
-
-
-Message = (
-    Submit
-    | SetConfiguration
-    | SetView
-    | BeginDrain
-    | AttemptEnded
-    | core_data.Event
-)
-
-
 TellPeer = Callable[[str, core_data.PeerMessage], None]
 # Takes the service of a request that has ended, and whether it was answered
 # within its deadline.
@@ -127,14 +70,14 @@
         self._tell_peer = tell_peer
         self._note_end = note_end
         self._engine = engine.Engine(host_id, rng or random.Random())
-        self._submits_by_serial: dict[int, Submit] = {}
+        self._submits_by_serial: dict[int, messages.Submit] = {}
         self._configuration: records.Configuration | None = None
         self._scopes_by_attempt: dict[str, anyio.CancelScope] = {}
         self._open_exchanges = 0
         self._serial = 0
-        self._send, self._receive = anyio.create_memory_object_stream[Message](
-            math.inf
-        )
+        self._send, self._receive = anyio.create_memory_object_stream[
+            messages.Message
+        ](math.inf)
 
     def next_serial(self) -> int:
         """Returns the number of the next arrival."""
@@ -146,18 +89,18 @@
         """Whether the host takes no new requests."""
         return self._engine.is_draining
 
-    def post(self, message: Message) -> None:
+    def post(self, message: messages.Message) -> None:
         """Hands a message to the task that owns the requests."""
         self._send.send_nowait(message)
 
     def set_configuration(self, configuration: records.Configuration) -> None:
         """Takes in the configuration in force."""
         self.services_by_name = configuration.services_by_name
-        self.post(SetConfiguration(configuration))
+        self.post(messages.SetConfiguration(configuration))
 
     def set_view(self, view: records.MemberView) -> None:
         """Takes in the membership."""
-        self.post(SetView(view))
+        self.post(messages.SetView(view))
 
     def peer_told(self, message: core_data.PeerMessage) -> None:
         """Takes in a message about idle slots from another host."""
@@ -165,7 +108,7 @@
 
     def begin_drain(self) -> None:
         """Refuses new requests as not run; those in flight are finished."""
-        self.post(BeginDrain())
+        self.post(messages.BeginDrain())
 
     @contextlib.contextmanager
     def exchange(self) -> Iterator[None]:
@@ -212,7 +155,7 @@
                 for action in self._take(message, now_ms):
                     self._perform(action, client, tasks)
 
-    async def _next_message(self) -> Message:
+    async def _next_message(self) -> messages.Message:
         now_ms = self.clock.now_ms()
         wakeup_ms = self._engine.next_wakeup_ms(now_ms)
         timeout_s = math.inf
@@ -222,21 +165,23 @@
             return await self._receive.receive()
         return core_data.Tick()
 
-    def _take(self, message: Message, now_ms: int) -> list[core_data.Action]:
+    def _take(
+        self, message: messages.Message, now_ms: int
+    ) -> list[core_data.Action]:
         match message:
-            case Submit(request):
+            case messages.Submit(request):
                 self._submits_by_serial[request.serial] = message
                 arrived = core_data.RequestArrived(request)
                 return self._engine.handle(arrived, now_ms)
-            case SetConfiguration(configuration):
+            case messages.SetConfiguration(configuration):
                 self._configuration = configuration
                 return self._engine.set_configuration(configuration, now_ms)
-            case SetView(view):
+            case messages.SetView(view):
                 return self._engine.set_view(view, now_ms)
-            case BeginDrain():
+            case messages.BeginDrain():
                 self._engine.begin_drain()
                 return []
-            case AttemptEnded(service, event):
+            case messages.AttemptEnded(service, event):
                 if isinstance(event, core_data.AnswerArrived):
                     return self._take_answer(service, event, now_ms)
                 return self._engine.handle(event, now_ms)
@@ -283,7 +228,9 @@
             case core_data.ApplyClaims(batch):
                 tasks.start_soon(self._apply, batch)
 
-    def _note_finish(self, submit: Submit, finish: core_data.Finish) -> None:
+    def _note_finish(
+        self, submit: messages.Submit, finish: core_data.Finish
+    ) -> None:
         # A caller that left had no answer to wait for.
         if self._note_end is None:
             return
@@ -293,7 +240,7 @@
         is_answered = finish.outcome is core_data.Outcome.ANSWERED
         self._note_end(submit.request.service, is_answered and is_in_time)
 
-    def _reply(self, submit: Submit, finish: core_data.Finish) -> None:
+    def _reply(self, submit: messages.Submit, finish: core_data.Finish) -> None:
         try:
             submit.reply.send_nowait(finish)
         except anyio.BrokenResourceError:
@@ -317,7 +264,7 @@
     async def _attempt(
         self,
         send: core_data.Send,
-        submit: Submit,
+        submit: messages.Submit,
         upstream: records.Upstream,
         client: upstream_client.UpstreamClient,
     ) -> None:
@@ -327,7 +274,7 @@
                 event = await client.attempt(
                     send, service, upstream, submit.http
                 )
-                self.post(AttemptEnded(service, event))
+                self.post(messages.AttemptEnded(service, event))
         finally:
             del self._scopes_by_attempt[send.attempt_id]
 
--- /dev/null
+++ b/packages/node/sapphire_node/requests/uploads.py
@@ -0,0 +1,83 @@
+"""Reads request bodies whole, within the memory for them."""
+
+import anyio
+
+from sapphire_core.requests import failures
+from sapphire_data import clock
+from sapphire_data import records
+from sapphire_node.requests import asgi_types
+from sapphire_node.requests import data
+from sapphire_node.requests import fields
+from sapphire_node.requests import service as request_service
+
+
+class Upload:
+    """Reads one request body within the memory for bodies."""
+
+    def __init__(
+        self,
+        host: request_service.RequestService,
+        service: records.Service,
+    ) -> None:
+        self._host = host
+        self._service = service
+        self._reserved_bytes = 0
+
+    async def read(
+        self,
+        headers: data.RawHeaders,
+        receive: asgi_types.Receive,
+        deadline_ms: int,
+    ) -> bytes | failures.RequestFailure | None:
+        """Returns the whole body, a refusal, or None if the caller left."""
+        limit_bytes = self._service.limits.max_body_bytes
+        length = fields.whole_number(
+            headers, fields.CONTENT_LENGTH, 0, limit_bytes + 1
+        )
+        if length.is_error():
+            return length.error
+        if length.ok > limit_bytes:
+            return failures.BodyTooLarge(limit_bytes)
+        if not self._reserve(length.ok):
+            return self._exhausted()
+        remaining_ms = deadline_ms - self._host.clock.now_ms()
+        with anyio.move_on_after(remaining_ms / clock.MS_PER_SECOND):
+            return await self._read_parts(receive, limit_bytes)
+        return failures.DeadlineHopeless(0)
+
+    async def _read_parts(
+        self, receive: asgi_types.Receive, limit_bytes: int
+    ) -> bytes | failures.RequestFailure | None:
+        parts = []
+        size_bytes = 0
+        while True:
+            message = await receive()
+            if message["type"] == "http.disconnect":
+                return None
+            part = message.get("body", b"")
+            size_bytes += len(part)
+            if size_bytes > limit_bytes:
+                return failures.BodyTooLarge(limit_bytes)
+            missing_bytes = size_bytes - self._reserved_bytes
+            if missing_bytes > 0 and not self._reserve(missing_bytes):
+                return self._exhausted()
+            parts.append(part)
+            if not message.get("more_body", False):
+                return b"".join(parts)
+
+    def _reserve(self, size_bytes: int) -> bool:
+        name = self._service.name
+        if not self._host.upload_memory.reserve(name, size_bytes):
+            return False
+        self._reserved_bytes += size_bytes
+        return True
+
+    def _exhausted(self) -> failures.MemoryExhausted:
+        limit_bytes = self._host.upload_memory.limit_bytes
+        return failures.MemoryExhausted(limit_bytes)
+
+    def release(self) -> None:
+        """Gives the memory of the body back."""
+        name = self._service.name
+        self._host.upload_memory.release(name, self._reserved_bytes)
+        self._reserved_bytes = 0
