--- a/packages/node/sapphire_node/requests/asgi.py
+++ b/packages/node/sapphire_node/requests/asgi.py
@@ -19,7 +19,8 @@
 # A caller that does not take its answer for so long is given up, because the
 # answer holds memory that others need.
 DELIVERY_TIMEOUT_S = 30.0
-MEMORY_RETRY_AFTER_MS = 1_000
+REFUSAL_RETRY_AFTER_MS = 1_000
+TEMPORARY_REFUSALS = (failures.MemoryExhausted, failures.DeadlineHopeless)
 
 logger = logging.getLogger(__name__)
 
@@ -134,8 +135,8 @@
         outcome: core_data.Outcome,
     ) -> None:
         retry_after_ms = None
-        if isinstance(failure, failures.MemoryExhausted):
-            retry_after_ms = MEMORY_RETRY_AFTER_MS
+        if isinstance(failure, TEMPORARY_REFUSALS):
+            retry_after_ms = REFUSAL_RETRY_AFTER_MS
         problem = problems.problem_answer(failure, outcome, retry_after_ms)
         await self._send_answer(send, problem)
 
