Documents are stored in chunks that revisions share

Cause: each change of one upstream stored a whole document, 377,595 bytes compressed at 73,000 upstreams, about 0.8 GB for the 2,000 kept revisions. A first try ended chunks by the hash of one line and made 51,820 chunks, because lines repeat; with the last 256 bytes and at least 4 KB it is 592, and an edit stores 11,034 bytes. A change from a revision that was deleted meanwhile is a conflict and no longer a failure of the store.

--- a/packages/lab/sapphire_lab/config/collection_test.py
+++ b/packages/lab/sapphire_lab/config/collection_test.py
@@ -8,6 +8,7 @@
 from sapphire_core.configuration import lease as leases
 from sapphire_lab.config import builders
 from sapphire_lab.config import fakes
+from sapphire_net.store import change_failures
 from sapphire_net.store import changes
 from sapphire_net.store import collection
 from sapphire_net.store import reading
@@ -57,6 +58,17 @@
         outcome = run(changes.rollback(self.environment, seen, 2, "ann"))
         self.assertThat(outcome.is_ok(), matchers.Equals(True))
 
+    def test_change_from_a_deleted_revision_is_a_conflict(self) -> None:
+        run(apply(self.environment, "rota-1"))
+        seen = run(reading.read_snapshot(self.environment)).ok
+        run(apply(self.environment, "rota-2"))
+        run(self.collect(kept=1))
+        late = changes.Intent(
+            builders.document_bytes(), builders.bindings_bytes(), "ann"
+        )
+        outcome = run(changes.apply(self.environment, seen, late))
+        self.assertIsInstance(outcome.error, change_failures.WriteConflict)
+
     def test_lease_is_given_back_and_refuses_a_second_collector(self) -> None:
         run(apply(self.environment, "rota-1"))
         first = fakes.Task(self.collect(kept=1))
--- a/packages/lab/sapphire_lab/config/size.py
+++ b/packages/lab/sapphire_lab/config/size.py
@@ -5,11 +5,11 @@
 import resource
 import time
 from typing import Annotated
-import zlib
 
 import typer
 
 from sapphire_lab.config import builders
+from sapphire_net.store import sources
 from sapphire_wire.documents import bundle
 from sapphire_wire.documents import packing
 
@@ -53,7 +53,13 @@
     change_ms = (time.process_time() - started_s) * 1_000 / REPEATS
     change_bytes = len(after.head) + sum(map(len, new_parts.values()))
     document = builders.document_bytes(fleet)
-    stored_document = zlib.compress(document, packing.COMPRESSION_LEVEL)
+    stored = sources.encode(document)
+    edited = sources.encode(builders.document_bytes(fleet, (), ("upstream-7",)))
+    new_chunks = [
+        chunk
+        for digest, chunk in edited.chunks_by_digest.items()
+        if digest not in stored.chunks_by_digest
+    ]
     usage = resource.getrusage(resource.RUSAGE_SELF)
     print(
         json.dumps(
@@ -68,7 +74,9 @@
                 "bytes_of_a_change": change_bytes,
                 "bytes_per_s": round(change_bytes * CHANGES_PER_S),
                 "document_bytes": len(document),
-                "stored_document_bytes": len(stored_document),
+                "document_chunks": len(stored.chunks_by_digest),
+                "stored_bytes_of_an_edit": len(edited.manifest)
+                + sum(map(len, new_chunks)),
                 "decode_whole_ms": round(whole_ms),
                 "decode_change_ms": round(change_ms, 1),
                 "decode_core_share": round(
--- a/packages/net/sapphire_net/store/changes.py
+++ b/packages/net/sapphire_net/store/changes.py
@@ -16,6 +16,7 @@
 from sapphire_net.store import environment as environments
 from sapphire_net.store import publication
 from sapphire_net.store import reading
+from sapphire_net.store import sources
 from sapphire_wire.documents import decode
 from sapphire_wire.documents import packing
 
@@ -160,14 +161,10 @@
         The intent, or why its bytes cannot be read.
     """
     change = head.change
-    document = await reading.read_source(
-        environment, change.document_digest, change.document_chunks
-    )
+    document = await sources.read(environment, change.document_digest)
     if document.is_error():
         return expression.Error(document.error)
-    bindings = await reading.read_source(
-        environment, change.bindings_digest, change.bindings_chunks
-    )
+    bindings = await sources.read(environment, change.bindings_digest)
     if bindings.is_error():
         return expression.Error(bindings.error)
     return expression.Ok(Intent(document.ok, bindings.ok, author, action))
--- a/packages/net/sapphire_net/store/collection.py
+++ b/packages/net/sapphire_net/store/collection.py
@@ -16,6 +16,7 @@
 from sapphire_net.store import environment as environments
 from sapphire_net.store import leases as lease_calls
 from sapphire_net.store import reading
+from sapphire_net.store import sources
 from sapphire_wire.documents import packing
 
 KEPT_REVISIONS = 2_000
@@ -139,29 +140,41 @@
             return expression.Error(stored.error)
         if stored.ok.head is not None:
             heads.append(stored.ok.head)
-    used = set(_used_keys(environment, heads))
+    used = await _used_keys(environment, heads)
+    if used.is_error():
+        return expression.Error(used.error)
     unused = [item.key for item in items[: len(items) - len(kept)]]
-    for prefix in (environment.parts_prefix, environment.sources_prefix):
+    for prefix in (
+        environment.parts_prefix,
+        environment.sources_prefix,
+        environment.chunks_prefix,
+    ):
         found = await environment.store.get(
             prefix, is_prefix=True, is_keys_only=True
         )
         if found.is_error():
             return expression.Error(found.error)
         unused.extend(
-            item.key for item in found.ok.items if item.key not in used
+            item.key for item in found.ok.items if item.key not in used.ok
         )
     return expression.Ok(unused)
 
 
-def _used_keys(
+async def _used_keys(
     environment: environments.Environment, heads: Iterable[packing.Head]
-) -> Iterable[str]:
-    """Yields the keys of the parts and sources that heads name."""
+) -> expression.Result[set[str], failures.Failure]:
+    """Returns the keys of the parts, manifests and chunks that heads name."""
+    used: set[str] = set()
+    digests: set[str] = set()
     for head in heads:
-        for digest in head.part_digests:
-            yield environment.part_key(digest)
-        change = head.change
-        for chunk in range(change.document_chunks):
-            yield environment.source_key(change.document_digest, chunk)
-        for chunk in range(change.bindings_chunks):
-            yield environment.source_key(change.bindings_digest, chunk)
+        used.update(map(environment.part_key, head.part_digests))
+        digests.add(head.change.document_digest)
+        digests.add(head.change.bindings_digest)
+    for digest in sorted(digests):
+        manifest = await sources.read_manifest(environment, digest)
+        if manifest.is_error():
+            return expression.Error(manifest.error)
+        used.add(environment.source_key(digest))
+        chunks = sources.digests_of(manifest.ok)
+        used.update(map(environment.chunk_key, chunks))
+    return expression.Ok(used)
--- a/packages/net/sapphire_net/store/environment.py
+++ b/packages/net/sapphire_net/store/environment.py
@@ -61,9 +61,14 @@
 
     @property
     def sources_prefix(self) -> str:
-        """The prefix of the keys of documents and bindings."""
+        """The prefix of the keys of manifests of documents and bindings."""
         return f"{self.prefix}sources/"
 
+    @property
+    def chunks_prefix(self) -> str:
+        """The prefix of the keys of chunks of documents and bindings."""
+        return f"{self.prefix}chunks/"
+
     def history_key(self, revision: int) -> str:
         """Returns the key that keeps the head of a revision."""
         return f"{self.history_prefix}{revision:012d}"
@@ -72,6 +77,10 @@
         """Returns the key of a part."""
         return f"{self.parts_prefix}{digest.hex()}"
 
-    def source_key(self, digest: str, chunk: int) -> str:
-        """Returns the key of a chunk of a document or of bindings."""
-        return f"{self.sources_prefix}{digest}/{chunk:04d}"
+    def source_key(self, digest: str) -> str:
+        """Returns the key of the manifest of a document or of bindings."""
+        return f"{self.sources_prefix}{digest}"
+
+    def chunk_key(self, digest: bytes) -> str:
+        """Returns the key of a chunk of documents or bindings."""
+        return f"{self.chunks_prefix}{digest.hex()}"
--- a/packages/net/sapphire_net/store/publication.py
+++ b/packages/net/sapphire_net/store/publication.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterable
 import dataclasses
 import enum
-import zlib
+import hashlib
 
 import expression
 
@@ -19,11 +19,11 @@
 from sapphire_net.store import environment as environments
 from sapphire_net.store import failures as store_failures
 from sapphire_net.store import reading
+from sapphire_net.store import sources
 from sapphire_wire.documents import packing
 
 MAX_ATTEMPTS = 6
 FIRST_BACKOFF_MS = 100
-SOURCE_CHUNK_BYTES = 1_000_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -81,7 +81,7 @@
         `WriteUnconfirmed` if the outcome could not be found; another
         failure if the change had no effect.
     """
-    change = _with_chunk_counts(proposal)
+    change = proposal.change
     seen_head = proposal.seen.stored.head
     packed = packing.pack(
         proposal.configuration,
@@ -198,7 +198,11 @@
         return expression.Error(collector.error)
     items = collector.ok.items
     collector_revision = items[0].mod_revision if items else 0
-    for put in _content_of(environment, proposal, packed):
+    source_puts = await _sources_of(environment, proposal)
+    if source_puts.is_error():
+        return expression.Error(source_puts.error)
+    parts = _parts_of(environment, proposal, packed)
+    for put in (*parts, *source_puts.ok):
         written = await environment.store.transact([], [put])
         if written.is_error():
             return expression.Error(written.error)
@@ -267,56 +271,57 @@
     )
 
 
-def _content_of(
+def _parts_of(
     environment: environments.Environment,
     proposal: Proposal,
     packed: packing.Packed,
 ) -> Iterable[data.Put]:
-    """Yields the parts and sources that the seen revision does not have."""
+    """Yields the parts that the seen revision does not have."""
     head = proposal.seen.stored.head
     known = frozenset(() if head is None else head.part_digests)
     for digest, content in packed.parts_by_digest.items():
         if digest in known:
             continue
         yield data.Put(environment.part_key(digest), content)
-    known_sources = set()
-    if head is not None:
-        known_sources.add(head.change.document_digest)
-        known_sources.add(head.change.bindings_digest)
-    for source_digest, source in (
-        (proposal.change.document_digest, proposal.document),
-        (proposal.change.bindings_digest, proposal.bindings),
-    ):
-        if source_digest in known_sources:
-            continue
-        for index, chunk in enumerate(_source_chunks(source)):
-            key = environment.source_key(source_digest, index)
-            yield data.Put(key, chunk)
 
 
-def _with_chunk_counts(proposal: Proposal) -> packing.Change:
-    """Returns the change with the number of chunks of its sources."""
-    change = proposal.change
-    known: dict[str, int] = {}
+async def _sources_of(
+    environment: environments.Environment, proposal: Proposal
+) -> expression.Result[list[data.Put], failures.Failure]:
+    """Returns the writes of the sources that the seen revision lacks."""
     head = proposal.seen.stored.head
+    change = proposal.change
+    pairs = [
+        (change.document_digest, proposal.document),
+        (change.bindings_digest, proposal.bindings),
+    ]
+    seen_digests: tuple[str, ...] = ()
     if head is not None:
-        known[head.change.document_digest] = head.change.document_chunks
-        known[head.change.bindings_digest] = head.change.bindings_chunks
-    document_chunks = known.get(change.document_digest)
-    if document_chunks is None:
-        document_chunks = len(list(_source_chunks(proposal.document)))
-    bindings_chunks = known.get(change.bindings_digest)
-    if bindings_chunks is None:
-        bindings_chunks = len(list(_source_chunks(proposal.bindings)))
-    return dataclasses.replace(
-        change,
-        document_chunks=document_chunks,
-        bindings_chunks=bindings_chunks,
-    )
-
-
-def _source_chunks(source: bytes) -> Iterable[bytes]:
-    """Yields the stored chunks of a document or of bindings."""
-    compressed = zlib.compress(source, packing.COMPRESSION_LEVEL)
-    for start in range(0, len(compressed), SOURCE_CHUNK_BYTES):
-        yield compressed[start : start + SOURCE_CHUNK_BYTES]
+        seen = head.change
+        seen_digests = (seen.document_digest, seen.bindings_digest)
+    known_sources: set[str] = set()
+    known_chunks: set[bytes] = set()
+    for digest in seen_digests:
+        manifest = await sources.read_manifest(environment, digest)
+        if manifest.is_ok():
+            known_sources.add(digest)
+            known_chunks.update(sources.digests_of(manifest.ok))
+            continue
+        # A revision that was seen long ago may have been deleted since; then
+        # the swap is refused and tells what changed.
+        error = manifest.error
+        if not isinstance(error, change_failures.StoredDataInvalid):
+            return expression.Error(error)
+    puts: list[data.Put] = []
+    for digest, source in pairs:
+        is_given = hashlib.sha256(source).hexdigest() == digest
+        if digest in known_sources or not is_given:
+            continue
+        stored = sources.encode(source)
+        for chunk_digest, chunk in stored.chunks_by_digest.items():
+            if chunk_digest not in known_chunks:
+                key = environment.chunk_key(chunk_digest)
+                puts.append(data.Put(key, chunk))
+        key = environment.source_key(digest)
+        puts.append(data.Put(key, stored.manifest))
+    return expression.Ok(puts)
--- a/packages/net/sapphire_net/store/reading.py
+++ b/packages/net/sapphire_net/store/reading.py
@@ -1,8 +1,6 @@
-"""Reads heads, parts, documents and bindings from the store."""
+"""Reads heads and parts from the store."""
 
 import dataclasses
-import hashlib
-import zlib
 
 import expression
 
@@ -14,8 +12,6 @@
 from sapphire_wire.documents import packing
 from sapphire_wire.documents import unpacking
 
-MAX_SOURCE_BYTES = 67_108_864
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoredHead:
@@ -172,41 +168,3 @@
             )
         )
     return expression.Ok(Snapshot(stored, unpacked.ok))
-
-
-async def read_source(
-    environment: environments.Environment, digest: str, chunk_count: int
-) -> expression.Result[bytes, failures.Failure]:
-    """Reads a document or bindings by digest.
-
-    Args:
-        environment: The environment.
-        digest: The SHA-256 of the bytes, hexadecimal.
-        chunk_count: The number of stored chunks.
-
-    Returns:
-        The bytes, or why they cannot be read.
-    """
-    compressed = b""
-    for chunk in range(chunk_count):
-        key = environment.source_key(digest, chunk)
-        answer = await environment.store.get(key)
-        if answer.is_error():
-            return expression.Error(answer.error)
-        if not answer.ok.items:
-            return expression.Error(
-                change_failures.StoredDataInvalid(key, "missing")
-            )
-        compressed += answer.ok.items[0].value
-    key = environment.source_key(digest, 0)
-    try:
-        content = zlib.decompressobj().decompress(compressed, MAX_SOURCE_BYTES)
-    except zlib.error as error:
-        return expression.Error(
-            change_failures.StoredDataInvalid(key, str(error))
-        )
-    if hashlib.sha256(content).hexdigest() != digest:
-        return expression.Error(
-            change_failures.StoredDataInvalid(key, "altered")
-        )
-    return expression.Ok(content)
--- /dev/null
+++ b/packages/net/sapphire_net/store/sources.py
@@ -0,0 +1,165 @@
+"""Stores documents and bindings in chunks that revisions share.
+
+A chunk ends where its content says so and not at a fixed offset. So an edit
+changes the chunk that it falls into, and the chunks after it stay the same.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+import dataclasses
+import hashlib
+import re
+import zlib
+
+import expression
+import xxhash
+
+from sapphire_data import failures
+from sapphire_net.store import change_failures
+from sapphire_net.store import environment as environments
+from sapphire_wire.documents import packing
+
+# A chunk may end after a line or an object.
+_ENDS = re.compile(rb"\n|\},")
+# One end in this many is taken, about 16 KB of a document.
+END_SHARE = 512
+# Ends are chosen by the bytes before them; fewer bytes would often repeat.
+WINDOW_BYTES = 256
+MIN_CHUNK_BYTES = 4_096
+MAX_CHUNK_BYTES = 262_144
+MAX_SOURCE_BYTES = 67_108_864
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stored:
+    """A document or bindings as they are stored.
+
+    Attributes:
+        manifest: The digests of the chunks in order.
+        chunks_by_digest: The compressed chunks.
+    """
+
+    manifest: bytes
+    chunks_by_digest: Mapping[bytes, bytes]
+
+
+def encode(source: bytes) -> Stored:
+    """Splits and compresses a document or bindings.
+
+    Args:
+        source: The bytes.
+
+    Returns:
+        The manifest and the chunks.
+    """
+    chunks_by_digest: dict[bytes, bytes] = {}
+    manifest = bytearray()
+    for chunk in split(source):
+        stored = zlib.compress(chunk, packing.COMPRESSION_LEVEL)
+        digest = packing.part_digest(stored)
+        chunks_by_digest[digest] = stored
+        manifest += digest
+    return Stored(bytes(manifest), chunks_by_digest)
+
+
+def digests_of(manifest: bytes) -> list[bytes]:
+    """Returns the digests that a manifest names, in order."""
+    size = packing.DIGEST_BYTES
+    return [
+        manifest[start : start + size]
+        for start in range(0, len(manifest), size)
+    ]
+
+
+async def read_manifest(
+    environment: environments.Environment, digest: str
+) -> expression.Result[bytes, failures.Failure]:
+    """Reads which chunks a document or bindings consist of.
+
+    Args:
+        environment: The environment.
+        digest: The SHA-256 of the bytes, hexadecimal.
+
+    Returns:
+        The manifest, or why it cannot be read.
+    """
+    return await _read(environment, environment.source_key(digest))
+
+
+async def read(
+    environment: environments.Environment, digest: str
+) -> expression.Result[bytes, failures.Failure]:
+    """Reads a document or bindings.
+
+    Args:
+        environment: The environment.
+        digest: The SHA-256 of the bytes, hexadecimal.
+
+    Returns:
+        The bytes, or why they cannot be read.
+    """
+    manifest = await read_manifest(environment, digest)
+    if manifest.is_error():
+        return manifest
+    source = bytearray()
+    for chunk_digest in digests_of(manifest.ok):
+        key = environment.chunk_key(chunk_digest)
+        stored = await _read(environment, key)
+        if stored.is_error():
+            return stored
+        try:
+            source += zlib.decompressobj().decompress(
+                stored.ok, MAX_CHUNK_BYTES
+            )
+        except zlib.error as error:
+            return _invalid(key, str(error))
+        if len(source) > MAX_SOURCE_BYTES:
+            return _invalid(key, "too long")
+    if hashlib.sha256(source).hexdigest() != digest:
+        return _invalid(environment.source_key(digest), "altered")
+    return expression.Ok(bytes(source))
+
+
+def split(source: bytes) -> Iterable[bytes]:
+    """Splits a document or bindings.
+
+    Args:
+        source: The bytes.
+
+    Yields:
+        The chunks in order.
+    """
+    start = 0
+    for match in _ENDS.finditer(source):
+        end = match.end()
+        while end - start > MAX_CHUNK_BYTES:
+            yield source[start : start + MAX_CHUNK_BYTES]
+            start += MAX_CHUNK_BYTES
+        if end - start < MIN_CHUNK_BYTES:
+            continue
+        window = source[end - WINDOW_BYTES : end]
+        if xxhash.xxh64_intdigest(window) % END_SHARE == 0:
+            yield source[start:end]
+            start = end
+    while start < len(source):
+        yield source[start : start + MAX_CHUNK_BYTES]
+        start += MAX_CHUNK_BYTES
+
+
+async def _read(
+    environment: environments.Environment, key: str
+) -> expression.Result[bytes, failures.Failure]:
+    """Reads one value that has to exist."""
+    answer = await environment.store.get(key)
+    if answer.is_error():
+        return expression.Error(answer.error)
+    if not answer.ok.items:
+        return _invalid(key, "missing")
+    return expression.Ok(answer.ok.items[0].value)
+
+
+def _invalid(
+    key: str, problem: str
+) -> expression.Result[bytes, failures.Failure]:
+    """Returns the failure for a value that cannot be used."""
+    return expression.Error(change_failures.StoredDataInvalid(key, problem))
--- a/packages/wire/idl/configuration.thrift
+++ b/packages/wire/idl/configuration.thrift
@@ -50,11 +50,9 @@
   5: required i64 written_ms,         // The writer's wall time.
   6: required string document_digest, // SHA-256, hexadecimal.
   7: required string bindings_digest, // SHA-256, hexadecimal.
-  8: required i32 document_chunks,
-  9: required i32 bindings_chunks,
-  10: required i32 shard_count,
-  11: required list<DataCentreRecord> data_centres,
-  12: required list<binary> parts,    // Digests of 16 bytes.
+  8: required i32 shard_count,
+  9: required list<DataCentreRecord> data_centres,
+  10: required list<binary> parts,   // Digests of 16 bytes.
 }
 
 // What a host answers to a peer: its head, and the parts that the asking
--- a/packages/wire/sapphire_wire/documents/packing.py
+++ b/packages/wire/sapphire_wire/documents/packing.py
@@ -41,8 +41,6 @@
         written_ms: The wall time in milliseconds.
         document_digest: The digest of the document's bytes.
         bindings_digest: The digest of the bindings' bytes.
-        document_chunks: The number of stored chunks of the document.
-        bindings_chunks: The number of stored chunks of the bindings.
     """
 
     writer_id: str
@@ -51,8 +49,6 @@
     written_ms: int
     document_digest: str
     bindings_digest: str
-    document_chunks: int = 0
-    bindings_chunks: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -244,8 +240,6 @@
             written_ms=record.written_ms,
             document_digest=record.document_digest,
             bindings_digest=record.bindings_digest,
-            document_chunks=record.document_chunks,
-            bindings_chunks=record.bindings_chunks,
         ),
         shard_count=record.shard_count,
         data_centres_by_name={
--- a/packages/wire/sapphire_wire/gen/configuration/ttypes.py
+++ b/packages/wire/sapphire_wire/gen/configuration/ttypes.py
@@ -595,8 +595,6 @@
      - written_ms
      - document_digest
      - bindings_digest
-     - document_chunks
-     - bindings_chunks
      - shard_count
      - data_centres
      - parts
@@ -604,7 +602,7 @@
     """
 
 
-    def __init__(self, revision=None, writer_id=None, author=None, action=None, written_ms=None, document_digest=None, bindings_digest=None, document_chunks=None, bindings_chunks=None, shard_count=None, data_centres=None, parts=None,):
+    def __init__(self, revision=None, writer_id=None, author=None, action=None, written_ms=None, document_digest=None, bindings_digest=None, shard_count=None, data_centres=None, parts=None,):
         self.revision = revision
         self.writer_id = writer_id
         self.author = author
@@ -612,8 +610,6 @@
         self.written_ms = written_ms
         self.document_digest = document_digest
         self.bindings_digest = bindings_digest
-        self.document_chunks = document_chunks
-        self.bindings_chunks = bindings_chunks
         self.shard_count = shard_count
         self.data_centres = data_centres
         self.parts = parts
@@ -663,21 +659,11 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
-                if ftype == TType.I32:
-                    self.document_chunks = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 9:
-                if ftype == TType.I32:
-                    self.bindings_chunks = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 10:
                 if ftype == TType.I32:
                     self.shard_count = iprot.readI32()
                 else:
                     iprot.skip(ftype)
-            elif fid == 11:
+            elif fid == 9:
                 if ftype == TType.LIST:
                     self.data_centres = []
                     (_etype31, _size28) = iprot.readListBegin()
@@ -688,7 +674,7 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 12:
+            elif fid == 10:
                 if ftype == TType.LIST:
                     self.parts = []
                     (_etype37, _size34) = iprot.readListBegin()
@@ -736,27 +722,19 @@
             oprot.writeFieldBegin('bindings_digest', TType.STRING, 7)
             oprot.writeString(self.bindings_digest.encode('utf-8') if sys.version_info[0] == 2 else self.bindings_digest)
             oprot.writeFieldEnd()
-        if self.document_chunks is not None:
-            oprot.writeFieldBegin('document_chunks', TType.I32, 8)
-            oprot.writeI32(self.document_chunks)
-            oprot.writeFieldEnd()
-        if self.bindings_chunks is not None:
-            oprot.writeFieldBegin('bindings_chunks', TType.I32, 9)
-            oprot.writeI32(self.bindings_chunks)
-            oprot.writeFieldEnd()
         if self.shard_count is not None:
-            oprot.writeFieldBegin('shard_count', TType.I32, 10)
+            oprot.writeFieldBegin('shard_count', TType.I32, 8)
             oprot.writeI32(self.shard_count)
             oprot.writeFieldEnd()
         if self.data_centres is not None:
-            oprot.writeFieldBegin('data_centres', TType.LIST, 11)
+            oprot.writeFieldBegin('data_centres', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.data_centres))
             for iter40 in self.data_centres:
                 iter40.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.parts is not None:
-            oprot.writeFieldBegin('parts', TType.LIST, 12)
+            oprot.writeFieldBegin('parts', TType.LIST, 10)
             oprot.writeListBegin(TType.STRING, len(self.parts))
             for iter41 in self.parts:
                 oprot.writeBinary(iter41)
@@ -780,10 +758,6 @@
             raise TProtocolException(message='Required field document_digest is unset!')
         if self.bindings_digest is None:
             raise TProtocolException(message='Required field bindings_digest is unset!')
-        if self.document_chunks is None:
-            raise TProtocolException(message='Required field document_chunks is unset!')
-        if self.bindings_chunks is None:
-            raise TProtocolException(message='Required field bindings_chunks is unset!')
         if self.shard_count is None:
             raise TProtocolException(message='Required field shard_count is unset!')
         if self.data_centres is None:
@@ -1022,11 +996,9 @@
     (5, TType.I64, 'written_ms', None, None, ),  # 5
     (6, TType.STRING, 'document_digest', 'UTF8', None, ),  # 6
     (7, TType.STRING, 'bindings_digest', 'UTF8', None, ),  # 7
-    (8, TType.I32, 'document_chunks', None, None, ),  # 8
-    (9, TType.I32, 'bindings_chunks', None, None, ),  # 9
-    (10, TType.I32, 'shard_count', None, None, ),  # 10
-    (11, TType.LIST, 'data_centres', (TType.STRUCT, [DataCentreRecord, None], False), None, ),  # 11
-    (12, TType.LIST, 'parts', (TType.STRING, 'BINARY', False), None, ),  # 12
+    (8, TType.I32, 'shard_count', None, None, ),  # 8
+    (9, TType.LIST, 'data_centres', (TType.STRUCT, [DataCentreRecord, None], False), None, ),  # 9
+    (10, TType.LIST, 'parts', (TType.STRING, 'BINARY', False), None, ),  # 10
 )
 all_structs.append(Bundle)
 Bundle.thrift_spec = (
