--- a/packages/core/sapphire_core/membership/outbox.py
+++ b/packages/core/sapphire_core/membership/outbox.py
@@ -11,8 +11,6 @@
 from sapphire_core.membership import roster
 from sapphire_data import records
 
-# Changed hosts wait when the allowance falls to this share; facts do not.
-_FACT_RESERVE_SHARE = 0.5
 _MIN_TRANSMISSIONS = 8
 _BACKLOG_ITEMS = 64
 _BACKLOG_TRANSMISSIONS = 2
@@ -34,9 +32,15 @@
         self._facts = facts
         self._actions: list[data.Action] = []
         self.news = news.NewsQueue(settings.push_rounds)
-        self.rate = rate_limit.RateLimit(
-            settings.news_bytes_per_second, settings.news_burst_bytes
-        )
+        # A backlog of changed hosts, as after the loss of a data centre, must
+        # not delay a configuration, nor a run of facts the death of a host.
+        self._rates_by_kind = {
+            kind: rate_limit.RateLimit(
+                settings.news_bytes_per_second // len(news.NewsKind),
+                settings.news_burst_bytes // len(news.NewsKind),
+            )
+            for kind in news.NewsKind
+        }
 
     def add(self, action: data.Action) -> None:
         """Adds an action that is not a message."""
@@ -55,8 +59,7 @@
 
     def add_fact_news(self, fact_key: str, is_remote: bool) -> None:
         """Notes that a fact has changed."""
-        key = news.NewsKey(news.NewsKind.FACT, fact_key)
-        self.news.add(key, is_remote)
+        self.news.add(_fact_news(fact_key), is_remote)
 
     def hear_member(self, host_id: str) -> None:
         """Notes that another host knows the entry of a host as well."""
@@ -64,11 +67,15 @@
 
     def hear_fact(self, fact_key: str) -> None:
         """Notes that another host knows a fact as well."""
-        self.news.hear(news.NewsKey(news.NewsKind.FACT, fact_key))
+        self.news.hear(_fact_news(fact_key))
 
-    def has_tokens(self, now_ms: int) -> bool:
-        """Returns whether the allowance for news is not used up."""
-        return self.rate.has_tokens(now_ms)
+    def kinds_allowed(self, now_ms: int) -> set[news.NewsKind]:
+        """Returns the kinds of news whose allowance is not used up."""
+        return {
+            kind
+            for kind, rate in self._rates_by_kind.items()
+            if rate.has_tokens(now_ms)
+        }
 
     def send_plain(
         self, address: str, port: int, message: data.GossipMessage
@@ -90,12 +97,10 @@
             now_ms: The time in milliseconds.
         """
         keys: list[news.NewsKey] = []
-        if len(self.news) and self.has_tokens(now_ms):
+        if len(self.news):
             keys = self._pick(target, message, False, now_ms)
-            plain_bytes = message_size.message_bytes(message)
             message = self._fill(message, keys, now_ms)
-            news_bytes = message_size.message_bytes(message) - plain_bytes
-            self.rate.charge(news_bytes)
+            self._charge(keys, now_ms)
         self.send_plain(target.address, target.control_port, message)
         self.news.count(keys, self._transmission_limit())
 
@@ -118,8 +123,10 @@
             if not keys:
                 continue
             filled = self._fill(message, keys, now_ms)
-            size = message_size.message_bytes(filled)
-            self.rate.charge(size + message_size.DATAGRAM_OVERHEAD_BYTES)
+            self._charge(keys, now_ms)
+            overhead_bytes = message_size.message_bytes(message)
+            overhead_bytes += message_size.DATAGRAM_OVERHEAD_BYTES
+            self._rates_by_kind[keys[0].kind].charge(overhead_bytes)
             self.send_plain(target.address, target.control_port, filled)
             pushed.update(dict.fromkeys(keys))
         self.news.end_push(list(pushed))
@@ -154,8 +161,14 @@
         size_of = self._size_of(now_ms, is_local)
         if not is_local:
             size_of = self._size_of_remote(now_ms, hot_only)
-        is_short = not self.rate.has_tokens(now_ms, _FACT_RESERVE_SHARE)
-        return self.news.pick(room, size_of, hot_only, facts_only=is_short)
+        kinds = self.kinds_allowed(now_ms)
+        return self.news.pick(room, size_of, kinds, hot_only)
+
+    def _charge(self, keys: list[news.NewsKey], now_ms: int) -> None:
+        """Takes what was sent from the allowance of its kind."""
+        size_of = self._size_of(now_ms, is_local=False)
+        for key in keys:
+            self._rates_by_kind[key.kind].charge(size_of(key) or 0)
 
     def _size_of(
         self, now_ms: int, is_local: bool
@@ -163,7 +176,7 @@
         """Returns the sizes of news, None for what is not for the receiver."""
 
         def size_of(key: news.NewsKey) -> int | None:
-            if key.kind is news.NewsKind.FACT:
+            if key.kind is not news.NewsKind.MEMBER:
                 scope = fact_scope.scope_of(key.name)
                 if is_local and scope is fact_scope.Scope.RELAY:
                     return None
@@ -186,7 +199,7 @@
         def size_of(key: news.NewsKey) -> int | None:
             if is_push and not self.news.is_pushed_abroad(key):
                 return None
-            if key.kind is news.NewsKind.FACT:
+            if key.kind is not news.NewsKind.MEMBER:
                 scope = fact_scope.scope_of(key.name)
                 if scope is fact_scope.Scope.LOCAL:
                     return None
@@ -208,7 +221,7 @@
         members = list(message.members)
         facts = list(message.facts)
         for key in keys:
-            if key.kind is news.NewsKind.FACT:
+            if key.kind is not news.NewsKind.MEMBER:
                 fact = self._facts.get(key.name, now_ms)
                 if fact is not None:
                     facts.append(fact)
@@ -238,3 +251,11 @@
         size = len(self._hosts.live_ids(self._own_data_centre))
         factor = self._settings.retransmit_factor
         return max(_MIN_TRANSMISSIONS, factor * size.bit_length())
+
+
+def _fact_news(fact_key: str) -> news.NewsKey:
+    """Returns the subject of news about a fact."""
+    kind = news.NewsKind.FACT
+    if fact_scope.is_urgent(fact_key):
+        kind = news.NewsKind.URGENT_FACT
+    return news.NewsKey(kind, fact_key)
