An upstream of the other version of IP ends no task

With uvloop a datagram to an address of the other version raises ValueError, which ended the forwarding task and so the host; the probe of an upstream with an IPv6 address raised InvalidURL. A datagram that the socket refuses is now dropped and counted as AddressRefused, and IPv6 numbers are bracketed in URLs of probes. The failures of the daemon's tasks stand in failures.py.

--- a/packages/lab/sapphire_lab/daemon/bench.py
+++ b/packages/lab/sapphire_lab/daemon/bench.py
@@ -34,6 +34,8 @@
 WAIT_S = 20
 REREAD_MS = 50
 DRAIN_TIMEOUT_MS = 30_000
+# What `publish` binds the service to.
+SERVICE = ("127.200.0.1", 443)
 _POOLS = {"rota": {"rota-1": "tacoma"}}
 # Nothing listens on it: connections are refused at once.
 DOWN_STORE_URL = "http://127.0.0.1:9"
@@ -286,13 +288,16 @@
             return
 
 
-async def publish(store_url: str, drained: tuple[str, ...] = ()) -> None:
+async def publish(store_url: str, upstream: str | None = None) -> None:
     """Puts a document with one service and one upstream in force.
 
     Args:
         store_url: The base URL of the store.
-        drained: The upstreams that drain.
+        upstream: The IP number of the upstream; None for one of loopback.
     """
+    bindings = json.loads(config_builders.bindings_bytes(_POOLS, network=127))
+    if upstream is not None:
+        bindings["upstreams"]["rota-1"]["address"] = upstream
     async with store_client.open_client(store_url) as http:
         environment = environments.Environment(
             store_client.GatewayStore(http), PREFIX
@@ -302,10 +307,8 @@
             environment,
             seen,
             changes.Intent(
-                document=config_builders.document_bytes(
-                    _POOLS, drained=drained
-                ),
-                bindings=config_builders.bindings_bytes(_POOLS, network=127),
+                document=config_builders.document_bytes(_POOLS),
+                bindings=json.dumps(bindings).encode(),
                 author="ann",
                 acknowledged=("tacoma",),
             ),
--- a/packages/node/sapphire_node/control.py
+++ b/packages/node/sapphire_node/control.py
@@ -20,6 +20,7 @@
 from sapphire_net import event_log
 from sapphire_net.trust import keys
 from sapphire_net.trust import sealing
+from sapphire_node import failures as node_failures
 from sapphire_node import messages
 from sapphire_node import subscribers
 from sapphire_wire import flow_messages
@@ -35,11 +36,6 @@
 _Kind = message_kind.MessageKind
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class OutgoingFull(failures.Failure):
-    """More control messages wait to be sent than are kept."""
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Outgoing:
     """A sealed datagram that waits to be sent."""
@@ -147,9 +143,14 @@
         A socket takes one writer at a time, and several tasks cause messages.
         """
         async for outgoing in self._outgoing_receive:
-            await self._udp.sendto(
-                outgoing.datagram, outgoing.address, outgoing.port
-            )
+            try:
+                await self._udp.sendto(
+                    outgoing.datagram, outgoing.address, outgoing.port
+                )
+            except (OSError, ValueError):
+                self.counters.drop(
+                    node_failures.AddressRefused(outgoing.address)
+                )
 
     async def serve_inbox(
         self, inbox: memory.MemoryObjectReceiveStream[messages.ToControl]
@@ -262,4 +263,4 @@
         try:
             self._outgoing_send.send_nowait(_Outgoing(datagram, address, port))
         except anyio.WouldBlock:
-            self.counters.drop(OutgoingFull())
+            self.counters.drop(node_failures.OutgoingFull())
--- a/packages/node/sapphire_node/daemon_life_test.py
+++ b/packages/node/sapphire_node/daemon_life_test.py
@@ -23,6 +23,7 @@
 from sapphire_lab.stand_ins import store_faults
 from sapphire_node import daemon
 from sapphire_node import forwarder
+from sapphire_wire import packet_builders
 
 ADDRESS = "127.71.2.1"
 HEALTH = "/healthz"
@@ -255,6 +256,28 @@
         run_trial(body)
 
 
+class OtherFamilyTest(testtools.TestCase):
+    def test_upstream_of_the_other_ip_version_ends_no_task(self) -> None:
+        async def body(trial: Trial) -> None:
+            await bench.publish(trial.store_url, upstream="::1")
+            await trial.start()
+            await trial.wait(
+                STATUS, lambda answer: answer.json()["active_digest"]
+            )
+            packet = packet_builders.tcp_packet(
+                ("127.0.0.9", 5_000), bench.SERVICE, packet_builders.SYN
+            )
+            files = trial.host.files
+            async with await anyio.create_udp_socket(local_host=ADDRESS) as udp:
+                await udp.sendto(packet, ADDRESS, files.ports["fabric"])
+            await trial.wait(
+                METRICS, lambda answer: "AddressRefused" in answer.text
+            )
+            self.assertIsNone(trial.host.outcome)
+
+        run_trial(body)
+
+
 class FailedTaskTest(testtools.TestCase):
     def test_error_in_one_task_ends_the_daemon_with_one_line(self) -> None:
         async def body(trial: Trial) -> None:
--- a/packages/node/sapphire_node/forwarder.py
+++ b/packages/node/sapphire_node/forwarder.py
@@ -22,6 +22,7 @@
 from sapphire_data import records
 from sapphire_net import event_log
 from sapphire_node import change_log
+from sapphire_node import failures as node_failures
 from sapphire_node import messages
 from sapphire_wire import flow_messages
 from sapphire_wire import ip_packet
@@ -125,7 +126,12 @@
                 upstream = decision.upstream
                 if is_opening or is_closing:
                     self._note_boundary(upstream.name, is_opening)
-                await sendto(packet, upstream.address, upstream.packet_port)
+                try:
+                    await sendto(packet, upstream.address, upstream.packet_port)
+                except (OSError, ValueError):
+                    counters.drop(
+                        node_failures.AddressRefused(upstream.address)
+                    )
                 continue
             await self._carry_out(decision, packet, source, self._fabric)
 
@@ -243,7 +249,8 @@
         if isinstance(decision, flow_data.Forward):
             self.counters.forwarded += 1
             upstream = decision.upstream
-            await udp.sendto(packet, upstream.address, upstream.packet_port)
+            target = (upstream.address, upstream.packet_port)
+            await self._send_datagram(udp, packet, target)
             return
         if isinstance(decision, flow_data.Relay):
             self.counters.relayed += 1
@@ -258,10 +265,19 @@
             self._note_given_up(decision.reason)
             reset = ip_packet.build_reset(packet)
             if reset is not None:
-                await udp.sendto(reset, *fabric)
+                await self._send_datagram(udp, reset, fabric)
             return
         self.counters.drop(decision.reason)
 
+    async def _send_datagram(
+        self, udp: abc.UDPSocket, datagram: bytes, target: tuple[str, int]
+    ) -> None:
+        """Sends a datagram; one that the socket refuses is dropped."""
+        try:
+            await udp.sendto(datagram, *target)
+        except (OSError, ValueError):
+            self.counters.drop(node_failures.AddressRefused(target[0]))
+
     async def _send_actions(self, actions: list[flow_data.Action]) -> None:
         """Carries out the actions of the router."""
         for action in actions:
@@ -315,19 +331,8 @@
         """Sends a body to a host by way of the control task."""
         host = self._hosts_by_id.get(host_id)
         if host is None:
-            self.counters.drop(UnknownHost(host_id))
+            self.counters.drop(node_failures.UnknownHost(host_id))
             return
         await self._outbox.send(
             messages.SendControl(host.address, host.control_port, kind, body)
         )
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class UnknownHost(failures.Failure):
-    """A host that is no longer a member.
-
-    Attributes:
-        host_id: Its identity.
-    """
-
-    host_id: str
--- a/packages/node/sapphire_node/prober.py
+++ b/packages/node/sapphire_node/prober.py
@@ -102,7 +102,10 @@
         limiter: anyio.CapacityLimiter,
     ) -> None:
         """Probes one upstream and reports the result."""
-        url = f"http://{upstream.address}:{upstream.request_port}{HEALTH_PATH}"
+        address = upstream.address
+        if ":" in address:
+            address = f"[{address}]"
+        url = f"http://{address}:{upstream.request_port}{HEALTH_PATH}"
         boot_id = ""
         is_reachable = False
         async with limiter:
--- a/packages/node/sapphire_node/prober_test.py
+++ b/packages/node/sapphire_node/prober_test.py
@@ -1,9 +1,13 @@
 import collections
+import dataclasses
 
+import anyio
 import testtools
 from testtools import matchers
 
 from sapphire_data import records
+from sapphire_lab.flows import builders as flow_builders
+from sapphire_node import messages
 from sapphire_node import prober
 
 
@@ -38,3 +42,39 @@
                     )
         self.assertThat(set(probers.values()), matchers.Equals({2}))
         self.assertThat(len(probers), matchers.Equals(15))
+
+
+class ProbeTest(testtools.TestCase):
+    def test_upstream_of_either_ip_version_is_probed(self) -> None:
+        anyio.run(self._probe)
+
+    async def _probe(self) -> None:
+        send, receive = anyio.create_memory_object_stream[messages.ToForwarder](
+            4
+        )
+        probes = prober.Prober("salem-1", send)
+        # Nothing listens on the port, so that both are refused at once.
+        upstreams = [
+            flow_builders.upstream("a", "salem", address="127.0.0.1"),
+            flow_builders.upstream("b", "salem", address="::1"),
+        ]
+        upstreams = [
+            dataclasses.replace(upstream, request_port=9)
+            for upstream in upstreams
+        ]
+        service = flow_builders.service("rota", upstreams, ["ab"])
+        probes.take_configuration(flow_builders.configuration(1, [service]))
+        probes.take_view(
+            flow_builders.view([flow_builders.member("salem-1", "salem")])
+        )
+        async with send, receive, anyio.create_task_group() as tasks:
+            tasks.start_soon(probes.run)
+            results = [await receive.receive(), await receive.receive()]
+            tasks.cancel_scope.cancel()
+        self.assertEqual(
+            {
+                messages.UpstreamProbed("a", False, ""),
+                messages.UpstreamProbed("b", False, ""),
+            },
+            set(results),
+        )
