--- /dev/null
+++ b/packages/node/sapphire_node/loading_test.py
@@ -0,0 +1,61 @@
+import pathlib
+import tempfile
+
+import testtools
+from testtools import matchers
+
+from sapphire_lab.daemon import bench
+from sapphire_lab.trust import certificates
+from sapphire_node import loading
+from sapphire_wire import settings
+from sapphire_wire import validation
+
+EXAMPLE = (
+    pathlib.Path(__file__).parents[3] / "docs/operations/host-example.json5"
+)
+
+
+class LoadingTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        temporary = tempfile.TemporaryDirectory()
+        self.addCleanup(temporary.cleanup)
+        self.files = bench.create(
+            pathlib.Path(temporary.name),
+            "127.71.3.1",
+            bench.DOWN_STORE_URL,
+            authority=certificates.Authority("trial"),
+        )
+
+    def test_example_of_the_operators_page_is_valid(self) -> None:
+        parsed, errors = validation.parse(
+            settings.Settings, EXAMPLE.read_bytes(), str(EXAMPLE)
+        )
+        self.assertEqual([], errors)
+        assert parsed is not None
+        defaults = settings.PortSettings()
+        self.assertEqual(defaults, parsed.ports)
+
+    def test_settings_with_their_files(self) -> None:
+        loaded, errors = loading.load(self.files.settings_file)
+        self.assertEqual([], errors)
+        assert loaded is not None
+        self.assertEqual(1, loaded.ring.signing_id)
+        self.assertIsNotNone(loaded.api_tls)
+
+    def test_all_files_that_cannot_be_used_are_reported_at_once(self) -> None:
+        assert self.files.tls_files is not None
+        self.files.tls_files.authorities.unlink()
+        self.files.key_file.write_text("{")
+        loaded, errors = loading.load(self.files.settings_file)
+        self.assertIsNone(loaded)
+        codes = [error.code for error in errors]
+        self.assertThat(
+            codes, matchers.Equals(["KeyFileFailure", "TlsFileFailure"])
+        )
+
+    def test_missing_settings_are_a_typed_failure(self) -> None:
+        missing = self.files.directory / "missing.json5"
+        loaded, errors = loading.load(missing)
+        self.assertIsNone(loaded)
+        self.assertEqual(["UnreadableInput"], [item.code for item in errors])
