--- a/packages/node/sapphire_node/daemon.py
+++ b/packages/node/sapphire_node/daemon.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator
 import enum
+import errno
 import logging
 import signal
 import traceback
@@ -25,6 +26,8 @@
 
 _LOGGER = logging.getLogger(__name__)
 
+_BIND_ERRORS = frozenset((errno.EACCES, errno.EADDRINUSE, errno.EADDRNOTAVAIL))
+
 Signals = AsyncIterator[signal.Signals]
 
 
@@ -69,9 +72,7 @@
             parts = parts_lib.build(loaded, sockets)
             return await _run_parts(parts, signals)
     except OSError as error:
-        event_log.log(
-            _LOGGER, logging.ERROR, "listener_failed", detail=str(error)
-        )
+        _log_failed_listener(error)
     except ExceptionGroup as group:
         _log_failed_task(group)
     return Outcome.FAILED
@@ -193,11 +194,19 @@
     )
 
 
+def _log_failed_listener(error: OSError) -> None:
+    """Logs that a port could not be bound."""
+    event_log.log(_LOGGER, logging.ERROR, "listener_failed", detail=str(error))
+
+
 def _log_failed_task(group: ExceptionGroup) -> None:
     """Logs the first error of the tasks as one line."""
     error: Exception = group
     while isinstance(error, ExceptionGroup):
         error = error.exceptions[0]
+    if isinstance(error, OSError) and error.errno in _BIND_ERRORS:
+        _log_failed_listener(error)
+        return
     frames = traceback.extract_tb(error.__traceback__)
     place = f"{frames[-1].name}:{frames[-1].lineno}" if frames else ""
     event_log.log(
