--- a/packages/core/sapphire_core/membership/fact_table.py
+++ b/packages/core/sapphire_core/membership/fact_table.py
@@ -27,10 +27,12 @@
 
     Attributes:
         digest: The digest of the facts that are for all and do not expire.
+        local_digest: The same of those for the own data centre.
     """
 
     def __init__(self) -> None:
         self.digest = 0
+        self.local_digest = 0
         self._held_by_key: dict[str, _Held] = {}
 
     def merge(
@@ -115,12 +117,15 @@
     def _apply_digest(self, fact: data.FactEntry) -> None:
         """Adds a fact to the digest, or removes one that was added."""
         scope = fact_scope.scope_of(fact.key)
-        if fact.ttl_ms or scope is not fact_scope.Scope.GLOBAL:
+        if fact.ttl_ms or scope is fact_scope.Scope.RELAY:
             return
         digest = xxhash.xxh64()
         digest.update(fact.key.encode())
         digest.update(fact.version.to_bytes(8, "big"))
         digest.update(fact.value)
+        if scope is fact_scope.Scope.LOCAL:
+            self.local_digest ^= digest.intdigest()
+            return
         self.digest ^= digest.intdigest()
 
 
--- a/packages/core/sapphire_core/membership/membership_test.py
+++ b/packages/core/sapphire_core/membership/membership_test.py
@@ -364,6 +364,23 @@
             prepared = node.core.view().prepared_everywhere
             self.assertThat(prepared, matchers.Equals(7))
 
+    def test_host_that_was_cut_off_meanwhile_learns_of_the_barrier(
+        self,
+    ) -> None:
+        net = builders.fleet(1)
+        for host_id, node in net.nodes_by_id.items():
+            actions = node.core.set_prepared_revision(7, net.now_ms)
+            net.perform(host_id, actions)
+            if host_id == "h0-0":
+                net.run(100)
+                _cut_host(net)
+        net.run(1_500)
+        net.link = lambda source, target, now_ms: (1,)
+        net.run(6_000)
+        for node in net.nodes_by_id.values():
+            prepared = node.core.view().prepared_everywhere
+            self.assertThat(prepared, matchers.Equals(7))
+
     def test_dead_host_does_not_hold_the_barrier(self) -> None:
         net = builders.fleet(1)
         net.stop("h2-2")
--- a/packages/core/sapphire_core/membership/news.py
+++ b/packages/core/sapphire_core/membership/news.py
@@ -71,7 +71,7 @@
         """Counts that another host passed on the same piece of news.
 
         What others know already is soon known to all, so it is passed on
-        less often from here.
+        less often from here. Probes carry an urgent fact as often as before.
 
         Args:
             key: Its subject.
@@ -79,7 +79,8 @@
         item = self._items_by_key.get(key)
         if item is None:
             return
-        item.transmissions += 1
+        if key.kind is not NewsKind.URGENT_FACT:
+            item.transmissions += 1
         item.pushes_left -= 1
         if item.pushes_left <= 0:
             self._hot_keys.pop(key, None)
--- a/packages/core/sapphire_core/membership/outbox.py
+++ b/packages/core/sapphire_core/membership/outbox.py
@@ -1,6 +1,7 @@
 """The messages of one event, filled up with news."""
 
 from collections.abc import Callable
+import dataclasses
 
 from sapphire_core.membership import data
 from sapphire_core.membership import fact_scope
@@ -97,6 +98,9 @@
             now_ms: The time in milliseconds.
         """
         keys: list[news.NewsKey] = []
+        if target.data_centre == self._own_data_centre:
+            digest = message.digest ^ self._facts.local_digest
+            message = dataclasses.replace(message, digest=digest)
         if len(self.news):
             keys = self._pick(target, message, False, now_ms)
             message = self._fill(message, keys, now_ms)
--- a/packages/core/sapphire_core/membership/synchroniser.py
+++ b/packages/core/sapphire_core/membership/synchroniser.py
@@ -68,12 +68,15 @@
             self._begin((), now_ms, message.origin)
             return
         digest = shared.digest()
+        if not shared.is_remote(message.origin):
+            digest ^= shared.facts.local_digest
         if message.digest == digest:
             return
         # Equal digests of others say nothing: they may lack the same news. News
         # on its way would have changed the own digest in the interval.
-        if self._differing_digest != digest:
-            self._differing_digest = digest
+        state_digest = shared.digest() ^ shared.facts.local_digest
+        if self._differing_digest != state_digest:
+            self._differing_digest = state_digest
             self._differs_since_ms = now_ms
         differs_ms = now_ms - self._differs_since_ms
         if differs_ms < shared.settings.sync_interval_ms:
