--- a/packages/lab/sapphire_lab/slopes/capacity.py
+++ b/packages/lab/sapphire_lab/slopes/capacity.py
@@ -181,9 +181,9 @@
         _ENTRY,
         "% of a core",
         "routing tables of each configuration",
-        "all services are built again",
+        "changed services are built, all are compared",
         "rebuild_us",
-        BUCKETS,
+        ADDRESSES,
         CHANGES_PER_SECOND,
     ),
     _line(
--- a/packages/lab/sapphire_lab/slopes/flow_slopes.py
+++ b/packages/lab/sapphire_lab/slopes/flow_slopes.py
@@ -14,7 +14,7 @@
 from sapphire_lab.slopes import meters
 
 _FLOWS = (1_000, 2_000, 4_000, 8_000)
-_SERVICES = (10, 20, 40)
+_SERVICES = (50, 100, 200)
 _BUCKETS = 251
 _TARGETS = 3
 _HOSTS = (250, 500, 1_000)
@@ -58,18 +58,18 @@
             functools.partial(_routing, count)
         )
         revisions = itertools.count(2)
-        rebuild_us[buckets] = meters.least_us(
+        rebuild_us[count] = meters.least_us(
             functools.partial(_prepare, routed, count, revisions)
         )
         key = builders.key_of(_service(0))
         routed.set_view(builders.view([builders.member("h1")], 999), _NOW_MS)
-        packet_us[buckets] = (
+        packet_us[count] = (
             meters.least_us(functools.partial(_send, routed, key)) / _PACKETS
         )
     return [
         fit.line("route_memory", "bytes", "bucket of a service", memory),
-        fit.line("rebuild_us", "us", "bucket of a service", rebuild_us),
-        fit.line("packet_us", "us", "bucket of a service", packet_us),
+        fit.line("rebuild_us", "us", "service", rebuild_us),
+        fit.line("packet_us", "us", "service", packet_us),
     ]
 
 
