One decoder and validator of JSON with comments

Settings, documents, the key file and the command line's settings each had their own; they use sapphire_wire.validation now, which takes plain JSON by the fast decoder first. The expected text of one test follows the joined wording.

--- a/packages/ctl/sapphire_ctl/settings.py
+++ b/packages/ctl/sapphire_ctl/settings.py
@@ -10,7 +10,7 @@
 from sapphire_ctl import failures as ctl_failures
 from sapphire_data import failures
 from sapphire_net.trust import tls
-from sapphire_wire.documents import decode
+from sapphire_wire import validation
 
 DEFAULT_PATH = pathlib.Path("sapphirectl.json5")
 PATH_VARIABLE = "SAPPHIRECTL_SETTINGS"
@@ -172,7 +172,7 @@
     except OSError as error:
         problem = error.strerror or "unreadable"
         return None, [failures.UnreadableInput(str(path), problem)]
-    return decode.validate(SettingsModel, content, str(path))
+    return validation.parse(SettingsModel, content, str(path))
 
 
 def choose_environment(
--- a/packages/net/sapphire_net/trust/keys.py
+++ b/packages/net/sapphire_net/trust/keys.py
@@ -20,10 +20,10 @@
 from typing import Annotated
 
 import expression
-import json5
 import pydantic
 
 from sapphire_net.trust import failures
+from sapphire_wire import validation
 
 MIN_SECRET_BYTES = 32
 MAX_SECRET_BYTES = 1_024
@@ -97,15 +97,16 @@
     """Decodes and validates the content of a key file."""
     if len(data) > MAX_FILE_BYTES:
         return _unusable(path, f"longer than {MAX_FILE_BYTES} bytes")
+    decoded = validation.decode_json5(data, str(path))
+    if decoded.is_error():
+        # The decoder's report quotes the file, which holds secrets.
+        return _unusable(path, "not JSON with comments")
     try:
-        model = _KeyFileModel.model_validate(json5.loads(data.decode()))
+        model = _KeyFileModel.model_validate(decoded.ok)
     except pydantic.ValidationError as error:
         first = error.errors(include_input=False, include_url=False)[0]
         place = ".".join(str(part) for part in first["loc"])
         return _unusable(path, f"{place}: {first['msg']}")
-    except (ValueError, RecursionError):
-        # The decoder's report quotes the file, which holds secrets.
-        return _unusable(path, "not JSON with comments")
     secrets_by_id = {
         key.id: bytes.fromhex(key.secret_hex) for key in model.keys
     }
--- a/packages/wire/sapphire_wire/documents/decode.py
+++ b/packages/wire/sapphire_wire/documents/decode.py
@@ -1,29 +1,13 @@
 """Decodes the operators' document and the bindings, with all errors at once."""
 
 import hashlib
-import json
-from typing import Any
-from typing import TypeVar
-
-import json5
-import pydantic
 
 from sapphire_core.configuration import data
 from sapphire_data import failures
 from sapphire_data import records
+from sapphire_wire import validation
 from sapphire_wire.documents import models
 
-MAX_INPUT_BYTES = 67_108_864
-# The decoder of JSON with comments takes about 20 us for each byte, so that a
-# longer input has to be written without comments.
-MAX_COMMENTED_BYTES = 1_048_576
-
-ModelT = TypeVar("ModelT", bound=pydantic.BaseModel)
-
-
-class _DuplicateKeyError(ValueError):
-    """An object of the input holds one key twice."""
-
 
 def digest_of(content: bytes) -> str:
     """Returns the SHA-256 of a document or of bindings, hexadecimal."""
@@ -42,7 +26,7 @@
     Returns:
         The document, or none if it has errors; and all errors.
     """
-    model, errors = validate(models.DocumentModel, content, source)
+    model, errors = validation.parse(models.DocumentModel, content, source)
     if model is None:
         return None, errors
     errors = _check_references(model)
@@ -74,7 +58,7 @@
     Returns:
         The bindings, or none if they have errors; and all errors.
     """
-    model, errors = validate(models.BindingsModel, content, source)
+    model, errors = validation.parse(models.BindingsModel, content, source)
     if model is None:
         return None, errors
     bindings = data.Bindings(
@@ -95,80 +79,6 @@
     return bindings, []
 
 
-def validate(
-    model_type: type[ModelT], content: bytes, source: str
-) -> tuple[ModelT | None, list[failures.Failure]]:
-    """Decodes JSON with comments and validates it against a model.
-
-    Args:
-        model_type: The model.
-        content: The bytes as read; they may hold anything.
-        source: What failures name as the origin of the bytes.
-
-    Returns:
-        The model, or none if there are errors; and all errors.
-    """
-    try:
-        value = _parse(content)
-    except (ValueError, RecursionError) as error:
-        problem = str(error) or type(error).__name__
-        return None, [failures.UnreadableInput(source=source, problem=problem)]
-    try:
-        return model_type.model_validate(value), []
-    except pydantic.ValidationError as error:
-        return None, [_invalid_field(item) for item in error.errors()]
-
-
-def _parse(content: bytes) -> Any:
-    """Parses JSON, or else JSON with comments.
-
-    Raises:
-        ValueError: The bytes are neither.
-        RecursionError: The bytes nest too deeply.
-    """
-    if len(content) > MAX_INPUT_BYTES:
-        raise ValueError(f"more than {MAX_INPUT_BYTES} bytes")
-    text = content.decode("utf-8")
-    try:
-        return json.loads(text, object_pairs_hook=_unique_keys)
-    except json.JSONDecodeError:
-        if len(content) > MAX_COMMENTED_BYTES:
-            raise
-    return json5.loads(text, allow_duplicate_keys=False)
-
-
-def _unique_keys(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
-    """Builds an object whose keys must differ."""
-    built: dict[str, Any] = {}
-    for key, value in pairs:
-        if key in built:
-            raise _DuplicateKeyError(f"key {key!r} occurs twice in one object")
-        built[key] = value
-    return built
-
-
-def _invalid_field(item: Any) -> failures.InvalidField:
-    """Returns the failure for one item of a validation error."""
-    return failures.InvalidField(
-        path=_path_of(item["loc"]),
-        problem=f"{item['msg']}, got {item['input']!r}"[:200],
-        expected=models.expected_of(item),
-    )
-
-
-def _path_of(location: tuple[int | str, ...]) -> str:
-    """Returns a path such as `services.rota.pool`."""
-    path = ""
-    for step in location:
-        if step == "[key]":
-            continue
-        if isinstance(step, int):
-            path += f"[{step}]"
-            continue
-        path += f".{step}" if path else step
-    return path
-
-
 def _check_references(model: models.DocumentModel) -> list[failures.Failure]:
     """Returns a failure for each unknown data centre and repeated name."""
     errors: list[failures.Failure] = []
--- a/packages/wire/sapphire_wire/documents/models.py
+++ b/packages/wire/sapphire_wire/documents/models.py
@@ -2,11 +2,11 @@
 
 import ipaddress
 from typing import Annotated
-from typing import Any
 
 import pydantic
 
 from sapphire_data import records
+from sapphire_wire import validation
 
 DEFAULT_BUCKET_COUNT = 1_021
 MAX_BUCKET_COUNT = 65_537
@@ -47,21 +47,13 @@
 ]
 
 
-class _Model(pydantic.BaseModel):
-    """A model in which unknown keys are errors."""
-
-    model_config = pydantic.ConfigDict(
-        extra="forbid", frozen=True, allow_inf_nan=False
-    )
-
-
-class DataCentreModel(_Model):
+class DataCentreModel(validation.StrictModel):
     """A data centre: `{state: "in"}` or `{state: "out"}`."""
 
     state: records.DataCentreState = records.DataCentreState.IN
 
 
-class UpstreamModel(_Model):
+class UpstreamModel(validation.StrictModel):
     """An upstream of a pool."""
 
     data_centre: Name
@@ -75,7 +67,7 @@
     intent: records.UpstreamIntent = records.UpstreamIntent.SERVE
 
 
-class LimitsModel(_Model):
+class LimitsModel(validation.StrictModel):
     """The limits of a service."""
 
     max_queue: Annotated[
@@ -90,7 +82,7 @@
     retry_share: Annotated[float, pydantic.Field(ge=0.0, le=1.0)] = 0.1
 
 
-class ObjectivesModel(_Model):
+class ObjectivesModel(validation.StrictModel):
     """The service-level objectives of a service."""
 
     flows_kept: Share = 0.9999
@@ -98,7 +90,7 @@
     move_service: Share = 0.999
 
 
-class ServiceModel(_Model):
+class ServiceModel(validation.StrictModel):
     """A service with its pool."""
 
     buckets: BucketCount = DEFAULT_BUCKET_COUNT
@@ -107,21 +99,21 @@
     objectives: ObjectivesModel = ObjectivesModel()
 
 
-class DocumentModel(_Model):
+class DocumentModel(validation.StrictModel):
     """The operators' document."""
 
     data_centres: dict[Name, DataCentreModel]
     services: dict[Name, ServiceModel]
 
 
-class ServiceAddressModel(_Model):
+class ServiceAddressModel(validation.StrictModel):
     """The address of a service."""
 
     address: Address
     port: Port
 
 
-class UpstreamAddressModel(_Model):
+class UpstreamAddressModel(validation.StrictModel):
     """The address of an upstream."""
 
     address: Address
@@ -129,7 +121,7 @@
     request_port: Port
 
 
-class BindingsModel(_Model):
+class BindingsModel(validation.StrictModel):
     """The addresses of one environment.
 
     Names that the document does not hold are allowed, so that addresses can
@@ -138,40 +130,3 @@
 
     services: dict[Name, ServiceAddressModel]
     upstreams: dict[Name, UpstreamAddressModel]
-
-
-def expected_of(error: Any) -> str:
-    """Says what a correct value looks like.
-
-    Args:
-        error: One item of `pydantic.ValidationError.errors()`.
-
-    Returns:
-        A phrase in English.
-    """
-    context = error.get("ctx") or {}
-    expected = _EXPECTED_BY_TYPE.get(error["type"])
-    if expected is not None:
-        return expected.format(**context)
-    return str(error["msg"])
-
-
-_EXPECTED_BY_TYPE = {
-    "missing": "this key with a value",
-    "extra_forbidden": "no such key",
-    "string_pattern_mismatch": (
-        "1 to 63 lower-case letters, digits, dots and hyphens, with a"
-        " letter or digit at each end"
-    ),
-    "greater_than": "a number greater than {gt}",
-    "greater_than_equal": "a number of at least {ge}",
-    "less_than": "a number less than {lt}",
-    "less_than_equal": "a number of at most {le}",
-    "enum": "one of {expected}",
-    "int_type": "a whole number",
-    "float_type": "a number",
-    "dict_type": "an object",
-    "model_type": "an object",
-    "string_type": "a string",
-    "finite_number": "a finite number",
-}
--- a/packages/wire/sapphire_wire/settings_test.py
+++ b/packages/wire/sapphire_wire/settings_test.py
@@ -54,7 +54,7 @@
             if isinstance(error, failures.InvalidField)
             and error.path == "ports.api"
         ]
-        self.assertThat(bound, matchers.Equals(["at most 65535"]))
+        self.assertThat(bound, matchers.Equals(["a number of at most 65535"]))
 
     def test_duplicate_keys_are_refused(self) -> None:
         parsed, errors = self.parse(b"{address: 1, address: 2}")
--- a/packages/wire/sapphire_wire/validation.py
+++ b/packages/wire/sapphire_wire/validation.py
@@ -1,6 +1,7 @@
 """Validation of JSON with comments against a pydantic model."""
 
 from collections.abc import Sequence
+import json
 from typing import Any
 from typing import TypeVar
 
@@ -12,38 +13,52 @@
 from sapphire_data import failures
 
 MAX_TEXT_BYTES = 67_108_864
+# The decoder of JSON with comments takes about 20 us for each byte, so that a
+# longer text has to be written without comments.
+MAX_COMMENTED_BYTES = 1_048_576
+MAX_SHOWN_CHARACTERS = 200
 
 ModelT = TypeVar("ModelT", bound=pydantic.BaseModel)
 
+# Where an error has bounds, its context fills them in.
 _EXPECTED_BY_TYPE = {
-    "missing": "a value; the field is required",
-    "extra_forbidden": "no such field; remove it or correct its name",
-    "int_parsing": "a whole number",
+    "missing": "this key with a value",
+    "extra_forbidden": "no such key; remove it or correct its name",
+    "string_pattern_mismatch": "a text that matches {pattern}",
+    "string_too_long": "at most {max_length} characters",
+    "string_too_short": "at least {min_length} characters",
+    "too_short": "at least {min_length} items",
+    "too_long": "at most {max_length} items",
+    "greater_than": "a number greater than {gt}",
+    "greater_than_equal": "a number of at least {ge}",
+    "less_than": "a number less than {lt}",
+    "less_than_equal": "a number of at most {le}",
+    "enum": "one of {expected}",
+    "literal_error": "one of {expected}",
     "int_type": "a whole number",
+    "int_parsing": "a whole number",
     "float_type": "a number",
-    "string_type": "a text",
+    "finite_number": "a finite number",
+    "string_type": "a string",
     "bool_type": "true or false",
     "list_type": "a list",
+    "tuple_type": "a list",
     "dict_type": "an object",
     "model_type": "an object",
-    "ip_v4_address": "an IP number such as 192.0.2.1",
-}
-_EXPECTED_BY_BOUND = {
-    "ge": "at least {}",
-    "gt": "more than {}",
-    "le": "at most {}",
-    "lt": "less than {}",
-    "min_length": "a length of at least {}",
-    "max_length": "a length of at most {}",
-    "pattern": "a text that matches {}",
-    "expected": "{}",
+    "ip_any_address": "an IP number such as 192.0.2.1",
 }
 
 
 class StrictModel(pydantic.BaseModel):
     """The base of models at the border: unknown keys are errors."""
 
-    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+    model_config = pydantic.ConfigDict(
+        extra="forbid", frozen=True, allow_inf_nan=False
+    )
+
+
+class _DuplicateKeyError(ValueError):
+    """An object of the input holds one key twice."""
 
 
 def parse(
@@ -81,12 +96,11 @@
         The decoded value, or why the text cannot be read.
     """
     if len(text) > MAX_TEXT_BYTES:
-        return _unreadable(source, f"{len(text)} bytes is too long")
+        return _unreadable(source, f"more than {MAX_TEXT_BYTES} bytes")
     try:
-        value = json5.loads(text.decode("utf-8"), allow_duplicate_keys=False)
+        return expression.Ok(_decode(text.decode("utf-8")))
     except (ValueError, RecursionError) as error:
         return _unreadable(source, str(error) or type(error).__name__)
-    return expression.Ok(value)
 
 
 def describe(problems: Sequence[failures.Failure]) -> list[str]:
@@ -110,6 +124,31 @@
     return lines
 
 
+def _decode(text: str) -> Any:
+    """Decodes JSON, or else JSON with comments.
+
+    Raises:
+        ValueError: The text is neither.
+        RecursionError: The text nests too deeply.
+    """
+    try:
+        return json.loads(text, object_pairs_hook=_unique_keys)
+    except json.JSONDecodeError:
+        if len(text) > MAX_COMMENTED_BYTES:
+            raise
+    return json5.loads(text, allow_duplicate_keys=False)
+
+
+def _unique_keys(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    """Builds an object whose keys must differ."""
+    built: dict[str, Any] = {}
+    for key, value in pairs:
+        if key in built:
+            raise _DuplicateKeyError(f"key {key!r} occurs twice in one object")
+        built[key] = value
+    return built
+
+
 def _unreadable(
     source: str, problem: str
 ) -> expression.Result[Any, failures.UnreadableInput]:
@@ -123,10 +162,11 @@
     error: pydantic_core.ErrorDetails,
 ) -> failures.InvalidField:
     """Returns the typed failure for an error of pydantic."""
+    problem = str(error["msg"])
+    if error["type"] not in {"missing", "extra_forbidden"}:
+        problem = f"{problem}, got {error['input']!r}"[:MAX_SHOWN_CHARACTERS]
     return failures.InvalidField(
-        path=_path(error["loc"]),
-        problem=_problem(error),
-        expected=_expected(error),
+        path=_path(error["loc"]), problem=problem, expected=_expected(error)
     )
 
 
@@ -134,6 +174,9 @@
     """Returns the location as a path such as `hosts[2].port`."""
     path = ""
     for part in location:
+        # Errors of a key itself have this step behind the key.
+        if part == "[key]":
+            continue
         if isinstance(part, int):
             path += f"[{part}]"
             continue
@@ -141,25 +184,9 @@
     return path or "(document)"
 
 
-def _problem(error: pydantic_core.ErrorDetails) -> str:
-    """Returns what is wrong, with the value where it is short."""
-    if error["type"] in {"missing", "extra_forbidden"}:
-        return str(error["msg"])
-    value = repr(error["input"])
-    if len(value) > 60:  # noqa: PLR2004 - Longer values hide the report.
-        return str(error["msg"])
-    return f"{error['msg']}, got {value}"
-
-
 def _expected(error: pydantic_core.ErrorDetails) -> str:
     """Returns what a correct value looks like."""
     known = _EXPECTED_BY_TYPE.get(error["type"])
-    if known is not None:
-        return known
-    context = error.get("ctx") or {}
-    bounds = [
-        template.format(context[name])
-        for name, template in _EXPECTED_BY_BOUND.items()
-        if name in context
-    ]
-    return " and ".join(bounds) or str(error["msg"])
+    if known is None:
+        return str(error["msg"])
+    return known.format(**(error.get("ctx") or {}))
