--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SEED ?= 1
 STAMP := $(VENV)/.installed
 
-.PHONY: test demo check format measure measure-flows measure-requests \
+.PHONY: test demo trial check format measure measure-flows measure-requests \
 	measure-config measure-forward measure-slopes thrift lock
 
 test: $(STAMP)
@@ -14,6 +14,10 @@
 demo: $(STAMP)
 	$(BIN)/python -m sapphire_lab.demo.main
 
+# The same deployments under kills, freezes, store outages and races.
+trial: $(STAMP)
+	$(BIN)/python -m sapphire_lab.demo.main --faults
+
 check: $(STAMP)
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
--- a/packages/lab/sapphire_lab/demo/hosts.py
+++ b/packages/lab/sapphire_lab/demo/hosts.py
@@ -110,6 +110,32 @@
         process.wait()
         return None
 
+    def kill(self, address: str) -> None:
+        """Ends a host at once, as a failed machine does.
+
+        Args:
+            address: Its IP number.
+        """
+        process = self._process_by_address.pop(address)
+        process.kill()
+        process.wait()
+
+    def freeze(self, address: str) -> None:
+        """Stops a host from running until it is thawed.
+
+        Args:
+            address: Its IP number.
+        """
+        self._process_by_address[address].send_signal(signal.SIGSTOP)
+
+    def thaw(self, address: str) -> None:
+        """Lets a frozen host run again.
+
+        Args:
+            address: Its IP number.
+        """
+        self._process_by_address[address].send_signal(signal.SIGCONT)
+
     def kill_all(self) -> None:
         """Ends all processes at once."""
         for process in self._process_by_address.values():
--- a/packages/lab/sapphire_lab/demo/world.py
+++ b/packages/lab/sapphire_lab/demo/world.py
@@ -6,9 +6,11 @@
 
 import anyio
 from anyio import abc
+import expression
 import httpx
 
 from sapphire_data import clock
+from sapphire_data import failures
 from sapphire_lab.demo import deployment
 from sapphire_lab.demo import documents
 from sapphire_lab.demo import fabric
@@ -17,9 +19,12 @@
 from sapphire_lab.demo import orders
 from sapphire_lab.stand_ins import packet_upstream
 from sapphire_lab.stand_ins import request_upstream
+from sapphire_lab.stand_ins import store as stand_in_store
+from sapphire_net.store import change_failures
 from sapphire_net.store import changes
 from sapphire_net.store import client as store_client
 from sapphire_net.store import environment as environments
+from sapphire_net.store import publication
 from sapphire_net.store import reading
 
 FEED_INTERVAL_MS = 500
@@ -53,6 +58,8 @@
         udp: abc.UDPSocket,
         directory: pathlib.Path,
         http: httpx.AsyncClient,
+        store: stand_in_store.StandInStore,
+        *,
         seed: int,
     ) -> None:
         """Creates the stand-ins; `serve` runs them.
@@ -62,9 +69,11 @@
             udp: The socket of fabric and callers.
             directory: Where the daemons' settings and logs are written.
             http: The client for status and store.
+            store: The store, for its faults.
             seed: Seeds all random choices.
         """
         self.plan = plan
+        self.store = store
         self.time = clock.MonotonicClock()
         self.hosts = hosts.HostProcesses(plan, directory, http)
         self.fabric = fabric.Fabric(udp, seed)
@@ -81,13 +90,13 @@
         ] = {}
         self._udp = udp
         self._data_centre_by_upstream: dict[str, str] = {}
-        store = store_client.GatewayStore(
+        gateway = store_client.GatewayStore(
             store_client.open_client(
                 f"http://{plan.store_address}:{deployment.STORE_PORT}"
             )
         )
         self._environment = environments.Environment(
-            store, documents.prefix(plan)
+            gateway, documents.prefix(plan)
         )
 
     async def serve(self, tasks: abc.TaskGroup) -> None:
@@ -138,10 +147,35 @@
         Raises:
             RuntimeError: When the store or the document refuses.
         """
+        outcome = await self._apply()
+        if outcome.is_error():
+            raise RuntimeError(str(outcome.error))
+        return outcome.ok.stored.revision
+
+    async def try_publish(self) -> int | None:
+        """Puts the intent in force unless another operator was first.
+
+        Returns:
+            The new revision, or None after a conflict.
+
+        Raises:
+            RuntimeError: When the store or the document refuses.
+        """
+        outcome = await self._apply()
+        if outcome.is_ok():
+            return outcome.ok.stored.revision
+        if isinstance(outcome.error, change_failures.WriteConflict):
+            return None
+        raise RuntimeError(str(outcome.error))
+
+    async def _apply(
+        self,
+    ) -> expression.Result[publication.Published, failures.Failure]:
+        """Applies the intent to what the operator sees now."""
         seen = await reading.read_snapshot(self._environment)
         if seen.is_error():
-            raise RuntimeError(str(seen.error))
-        outcome = await changes.apply(
+            return expression.Error(seen.error)
+        return await changes.apply(
             self._environment,
             seen.ok,
             changes.Intent(
@@ -155,9 +189,6 @@
                 author=AUTHOR,
             ),
         )
-        if outcome.is_error():
-            raise RuntimeError(str(outcome.error))
-        return outcome.ok.stored.revision
 
     async def wait_in_force(self, revision: int) -> int:
         """Waits until a revision is in force on all hosts.
