Fit the recorded digits

Cause: the intercept of one slope, fitted from more digits than are recorded, differed by more than a thousandth from the fit of the record, which the test found. The record is the same run, fitted again.

--- a/packages/lab/sapphire_lab/slopes/fit.py
+++ b/packages/lab/sapphire_lab/slopes/fit.py
@@ -27,8 +27,10 @@
     """
     if len(values_by_size) < MIN_SIZES:
         raise ValueError(f"{name}: {len(values_by_size)} sizes")
+    # The line is that of the recorded digits, so that anyone can fit it again.
+    recorded = [_rounded(value) for value in values_by_size.values()]
     sizes = numpy.array(list(values_by_size), dtype=float)
-    values = numpy.array(list(values_by_size.values()), dtype=float)
+    values = numpy.array(recorded, dtype=float)
     slope, intercept = numpy.polyfit(sizes, values, 1)
     distances = numpy.abs(slope * sizes + intercept - values)
     largest = float(numpy.abs(values).max())
@@ -38,7 +40,7 @@
         unit=unit,
         per=per,
         sizes=tuple(float(size) for size in sizes),
-        values=tuple(_rounded(value) for value in values),
+        values=tuple(recorded),
         slope=_rounded(slope),
         intercept=_rounded(intercept),
         residual=round(residual, 3),
