--- /dev/null
+++ b/packages/core/sapphire_core/membership/assembly.py
@@ -0,0 +1,56 @@
+"""The state of a host that has just started."""
+
+from collections.abc import Iterable
+import random
+
+from sapphire_core.membership import data
+from sapphire_core.membership import fact_table
+from sapphire_core.membership import freshness
+from sapphire_core.membership import outbox
+from sapphire_core.membership import prepared
+from sapphire_core.membership import reachability
+from sapphire_core.membership import roster
+from sapphire_core.membership import state
+from sapphire_core.membership import suspicion
+from sapphire_data import records
+
+
+def new_state(
+    self_address: records.HostAddress,
+    first_incarnation: int,
+    seeds: Iterable[data.Seed],
+    rng_seed: int,
+    settings: data.Settings | None,
+) -> state.State:
+    """Returns the state of a host that knows nothing but itself.
+
+    Args:
+        self_address: The identity and addresses of the host.
+        first_incarnation: Its first incarnation.
+        seeds: Addresses at which other hosts may listen.
+        rng_seed: The seed of all random choices.
+        settings: The settings; the defaults if None.
+    """
+    settings = settings or data.Settings()
+    hosts = roster.Roster()
+    facts = fact_table.FactTable()
+    prepared_table = prepared.PreparedTable(self_address.host_id)
+    own_data_centre = self_address.data_centre
+    own_entry = data.MemberEntry(
+        self_address, first_incarnation, records.MemberState.ALIVE
+    )
+    return state.State(
+        settings=settings,
+        rng=random.Random(rng_seed),
+        own=own_entry,
+        hosts=hosts,
+        facts=facts,
+        prepared=prepared_table,
+        freshness=freshness.Freshness(settings),
+        reachability=reachability.Reachability(
+            self_address.host_id, own_data_centre
+        ),
+        outbox=outbox.Outbox(settings, own_data_centre, hosts, facts),
+        suspicions=suspicion.Suspicions(settings.suspicion_ms),
+        seeds=tuple(seeds),
+    )
--- a/packages/core/sapphire_core/membership/detector.py
+++ b/packages/core/sapphire_core/membership/detector.py
@@ -1,4 +1,4 @@
-"""Probes, indirect probes and the verdicts that follow from them."""
+"""Probes of other hosts, direct and indirect, and answers to theirs."""
 
 import dataclasses
 
@@ -8,11 +8,9 @@
 from sapphire_core.membership import merging
 from sapphire_core.membership import probing
 from sapphire_core.membership import state
+from sapphire_core.membership import verdicts
 from sapphire_data import records
 
-# A host that hears from nobody doubts its own link before it doubts others.
-_ISOLATED_SUSPICION_FACTOR = 2
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Forward:
@@ -33,12 +31,11 @@
     def __init__(self, shared: state.State, merger: merging.Merger) -> None:
         self._state = shared
         self._merger = merger
+        self._verdicts = verdicts.Verdicts(shared, merger)
         self._probes = probing.ProbeTable()
         self._order = probing.ProbeOrder(shared.rng)
         self._contacts = contacts.Contacts(shared, merger)
         self._forwards_by_number: dict[int, _Forward] = {}
-        self._heard_ms_by_id: dict[str, int] = {}
-        self._heard_ms: int | None = None
         self._next_probe_ms = 0
 
     def pause(self, pause_ms: int) -> None:
@@ -51,13 +48,6 @@
         self._forwards_by_number.clear()
         self._state.suspicions.extend_all(pause_ms)
 
-    def forget_unknown(self) -> None:
-        """Forgets when hosts were heard that are no longer known."""
-        known = self._state.hosts.entries_by_id
-        for host_id in list(self._heard_ms_by_id):
-            if host_id not in known:
-                del self._heard_ms_by_id[host_id]
-
     def on_message(self, message: data.GossipMessage, now_ms: int) -> None:
         """Takes a message whose entries have been merged.
 
@@ -66,8 +56,7 @@
             now_ms: The time in milliseconds.
         """
         origin_id = message.origin.host.host_id
-        self._heard_ms_by_id[origin_id] = now_ms
-        self._heard_ms = now_ms
+        self._verdicts.note_heard(origin_id, now_ms)
         if message.kind is data.MessageKind.PING:
             self._answer(message, now_ms)
             return
@@ -78,6 +67,10 @@
         if message.kind is data.MessageKind.ACK:
             self._on_ack(message, now_ms)
 
+    def forget_unknown(self) -> None:
+        """Forgets when hosts were heard that are no longer known."""
+        self._verdicts.forget_unknown()
+
     def tick(self, now_ms: int) -> None:
         """Sends the probes that are due and draws the verdicts.
 
@@ -92,9 +85,9 @@
         ):
             self._forwards_by_number.pop(probe.number, None)
             if probe.is_local:
-                self._on_failed(probe, now_ms)
-        for host_id in self._state.suspicions.due(now_ms):
-            self._on_suspicion_due(host_id, now_ms)
+                self._verdicts.on_failed(probe, now_ms)
+        for entry in self._verdicts.close_suspicions(now_ms):
+            self._probe_doubted(entry, now_ms)
         self._merger.rejoin_if_due(now_ms)
         if now_ms >= self._next_probe_ms:
             self._next_probe_ms = now_ms + settings.probe_interval_ms
@@ -149,8 +142,12 @@
         known = self._state.hosts.entries_by_id.get(origin.host.host_id)
         if known is None or not _is_doubted(known):
             return
-        probe = self._probes.open(known.host.host_id, now_ms, is_local=False)
-        self._ping(known, probe, now_ms)
+        self._probe_doubted(known, now_ms)
+
+    def _probe_doubted(self, entry: data.MemberEntry, now_ms: int) -> None:
+        """Tells a host by a probe that it is not held as live."""
+        probe = self._probes.open(entry.host.host_id, now_ms, is_local=False)
+        self._ping(entry, probe, now_ms)
 
     def _forward(self, message: data.GossipMessage, now_ms: int) -> None:
         """Probes a host in place of another one."""
@@ -183,7 +180,7 @@
             current.reachability.on_answer(data_centre, now_ms)
         del self._probes.probes_by_number[message.number]
         if message.subject:
-            self._heard_ms_by_id[message.subject] = now_ms
+            self._verdicts.note_heard(message.subject, now_ms)
         forward = self._forwards_by_number.pop(message.number, None)
         if forward is None:
             return
@@ -211,52 +208,6 @@
             helper = current.hosts.entries_by_id[helper_id].host
             current.outbox.send(helper, message, now_ms)
 
-    def _on_failed(self, probe: probing.Probe, now_ms: int) -> None:
-        """Suspects a host that did not answer, directly or indirectly."""
-        current = self._state
-        entry = current.hosts.live_entry(probe.target_id)
-        if entry is None:
-            return
-        if self._heard_ms_by_id.get(probe.target_id, -1) > probe.sent_ms:
-            return
-        if entry.state is records.MemberState.LEAVING:
-            self._declare(entry, records.MemberState.DEAD, now_ms)
-            return
-        if entry.state is records.MemberState.SUSPECT:
-            return
-        self._declare(entry, records.MemberState.SUSPECT, now_ms)
-        is_isolated = self._heard_ms is None or self._heard_ms < probe.sent_ms
-        if is_isolated:
-            delay_ms = current.settings.suspicion_ms
-            delay_ms *= _ISOLATED_SUSPICION_FACTOR - 1
-            current.suspicions.extend(probe.target_id, delay_ms)
-
-    def _on_suspicion_due(self, host_id: str, now_ms: int) -> None:
-        """Declares a suspected host dead unless it was heard since."""
-        current = self._state
-        entry = current.hosts.entries_by_id[host_id]
-        since_ms = current.hosts.since_ms_by_id[host_id]
-        heard_ms = self._heard_ms_by_id.get(host_id, -1)
-        if heard_ms > max(since_ms, now_ms - current.settings.suspicion_ms):
-            # The host lives but has not learned of the suspicion yet.
-            delay_ms = heard_ms + current.settings.suspicion_ms - now_ms
-            current.suspicions.extend(host_id, delay_ms)
-            probe = self._probes.open(host_id, now_ms, is_local=False)
-            self._ping(entry, probe, now_ms)
-            return
-        self._declare(entry, records.MemberState.DEAD, now_ms)
-        self._heard_ms_by_id.pop(host_id, None)
-
-    def _declare(
-        self,
-        entry: data.MemberEntry,
-        member_state: records.MemberState,
-        now_ms: int,
-    ) -> None:
-        """Changes the state of a host and passes it on."""
-        changed = dataclasses.replace(entry, state=member_state)
-        self._merger.merge_member(changed, now_ms, is_remote=False)
-
     def _with_relayed(
         self, message: data.GossipMessage, now_ms: int
     ) -> data.GossipMessage:
--- a/packages/core/sapphire_core/membership/membership.py
+++ b/packages/core/sapphire_core/membership/membership.py
@@ -2,24 +2,16 @@
 
 from collections.abc import Iterable
 import dataclasses
-import random
 
 import expression
 
+from sapphire_core.membership import assembly
 from sapphire_core.membership import data
 from sapphire_core.membership import detector
 from sapphire_core.membership import fact_scope
-from sapphire_core.membership import fact_table
 from sapphire_core.membership import failures
-from sapphire_core.membership import freshness
 from sapphire_core.membership import merging
-from sapphire_core.membership import outbox
-from sapphire_core.membership import prepared
-from sapphire_core.membership import reachability
-from sapphire_core.membership import roster
 from sapphire_core.membership import spreading
-from sapphire_core.membership import state
-from sapphire_core.membership import suspicion
 from sapphire_core.membership import synchroniser
 from sapphire_core.membership import view_builder
 from sapphire_data import records
@@ -54,28 +46,8 @@
             rng_seed: The seed of all random choices.
             settings: The settings.
         """
-        settings = settings or data.Settings()
-        hosts = roster.Roster()
-        facts = fact_table.FactTable()
-        prepared_table = prepared.PreparedTable(self_address.host_id)
-        own_data_centre = self_address.data_centre
-        own_entry = data.MemberEntry(
-            self_address, first_incarnation, records.MemberState.ALIVE
-        )
-        self._state = state.State(
-            settings=settings,
-            rng=random.Random(rng_seed),
-            own=own_entry,
-            hosts=hosts,
-            facts=facts,
-            prepared=prepared_table,
-            freshness=freshness.Freshness(settings),
-            reachability=reachability.Reachability(
-                self_address.host_id, own_data_centre
-            ),
-            outbox=outbox.Outbox(settings, own_data_centre, hosts, facts),
-            suspicions=suspicion.Suspicions(settings.suspicion_ms),
-            seeds=tuple(seeds),
+        self._state = assembly.new_state(
+            self_address, first_incarnation, seeds, rng_seed, settings
         )
         self._merger = merging.Merger(self._state)
         self._detector = detector.Detector(self._state, self._merger)
