Each host says which pool generations may go, and one host writes the cut

A need report of the router counts from when the service was first seen, so it would allow to cut a generation whose successor had just come. A host now allows only what stood still for the idle time while members and freshness did. One host decides, under a lease, by compare-and-swap.

--- /dev/null
+++ b/packages/core/sapphire_core/flows/history_decision_test.py
@@ -0,0 +1,95 @@
+from collections.abc import Mapping
+
+import testtools
+
+from sapphire_core.flows import history_decision
+from sapphire_core.flows import history_permits
+from sapphire_data import records
+from sapphire_lab.flows import builders
+
+UPSTREAMS = [builders.upstream(name) for name in "abcd"]
+# No bucket returns from the third generation to its owner in the first.
+ROTA = builders.service("rota", UPSTREAMS, ["ab", "bc", "cd"])
+PLANS = builders.service("plans", UPSTREAMS, ["abcd", "abc"])
+CONFIGURATION = builders.configuration(1, [ROTA, PLANS])
+HOSTS = ("h1", "h2", "h3")
+MEMBERS = [builders.member(host) for host in HOSTS]
+VIEW = builders.view(MEMBERS)
+DIGEST = history_permits.digest_of(VIEW.members_by_id)
+
+Permits = Mapping[str, history_permits.PermitReport]
+
+
+def permit(digest: int = DIGEST, **kept: int) -> history_permits.PermitReport:
+    return history_permits.PermitReport(digest, kept)
+
+
+ALL = {host: permit(rota=3) for host in HOSTS}
+
+# Each line: the moment, the reports, the cut.
+CASES: tuple[tuple[str, Permits, dict[str, int]], ...] = (
+    ("all allow", ALL, {"rota": 3}),
+    ("one allows less", {**ALL, "h2": permit(rota=2)}, {"rota": 2}),
+    ("one needs all", {**ALL, "h2": permit()}, {}),
+    ("one is silent", {host: ALL[host] for host in HOSTS[:2]}, {}),
+    ("one knows other members", {**ALL, "h3": permit(7, rota=3)}, {}),
+    ("nobody has reported", {}, {}),
+    (
+        "two services in one revision",
+        {host: permit(rota=3, plans=2) for host in HOSTS},
+        {"rota": 3, "plans": 2},
+    ),
+    (
+        "a service that is gone",
+        {host: permit(other=9, rota=3) for host in HOSTS},
+        {"rota": 3},
+    ),
+)
+
+
+def decisions(
+    view: records.MemberView, permits: Permits, now_ms: int = 0
+) -> list[dict[str, int]]:
+    found = []
+    for host in HOSTS:
+        decider = history_decision.Decider(host)
+        cuts = decider.decide(CONFIGURATION, view, permits, now_ms)
+        if cuts:
+            found.append(cuts)
+    return found
+
+
+class DeciderTest(testtools.TestCase):
+    def test_one_host_cuts_what_all_allow(self) -> None:
+        for moment, permits, expected in CASES:
+            wanted = [expected] if expected else []
+            self.assertEqual(wanted, decisions(VIEW, permits), moment)
+
+    def test_a_host_that_is_not_fresh_cuts_nothing(self) -> None:
+        view = builders.view(MEMBERS, is_fresh=False)
+        self.assertEqual([], decisions(view, ALL))
+
+    def test_a_host_that_joined_forbids_until_it_reports(self) -> None:
+        view = builders.view([*MEMBERS, builders.member("h4")])
+        self.assertEqual([], decisions(view, ALL))
+
+    def test_attempts_are_limited(self) -> None:
+        for host in HOSTS:
+            decider = history_decision.Decider(host)
+            if not decider.decide(CONFIGURATION, VIEW, ALL, 0):
+                continue
+            early = history_decision.MIN_INTERVAL_MS - 1
+            again = decider.decide(CONFIGURATION, VIEW, ALL, early)
+            self.assertEqual({}, again)
+            again = decider.decide(CONFIGURATION, VIEW, ALL, early + 1)
+            self.assertEqual({"rota": 3}, again)
+
+    def test_no_cut_to_a_generation_between_two_equal_ones(self) -> None:
+        """New flows are unrecorded where the oldest and newest agree."""
+        service = builders.service("rota", UPSTREAMS, ["ab", "cd", "ab"])
+        configuration = builders.configuration(1, [service])
+        for keep_from, expected in ((2, {}), (3, {"rota": 3})):
+            cuts = history_decision.agreed_cuts(
+                configuration, [permit(rota=keep_from)]
+            )
+            self.assertEqual(expected, cuts)
--- a/packages/net/sapphire_net/store/collection.py
+++ b/packages/net/sapphire_net/store/collection.py
@@ -23,8 +23,6 @@
 LEASE_MS = 60_000
 # The store allows 128 operations in a transaction.
 DELETES_PER_TRANSACTION = 100
-# Grant, acquisition and a renewal.
-MAX_LEASE_CALLS = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -58,16 +56,9 @@
         the store could not be read.
     """
     key = environment.collection_lease_key
-    held = leases.Lease(key, LEASE_MS, time.now_ms())
-    event: leases.Event = leases.Tick()
-    for _ in range(MAX_LEASE_CALLS):
-        actions = held.handle(event, time.now_ms())
-        if not actions:
-            break
-        event = await lease_calls.carry_out(
-            environment.store, key, actions[0], time
-        )
-    held.handle(event, time.now_ms())
+    held = await lease_calls.try_to_acquire(
+        environment.store, key, LEASE_MS, time
+    )
     outcome: expression.Result[Collected, failures.Failure] = expression.Error(
         leases.LeaseNotHeld(key)
     )
--- a/packages/net/sapphire_net/store/environment.py
+++ b/packages/net/sapphire_net/store/environment.py
@@ -44,6 +44,11 @@
         """The key that is held while unused keys are deleted."""
         return f"{self.prefix}leases/collection"
 
+    @property
+    def housekeeping_lease_key(self) -> str:
+        """The key that is held while old pool generations are dropped."""
+        return f"{self.prefix}leases/housekeeping"
+
     @property
     def history_prefix(self) -> str:
         """The prefix of the keys of all heads."""
--- a/packages/net/sapphire_net/store/leases.py
+++ b/packages/net/sapphire_net/store/leases.py
@@ -10,6 +10,9 @@
 from sapphire_net.store import data
 from sapphire_net.store import protocol
 
+# Grant, acquisition and a renewal.
+MAX_LEASE_CALLS = 3
+
 
 async def carry_out(
     store: protocol.Store,
@@ -44,6 +47,32 @@
     )
 
 
+async def try_to_acquire(
+    store: protocol.Store, key: str, time_to_live_ms: int, time: clock.Clock
+) -> leases.Lease:
+    """Tries once to get a lease for a short piece of work.
+
+    Args:
+        store: The store.
+        key: The key that the lease protects.
+        time_to_live_ms: Its length.
+        time: The clock of the state machine.
+
+    Returns:
+        The lease, whose fence says whether it is held; whoever gets it
+        revokes it after the work.
+    """
+    held = leases.Lease(key, time_to_live_ms, time.now_ms())
+    event: leases.Event = leases.Tick()
+    for _ in range(MAX_LEASE_CALLS):
+        actions = held.handle(event, time.now_ms())
+        if not actions:
+            break
+        event = await carry_out(store, key, actions[0], time)
+    held.handle(event, time.now_ms())
+    return held
+
+
 async def write(
     store: protocol.Store,
     held: leases.Lease,
--- a/packages/node/sapphire_node/control.py
+++ b/packages/node/sapphire_node/control.py
@@ -205,7 +205,11 @@
             return
         if isinstance(message, messages.PublishFact):
             outcome = self.membership.set_fact(
-                message.key, message.version, message.value, now_ms
+                message.key,
+                message.version,
+                message.value,
+                now_ms,
+                message.ttl_ms,
             )
             if outcome.is_error():
                 event_log.log_failure(
--- a/packages/node/sapphire_node/daemon.py
+++ b/packages/node/sapphire_node/daemon.py
@@ -22,6 +22,7 @@
 from sapphire_node import parts as parts_lib
 from sapphire_node import request_meter
 from sapphire_node import rotation_task
+from sapphire_node.housekeeping import task as housekeeping_task
 from sapphire_node.requests import asgi
 
 _LOGGER = logging.getLogger(__name__)
@@ -118,6 +119,7 @@
     tasks.start_soon(parts.requests.run)
     tasks.start_soon(parts.configuration.run)
     tasks.start_soon(rotation_task.run, parts.loaded, parts.control)
+    tasks.start_soon(housekeeping_task.run, parts)
     tasks.start_soon(_distribute, parts)
     tasks.start_soon(_serve_api, parts)
     tasks.start_soon(_serve_requests, parts, stop_requests)
--- /dev/null
+++ b/packages/node/sapphire_node/housekeeping/__init__.py
@@ -0,0 +1,1 @@
+"""Drops old pool generations that no flow needs any more."""
--- /dev/null
+++ b/packages/node/sapphire_node/housekeeping/task.py
@@ -0,0 +1,156 @@
+"""The task that reports what this host allows, and cuts what all allow."""
+
+from collections.abc import Mapping
+import logging
+
+import anyio
+
+from sapphire_core.flows import exceptions_table
+from sapphire_core.flows import history_decision
+from sapphire_core.flows import history_permits
+from sapphire_data import clock
+from sapphire_data import records
+from sapphire_net import event_log
+from sapphire_net.store import client as store_client
+from sapphire_net.store import environment as environments
+from sapphire_node import parts as parts_lib
+from sapphire_node.housekeeping import cutting
+from sapphire_node.housekeeping import publishing
+from sapphire_wire import permit_facts
+
+_LOGGER = logging.getLogger(__name__)
+
+WATCH_MS = 500
+REPORT_MS = 60_000
+# The gossip holds 256 facts and has other uses for most of them.
+MAX_HOSTS = 64
+
+
+async def run(parts: parts_lib.Parts) -> None:
+    """Keeps the pool histories short until cancelled.
+
+    Args:
+        parts: The other tasks; their state is only read here.
+    """
+    settings = parts.loaded.settings.store
+    urls = [str(url) for url in settings.endpoints]
+    async with store_client.open_client(urls[0]) as http:
+        store = store_client.GatewayStore(http, urls[1:])
+        environment = environments.Environment(store, settings.prefix)
+        keeper = HistoryKeeper(parts, environment)
+        while True:
+            keeper.watch()
+            if keeper.is_due():
+                await keeper.work()
+            await anyio.sleep(WATCH_MS / clock.MS_PER_SECOND)
+
+
+class HistoryKeeper:
+    """Carries out the observation and the decisions of one host.
+
+    Args:
+        parts: The other tasks.
+        environment: The environment.
+    """
+
+    def __init__(
+        self, parts: parts_lib.Parts, environment: environments.Environment
+    ) -> None:
+        now_ms = parts.time.now_ms()
+        self._parts = parts
+        self._environment = environment
+        self._observer = history_permits.Observer(
+            exceptions_table.PERIOD_MS, now_ms
+        )
+        self._publisher = publishing.Publisher(parts.own.host_id)
+        self._decider = history_decision.Decider(parts.own.host_id)
+        self._worked_ms = now_ms
+        self._noted: records.Configuration | None = None
+
+    def watch(self) -> None:
+        """Notes what changes the keepers or the generations."""
+        now_ms = self._parts.time.now_ms()
+        view = self._parts.control.membership.view()
+        if len(view.members_by_id) > MAX_HOSTS:
+            return
+        self._observer.note_view(view, now_ms)
+        configuration = self._parts.configuration.status().configuration
+        if configuration is not None and configuration is not self._noted:
+            self._noted = configuration
+            self._observer.note_configuration(configuration, now_ms)
+
+    def is_due(self) -> bool:
+        """Returns whether it is time to report and to decide."""
+        return self._parts.time.now_ms() - self._worked_ms >= REPORT_MS
+
+    async def work(self) -> None:
+        """Reports what this host allows, and cuts what all allow."""
+        now_ms = self._parts.time.now_ms()
+        self._worked_ms = now_ms
+        view = self._parts.control.membership.view()
+        if self._noted is None or len(view.members_by_id) > MAX_HOSTS:
+            return
+        report = self._report(now_ms)
+        fact = self._publisher.fact(report, now_ms)
+        if fact is not None:
+            await self._parts.to_control.send(fact)
+        permits = self._permits(report)
+        if self._decider.decide(self._noted, view, permits, now_ms):
+            await self._cut()
+
+    def _report(self, now_ms: int) -> history_permits.PermitReport:
+        """Returns what this host allows now."""
+        configuration = self._noted
+        if configuration is None:
+            return history_permits.PermitReport(0, {})
+        needs = self._parts.packets.router.need_reports(now_ms)
+        return self._observer.report(configuration, needs, now_ms)
+
+    def _permits(
+        self, own: history_permits.PermitReport
+    ) -> Mapping[str, history_permits.PermitReport]:
+        """Returns the newest report of each host."""
+        permits_by_host = {}
+        now_ms = self._parts.time.now_ms()
+        facts = self._parts.control.membership.facts(now_ms)
+        for key, fact in facts.items():
+            if not key.startswith(permit_facts.KEY_PREFIX):
+                continue
+            decoded = permit_facts.decode(fact.value)
+            if decoded.is_error():
+                event_log.log_failure(
+                    _LOGGER, "permit_unreadable", decoded.error
+                )
+                continue
+            host_id = key.removeprefix(permit_facts.KEY_PREFIX)
+            permits_by_host[host_id] = decoded.ok
+        permits_by_host[self._parts.own.host_id] = own
+        return permits_by_host
+
+    def _agreed(self, configuration: records.Configuration) -> dict[str, int]:
+        """Returns what may be cut of the configuration in the store."""
+        self.watch()
+        now_ms = self._parts.time.now_ms()
+        return self._decider.agreed(
+            configuration,
+            self._parts.control.membership.view(),
+            self._permits(self._report(now_ms)),
+        )
+
+    async def _cut(self) -> None:
+        """Writes a cut; whatever fails is tried again by a later decision."""
+        outcome = await cutting.cut(
+            self._environment,
+            self._agreed,
+            self._parts.own.host_id,
+            self._parts.time,
+        )
+        if outcome.is_error():
+            event_log.log_failure(_LOGGER, "history_not_cut", outcome.error)
+            return
+        event_log.log(
+            _LOGGER,
+            logging.INFO,
+            "history_cut",
+            revision=outcome.ok.stored.revision,
+        )
--- a/packages/node/sapphire_node/messages.py
+++ b/packages/node/sapphire_node/messages.py
@@ -59,11 +59,13 @@
         key: The key of the fact.
         version: The version; the highest one wins.
         value: The encoded value.
+        ttl_ms: The time after which hosts forget it; zero for never.
     """
 
     key: str
     version: int
     value: bytes
+    ttl_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
