--- a/packages/node/sapphire_node/daemon_life_test.py
+++ b/packages/node/sapphire_node/daemon_life_test.py
@@ -279,6 +279,31 @@
 
 
 class FailedTaskTest(testtools.TestCase):
+    def test_open_request_does_not_hold_a_failed_daemon(self) -> None:
+        async def body(trial: Trial) -> None:
+            await bench.publish(trial.store_url)
+            await trial.start()
+            await trial.wait_ready()
+            port = trial.host.files.ports["requests"]
+            stream = await anyio.connect_tcp(ADDRESS, port)
+            async with stream:
+                # Nothing but the end of the daemon ends it in time.
+                fields = (
+                    b"POST / HTTP/1.1",
+                    b"host: rota",
+                    b"x-request-deadline-ms: 60000",
+                    b"content-length: 9",
+                )
+                await stream.send(b"\r\n".join(fields) + b"\r\n\r\n")
+                broken = mock.patch.object(
+                    forwarder.Forwarder, "handle", side_effect=KeyError("x")
+                )
+                with broken:
+                    outcome = await trial.host.wait_ended()
+            self.assertEqual(daemon.Outcome.FAILED, outcome)
+
+        run_trial(body)
+
     def test_error_in_one_task_ends_the_daemon_with_one_line(self) -> None:
         async def body(trial: Trial) -> None:
             await trial.start()
