Records of flows that were given up are forgotten when their data centre returns

A former keeper kept the record of a flow whose first upstream went out with its data centre and which its caller had opened anew elsewhere. Once the data centre was back the record counted again.

--- a/packages/core/sapphire_core/flows/handover.py
+++ b/packages/core/sapphire_core/flows/handover.py
@@ -98,7 +98,10 @@
                 continue
             if self._routes_seen.get(routes.name) is routes:
                 continue
+            previous = self._routes_seen.get(routes.name)
             self._routes_seen[routes.name] = routes
+            if previous is not None:
+                self._forget_given_up(previous, routes, now_ms)
             self._note_service(routes, now_ms, is_trusted)
         names = {routes.name for routes in self._tables.routes_by_key.values()}
         for name in self._routes_seen.keys() - names:
@@ -229,6 +232,31 @@
                 return False
         return True
 
+    def _forget_given_up(
+        self,
+        previous: route_tables.Routes,
+        routes: route_tables.Routes,
+        now_ms: int,
+    ) -> None:
+        """Forgets the flows of upstreams that are back from being out.
+
+        Their callers may have opened them anew elsewhere, which a host that
+        has ceased to be a keeper does not know.
+        """
+        revived = set()
+        for name, decision in routes.decision_by_upstream.items():
+            before = previous.decision_by_upstream.get(name)
+            if isinstance(before, data.GiveUp) and isinstance(
+                decision, data.Forward
+            ):
+                revived.add(name)
+        if not revived:
+            return
+        exceptions = self._role.placements(routes.name, now_ms).exceptions
+        for flow_hash, upstream in list(exceptions.items()):
+            if upstream in revived:
+                exceptions.forget(flow_hash)
+
     def _note_service(
         self, routes: route_tables.Routes, now_ms: int, is_trusted: bool
     ) -> None:
--- a/packages/core/sapphire_core/flows/router_fault_test.py
+++ b/packages/core/sapphire_core/flows/router_fault_test.py
@@ -309,6 +309,23 @@
         ends = cluster.ends(rest)
         self.assertEqual(len(rest) * len(HOSTS), ends["kept"])
 
+    def test_records_of_given_up_flows_do_not_outlive_a_return(self) -> None:
+        cluster, placed = changed()
+        out = builders.upstream("d", CENTRES[ord("d") % 3]).data_centre
+        third = builders.configuration(
+            3, [rota("abc", "bcd", "bc", drained="a")], CENTRES, out=[out]
+        )
+        cluster.change(third)
+        back = builders.configuration(
+            4, [rota("abc", "bcd", "bc", "bcd", drained="a")], CENTRES
+        )
+        cluster.change(back)
+        gone = [flow for flow, name in placed.items() if name == "d"]
+        self.assertNotEqual([], gone)
+        for router in cluster.fabric.routers_by_id.values():
+            for flow in gone:
+                self.assertIsNone(router.recorded("rota").get(flow))
+
     def test_a_host_cut_off_from_peers_obeys_too(self) -> None:
         cluster = Cluster()
         cluster.change(FIRST)
