--- a/packages/node/sapphire_node/answers.py
+++ b/packages/node/sapphire_node/answers.py
@@ -31,7 +31,7 @@
 
     def read_slo(service: str | None) -> operator_api.SloReport:
         return slo_answer.build(
-            parts.packets.levels,
+            parts.packets.seen.levels,
             parts.own.host_id,
             parts.own.data_centre,
             clock.wall_time_ms(),
--- a/packages/node/sapphire_node/control.py
+++ b/packages/node/sapphire_node/control.py
@@ -15,11 +15,11 @@
 from sapphire_core.membership import data as membership_data
 from sapphire_core.membership import membership
 from sapphire_data import clock
-from sapphire_data import failures
 from sapphire_data import records
 from sapphire_net import event_log
 from sapphire_net.trust import keys
 from sapphire_net.trust import sealing
+from sapphire_node import drop_counts
 from sapphire_node import failures as node_failures
 from sapphire_node import messages
 from sapphire_node import subscribers
@@ -46,29 +46,18 @@
 
 
 @dataclasses.dataclass(slots=True)
-class Counters:
+class Counters(drop_counts.DropCounts):
     """What the control task counts; read when metrics are collected.
 
     Attributes:
         sent: Datagrams sent.
         control_bytes: Bytes sent, without relayed packets of callers.
         received: Authentic datagrams received.
-        dropped_by_type: Dropped datagrams by the type of their failure.
     """
 
     sent: int = 0
     control_bytes: int = 0
     received: int = 0
-    dropped_by_type: dict[str, int] = dataclasses.field(default_factory=dict)
-
-    def drop(self, failure: failures.Failure) -> None:
-        """Counts a dropped datagram.
-
-        Args:
-            failure: Why it was dropped.
-        """
-        code = failure.code
-        self.dropped_by_type[code] = self.dropped_by_type.get(code, 0) + 1
 
 
 class ControlPlane:
--- a/packages/node/sapphire_node/forwarder.py
+++ b/packages/node/sapphire_node/forwarder.py
@@ -5,7 +5,6 @@
 two socket calls.
 """
 
-import collections
 import dataclasses
 import logging
 
@@ -14,16 +13,14 @@
 from anyio.streams import memory
 
 from sapphire_core.flows import data as flow_data
-from sapphire_core.flows import failures as flow_failures
 from sapphire_core.flows import router as flow_router
 from sapphire_core.flows import upstream_health
-from sapphire_core.slo import counters as slo_counters
 from sapphire_data import clock
-from sapphire_data import failures
 from sapphire_data import records
 from sapphire_net import event_log
-from sapphire_node import change_log
+from sapphire_node import drop_counts
 from sapphire_node import failures as node_failures
+from sapphire_node import flow_levels
 from sapphire_node import health_judgement
 from sapphire_node import messages
 from sapphire_wire import flow_messages
@@ -38,29 +35,18 @@
 
 
 @dataclasses.dataclass(slots=True)
-class Counters:
+class Counters(drop_counts.DropCounts):
     """What the forwarder counts; read when metrics are collected.
 
     Attributes:
         forwarded: Packets sent to an upstream.
         relayed: Packets sent to a keeper.
         given_up: Packets answered by a reset.
-        dropped_by_type: Dropped packets by the type of their failure.
     """
 
     forwarded: int = 0
     relayed: int = 0
     given_up: int = 0
-    dropped_by_type: dict[str, int] = dataclasses.field(default_factory=dict)
-
-    def drop(self, failure: failures.Failure) -> None:
-        """Counts a dropped packet.
-
-        Args:
-            failure: Why it was dropped.
-        """
-        code = failure.code
-        self.dropped_by_type[code] = self.dropped_by_type.get(code, 0) + 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -101,11 +87,7 @@
         self._outbox = outbox
         self._time = time
         self.last_packet_ms = 0
-        self.levels = slo_counters.SloCounters(clock.wall_time_ms())
-        self.opened_by_upstream: collections.Counter[str] = (
-            collections.Counter()
-        )
-        self.changes = change_log.ChangeLog()
+        self.seen = flow_levels.FlowLevels()
         self._health = upstream_health.UpstreamHealth()
         self._hosts_by_id: dict[str, records.HostAddress] = {}
 
@@ -128,7 +110,7 @@
                 counters.forwarded += 1
                 upstream = decision.upstream
                 if is_opening or is_closing:
-                    self._note_boundary(upstream.name, is_opening)
+                    self.seen.note_boundary(upstream.name, is_opening)
                 try:
                     await sendto(packet, upstream.address, upstream.packet_port)
                 except (OSError, ValueError):
@@ -175,14 +157,14 @@
             return
         if isinstance(message, messages.ConfigurationAccepted):
             configuration = message.configuration
-            self.changes.note_prepared(configuration, now_ms)
+            self.seen.changes.note_prepared(configuration, now_ms)
             self.router.prepare(configuration, now_ms)
             await self._outbox.send(
                 messages.PublishPrepared(configuration.revision)
             )
             return
         if isinstance(message, messages.NewerRevisionKnown):
-            self.changes.note_newer(message.revision, now_ms)
+            self.seen.changes.note_newer(message.revision, now_ms)
             self.router.note_newer_revision(message.revision, now_ms)
             return
         if isinstance(message, messages.OverlayLearned):
@@ -261,7 +243,7 @@
         if isinstance(decision, flow_data.Forward) and (
             fields.is_opening or fields.is_closing
         ):
-            self._note_boundary(decision.upstream.name, fields.is_opening)
+            self.seen.note_boundary(decision.upstream.name, fields.is_opening)
         await self._carry_out(
             decision, relayed.packet, relayed.fabric, self._relayed
         )
@@ -297,7 +279,7 @@
             return
         if isinstance(decision, flow_data.GiveUp):
             self.counters.given_up += 1
-            self._note_given_up(decision.reason)
+            self.seen.note_given_up(decision.reason)
             reset = ip_packet.build_reset(packet)
             if reset is not None:
                 await self._send_datagram(udp, reset, fabric)
@@ -324,43 +306,7 @@
                 )
                 continue
             if isinstance(action, flow_data.Activated):
-                self._note_activated(action.revision)
-
-    def _note_activated(self, revision: int) -> None:
-        """Marks that a revision is in force here."""
-        is_move = self.changes.note_activated(revision)
-        self.levels.note_change(
-            revision, clock.wall_time_ms(), moves_data_centre=is_move
-        )
-        event_log.log(
-            _LOGGER,
-            logging.INFO,
-            "revision_activated",
-            revision=revision,
-            digest=self.changes.active_digest,
-            moves_data_centre=is_move,
-        )
-
-    def _note_boundary(self, upstream: str, is_opening: bool) -> None:
-        """Counts the begin or the regular end of a flow."""
-        if is_opening:
-            self.opened_by_upstream[upstream] += 1
-            return
-        service = self.changes.service_by_upstream.get(upstream)
-        if service is not None:
-            self.levels.record_flows(service, 1, 1, clock.wall_time_ms())
-
-    def _note_given_up(self, reason: failures.Failure) -> None:
-        """Counts a flow that ends because its upstream is gone.
-
-        Flows of a data centre that operators took out are given up on their
-        behalf and do not count against the objective.
-        """
-        if not isinstance(reason, flow_failures.UpstreamGone):
-            return
-        service = self.changes.service_by_upstream.get(reason.upstream)
-        if service is not None:
-            self.levels.record_flows(service, 0, 1, clock.wall_time_ms())
+                self.seen.note_activated(action.revision)
 
     async def _send_to(self, host_id: str, kind: _Kind, body: bytes) -> None:
         """Sends a body to a host by way of the control task."""
--- a/packages/node/sapphire_node/parts.py
+++ b/packages/node/sapphire_node/parts.py
@@ -109,7 +109,7 @@
         store_claims.open_claims(settings.store, time),
         time,
         tell_peer=slots.tell,
-        note_end=_note_end(packets.levels),
+        note_end=_note_end(packets.seen.levels),
     )
     control_plane = control.ControlPlane(
         own,
--- a/packages/node/sapphire_node/requests/asgi.py
+++ b/packages/node/sapphire_node/requests/asgi.py
@@ -8,6 +8,7 @@
 from sapphire_core.requests import data as core_data
 from sapphire_core.requests import failures
 from sapphire_data import records
+from sapphire_net import event_log
 from sapphire_node.requests import asgi_types
 from sapphire_node.requests import data
 from sapphire_node.requests import fields
@@ -156,7 +157,12 @@
             )
             await send({"type": "http.response.body", "body": answer.body})
         if scope.cancelled_caught:
-            logger.warning("event=answer_not_taken status=%d", answer.status)
+            event_log.log(
+                logger,
+                logging.WARNING,
+                "answer_not_taken",
+                status=answer.status,
+            )
 
 
 def _parse(
--- a/packages/node/sapphire_node/requests/service.py
+++ b/packages/node/sapphire_node/requests/service.py
@@ -18,6 +18,7 @@
 from sapphire_core.requests import memory_budget
 from sapphire_data import clock
 from sapphire_data import records
+from sapphire_net import event_log
 from sapphire_node.requests import answer_memory
 from sapphire_node.requests import data
 from sapphire_node.requests import messages
@@ -285,5 +286,7 @@
             if result.is_ok():
                 self.post(result.ok)
                 return
-        logger.warning("event=claims_failed batch=%d", batch.batch_id)
+        event_log.log(
+            logger, logging.WARNING, "claims_failed", batch=batch.batch_id
+        )
         self.post(core_data.ClaimsFailed(batch.batch_id))
--- a/packages/node/sapphire_node/requests/upstream_client.py
+++ b/packages/node/sapphire_node/requests/upstream_client.py
@@ -8,6 +8,7 @@
 from sapphire_core.requests import data as core_data
 from sapphire_data import clock
 from sapphire_data import records
+from sapphire_net import event_log
 from sapphire_node.requests import answer_memory
 from sapphire_node.requests import data
 from sapphire_node.requests import fields
@@ -76,11 +77,13 @@
             fault = core_data.AttemptFault.UNREACHABLE
             return core_data.AttemptFailed(attempt_id, fault)
         except httpx.HTTPError as error:
-            logger.info(
-                "event=attempt_lost attempt=%s upstream=%s error=%s",
-                attempt_id,
-                upstream.name,
-                type(error).__name__,
+            event_log.log(
+                logger,
+                logging.INFO,
+                "attempt_lost",
+                attempt=attempt_id,
+                upstream=upstream.name,
+                error=type(error).__name__,
             )
             fault = core_data.AttemptFault.CONNECTION_LOST
             return core_data.AttemptFailed(attempt_id, fault)
--- a/packages/node/sapphire_node/status.py
+++ b/packages/node/sapphire_node/status.py
@@ -1,7 +1,9 @@
 """The answers of the API for operators, built from the tasks' state."""
 
+from collections.abc import Set
 import dataclasses
 
+from sapphire_core.flows import data as flow_data
 from sapphire_data import records
 from sapphire_node import forwarder
 from sapphire_node import lifecycle
@@ -59,8 +61,8 @@
         active_revision=active,
         prepared_revision=router.prepared_revision,
         known_revision=max(known.known_revision, router.prepared_revision),
-        active_digest=packets.changes.active_digest,
-        lag_ms=packets.changes.lag_ms(now_ms),
+        active_digest=packets.seen.changes.active_digest,
+        lag_ms=packets.seen.changes.lag_ms(now_ms),
         is_fresh=view.is_fresh,
         is_store_reachable=known.is_store_reachable,
         members=tuple(_member(item) for item in view.members_by_id.values()),
@@ -88,6 +90,11 @@
     """Returns what the status says of the upstreams."""
     if configuration is None:
         return ()
+    failed = {
+        overlay.upstream
+        for overlay in packets.router.overlays()
+        if overlay.state is flow_data.OverlayState.FAILED
+    }
     upstreams = []
     for name, known in configuration.services_by_name.items():
         if service is not None and name != service:
@@ -99,9 +106,34 @@
                     service=name,
                     upstream=upstream.name,
                     data_centre=upstream.data_centre,
-                    flows=packets.opened_by_upstream.get(upstream.name, 0),
+                    flows=packets.seen.opened_by_upstream.get(upstream.name, 0),
                     is_draining=is_draining,
-                    is_ready=not is_draining,
+                    is_ready=_is_ready(upstream, configuration, failed),
                 )
             )
     return tuple(upstreams)
+
+
+def _is_ready(
+    upstream: records.Upstream,
+    configuration: records.Configuration,
+    failed: Set[str],
+) -> bool:
+    """Returns whether an upstream would get a new flow.
+
+    Args:
+        upstream: The upstream.
+        configuration: The newest configuration.
+        failed: The upstreams that hosts found to have failed.
+
+    Returns:
+        Whether it serves, its data centre is in and it has not failed.
+    """
+    if upstream.intent is not records.UpstreamIntent.SERVE:
+        return False
+    data_centre = configuration.data_centres_by_name.get(upstream.data_centre)
+    if data_centre is None:
+        return False
+    if data_centre.state is not records.DataCentreState.IN:
+        return False
+    return upstream.name not in failed
--- /dev/null
+++ b/packages/node/sapphire_node/status_test.py
@@ -0,0 +1,75 @@
+import dataclasses
+from typing import Any
+from typing import cast
+
+import testtools
+
+from sapphire_core.flows import data
+from sapphire_data import records
+from sapphire_lab.flows import builders
+from sapphire_node import change_log
+from sapphire_node import flow_levels
+from sapphire_node import forwarder
+from sapphire_node import lifecycle
+from sapphire_node import status
+
+OWN = records.HostAddress("h1", "tacoma", "127.0.0.1", 1, 2)
+
+
+@dataclasses.dataclass
+class FakeRouter:
+    """A router as far as the status reads it."""
+
+    known: list[data.Overlay]
+    active_revision: int = 1
+    prepared_revision: int = 1
+
+    def overlays(self) -> list[data.Overlay]:
+        return self.known
+
+
+@dataclasses.dataclass
+class FakeForwarder:
+    """A forwarder as far as the status reads it."""
+
+    router: FakeRouter
+    seen: flow_levels.FlowLevels
+
+
+class StatusTest(testtools.TestCase):
+    def read_ready(self, overlays: list[data.Overlay]) -> dict[str, bool]:
+        upstreams = [
+            builders.upstream("a", "tacoma"),
+            builders.upstream("b", "salem"),
+            builders.upstream("c", "spokane"),
+            builders.upstream(
+                "d", "tacoma", intent=records.UpstreamIntent.DRAIN
+            ),
+        ]
+        service = builders.service("rota", upstreams, ["abc"])
+        configuration = builders.configuration(1, [service], out=["spokane"])
+        seen = flow_levels.FlowLevels()
+        self.assertIsInstance(seen.changes, change_log.ChangeLog)
+        packets = FakeForwarder(FakeRouter(overlays), seen)
+        answer = status.read(
+            OWN,
+            lifecycle.Lifecycle(),
+            cast(forwarder.Forwarder, cast(Any, packets)),
+            records.MemberView({}, True, 1),
+            known=status.ConfigurationStatus(1, True, configuration),
+            service=None,
+            now_ms=0,
+        )
+        return {item.upstream: item.is_ready for item in answer.upstreams}
+
+    def test_only_upstreams_that_may_get_flows_are_ready(self) -> None:
+        expected = {"a": True, "b": True, "c": False, "d": False}
+        self.assertEqual(expected, self.read_ready([]))
+
+    def test_a_failed_upstream_is_not_ready_and_a_cold_one_is(self) -> None:
+        overlays = [
+            data.Overlay("a", data.OverlayState.FAILED, "", 1),
+            data.Overlay("b", data.OverlayState.COLD, "", 1),
+        ]
+        ready = self.read_ready(overlays)
+        self.assertEqual((False, True), (ready["a"], ready["b"]))
