--- a/packages/core/sapphire_core/flows/keeper_role.py
+++ b/packages/core/sapphire_core/flows/keeper_role.py
@@ -234,7 +234,9 @@
         # The other keeper may hold an earlier placement of the same flow if
         # this one does, or if this one has no full record.
         is_first_known = (
-            recorded is None and bucket in placements.complete_buckets
+            recorded is None
+            and bucket in placements.complete_buckets
+            and not self._may_place_elsewhere(routes.name, bucket)
         )
         if is_first_known and routes.is_told_by_base(bucket, upstream):
             return routes.decision_by_upstream[upstream]
@@ -276,6 +278,7 @@
         preferred = routes.generations[-1].owner(bucket)
         is_base = routes.is_told_by_base(bucket, upstream)
         is_free = upstream in routes.inputs.unsettled
+        is_free = is_free or self._may_place_elsewhere(routes.name, bucket)
         if is_base and upstream == preferred and not is_free:
             placements.exceptions.forget(packet.flow_hash)
             return
@@ -353,6 +356,14 @@
         decision = routes.decision_by_upstream.get(recorded)
         return isinstance(decision, data.Forward)
 
+    def _may_place_elsewhere(self, service: str, bucket: int) -> bool:
+        """Returns whether another host may place a repeated opening packet.
+
+        It may know other ramps, hence choose another upstream than this one.
+        """
+        first = self._keepers.first(service, bucket)
+        return self.is_view_new or first not in (None, self._host_id)
+
     def _witnesses(self, service: str, bucket: int) -> list[str]:
         """Returns the hosts beside this one that have to know a placement.
 
