--- /dev/null
+++ b/packages/lab/sapphire_lab/flows/permit_cost.py
@@ -0,0 +1,75 @@
+"""What it costs a host to observe and to allow cuts of the pool history."""
+
+from collections.abc import Callable
+import json
+import statistics
+import time
+
+from sapphire_core.flows import history_decision
+from sapphire_core.flows import history_permits
+from sapphire_core.membership import data
+from sapphire_core.membership import message_size
+from sapphire_lab.flows import builders
+from sapphire_wire import permit_facts
+
+SERVICES = 24_000
+HOSTS = 64
+BUCKETS = 1_021
+REPEATS = 9
+FACT_TTL_MS = 300_000
+POOLS = ("abc", "ab", "abc", "bc", "abc")
+MS_PER_SECOND = 1_000
+
+
+def main() -> None:
+    """Prints one JSON object."""
+    pool = [builders.upstream(name) for name in "abc"]
+    services = [
+        builders.service(f"service-{index:05d}", pool, ["abc"])
+        for index in range(SERVICES)
+    ]
+    configuration = builders.configuration(1, services)
+    observer = history_permits.Observer(1, 0)
+    names = [f"tacoma-{index:012x}" for index in range(HOSTS)]
+    view = builders.view([builders.member(name) for name in names])
+    changed = builders.service("rota", pool, POOLS, bucket_count=BUCKETS)
+    one = builders.configuration(1, [changed])
+    allowed = history_permits.PermitReport(1, {"rota": len(POOLS)})
+    figures = {
+        "fact_bytes": _fact_bytes(names[0]),
+        "configuration_ms": _median_ms(
+            lambda: observer.note_configuration(configuration, 0)
+        ),
+        "view_ms": _median_ms(lambda: observer.note_view(view, 0)),
+        "decision_ms": _median_ms(
+            lambda: history_decision.agreed_cuts(one, [allowed] * HOSTS)
+        ),
+    }
+    print(json.dumps(figures))
+
+
+def _fact_bytes(host_id: str) -> int:
+    """Returns the size of a fact with the most permits."""
+    permits = {
+        f"service-{index:05d}": 1
+        for index in range(history_permits.MAX_PERMITS)
+    }
+    report = history_permits.PermitReport((1 << 64) - 1, permits)
+    value = permit_facts.encode(report)
+    key = permit_facts.KEY_PREFIX + host_id
+    entry = data.FactEntry(key, 1, value, FACT_TTL_MS)
+    return message_size.fact_bytes(entry)
+
+
+def _median_ms(step: Callable[[], object]) -> float:
+    """Returns the processor time of a step."""
+    times = []
+    for _ in range(REPEATS):
+        start = time.process_time()
+        step()
+        times.append((time.process_time() - start) * MS_PER_SECOND)
+    return round(statistics.median(times), 3)
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/node/sapphire_node/housekeeping/task.py
+++ b/packages/node/sapphire_node/housekeeping/task.py
@@ -38,11 +38,20 @@
         store = store_client.GatewayStore(http, urls[1:])
         environment = environments.Environment(store, settings.prefix)
         keeper = HistoryKeeper(parts, environment)
-        while True:
-            keeper.watch()
-            if keeper.is_due():
-                await keeper.work()
-            await anyio.sleep(WATCH_MS / clock.MS_PER_SECOND)
+        async with anyio.create_task_group() as tasks:
+            # A slow store must not interrupt the observation.
+            tasks.start_soon(_watch, keeper)
+            while True:
+                if keeper.is_due():
+                    await keeper.work()
+                await anyio.sleep(WATCH_MS / clock.MS_PER_SECOND)
+
+
+async def _watch(keeper: "HistoryKeeper") -> None:
+    """Observes until cancelled."""
+    while True:
+        keeper.watch()
+        await anyio.sleep(WATCH_MS / clock.MS_PER_SECOND)
 
 
 class HistoryKeeper:
--- /dev/null
+++ b/packages/node/sapphire_node/housekeeping/task_test.py
@@ -0,0 +1,192 @@
+import types
+from typing import Any
+
+import anyio
+from anyio.streams import memory
+import testtools
+
+from sapphire_core.flows import exceptions_table
+from sapphire_core.flows import history_cut
+from sapphire_core.flows import history_permits
+from sapphire_core.membership import data as membership_data
+from sapphire_data import clock
+from sapphire_data import records
+from sapphire_lab.config import builders as config_builders
+from sapphire_lab.config import fakes
+from sapphire_lab.flows import builders
+from sapphire_net.store import changes
+from sapphire_net.store import reading
+from sapphire_node import messages
+from sapphire_node.housekeeping import task
+
+HOSTS = ("h1", "h2", "h3")
+MINUTE_MS = 60_000
+WAIT_MS = exceptions_table.PERIOD_MS + history_permits.SETTLE_MS
+
+
+class FakeHost:
+    """The parts of a daemon that the task reads."""
+
+    def __init__(self, fleet: "Fleet", host_id: str) -> None:
+        self.fleet = fleet
+        self.own = types.SimpleNamespace(host_id=host_id)
+        self.time = fleet.time
+        self.is_silent = False
+        self.oldest: int | None = None
+        self.control = types.SimpleNamespace(membership=self)
+        self.configuration = self
+        self.packets = types.SimpleNamespace(router=self)
+        self.to_control, self.inbox = _stream()
+
+    def view(self) -> records.MemberView:
+        return builders.view([builders.member(host) for host in HOSTS])
+
+    def facts(self, now_ms: int) -> dict[str, membership_data.FactEntry]:
+        return {
+            key: fact
+            for key, (fact, ends_ms) in self.fleet.facts.items()
+            if now_ms < ends_ms
+        }
+
+    def status(self) -> Any:
+        return types.SimpleNamespace(configuration=self.fleet.configuration)
+
+    def need_reports(self, now_ms: int) -> list[history_cut.NeedReport]:
+        host_id = self.own.host_id
+        return [
+            history_cut.NeedReport(
+                host_id, "rota", self.oldest, False, frozenset(), now_ms
+            )
+        ]
+
+
+def _stream() -> tuple[
+    memory.MemoryObjectSendStream[messages.ToControl],
+    memory.MemoryObjectReceiveStream[messages.ToControl],
+]:
+    return anyio.create_memory_object_stream[messages.ToControl](16)
+
+
+class Fleet:
+    """Three hosts at one store; what one publishes, all know at once."""
+
+    def __init__(self) -> None:
+        self.store = fakes.MemoryStore()
+        self.time: clock.ManualClock = self.store.time
+        self.environment = fakes.memory_environment(self.store)
+        self.facts: dict[str, tuple[membership_data.FactEntry, int]] = {}
+        self.configuration: records.Configuration | None = None
+        self.hosts = [FakeHost(self, host) for host in HOSTS]
+        self.keepers: list[task.HistoryKeeper] = []
+
+    async def begin(self) -> None:
+        for drained in ("rota-1", "rota-2", "rota-3"):
+            seen = await reading.read_snapshot(self.environment)
+            intent = changes.Intent(
+                config_builders.document_bytes(drained=(drained,)),
+                config_builders.bindings_bytes(),
+                "ann",
+            )
+            await changes.apply(self.environment, seen.ok, intent)
+        await self.follow()
+        for host in self.hosts:
+            parts: Any = host
+            self.keepers.append(task.HistoryKeeper(parts, self.environment))
+
+    async def follow(self) -> None:
+        snapshot = await reading.read_snapshot(self.environment)
+        self.configuration = snapshot.ok.configuration
+
+    async def live(self, duration_ms: int) -> None:
+        """Runs the tasks for a time, with a second between the steps."""
+        for _ in range(duration_ms // clock.MS_PER_SECOND):
+            self.time.advance(clock.MS_PER_SECOND)
+            for host, keeper in zip(self.hosts, self.keepers, strict=True):
+                if host.is_silent:
+                    continue
+                keeper.watch()
+                if keeper.is_due():
+                    await keeper.work()
+                self._publish(host)
+
+    def _publish(self, host: FakeHost) -> None:
+        while host.inbox.statistics().current_buffer_used:
+            message = host.inbox.receive_nowait()
+            if not isinstance(message, messages.PublishFact):
+                continue
+            entry = membership_data.FactEntry(
+                message.key, message.version, message.value, message.ttl_ms
+            )
+            ends_ms = self.time.now_ms() + message.ttl_ms
+            self.facts[message.key] = (entry, ends_ms)
+
+    async def numbers(self) -> list[int]:
+        snapshot = await reading.read_snapshot(self.environment)
+        service = snapshot.ok.configuration.services_by_name["rota"]
+        return [item.number for item in service.generations]
+
+    async def revision(self) -> int:
+        snapshot = await reading.read_snapshot(self.environment)
+        return snapshot.ok.stored.revision
+
+
+def run(body: Any) -> None:
+    anyio.run(body)
+
+
+class TaskTest(testtools.TestCase):
+    def test_history_is_cut_once_after_the_idle_time(self) -> None:
+        async def body() -> None:
+            fleet = Fleet()
+            await fleet.begin()
+            await fleet.live(WAIT_MS - MINUTE_MS)
+            self.assertEqual([1, 2, 3], await fleet.numbers())
+            self.assertEqual({}, fleet.facts)
+            await fleet.live(5 * MINUTE_MS)
+            self.assertEqual([3], await fleet.numbers())
+            revision = await fleet.revision()
+            await fleet.follow()
+            await fleet.live(20 * MINUTE_MS)
+            self.assertEqual(revision, await fleet.revision())
+
+        run(body)
+
+    def test_a_host_that_falls_silent_forbids_cuts(self) -> None:
+        async def body() -> None:
+            fleet = Fleet()
+            await fleet.begin()
+            fleet.hosts[1].is_silent = True
+            await fleet.live(WAIT_MS + 10 * MINUTE_MS)
+            self.assertEqual([1, 2, 3], await fleet.numbers())
+
+        run(body)
+
+    def test_a_host_that_needs_all_forbids_cuts(self) -> None:
+        async def body() -> None:
+            fleet = Fleet()
+            await fleet.begin()
+            fleet.hosts[2].oldest = 1
+            await fleet.live(WAIT_MS + 10 * MINUTE_MS)
+            self.assertEqual([1, 2, 3], await fleet.numbers())
+            fleet.hosts[2].oldest = None
+            await fleet.live(10 * MINUTE_MS)
+            self.assertEqual([3], await fleet.numbers())
+
+        run(body)
+
+    def test_cuts_wait_while_the_store_is_down(self) -> None:
+        async def body() -> None:
+            fleet = Fleet()
+            await fleet.begin()
+            fleet.store.faults = [fakes.Fault.DOWN] * 1_000
+            await fleet.live(WAIT_MS + 20 * MINUTE_MS)
+            calls = 1_000 - len(fleet.store.faults)
+            self.assertGreater(calls, 0)
+            # An attempt in five minutes, each a call for the lease or two.
+            self.assertTrue(calls <= 10, f"{calls} calls")
+            fleet.store.faults = []
+            self.assertEqual([1, 2, 3], await fleet.numbers())
+            await fleet.live(10 * MINUTE_MS)
+            self.assertEqual([3], await fleet.numbers())
+
+        run(body)
