--- a/packages/node/sapphire_node/housekeeping/task.py
+++ b/packages/node/sapphire_node/housekeeping/task.py
@@ -75,12 +75,13 @@
         self._decider = history_decision.Decider(parts.own.host_id)
         self._worked_ms = now_ms
         self._noted: records.Configuration | None = None
+        self._was_too_large = False
 
     def watch(self) -> None:
         """Notes what changes the keepers or the generations."""
         now_ms = self._parts.time.now_ms()
         view = self._parts.control.membership.view()
-        if len(view.members_by_id) > MAX_HOSTS:
+        if self._is_too_large(view):
             return
         self._observer.note_view(view, now_ms)
         configuration = self._parts.configuration.status().configuration
@@ -97,7 +98,7 @@
         now_ms = self._parts.time.now_ms()
         self._worked_ms = now_ms
         view = self._parts.control.membership.view()
-        if self._noted is None or len(view.members_by_id) > MAX_HOSTS:
+        if self._noted is None or self._is_too_large(view):
             return
         report = self._report(now_ms)
         fact = self._publisher.fact(report, now_ms)
@@ -107,6 +108,21 @@
         if self._decider.decide(self._noted, view, permits, now_ms):
             await self._cut()
 
+    def _is_too_large(self, view: records.MemberView) -> bool:
+        """Returns whether the fleet is too large for cuts; logs a change."""
+        hosts = len(view.members_by_id)
+        is_too_large = hosts > MAX_HOSTS
+        if is_too_large and not self._was_too_large:
+            event_log.log(
+                _LOGGER,
+                logging.WARNING,
+                "history_cuts_off",
+                hosts=hosts,
+                max_hosts=MAX_HOSTS,
+            )
+        self._was_too_large = is_too_large
+        return is_too_large
+
     def _report(self, now_ms: int) -> history_permits.PermitReport:
         """Returns what this host allows now."""
         configuration = self._noted
--- a/packages/node/sapphire_node/housekeeping/task_test.py
+++ b/packages/node/sapphire_node/housekeeping/task_test.py
@@ -39,7 +39,9 @@
         self.to_control, self.inbox = _stream()
 
     def view(self) -> records.MemberView:
-        return builders.view([builders.member(host) for host in HOSTS])
+        extra = [f"n{number}" for number in range(self.fleet.extra_hosts)]
+        names = [*HOSTS, *extra]
+        return builders.view([builders.member(name) for name in names])
 
     def facts(self, now_ms: int) -> dict[str, membership_data.FactEntry]:
         return {
@@ -78,6 +80,7 @@
         self.configuration: records.Configuration | None = None
         self.hosts = [FakeHost(self, host) for host in HOSTS]
         self.keepers: list[task.HistoryKeeper] = []
+        self.extra_hosts = 0
 
     async def begin(self) -> None:
         for drained in ("rota-1", "rota-2", "rota-3"):
@@ -161,6 +164,19 @@
 
         run(body)
 
+    def test_a_fleet_that_is_too_large_is_told_and_not_cut(self) -> None:
+        async def body() -> None:
+            fleet = Fleet()
+            await fleet.begin()
+            fleet.extra_hosts = task.MAX_HOSTS
+            with self.assertLogs(task.__name__, "WARNING") as logs:
+                await fleet.live(WAIT_MS + 10 * MINUTE_MS)
+            self.assertEqual(len(HOSTS), len(logs.records))
+            self.assertEqual({}, fleet.facts)
+            self.assertEqual([1, 2, 3], await fleet.numbers())
+
+        run(body)
+
     def test_a_host_that_needs_all_forbids_cuts(self) -> None:
         async def body() -> None:
             fleet = Fleet()
