--- a/packages/lab/sapphire_lab/forward/measure.py
+++ b/packages/lab/sapphire_lab/forward/measure.py
@@ -145,7 +145,11 @@
     daemon_udp, daemon_port = await _open()
     bare = BareRelay(bare_udp, sink_port)
     daemon = forwarder.Forwarder(
-        router, forwarder.Sockets(daemon_udp, daemon_udp), outbox, manual
+        builders.HOST_ID,
+        router,
+        forwarder.Sockets(daemon_udp, daemon_udp),
+        outbox,
+        time=manual,
     )
     now_ms = manual.now_ms()
     held = _flows(HELD_FLOWS, 0, is_moved=True)
--- a/packages/node/sapphire_node/configuration/keeper.py
+++ b/packages/node/sapphire_node/configuration/keeper.py
@@ -1,6 +1,7 @@
 """The task that owns the store's client and the spreading of revisions."""
 
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 import dataclasses
 import logging
 import random
@@ -58,6 +59,7 @@
         *,
         peer_context: ssl.SSLContext | None = None,
         store_context: ssl.SSLContext | None = None,
+        note_newer: Callable[[int], None] | None = None,
     ) -> None:
         """Creates the task.
 
@@ -69,7 +71,11 @@
             peer_context: The TLS context for peers; none for clear text.
             store_context: The TLS context for the store; none for the
                 library's default.
+            note_newer: Told the newest revision that this host has heard of,
+                before it is fetched.
         """
+        self._note_newer = note_newer
+        self._told_revision = 0
         self.dropped_events = 0
         self._own = own
         self._settings = settings
@@ -193,6 +199,14 @@
             self.put(spreading_data.Tick())
             await anyio.sleep(TICK_MS / clock.MS_PER_SECOND)
 
+    def _tell_newest(self) -> None:
+        """Tells of a newer revision as soon as it is heard of."""
+        newest = self._spreading.newest_heard.revision
+        if self._note_newer is None or newest <= self._told_revision:
+            return
+        self._told_revision = newest
+        self._note_newer(newest)
+
     async def _handle(
         self,
         arrival: _Arrival,
@@ -203,6 +217,7 @@
         """Gives the state machine one event and carries out its actions."""
         fork_count = len(self._spreading.forks)
         actions = self._spreading.handle(arrival.event, self._time.now_ms())
+        self._tell_newest()
         for fork in self._spreading.forks[fork_count:]:
             event_log.log_failure(_LOGGER, "revision_forked", fork)
         for action in actions:
--- a/packages/node/sapphire_node/forwarder.py
+++ b/packages/node/sapphire_node/forwarder.py
@@ -23,9 +23,11 @@
 from sapphire_node import flow_levels
 from sapphire_node import health_judgement
 from sapphire_node import messages
+from sapphire_node import ramp_inquiry
 from sapphire_wire import flow_messages
 from sapphire_wire import ip_packet
 from sapphire_wire import message_kind
+from sapphire_wire import ramp_messages
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -67,20 +69,24 @@
 
     def __init__(
         self,
+        host_id: str,
         router: flow_router.Router,
         sockets: Sockets,
         outbox: memory.MemoryObjectSendStream[messages.ToControl],
+        *,
         time: clock.Clock,
     ) -> None:
         """Creates the forwarder.
 
         Args:
+            host_id: The identity of this host.
             router: The router; only this task changes it.
             sockets: Its sockets.
             outbox: Takes messages for the control task.
             time: The clock.
         """
         self.counters = Counters()
+        self.host_id = host_id
         self.router = router
         self._fabric = sockets.fabric
         self._relayed = sockets.relayed
@@ -88,6 +94,7 @@
         self._time = time
         self.last_packet_ms = 0
         self.seen = flow_levels.FlowLevels()
+        self._inquiry = ramp_inquiry.RampInquiry()
         self._health = upstream_health.UpstreamHealth()
         self._hosts_by_id: dict[str, records.HostAddress] = {}
 
@@ -134,8 +141,9 @@
     async def tick(self) -> None:
         """Gives the router the time at regular intervals until cancelled."""
         while True:
-            actions = self.router.tick(self._time.now_ms())
-            await self._send_actions(actions)
+            now_ms = self._time.now_ms()
+            await self._send_actions(self.router.tick(now_ms))
+            await self._ask_for_ramps(now_ms)
             await anyio.sleep(TICK_MS / clock.MS_PER_SECOND)
 
     async def handle(self, message: messages.ToForwarder) -> None:
@@ -159,6 +167,7 @@
             configuration = message.configuration
             self.seen.changes.note_prepared(configuration, now_ms)
             self.router.prepare(configuration, now_ms)
+            self._inquiry.start(now_ms)
             await self._outbox.send(
                 messages.PublishPrepared(configuration.revision)
             )
@@ -227,6 +236,31 @@
                 self.counters.drop(decoded.error)
                 return
             self.router.accept_handover(message.sender, decoded.ok, now_ms)
+            return
+
+        if message.kind is _Kind.RAMP_REQUEST:
+            ramps = self.router.ramps(now_ms)
+            await self._send_to(
+                message.sender,
+                _Kind.RAMP_ANSWER,
+                ramp_messages.encode_answer(ramps),
+            )
+            return
+        if message.kind is _Kind.RAMP_ANSWER:
+            answer = ramp_messages.decode_answer(message.body)
+            if answer.is_error():
+                self.counters.drop(answer.error)
+                return
+            self._inquiry.note_answer(message.sender)
+            self.router.adopt_ramps(answer.ok, now_ms)
+
+    async def _ask_for_ramps(self, now_ms: int) -> None:
+        """Asks peers for the start ramps after this host has started."""
+        peers = self._hosts_by_id.keys() - {self.host_id}
+        for host_id in self._inquiry.hosts_to_ask(peers, now_ms):
+            await self._send_to(
+                host_id, _Kind.RAMP_REQUEST, ramp_messages.encode_request()
+            )
 
     async def _route_relayed(self, body: bytes, now_ms: int) -> None:
         """Routes a packet that another host handed over."""
--- a/packages/node/sapphire_node/parts.py
+++ b/packages/node/sapphire_node/parts.py
@@ -1,5 +1,7 @@
 """Builds the tasks of the daemon and the streams between them."""
 
+from collections.abc import Callable
+import contextlib
 import dataclasses
 import random
 import uuid
@@ -91,17 +93,23 @@
         messages.ToForwarder
     ](INBOX_MESSAGES)
     packets = forwarder.Forwarder(
+        own.host_id,
         flow_router.Router(own.host_id),
         forwarder.Sockets(sockets.fabric, sockets.relayed),
         to_control,
-        time,
+        time=time,
     )
     probes = prober.Prober(own.host_id, to_forwarder)
     peer_context = None
     if loaded.api_tls is not None:
         peer_context = following.follow(loaded.api_tls.client)
     configuration = keeper.Keeper(
-        own, settings.store, to_control, time, peer_context=peer_context
+        own,
+        settings.store,
+        to_control,
+        time,
+        peer_context=peer_context,
+        note_newer=_note_newer(to_forwarder),
     )
     slots = slot_carrier.SlotCarrier(to_control)
     requests = request_service.RequestService(
@@ -160,6 +168,20 @@
     return note
 
 
+def _note_newer(
+    to_forwarder: memory.MemoryObjectSendStream[messages.ToForwarder],
+) -> Callable[[int], None]:
+    """Returns what tells the router of a revision that is not fetched yet."""
+
+    def tell(revision: int) -> None:
+        # A full inbox means that the router is behind anyway; the revision
+        # itself follows.
+        with contextlib.suppress(anyio.WouldBlock):
+            to_forwarder.send_nowait(messages.NewerRevisionKnown(revision))
+
+    return tell
+
+
 def _own_address(settings: settings_lib.Settings) -> records.HostAddress:
     """Returns the identity of this process, new at each start."""
     suffix = uuid.uuid4().hex[:HOST_ID_CHARACTERS]
--- a/packages/wire/idl/flows.thrift
+++ b/packages/wire/idl/flows.thrift
@@ -25,3 +25,16 @@
   3: required string boot_id,
   4: required i64 version,
 }
+
+// What a host that has just started asks of its peers.
+struct RampRequest {
+}
+
+struct Ramp {
+  1: required string upstream,
+  2: required i64 age_ms,
+}
+
+struct RampAnswer {
+  1: required list<Ramp> ramps,
+}
--- a/packages/wire/sapphire_wire/gen/flows/ttypes.py
+++ b/packages/wire/sapphire_wire/gen/flows/ttypes.py
@@ -416,6 +416,186 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class RampRequest(object):
+
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RampRequest')
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Ramp(object):
+    """
+    Attributes:
+     - upstream
+     - age_ms
+
+    """
+
+
+    def __init__(self, upstream=None, age_ms=None,):
+        self.upstream = upstream
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.upstream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Ramp')
+        if self.upstream is not None:
+            oprot.writeFieldBegin('upstream', TType.STRING, 1)
+            oprot.writeString(self.upstream.encode('utf-8') if sys.version_info[0] == 2 else self.upstream)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I64, 2)
+            oprot.writeI64(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.upstream is None:
+            raise TProtocolException(message='Required field upstream is unset!')
+        if self.age_ms is None:
+            raise TProtocolException(message='Required field age_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RampAnswer(object):
+    """
+    Attributes:
+     - ramps
+
+    """
+
+
+    def __init__(self, ramps=None,):
+        self.ramps = ramps
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.ramps = []
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = Ramp()
+                        _elem54.read(iprot)
+                        self.ramps.append(_elem54)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RampAnswer')
+        if self.ramps is not None:
+            oprot.writeFieldBegin('ramps', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.ramps))
+            for iter55 in self.ramps:
+                iter55.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.ramps is None:
+            raise TProtocolException(message='Required field ramps is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(HandoverRequest)
 HandoverRequest.thrift_spec = (
     None,  # 0
@@ -444,5 +624,19 @@
     (3, TType.STRING, 'boot_id', 'UTF8', None, ),  # 3
     (4, TType.I64, 'version', None, None, ),  # 4
 )
+all_structs.append(RampRequest)
+RampRequest.thrift_spec = (
+)
+all_structs.append(Ramp)
+Ramp.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'upstream', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'age_ms', None, None, ),  # 2
+)
+all_structs.append(RampAnswer)
+RampAnswer.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'ramps', (TType.STRUCT, [Ramp, None], False), None, ),  # 1
+)
 fix_spec(all_structs)
 del all_structs
--- a/packages/wire/sapphire_wire/message_kind.py
+++ b/packages/wire/sapphire_wire/message_kind.py
@@ -15,3 +15,5 @@
     HANDOVER_PAGE = 4
     CONFIGURATION_NOTICE = 5
     SLOT_MESSAGE = 6
+    RAMP_REQUEST = 7
+    RAMP_ANSWER = 8
