Opening a flow in an ambiguous bucket: order looked up once, records as tuples

Cause: by profile the keeper looked the order of a bucket up seven times for an opening packet, asked three times whether another host may place it, and built a frozen dataclass for each packet.

--- a/packages/core/sapphire_core/flows/keeper_role.py
+++ b/packages/core/sapphire_core/flows/keeper_role.py
@@ -1,7 +1,5 @@
 """The decisions of a host about packets of ambiguous buckets."""
 
-import dataclasses
-
 from sapphire_core.flows import data
 from sapphire_core.flows import exceptions_table
 from sapphire_core.flows import failures
@@ -203,48 +201,62 @@
     ) -> data.Decision:
         """Places a new flow, or hands it to the first keeper."""
         bucket = packet.flow_hash % routes.bucket_count
-        first = self._keepers.first(routes.name, bucket) or self._host_id
+        order = self._keepers.order(routes.name, bucket)
+        first = order[0] if order else self._host_id
         if first != self._host_id and self._may_visit(first, packet):
             return self._relay(first, packet, None)
-        keepers = self._keepers.keepers(routes.name, bucket)
         is_first_visit = self._may_visit(self._host_id, packet)
-        other = self._other_keeper(routes.name, bucket)
-        is_behind = packet.revision > self.prepared_revision
-        if is_behind and is_first_visit and other is not None:
+        if is_first_visit and packet.revision > self.prepared_revision:
             # The change that this host missed may take the upstream away
             # that it would choose; the other keeper may know.
-            return self._relay(other, packet, None)
-        is_keeper = not keepers or self._host_id in keepers
+            other = self._other_keeper(routes.name, bucket)
+            if other is not None:
+                return self._relay(other, packet, None)
+        keepers = order[: keepers_lib.KEEPER_COUNT]
+        is_keeper = not order or self._host_id in keepers
         if not is_keeper and is_first_visit:
             # The first keeper still takes this host for the first one. It
             # places the flow when the packet comes back.
             return self._relay(first, packet, None)
         exceptions = placements.exceptions
         recorded = exceptions.get(packet.flow_hash)
-        if recorded is not None and self._is_usable(
+        is_new = recorded is None or not self._is_usable(
             routes, exceptions, packet, recorded
-        ):
+        )
+        if recorded is not None and not is_new:
             upstream = recorded
         else:
             placed = self._place(routes, packet, is_fresh, now_ms)
             if isinstance(placed, data_failures.Failure):
                 return data.Drop(placed)
             upstream = placed
-            self._record_new(routes, placements, packet, upstream)
+        # Another host may know other ramps and place a repeated opening packet
+        # elsewhere.
+        may_differ = self.is_view_new or first != self._host_id
+        is_told = routes.is_told_by_base(bucket, upstream)
+        if is_new:
+            is_free = may_differ or upstream in routes.inputs.unsettled
+            is_preferred = routes.generations[-1].owner(bucket) == upstream
+            self._record_new(
+                placements,
+                packet,
+                upstream,
+                is_implied=is_told and is_preferred and not is_free,
+            )
         # The other keeper may hold an earlier placement of the same flow if
         # this one does, or if this one has no full record.
         is_first_known = (
             recorded is None
             and bucket in placements.complete_buckets
-            and not self._may_place_elsewhere(routes.name, bucket)
+            and not may_differ
         )
-        if is_first_known and routes.is_told_by_base(bucket, upstream):
+        if is_first_known and is_told:
             return routes.decision_by_upstream[upstream]
         witnesses = self._witnesses(routes.name, bucket)
         if not witnesses:
             return routes.decision_by_upstream[upstream]
         # The hosts that were visited so far do not know the placement.
-        unseen = dataclasses.replace(packet, visited=())
+        unseen = packet._replace(visited=())
         return self._relay(witnesses[0], unseen, upstream)
 
     def _place(
@@ -268,18 +280,14 @@
 
     def _record_new(
         self,
-        routes: routes_lib.Routes,
         placements: placements_lib.Placements,
         packet: placements_lib.Packet,
         upstream: str,
+        *,
+        is_implied: bool,
     ) -> None:
         """Records a placement unless it is what any host would choose."""
-        bucket = packet.flow_hash % routes.bucket_count
-        preferred = routes.generations[-1].owner(bucket)
-        is_base = routes.is_told_by_base(bucket, upstream)
-        is_free = upstream in routes.inputs.unsettled
-        is_free = is_free or self._may_place_elsewhere(routes.name, bucket)
-        if is_base and upstream == preferred and not is_free:
+        if is_implied:
             placements.exceptions.forget(packet.flow_hash)
             return
         # The placement of a cold upstream's flow depends on the time. It is
@@ -356,14 +364,6 @@
         decision = routes.decision_by_upstream.get(recorded)
         return isinstance(decision, data.Forward)
 
-    def _may_place_elsewhere(self, service: str, bucket: int) -> bool:
-        """Returns whether another host may place a repeated opening packet.
-
-        It may know other ramps, hence choose another upstream than this one.
-        """
-        first = self._keepers.first(service, bucket)
-        return self.is_view_new or first not in (None, self._host_id)
-
     def _witnesses(self, service: str, bucket: int) -> list[str]:
         """Returns the hosts beside this one that have to know a placement.
 
--- a/packages/core/sapphire_core/flows/placements.py
+++ b/packages/core/sapphire_core/flows/placements.py
@@ -1,14 +1,15 @@
 """What a host remembers of the flows of a service."""
 
-import dataclasses
+from typing import NamedTuple
 
 from sapphire_core.flows import exceptions_table
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Packet:
+class Packet(NamedTuple):
     """What a decision depends on, beside the bucket.
 
+    A tuple, because one is made for each packet of an ambiguous bucket.
+
     Attributes:
         flow_hash: The hash of the flow.
         is_opening: Whether it opens the flow.
--- a/packages/core/sapphire_core/flows/routes.py
+++ b/packages/core/sapphire_core/flows/routes.py
@@ -33,7 +33,10 @@
 
     def owner(self, bucket: int) -> str | None:
         """Returns the owner of a bucket, None in an empty generation."""
-        return bucket_table.owner_name(self.table, self.upstreams, bucket)
+        index = self.table[bucket]
+        if index == bucket_table.NO_OWNER:
+            return None
+        return self.upstreams[index]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -106,7 +109,10 @@
 
     def is_told_by_base(self, bucket: int, upstream: str) -> bool:
         """Returns whether all views name an upstream as the base owner."""
-        return all(base.owner(bucket) == upstream for base in self.bases)
+        for base in self.bases:
+            if base.owner(bucket) != upstream:
+                return False
+        return True
 
 
 def build(inputs: ServiceInputs) -> Routes:
