--- a/packages/node/sapphire_node/control.py
+++ b/packages/node/sapphire_node/control.py
@@ -207,6 +207,11 @@
                 return
             await self._carry_out(outcome.ok)
             return
+        if isinstance(message, messages.HostsListed):
+            await self._carry_out(
+                self.membership.set_host_list(message.hosts, now_ms)
+            )
+            return
         await self._carry_out(self.membership.leave(now_ms))
 
     async def _carry_out(
--- a/packages/node/sapphire_node/daemon.py
+++ b/packages/node/sapphire_node/daemon.py
@@ -15,6 +15,7 @@
 from sapphire_node import answers
 from sapphire_node import api
 from sapphire_node import departure
+from sapphire_node import host_list_task
 from sapphire_node import lifecycle
 from sapphire_node import listeners
 from sapphire_node import loading
@@ -120,6 +121,11 @@
     tasks.start_soon(parts.configuration.run)
     tasks.start_soon(rotation_task.run, parts.loaded, parts.control)
     tasks.start_soon(housekeeping_task.run, parts)
+    if parts.loaded.host_list_file is not None:
+        listed = host_list_task.HostListTask(
+            parts.loaded.host_list_file, parts.to_control
+        )
+        tasks.start_soon(listed.run)
     tasks.start_soon(_distribute, parts)
     tasks.start_soon(_serve_api, parts)
     tasks.start_soon(_serve_requests, parts, stop_requests)
--- a/packages/node/sapphire_node/loading.py
+++ b/packages/node/sapphire_node/loading.py
@@ -33,12 +33,15 @@
         key_file: The file of the keys of control messages.
         ring: The keys of control messages.
         api_tls: The contexts of the API; None serves it in the clear.
+        host_list_file: The platform's list of hosts; None where it gives
+            none.
     """
 
     settings: settings_lib.Settings
     key_file: pathlib.Path
     ring: keys.KeyRing
     api_tls: ApiTls | None
+    host_list_file: pathlib.Path | None = None
 
 
 def load(
@@ -70,7 +73,11 @@
         errors.extend(tls_errors)
     if errors:
         return None, errors
-    return LoadedSettings(parsed, key_file, ring.ok, api_tls), []
+    host_list_file = None
+    if parsed.host_list_file is not None:
+        host_list_file = path.parent / parsed.host_list_file
+    loaded = LoadedSettings(parsed, key_file, ring.ok, api_tls, host_list_file)
+    return loaded, []
 
 
 def _open_tls(
--- a/packages/node/sapphire_node/messages.py
+++ b/packages/node/sapphire_node/messages.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from sapphire_core.flows import data as flow_data
+from sapphire_core.membership import data as membership_data
 from sapphire_data import records
 from sapphire_wire import message_kind
 
@@ -126,6 +127,17 @@
     boot_id: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HostsListed:
+    """The platform's list of hosts has changed.
+
+    Attributes:
+        hosts: The addresses of those that are not leaving.
+    """
+
+    hosts: tuple[membership_data.Seed, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class BeginLeave:
     """The host leaves: it hands over and finishes what is open."""
@@ -139,4 +151,6 @@
     | ControlReceived
     | UpstreamProbed
 )
-ToControl = PublishFact | PublishPrepared | SendControl | BeginLeave
+ToControl = (
+    PublishFact | PublishPrepared | SendControl | HostsListed | BeginLeave
+)
--- a/packages/wire/sapphire_wire/settings.py
+++ b/packages/wire/sapphire_wire/settings.py
@@ -95,6 +95,8 @@
         address: The IP number that the host listens on and is reached at.
         ports: The ports that the host listens on.
         seeds: Hosts to contact first.
+        host_list_file: The file in which the platform lists hosts; it is read
+            again and again. Without it only the seeds are tried.
         store: How to reach the platform's key-value service.
         trust: Keys and certificates.
         leave_notice_ms: How long a leaving host still accepts new work, while
@@ -109,6 +111,7 @@
     address: ipaddress.IPv4Address | ipaddress.IPv6Address
     ports: PortSettings = PortSettings()
     seeds: tuple[PeerSettings, ...] = ()
+    host_list_file: str | None = None
     store: StoreSettings
     trust: TrustSettings
     leave_notice_ms: int = pydantic.Field(default=2_000, ge=0, le=60_000)
