A change compares the services that changed, not all

Unchanged services are now told by the identity of their records, and by the set of upstreams whose state changed.

--- a/packages/core/sapphire_core/flows/ramp_driver.py
+++ b/packages/core/sapphire_core/flows/ramp_driver.py
@@ -47,17 +47,23 @@
         """
         previous = self.noted
         self.noted = configuration
+        cold = self.ramp.cold_upstreams()
         present: set[str] = set()
         self._buckets_by_upstream = {}
         for service in configuration.services_by_name.values():
-            present.update(service.upstreams_by_name)
             before = None
             if previous is not None:
                 before = previous.services_by_name.get(service.name)
+            is_cold = not cold.isdisjoint(service.upstreams_by_name)
+            if before is service and not is_cold:
+                # An unchanged service brings nothing in.
+                continue
+            if is_cold:
+                present.update(cold & service.upstreams_by_name.keys())
             self._start(
                 service, _brought_in(service, before, previous is None), now_ms
             )
-        for name in self.ramp.cold_upstreams() - present:
+        for name in cold - present:
             self.ramp.forget(name)
         # The buckets that stand for slots may have moved.
         self.ramp.note_view(now_ms)
--- a/packages/core/sapphire_core/flows/route_tables.py
+++ b/packages/core/sapphire_core/flows/route_tables.py
@@ -1,5 +1,8 @@
 """The routes of all service addresses, rebuilt only where inputs change."""
 
+from collections.abc import Mapping
+import dataclasses
+
 from sapphire_core.flows import data
 from sapphire_core.flows import failures
 from sapphire_core.flows import overlays as overlays_lib
@@ -12,6 +15,41 @@
 Routes = routes_lib.Routes
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _CommonInputs:
+    """What the routes of all services depend on alike."""
+
+    closed: frozenset[str]
+    out: frozenset[str]
+    given_up: frozenset[str]
+    unsettled: frozenset[str]
+    spread: frozenset[str]
+    failed: frozenset[str]
+    lost_by_service: Mapping[str, frozenset[str]]
+
+    def touched_since(
+        self, before: "_CommonInputs | None"
+    ) -> frozenset[str] | None:
+        """Returns the upstreams whose state differs from earlier inputs.
+
+        Args:
+            before: The earlier inputs.
+
+        Returns:
+            Their names, None where all services are concerned.
+        """
+        if before is None:
+            return None
+        data_centres = (self.closed, self.out, self.given_up)
+        if data_centres != (before.closed, before.out, before.given_up):
+            return None
+        return (
+            (self.unsettled ^ before.unsettled)
+            | (self.spread ^ before.spread)
+            | (self.failed ^ before.failed)
+        )
+
+
 class RouteTables:
     """The routes of a host by service key.
 
@@ -34,6 +72,7 @@
         self._revisions = revisions
         self._overlays = overlays
         self._spread: frozenset[str] = frozenset()
+        self._common: _CommonInputs | None = None
 
     def find(self, service_key: bytes) -> Routes | None:
         """Returns the routes of a service address, None if it has none."""
@@ -80,37 +119,38 @@
         if not configurations:
             return
         self._spread = self._overlays.spread(now_ms)
-        unsettled = self._overlays.unsettled() | cold
-        failed = self._overlays.failed()
-        lost = service_views.lost_upstreams(configurations)
-        closed = _out(configurations[:1])
-        out = _out(configurations)
-        given_up = _out(configurations[-1:])
+        common = _CommonInputs(
+            closed=_out(configurations[:1]),
+            out=_out(configurations),
+            given_up=_out(configurations[-1:]),
+            unsettled=self._overlays.unsettled() | cold,
+            spread=self._spread,
+            failed=self._overlays.failed(),
+            lost_by_service=service_views.lost_upstreams(configurations),
+        )
+        touched = common.touched_since(self._common)
+        lost_before = self._common.lost_by_service if self._common else {}
+        self._common = common
         routes_by_key: dict[bytes, Routes] = {}
         self._moving_keys = set()
         for key, found in service_views.by_key(configurations).items():
             if found.is_moving:
                 self._moving_keys.add(key)
                 continue
-            service = found.views[0]
-            names = frozenset(
-                name for view in found.views for name in view.upstreams_by_name
-            )
-            inputs = routes_lib.ServiceInputs(
-                views=found.views,
-                is_active=found.is_active,
-                retired=self._retired(service),
-                closed_data_centres=closed,
-                out_data_centres=out,
-                given_up_data_centres=given_up,
-                unsettled=unsettled & names,
-                spread=self._spread & names,
-                refused=failed & names,
-                lost=lost.get(service.name, frozenset()),
-            )
+            retired = self._retired(found.views[0])
             routes = self.routes_by_key.get(key)
-            if routes is None or routes.inputs != inputs:
-                routes = routes_lib.build(inputs)
+            name = found.views[0].name
+            is_untouched = (
+                routes is not None
+                and touched is not None
+                and common.lost_by_service.get(name) == lost_before.get(name)
+                and _is_same(routes.inputs, found, retired)
+                and _is_apart(touched, found)
+            )
+            if routes is None or not is_untouched:
+                inputs = _inputs(common, found, retired)
+                if routes is None or routes.inputs != inputs:
+                    routes = routes_lib.build(inputs)
             routes_by_key[key] = routes
         self._withdrawn_keys |= self.routes_by_key.keys()
         self._withdrawn_keys -= routes_by_key.keys()
@@ -122,13 +162,68 @@
             return None
         services_by_name = self._revisions.retired.services_by_name
         previous = services_by_name.get(service.name)
-        if previous is None:
+        if previous is None or previous is service:
             return None
         if previous.generations[:1] == service.generations[:1]:
             return None
         return previous
 
 
+def _is_same(
+    inputs: routes_lib.ServiceInputs,
+    found: service_views.ServiceViews,
+    retired: records.Service | None,
+) -> bool:
+    """Returns whether a service is the very one that routes were built from.
+
+    Configurations share the records of services that did not change, so that
+    comparing identities tells nearly all of them apart from the changed ones.
+    """
+    if inputs.is_active is not found.is_active:
+        return False
+    if inputs.retired is not retired:
+        return False
+    if len(inputs.views) != len(found.views):
+        return False
+    for known, view in zip(inputs.views, found.views, strict=True):
+        if known is not view:
+            return False
+    return True
+
+
+def _is_apart(
+    touched: frozenset[str], found: service_views.ServiceViews
+) -> bool:
+    """Returns whether no upstream of a service is among the named ones."""
+    for view in found.views:
+        if not touched.isdisjoint(view.upstreams_by_name):
+            return False
+    return True
+
+
+def _inputs(
+    common: _CommonInputs,
+    found: service_views.ServiceViews,
+    retired: records.Service | None,
+) -> routes_lib.ServiceInputs:
+    """Returns all that the routes of one service depend on."""
+    names = frozenset(
+        name for view in found.views for name in view.upstreams_by_name
+    )
+    return routes_lib.ServiceInputs(
+        views=found.views,
+        is_active=found.is_active,
+        retired=retired,
+        closed_data_centres=common.closed,
+        out_data_centres=common.out,
+        given_up_data_centres=common.given_up,
+        unsettled=common.unsettled & names,
+        spread=common.spread & names,
+        refused=common.failed & names,
+        lost=common.lost_by_service.get(found.views[0].name, frozenset()),
+    )
+
+
 def _out(configurations: list[records.Configuration]) -> frozenset[str]:
     """Returns the data centres that are out in any configuration."""
     names = set()
--- /dev/null
+++ b/packages/core/sapphire_core/flows/route_tables_test.py
@@ -0,0 +1,120 @@
+import dataclasses
+
+import testtools
+
+from sapphire_core.flows import data
+from sapphire_core.flows import router
+from sapphire_core.flows import service_views
+from sapphire_data import records
+from sapphire_lab.flows import builders
+
+
+def service(name: str, octet: int, pool: str) -> records.Service:
+    upstreams = [
+        builders.upstream(f"{name}-{letter}", address=f"10.{octet}.0.{index}")
+        for index, letter in enumerate(pool, start=1)
+    ]
+    names = [upstream.name for upstream in upstreams]
+    return builders.service(
+        name, upstreams, [names], address=f"192.0.2.{octet}"
+    )
+
+
+class RebuildTest(testtools.TestCase):
+    def test_only_the_routes_of_changed_services_are_built_again(self) -> None:
+        one = router.Router("h1")
+        rota = service("rota", 1, "ab")
+        plans = service("plans", 2, "ab")
+        one.prepare(builders.configuration(1, [rota, plans]), 0)
+        before = dict(one._tables.routes_by_key)
+        changed = service("plans", 2, "abc")
+        one.prepare(builders.configuration(2, [rota, changed]), 10)
+        after = one._tables.routes_by_key
+        self.assertIs(
+            before[builders.key_of(rota)], after[builders.key_of(rota)]
+        )
+        self.assertIsNot(
+            before[builders.key_of(plans)], after[builders.key_of(plans)]
+        )
+
+    def test_a_data_centre_taken_out_changes_all_services(self) -> None:
+        one = router.Router("h1")
+        rota = service("rota", 1, "ab")
+        one.prepare(builders.configuration(1, [rota]), 0)
+        before = one._tables.routes_by_key[builders.key_of(rota)]
+        one.prepare(builders.configuration(2, [rota], out=["tacoma"]), 10)
+        after = one._tables.routes_by_key[builders.key_of(rota)]
+        self.assertIsNot(before, after)
+
+
+class QuickComparisonTest(testtools.TestCase):
+    def test_a_full_comparison_finds_nothing_that_was_passed_over(
+        self,
+    ) -> None:
+        one = router.Router("h1")
+        member = builders.member("h1", "tacoma")
+        rota, plans = service("rota", 1, "ab"), service("plans", 2, "ab")
+        grown = service("plans", 2, "abc")
+        now_ms = 0
+        steps = (
+            builders.configuration(1, [rota, plans]),
+            data.Overlay("rota-a", data.OverlayState.COLD, "b2", 1),
+            builders.configuration(2, [rota, grown]),
+            data.Overlay("plans-b", data.OverlayState.FAILED, "", 1),
+            builders.configuration(3, [rota, grown], out=["tacoma"]),
+            data.Overlay("plans-b", data.OverlayState.COLD, "b3", 2),
+            builders.configuration(4, [rota, grown]),
+            data.Overlay("rota-a", data.OverlayState.SETTLED, "b2", 2),
+        )
+        for step in steps:
+            if isinstance(step, data.Overlay):
+                one.apply_overlay(step, now_ms)
+            else:
+                one.prepare(step, now_ms)
+            for _ in range(50):
+                self.assert_current(one, now_ms)
+                now_ms += 100
+                view = builders.view([member], one.prepared_revision)
+                one.set_view(view, now_ms)
+                one.tick(now_ms)
+
+    def assert_current(self, one: router.Router, now_ms: int) -> None:
+        """Asserts that a rebuild without the quick comparison is no news."""
+        tables = one._tables
+        before = dict(tables.routes_by_key)
+        tables._common = None
+        tables.rebuild(one._ramp.ramp.cold_upstreams(), now_ms)
+        self.assertEqual(before.keys(), tables.routes_by_key.keys())
+        for key, routes in tables.routes_by_key.items():
+            self.assertIs(before[key], routes)
+
+
+class LostUpstreamsTest(testtools.TestCase):
+    def test_same_result_whether_or_not_records_are_shared(self) -> None:
+        rota = service("rota", 1, "ab")
+        plans = service("plans", 2, "ab")
+        other = service("other", 3, "a")
+        moved = next(iter(plans.upstreams_by_name.values()))
+        grown = dataclasses.replace(
+            rota,
+            upstreams_by_name={**rota.upstreams_by_name, moved.name: moved},
+        )
+        left = dict(plans.upstreams_by_name)
+        del left[moved.name]
+        shrunk = dataclasses.replace(plans, upstreams_by_name=left)
+        first = builders.configuration(1, [rota, plans, other])
+        shared = builders.configuration(2, [grown, shrunk, other])
+        apart = builders.configuration(
+            2, [grown, shrunk, dataclasses.replace(other)]
+        )
+        expected = {"plans": frozenset({moved.name})}
+        for second in (shared, apart):
+            self.assertEqual(
+                expected, service_views.lost_upstreams([first, second])
+            )
+
+    def test_nothing_is_lost_without_a_change(self) -> None:
+        rota = service("rota", 1, "ab")
+        first = builders.configuration(1, [rota])
+        second = builders.configuration(2, [rota])
+        self.assertEqual({}, service_views.lost_upstreams([first, second]))
--- a/packages/core/sapphire_core/flows/service_views.py
+++ b/packages/core/sapphire_core/flows/service_views.py
@@ -61,16 +61,19 @@
             views = views_by_key.setdefault(key, [])
             # Most services are the same in all revisions; equal views are
             # dropped so that their routes are not computed again.
-            if not views or views[-1] != service:
+            is_known = bool(views) and (
+                views[-1] is service or views[-1] == service
+            )
+            if not is_known:
                 views.append(service)
             if index == 0:
                 active_keys.add(key)
     result = {}
     for key, views in views_by_key.items():
-        names = {view.name for view in views}
-        result[key] = ServiceViews(
-            tuple(views), key in active_keys, len(names) > 1
-        )
+        is_moving = False
+        if len(views) > 1:
+            is_moving = len({view.name for view in views}) > 1
+        result[key] = ServiceViews(tuple(views), key in active_keys, is_moving)
     return result
 
 
@@ -85,25 +88,63 @@
     Returns:
         By service the names that it may no longer send packets to.
     """
-    if len(configurations) < 2:  # noqa: PLR2004 - a change needs two.
-        return {}
     newest = configurations[-1]
-    services_by_endpoint: dict[Endpoint, set[str]] = {}
-    services_by_upstream: dict[str, set[str]] = {}
-    for service in newest.services_by_name.values():
-        for upstream in service.upstreams_by_name.values():
-            endpoint = (upstream.address, upstream.packet_port)
-            services_by_endpoint.setdefault(endpoint, set()).add(service.name)
-            services_by_upstream.setdefault(upstream.name, set()).add(
-                service.name
-            )
     lost: dict[str, set[str]] = {}
     for configuration in configurations[:-1]:
-        for service in configuration.services_by_name.values():
-            for upstream in service.upstreams_by_name.values():
-                endpoint = (upstream.address, upstream.packet_port)
-                users = services_by_endpoint.get(endpoint, set())
-                users = users | services_by_upstream.get(upstream.name, set())
-                if users and service.name not in users:
-                    lost.setdefault(service.name, set()).add(upstream.name)
+        changed = _changed(configuration, newest)
+        if not changed:
+            continue
+        users = _users(_changed(newest, configuration))
+        for service in changed:
+            names = _lost_of(service, users)
+            if names:
+                lost.setdefault(service.name, set()).update(names)
     return {name: frozenset(names) for name, names in lost.items()}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Users:
+    """The services that use an endpoint or the name of an upstream."""
+
+    by_endpoint: dict[Endpoint, set[str]]
+    by_upstream: dict[str, set[str]]
+
+
+def _changed(
+    configuration: records.Configuration, other: records.Configuration
+) -> list[records.Service]:
+    """Returns the services that another configuration does not share.
+
+    Configurations share the records of services that did not change. Such a
+    service holds its upstreams in both, so that it neither loses one nor
+    takes one over.
+    """
+    others = other.services_by_name
+    changed = []
+    for name, service in configuration.services_by_name.items():
+        if others.get(name) is not service:
+            changed.append(service)
+    return changed
+
+
+def _users(services: Sequence[records.Service]) -> _Users:
+    """Collects who uses which endpoint and which name."""
+    users = _Users({}, {})
+    for service in services:
+        for upstream in service.upstreams_by_name.values():
+            endpoint = (upstream.address, upstream.packet_port)
+            users.by_endpoint.setdefault(endpoint, set()).add(service.name)
+            users.by_upstream.setdefault(upstream.name, set()).add(service.name)
+    return users
+
+
+def _lost_of(service: records.Service, users: _Users) -> set[str]:
+    """Returns the upstreams of a service that now belong to others."""
+    lost = set()
+    for upstream in service.upstreams_by_name.values():
+        endpoint = (upstream.address, upstream.packet_port)
+        found = users.by_endpoint.get(endpoint, set())
+        found = found | users.by_upstream.get(upstream.name, set())
+        if found and service.name not in found:
+            lost.add(upstream.name)
+    return lost
