--- a/packages/core/sapphire_core/flows/history_permits.py
+++ b/packages/core/sapphire_core/flows/history_permits.py
@@ -12,7 +12,7 @@
 
 import xxhash
 
-from sapphire_core.flows import history_cut
+from sapphire_core.flows import need_report
 from sapphire_data import records
 
 # A revision is in force at all hosts within this time of its arrival.
@@ -87,7 +87,7 @@
     def report(
         self,
         configuration: records.Configuration,
-        needs: Iterable[history_cut.NeedReport],
+        needs: Iterable[need_report.NeedReport],
         now_ms: int,
     ) -> PermitReport:
         """Returns what this host allows.
@@ -120,7 +120,7 @@
     def _permit(
         self,
         service: records.Service,
-        need: history_cut.NeedReport,
+        need: need_report.NeedReport,
         now_ms: int,
     ) -> int | None:
         """Returns the oldest generation to keep, None if that is the first."""
--- a/packages/core/sapphire_core/flows/history_permits_test.py
+++ b/packages/core/sapphire_core/flows/history_permits_test.py
@@ -1,7 +1,7 @@
 import testtools
 
-from sapphire_core.flows import history_cut
 from sapphire_core.flows import history_permits
+from sapphire_core.flows import need_report
 from sapphire_data import records
 from sapphire_lab.flows import builders
 
@@ -18,8 +18,8 @@
     spilled: bool = False,
     ramping: str = "",
     observed_ms: int = IDLE_MS,
-) -> history_cut.NeedReport:
-    return history_cut.NeedReport(
+) -> need_report.NeedReport:
+    return need_report.NeedReport(
         "h1", "rota", oldest, spilled, frozenset(ramping), observed_ms
     )
 
@@ -44,7 +44,7 @@
             self.now_ms += STEP_MS
             self.observer.note_view(self.view, self.now_ms)
 
-    def permitted(self, item: history_cut.NeedReport) -> int | None:
+    def permitted(self, item: need_report.NeedReport) -> int | None:
         report = self.observer.report(self.configuration, [item], self.now_ms)
         return report.keep_from_by_service.get("rota")
 
--- a/packages/core/sapphire_core/flows/history_use.py
+++ b/packages/core/sapphire_core/flows/history_use.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from sapphire_core.flows import history_cut
+from sapphire_core.flows import need_report
 from sapphire_core.flows import routes as routes_lib
 
 ServiceUse = dict[int, int]
@@ -45,7 +45,7 @@
         *,
         idle_ms: int,
         now_ms: int,
-    ) -> history_cut.NeedReport:
+    ) -> need_report.NeedReport:
         """Returns what the flows of this host need.
 
         A recorded flow needs the newest generation that names its upstream,
@@ -73,7 +73,7 @@
                 continue
             needed.append(named)
         since_ms = self._since_ms_by_service.get(routes.name, now_ms)
-        return history_cut.NeedReport(
+        return need_report.NeedReport(
             host_id=host_id,
             service=routes.name,
             oldest_generation=min(needed, default=None),
--- a/packages/core/sapphire_core/flows/router.py
+++ b/packages/core/sapphire_core/flows/router.py
@@ -5,9 +5,9 @@
 from sapphire_core.flows import failures
 from sapphire_core.flows import handover
 from sapphire_core.flows import handover_source
-from sapphire_core.flows import history_cut
 from sapphire_core.flows import keeper_role
 from sapphire_core.flows import keepers as keepers_lib
+from sapphire_core.flows import need_report
 from sapphire_core.flows import overlays as overlays_lib
 from sapphire_core.flows import placements as placements_lib
 from sapphire_core.flows import ramp_driver
@@ -296,7 +296,7 @@
         """
         return self._source.is_released(now_ms)
 
-    def need_reports(self, now_ms: int) -> list[history_cut.NeedReport]:
+    def need_reports(self, now_ms: int) -> list[need_report.NeedReport]:
         """Returns what the flows of this host need of the pool history.
 
         It walks over all recorded flows; once a minute is enough.
--- a/packages/node/sapphire_node/housekeeping/task_test.py
+++ b/packages/node/sapphire_node/housekeeping/task_test.py
@@ -6,8 +6,8 @@
 import testtools
 
 from sapphire_core.flows import exceptions_table
-from sapphire_core.flows import history_cut
 from sapphire_core.flows import history_permits
+from sapphire_core.flows import need_report
 from sapphire_core.membership import data as membership_data
 from sapphire_data import clock
 from sapphire_data import records
@@ -53,10 +53,10 @@
     def status(self) -> Any:
         return types.SimpleNamespace(configuration=self.fleet.configuration)
 
-    def need_reports(self, now_ms: int) -> list[history_cut.NeedReport]:
+    def need_reports(self, now_ms: int) -> list[need_report.NeedReport]:
         host_id = self.own.host_id
         return [
-            history_cut.NeedReport(
+            need_report.NeedReport(
                 host_id, "rota", self.oldest, False, frozenset(), now_ms
             )
         ]
