--- a/packages/node/sapphire_node/instruments.py
+++ b/packages/node/sapphire_node/instruments.py
@@ -44,7 +44,7 @@
         "sapphirearch.slot_messages.dropped",
         "{message}",
         "Messages about idle slots dropped, by the reason.",
-        lambda: _by_error_type(slots.dropped_by_type),
+        lambda: _by_error_type(slots.drops.dropped_by_type),
     )
     return instruments
 
--- a/packages/node/sapphire_node/slot_carrier.py
+++ b/packages/node/sapphire_node/slot_carrier.py
@@ -7,8 +7,9 @@
 from anyio.streams import memory
 
 from sapphire_core.requests import data as request_data
-from sapphire_data import failures
 from sapphire_data import records
+from sapphire_node import drop_counts
+from sapphire_node import failures as node_failures
 from sapphire_node import messages
 from sapphire_wire import message_kind
 from sapphire_wire import slot_messages
@@ -21,7 +22,7 @@
     than waited for.
 
     Attributes:
-        dropped_by_type: Dropped messages by the reason.
+        drops: The messages that were dropped.
     """
 
     def __init__(
@@ -32,7 +33,7 @@
         Args:
             to_control: Takes messages to be sealed and sent.
         """
-        self.dropped_by_type: dict[str, int] = {}
+        self.drops = drop_counts.DropCounts()
         self._to_control = to_control
         self._members_by_id: Mapping[str, records.Member] = {}
 
@@ -53,7 +54,7 @@
         """
         member = self._members_by_id.get(host_id)
         if member is None:
-            self._drop("UnknownHost")
+            self.drops.drop(node_failures.UnknownHost(host_id))
             return
         sent = messages.SendControl(
             member.host.address,
@@ -64,7 +65,7 @@
         try:
             self._to_control.send_nowait(sent)
         except anyio.WouldBlock:
-            self._drop("OutgoingFull")
+            self.drops.drop(node_failures.OutgoingFull())
 
     def receive(
         self,
@@ -79,10 +80,6 @@
         """
         decoded = slot_messages.decode(received.sender, received.body)
         if decoded.is_error():
-            self._drop(failures.UnreadableInput.__name__)
+            self.drops.drop(decoded.error)
             return
         take(decoded.ok)
-
-    def _drop(self, reason: str) -> None:
-        """Counts a dropped message."""
-        self.dropped_by_type[reason] = self.dropped_by_type.get(reason, 0) + 1
--- a/packages/node/sapphire_node/slot_carrier_test.py
+++ b/packages/node/sapphire_node/slot_carrier_test.py
@@ -43,5 +43,5 @@
         self.assertEqual([], taken)
         self.assertEqual(
             {"UnknownHost": 1, "OutgoingFull": 1, "UnreadableInput": 1},
-            self.carrier.dropped_by_type,
+            self.carrier.drops.dropped_by_type,
         )
