Stand-ins share one way of serving; three unused functions are gone

The stand-in store and the fake host API each had the same server loop with the same work-around for its cancellation. Nothing called forward_name, is_final and next_unblock_ms.

--- a/packages/core/sapphire_core/requests/life_cycle.py
+++ b/packages/core/sapphire_core/requests/life_cycle.py
@@ -86,11 +86,6 @@
     is_after_drain: bool = False
     wait_until_ms: int = 0
 
-    @property
-    def is_final(self) -> bool:
-        """Whether the caller has got its outcome."""
-        return self.state in OUTCOMES_BY_STATE
-
 
 def start(request: data.Request) -> Progress:
     """Returns the progress of a request that has just arrived."""
--- a/packages/core/sapphire_core/requests/service_pool.py
+++ b/packages/core/sapphire_core/requests/service_pool.py
@@ -231,12 +231,3 @@
         """Returns when a refused caller may come back, with jitter."""
         base_ms = max(MIN_RETRY_AFTER_MS, self.expected_wait_ms(caller))
         return base_ms + rng.randrange(base_ms)
-
-    def next_unblock_ms(self, now_ms: int) -> int | None:
-        """Returns when a blocked upstream may be tried again, or None."""
-        times = [
-            gate.blocked_until_ms
-            for gate in self.gates_by_name.values()
-            if gate.blocked_until_ms > now_ms
-        ]
-        return min(times, default=None)
--- a/packages/lab/sapphire_lab/flows/tally.py
+++ b/packages/lab/sapphire_lab/flows/tally.py
@@ -4,7 +4,6 @@
 from collections.abc import Iterable
 import dataclasses
 
-from sapphire_core.flows import data
 from sapphire_core.flows import start_ramp
 from sapphire_data import records
 
@@ -177,10 +176,3 @@
     mean = sum(ordered) / len(ordered)
     high = ordered[min(len(ordered) - 1, int(0.99 * len(ordered)))]
     return ordered[-1] / mean, high / mean
-
-
-def forward_name(decision: data.Decision | None) -> str | None:
-    """Returns the upstream that a packet was forwarded to."""
-    if isinstance(decision, data.Forward):
-        return decision.upstream.name
-    return None
--- a/packages/lab/sapphire_lab/stand_ins/host_api.py
+++ b/packages/lab/sapphire_lab/stand_ins/host_api.py
@@ -4,23 +4,18 @@
 import contextlib
 import socket
 import ssl
-import warnings
 
-import anyio
-import hypercorn.asyncio
 from starlette import applications
 from starlette import requests
 from starlette import responses
 from starlette import routing
 
+from sapphire_lab.stand_ins import serving
 from sapphire_lab.stand_ins import store
-from sapphire_net import http_server
 from sapphire_net.store import environment as environments
 from sapphire_wire import api
 from sapphire_wire.documents import packing
 
-SHUTDOWN_S = 0.2
-
 
 class FakeHost:
     """A host that has in force what a stand-in store holds.
@@ -136,28 +131,5 @@
     """
     listener = socket.create_server(("127.0.0.1", 0))
     host.port = listener.getsockname()[1]
-    config = http_server.ServerConfig()
-    config.tls_context = tls_context
-    config.bind = [f"fd://{listener.detach()}"]
-    config.graceful_timeout = SHUTDOWN_S
-    config.shutdown_timeout = SHUTDOWN_S
-    config.errorlog = None
-    stop = anyio.Event()
-
-    async def serve() -> None:
-        # The server ends by its trigger; cancelled, it would raise an error.
-        with anyio.CancelScope(shield=True), warnings.catch_warnings():
-            warnings.simplefilter("ignore")
-            await hypercorn.asyncio.serve(
-                host.application(),  # type: ignore[arg-type]
-                config,
-                shutdown_trigger=stop.wait,
-            )
-
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(serve)
-        try:
-            yield f"127.0.0.1:{host.port}"
-        finally:
-            stop.set()
-            tasks.cancel_scope.cancel()
+    async with serving.running(host.application(), listener, tls_context):
+        yield f"127.0.0.1:{host.port}"
--- a/packages/lab/sapphire_lab/stand_ins/store.py
+++ b/packages/lab/sapphire_lab/stand_ins/store.py
@@ -14,11 +14,8 @@
 import socket
 from typing import Annotated
 from typing import Any
-import warnings
 
 import anyio
-import hypercorn.asyncio
-import hypercorn.config
 from starlette import applications
 from starlette import requests
 from starlette import responses
@@ -26,6 +23,7 @@
 import typer
 
 from sapphire_data import clock
+from sapphire_lab.stand_ins import serving
 from sapphire_lab.stand_ins import store_faults
 from sapphire_lab.stand_ins import store_state
 from sapphire_net.store import data
@@ -33,7 +31,6 @@
 from sapphire_net.store import protocol
 
 LEASE_CHECK_MS = 100
-SHUTDOWN_S = 0.2
 _WRITE_PATHS = frozenset(
     {
         gateway.TRANSACTION_PATH,
@@ -341,31 +338,15 @@
     """
     listener = socket.create_server((address, port))
     bound_port = listener.getsockname()[1]
-    config = hypercorn.config.Config()
-    config.bind = [f"fd://{listener.detach()}"]
-    config.graceful_timeout = SHUTDOWN_S
-    config.shutdown_timeout = SHUTDOWN_S
-    config.errorlog = None
-    stop = anyio.Event()
-
-    async def serve() -> None:
-        # The server ends by its trigger; cancelled, it would raise an error.
-        with anyio.CancelScope(shield=True), warnings.catch_warnings():
-            warnings.simplefilter("ignore")
-            await hypercorn.asyncio.serve(
-                store.application(),  # type: ignore[arg-type]
-                config,
-                shutdown_trigger=stop.wait,
-            )
-
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(serve)
+    async with (
+        serving.running(store.application(), listener),
+        anyio.create_task_group() as tasks,
+    ):
         tasks.start_soon(store.expire_leases_forever)
         try:
             yield f"http://{address}:{bound_port}"
         finally:
             store.close()
-            stop.set()
             tasks.cancel_scope.cancel()
 
 
