An entry host on the users' platform: thin path

Cause: the product had no way onto a fabric that returns a tag with every packet, nor onto the platform's store. Added: steering by tags (core), a copy of the store that only moves forward (core), a small HTTP/1.1 client and server, bounded log output (net), the entry host's tasks (node), the adapter (platform/) and its deployment.

--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 check: $(STAMP)
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
-	$(BIN)/mypy packages
+	$(BIN)/mypy packages platform
 
 format: $(STAMP)
 	$(BIN)/ruff format .
@@ -48,6 +48,8 @@
 	$(BIN)/uv lock
 	$(BIN)/uv export --all-groups --no-emit-workspace --no-header \
 	  --no-annotate --format requirements-txt -o requirements.lock
+	$(BIN)/uv export --only-group platform --no-header --no-annotate \
+	  --format requirements-txt -o deploy/requirements.lock
 
 $(STAMP): requirements.lock pyproject.toml $(wildcard packages/*/pyproject.toml)
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
--- /dev/null
+++ b/packages/core/sapphire_core/tagged_flows/steering.py
@@ -0,0 +1,337 @@
+"""The decisions of one host about packets whose flows carry tags."""
+
+from collections.abc import Callable
+import dataclasses
+import random
+
+import xxhash
+
+from sapphire_core.tagged_flows import cold_budget
+from sapphire_core.tagged_flows import data
+from sapphire_core.tagged_flows import flow_records
+from sapphire_core.tagged_flows import openings as openings_lib
+from sapphire_core.tagged_flows import placement
+from sapphire_core.tagged_flows import silence as silence_lib
+from sapphire_core.tagged_flows import upstream_table
+
+# An answered opening takes two crossings between caller, host and upstream
+# and back: up to 15 ms on the users' networks.
+ANSWER_TIMEOUT_MS = 40
+# An opening goes to this many upstreams before it waits for the caller's copy.
+MAX_TRIES_PER_COPY = 3
+
+
+@dataclasses.dataclass(slots=True)
+class Decision:
+    """What was decided about one packet, and why, for logs and counters.
+
+    Attributes:
+        verdict: What happened to the packet.
+        flow_id: The flow.
+        upstream_id: The upstream concerned, empty for none.
+        service: The service concerned, empty for none.
+        detail: The inputs that decided, by name.
+    """
+
+    verdict: data.Verdict
+    flow_id: data.FlowId
+    upstream_id: str
+    service: str
+    detail: dict[str, str | int | float]
+
+
+Report = Callable[[Decision], None]
+
+
+class Steering:
+    """Places new flows, and sends packets of open flows by their tags.
+
+    Args:
+        data_centre: The data centre of this host.
+        rng: Decides between equal upstreams.
+        report: Is told each decision that touches the life of a flow.
+    """
+
+    def __init__(
+        self, data_centre: str, rng: random.Random, report: Report
+    ) -> None:
+        self._data_centre = data_centre
+        self._rng = rng
+        self._report = report
+        self._configuration: data.Configuration | None = None
+        self._openings = openings_lib.Openings()
+        self._silence = silence_lib.Silence()
+        self._budget = cold_budget.ColdBudget(rng.getrandbits(32))
+        self.table = upstream_table.UpstreamTable()
+        self.flows = flow_records.FlowRecords()
+        self.hosts = 1
+
+    @property
+    def configuration(self) -> data.Configuration | None:
+        """The configuration in force here, None before the first."""
+        return self._configuration
+
+    def configure(self, configuration: data.Configuration) -> bool:
+        """Takes a configuration unless it is older than the one in force.
+
+        Args:
+            configuration: The configuration.
+
+        Returns:
+            Whether it is now in force.
+        """
+        current = self._configuration
+        if current is not None and configuration.version <= current.version:
+            return False
+        self._configuration = configuration
+        return True
+
+    def handle(self, packet: data.Packet, now_ms: int) -> data.Action:
+        """Decides about one packet of a caller.
+
+        Args:
+            packet: The packet.
+            now_ms: The current time.
+
+        Returns:
+            What to send.
+        """
+        if packet.is_opening:
+            return self._open(packet, now_ms)
+        return self._continue(packet, now_ms)
+
+    def tick(self, now_ms: int) -> list[data.Action]:
+        """Sends unanswered openings elsewhere.
+
+        To be called every 10 ms while openings are in progress.
+
+        Args:
+            now_ms: The current time.
+
+        Returns:
+            What to send.
+        """
+        actions: list[data.Action] = []
+        for opening in self._openings.unanswered(now_ms, ANSWER_TIMEOUT_MS):
+            action = self._try_next(opening, now_ms)
+            if action is not None:
+                actions.append(action)
+        for opening in self._openings.expire(now_ms):
+            self._tell(
+                data.Verdict.UNANSWERED,
+                opening.packet,
+                opening.tried[-1],
+                tries=len(opening.tried),
+            )
+        return actions
+
+    @property
+    def has_openings(self) -> bool:
+        """Whether openings are in progress."""
+        return len(self._openings) > 0
+
+    def sweep(self, now_ms: int) -> None:
+        """Forgets old state; to be called every 100 ms or so.
+
+        Args:
+            now_ms: The current time.
+        """
+        idle_ms = upstream_table.FLOW_LIFE_MS
+        if self._configuration is not None:
+            idle_ms = self._configuration.idle_timeout_ms
+        self.flows.expire(now_ms, idle_ms)
+        self.table.forget_old(now_ms)
+
+    def _open(self, packet: data.Packet, now_ms: int) -> data.Action:
+        """Decides about an opening packet, the first copy or a later one."""
+        record = self.flows.get(packet.flow_id)
+        if record is not None:
+            # A late copy of the opening of a flow that is open.
+            return data.Forward(packet, record.entry.upstream, record.entry.tag)
+        opening = self._openings.get(packet.flow_id)
+        if opening is not None:
+            return self._open_again(opening, packet, now_ms)
+        service = self._service_for(packet)
+        if service is None:
+            self._tell(data.Verdict.NO_ROUTE, packet, None)
+            return data.Reset(packet, data.Verdict.NO_ROUTE)
+        entry = self._choose(service, (), now_ms)
+        if entry is None:
+            self._tell(
+                data.Verdict.NO_UPSTREAM, packet, None, wanted=service.name
+            )
+            return data.Reset(packet, data.Verdict.NO_UPSTREAM)
+        self._openings.add(
+            openings_lib.Opening(packet, service.name, now_ms, now_ms, [entry])
+        )
+        self._tell(
+            data.Verdict.OPENED,
+            packet,
+            entry,
+            copy=packet.acknowledged,
+            busy=self.flows.busy(entry.upstream.upstream_id),
+        )
+        return data.Forward(packet, entry.upstream, entry.tag)
+
+    def _open_again(
+        self, opening: openings_lib.Opening, packet: data.Packet, now_ms: int
+    ) -> data.Action:
+        """Decides about a further copy of an opening packet."""
+        opening.packet = packet
+        if now_ms - opening.sent_ms >= ANSWER_TIMEOUT_MS:
+            opening.has_failed = False
+            action = self._try_next(opening, now_ms)
+            if action is not None:
+                return action
+        last = opening.tried[-1]
+        opening.sent_ms = now_ms
+        opening.has_failed = False
+        return data.Forward(packet, last.upstream, last.tag)
+
+    def _try_next(
+        self, opening: openings_lib.Opening, now_ms: int
+    ) -> data.Action | None:
+        """Notes the silence of an upstream and sends the opening to another."""
+        last = opening.tried[-1]
+        self._silence.note_unanswered(
+            last.upstream.upstream_id, opening.sent_ms, now_ms
+        )
+        opening.has_failed = True
+        copies = opening.packet.acknowledged + 1
+        if len(opening.tried) >= MAX_TRIES_PER_COPY * copies:
+            return None
+        service = self._service_named(opening.service)
+        if service is None:
+            return None
+        entry = self._choose(service, opening.tried_ids, now_ms)
+        if entry is None:
+            return None
+        opening.tried.append(entry)
+        opening.sent_ms = now_ms
+        opening.has_failed = False
+        self._tell(
+            data.Verdict.OPENED_AGAIN,
+            opening.packet,
+            entry,
+            silent=last.upstream.upstream_id,
+            waited_ms=now_ms - opening.first_ms,
+        )
+        return data.Forward(opening.packet, entry.upstream, entry.tag)
+
+    def _continue(self, packet: data.Packet, now_ms: int) -> data.Action:
+        """Decides about a packet of a flow that an upstream has answered."""
+        record = self.flows.get(packet.flow_id)
+        if record is None or _has_moved(packet, record):
+            record = self._learn(packet, now_ms)
+        if record is None:
+            self._tell(data.Verdict.UNKNOWN_TAG, packet, None, tag=packet.tag)
+            return data.Drop(packet, data.Verdict.UNKNOWN_TAG)
+        self.flows.note(packet, record, now_ms)
+        entry = record.entry
+        if entry.is_replaced and not packet.is_reset:
+            self._tell(data.Verdict.UPSTREAM_GONE, packet, entry)
+            self.flows.close(packet.flow_id)
+            return data.Reset(packet, data.Verdict.UPSTREAM_GONE)
+        return data.Forward(packet, entry.upstream, entry.tag)
+
+    def _learn(
+        self, packet: data.Packet, now_ms: int
+    ) -> flow_records.FlowRecord | None:
+        """Starts the record of a flow from its tag, None if that is unknown."""
+        opening = self._openings.pop(packet.flow_id)
+        entry = self.table.by_tag(packet.tag)
+        if entry is None and opening is not None:
+            entry = opening.tried[-1]
+        if entry is None:
+            return None
+        if opening is not None and packet.tag == entry.tag:
+            self._silence.note_answered(entry.upstream.upstream_id, now_ms)
+        is_pinned = opening is not None and len(opening.tried) > 1
+        return self.flows.open(
+            packet.flow_id, entry, now_ms, is_pinned=is_pinned
+        )
+
+    def _service_for(self, packet: data.Packet) -> data.Service | None:
+        """Returns the service that a new flow goes to, None without a route.
+
+        All copies of an opening packet get the same one.
+        """
+        if self._configuration is None:
+            return None
+        route = self._configuration.routes_by_endpoint.get(
+            packet.flow_id.endpoint
+        )
+        if route is None:
+            return None
+        if len(route.shares) == 1:
+            return self._service_named(route.shares[0].service)
+        total = sum(share.weight for share in route.shares)
+        point = xxhash.xxh32_intdigest(repr(packet.flow_id).encode()) % total
+        for share in route.shares:
+            point -= share.weight
+            if point < 0:
+                return self._service_named(share.service)
+        return None
+
+    def _service_named(self, name: str) -> data.Service | None:
+        """Returns a service of the configuration, None if it has gone."""
+        if self._configuration is None:
+            return None
+        return self._configuration.services_by_name.get(name)
+
+    def _choose(
+        self,
+        service: data.Service,
+        tried: set[str] | tuple[()],
+        now_ms: int,
+    ) -> upstream_table.Entry | None:
+        """Returns the upstream for a new flow, None if none may get it."""
+        candidates: list[placement.Candidate] = []
+        for entry in self.table.takers(service.name, now_ms):
+            upstream_id = entry.upstream.upstream_id
+            is_cold = entry.is_cold(now_ms)
+            if is_cold and not self._budget.has_room(
+                upstream_id, service, self.hosts, now_ms
+            ):
+                continue
+            candidates.append(
+                placement.Candidate(
+                    entry,
+                    self.flows.busy(upstream_id),
+                    self._silence.is_avoided(upstream_id, now_ms),
+                    is_cold,
+                )
+            )
+        chosen = placement.choose(
+            candidates, self._data_centre, tried, self._rng
+        )
+        if chosen is None:
+            return None
+        if chosen.is_cold:
+            self._budget.take(
+                chosen.entry.upstream.upstream_id, service, self.hosts, now_ms
+            )
+        return chosen.entry
+
+    def _tell(
+        self,
+        verdict: data.Verdict,
+        packet: data.Packet,
+        entry: upstream_table.Entry | None,
+        **detail: str | int | float,
+    ) -> None:
+        """Reports a decision."""
+        self._report(
+            Decision(
+                verdict,
+                packet.flow_id,
+                entry.upstream.upstream_id if entry is not None else "",
+                entry.upstream.service if entry is not None else "",
+                detail,
+            )
+        )
+
+
+def _has_moved(packet: data.Packet, record: flow_records.FlowRecord) -> bool:
+    """Whether a packet's tag names another upstream than its record."""
+    return not record.is_pinned and packet.tag != record.entry.tag
--- a/packages/net/sapphire_net/event_log.py
+++ b/packages/net/sapphire_net/event_log.py
@@ -103,7 +103,16 @@
         level: The name of the lowest level that is written.
         stream: Where lines go; standard error by default.
     """
-    handler = logging.StreamHandler(stream or sys.stderr)
+    configure_handler(level, logging.StreamHandler(stream or sys.stderr))
+
+
+def configure_handler(level: str, handler: logging.Handler) -> None:
+    """Sends all logs of the process to a handler in this format.
+
+    Args:
+        level: The name of the lowest level that is written.
+        handler: The handler.
+    """
     handler.setFormatter(KeyValueFormatter())
     root = logging.getLogger()
     root.handlers = [handler]
--- /dev/null
+++ b/packages/net/sapphire_net/http1.py
@@ -0,0 +1,238 @@
+"""A small HTTP/1.1 client connection and server on `anyio` and `h11`.
+
+For hosts on which start-up time and memory count: one request at a time on
+each connection, no TLS, bodies in memory.
+"""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+import logging
+from typing import Any
+
+import anyio
+import anyio.abc
+import h11
+
+from sapphire_data import clock
+from sapphire_data import failures
+from sapphire_net import event_log
+
+_LOG = logging.getLogger(__name__)
+_READ_BYTES = 65_536
+MAX_BODY_BYTES = 8_388_608
+CONNECT_TIMEOUT_MS = 1_000
+SERVER_IDLE_MS = 30_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Response:
+    """A complete response.
+
+    Attributes:
+        status: The status code.
+        body: The whole body.
+    """
+
+    status: int
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallFailure(failures.Failure):
+    """A call that got no complete response.
+
+    Attributes:
+        problem: What happened.
+        may_have_run: Whether the server may have acted on the call.
+    """
+
+    problem: str
+    may_have_run: bool
+
+
+class CallTimeout(CallFailure):
+    """No complete response came in time."""
+
+
+class Client:
+    """A connection to one server, opened again when it fails.
+
+    Used by one task at a time. A connection on which a response is missing
+    is never used again: its next bytes would belong to the missing one.
+
+    Args:
+        address: The IP number and port of the server.
+    """
+
+    def __init__(self, address: tuple[str, int]) -> None:
+        self._address = address
+        self._stream: anyio.abc.ByteStream | None = None
+        self._protocol = h11.Connection(our_role=h11.CLIENT)
+
+    async def call(
+        self,
+        method: str,
+        target: str,
+        timeout_ms: int,
+        body: bytes | None = None,
+    ) -> Response | CallFailure:
+        """Makes one call.
+
+        Args:
+            method: The method.
+            target: The path and query.
+            timeout_ms: How long to wait for the whole response.
+            body: A JSON body; None for none.
+
+        Returns:
+            The response; or why there is none.
+        """
+        is_sent = False
+        with anyio.move_on_after(timeout_ms / clock.MS_PER_SECOND):
+            try:
+                stream = await self._connected()
+                await stream.send(self._encode(method, target, body))
+                is_sent = True
+                response = await self._response(stream)
+            except (OSError, anyio.BrokenResourceError) as error:
+                return await self._failed(CallFailure(repr(error), is_sent))
+            except anyio.EndOfStream:
+                problem = CallFailure("closed by the server", is_sent)
+                return await self._failed(problem)
+            except h11.ProtocolError as error:
+                return await self._failed(CallFailure(repr(error), True))
+            await self._recycle()
+            return response
+        late = CallTimeout(f"no response within {timeout_ms} ms", is_sent)
+        return await self._failed(late)
+
+    async def close(self) -> None:
+        """Closes the connection; the next call opens one."""
+        stream, self._stream = self._stream, None
+        self._protocol = h11.Connection(our_role=h11.CLIENT)
+        if stream is not None:
+            await anyio.aclose_forcefully(stream)
+
+    async def _connected(self) -> anyio.abc.ByteStream:
+        """Returns the open connection, a new one if there is none."""
+        if self._stream is None:
+            with anyio.fail_after(CONNECT_TIMEOUT_MS / clock.MS_PER_SECOND):
+                self._stream = await anyio.connect_tcp(*self._address)
+        return self._stream
+
+    def _encode(self, method: str, target: str, body: bytes | None) -> bytes:
+        """Returns the bytes of a request."""
+        headers = [("Host", f"{self._address[0]}:{self._address[1]}")]
+        if body is not None:
+            headers.append(("Content-Type", "application/json"))
+            headers.append(("Content-Length", str(len(body))))
+        protocol = self._protocol
+        request = h11.Request(method=method, target=target, headers=headers)
+        encoded = protocol.send(request) or b""
+        if body:
+            encoded += protocol.send(h11.Data(data=body)) or b""
+        return encoded + (protocol.send(h11.EndOfMessage()) or b"")
+
+    async def _response(self, stream: anyio.abc.ByteStream) -> Response:
+        """Reads the response to the request in progress."""
+        status = 0
+        chunks: list[bytes] = []
+        while True:
+            event: Any = self._protocol.next_event()
+            if event is h11.NEED_DATA:
+                self._protocol.receive_data(await stream.receive(_READ_BYTES))
+                continue
+            if isinstance(event, h11.Response):
+                status = event.status_code
+                continue
+            if isinstance(event, h11.Data):
+                chunks.append(bytes(event.data))
+                if sum(len(chunk) for chunk in chunks) > MAX_BODY_BYTES:
+                    raise h11.RemoteProtocolError("body too long")
+                continue
+            if isinstance(event, h11.EndOfMessage):
+                return Response(status, b"".join(chunks))
+            if isinstance(event, h11.ConnectionClosed):
+                raise anyio.EndOfStream
+
+    async def _recycle(self) -> None:
+        """Prepares the connection for the next call."""
+        if self._protocol.our_state is h11.MUST_CLOSE:
+            await self.close()
+            return
+        try:
+            self._protocol.start_next_cycle()
+        except h11.LocalProtocolError:
+            await self.close()
+
+    async def _failed(self, failure: CallFailure) -> CallFailure:
+        """Gives the connection up and returns the failure."""
+        await self.close()
+        return failure
+
+
+Answer = Callable[[str, str], Awaitable[Response]]
+
+
+async def serve(listener: anyio.abc.Listener[Any], answer: Answer) -> None:
+    """Answers requests without bodies until cancelled.
+
+    Args:
+        listener: The bound listener.
+        answer: Returns the response to a method and a path.
+    """
+
+    async def handle(stream: anyio.abc.ByteStream) -> None:
+        async with stream:
+            try:
+                await _serve_connection(stream, answer)
+            except (OSError, anyio.BrokenResourceError, anyio.EndOfStream):
+                # The other side left, which ends the connection and no more.
+                return
+            except h11.ProtocolError as error:
+                event_log.log(
+                    _LOG, logging.WARNING, "bad_request", problem=str(error)
+                )
+
+    await listener.serve(handle)
+
+
+async def _serve_connection(
+    stream: anyio.abc.ByteStream, answer: Answer
+) -> None:
+    """Answers the requests of one connection, one after another."""
+    protocol = h11.Connection(our_role=h11.SERVER)
+    request: h11.Request | None = None
+    while True:
+        event: Any = protocol.next_event()
+        if event is h11.NEED_DATA:
+            with anyio.move_on_after(SERVER_IDLE_MS / clock.MS_PER_SECOND):
+                protocol.receive_data(await stream.receive(_READ_BYTES))
+                continue
+            return
+        if isinstance(event, h11.Request):
+            request = event
+            continue
+        if isinstance(event, h11.EndOfMessage) and request is not None:
+            path = request.target.decode("ascii").partition("?")[0]
+            response = await answer(request.method.decode("ascii"), path)
+            await stream.send(_encode_response(protocol, response))
+            if protocol.our_state is h11.MUST_CLOSE:
+                return
+            protocol.start_next_cycle()
+            continue
+        if isinstance(event, h11.ConnectionClosed):
+            return
+
+
+def _encode_response(protocol: h11.Connection, response: Response) -> bytes:
+    """Returns the bytes of a response."""
+    headers = [("Content-Length", str(len(response.body)))]
+    encoded = protocol.send(
+        h11.Response(status_code=response.status, headers=headers)
+    )
+    encoded = encoded or b""
+    if response.body:
+        encoded += protocol.send(h11.Data(data=response.body)) or b""
+    return encoded + (protocol.send(h11.EndOfMessage()) or b"")
--- /dev/null
+++ b/packages/node/sapphire_node/entry/follower.py
@@ -0,0 +1,139 @@
+"""The task that follows one scope of the store."""
+
+import logging
+
+import anyio
+import anyio.abc
+import anyio.streams.memory
+
+from sapphire_core.replication import data
+from sapphire_data import clock as clock_lib
+from sapphire_net import event_log
+from sapphire_node.entry import host_state
+from sapphire_node.entry import messages
+from sapphire_node.entry import ports
+
+_LOG = logging.getLogger(__name__)
+
+# A watch whose connection went silent is found after both; a configuration
+# has to be in force 3 s after it was accepted (the platform's bound), and the
+# second connection needs part of that.
+WATCH_WAIT_MS = 1_000
+ANSWER_TIMEOUT_MS = 700
+# Answers of a slow store, sixty to ninety times its 4 ms, are waited for.
+MAX_ANSWER_TIMEOUT_MS = 2_800
+RETRY_MIN_MS = 50
+RETRY_MAX_MS = 400
+# Reports of upstreams come several times a second in all; this many calls a
+# second read them in batches.
+REGISTRY_PAUSE_MS = 250
+
+BatchSender = anyio.streams.memory.MemoryObjectSendStream[
+    messages.BatchReceived
+]
+
+
+class Follower:
+    """Reads a scope of the store and then follows its changes.
+
+    Args:
+        scope: The scope.
+        platform: Gives connections to the store.
+        state: The state of the process.
+        clock: The clock.
+        batches: Takes what the store tells.
+    """
+
+    def __init__(
+        self,
+        scope: data.Scope,
+        platform: ports.Platform,
+        state: host_state.HostState,
+        clock: clock_lib.Clock,
+        batches: BatchSender,
+    ) -> None:
+        self._scope = scope
+        self._platform = platform
+        self._state = state
+        self._clock = clock
+        self._batches = batches
+        self._settings = state.settings
+        self._source = platform.source(state.settings)
+        self._failures_in_row = 0
+        self._as_of: int | None = None
+
+    async def run(self) -> None:
+        """Follows the scope until cancelled."""
+        while True:
+            await self._renew_source()
+            batch = await self._next_batch()
+            if isinstance(batch, data.SourceFailure):
+                await self._handle_failure(batch)
+                continue
+            self._note_contact()
+            self._as_of = batch.as_of
+            await self._batches.send(
+                messages.BatchReceived(self._scope, batch, "store")
+            )
+            if self._scope is data.Scope.REGISTRY:
+                await _sleep_ms(REGISTRY_PAUSE_MS)
+
+    async def _next_batch(self) -> data.Batch | data.SourceFailure:
+        """Reads everything, or waits for the next change."""
+        timeout_ms = min(
+            ANSWER_TIMEOUT_MS << min(self._failures_in_row, 4),
+            MAX_ANSWER_TIMEOUT_MS,
+        )
+        if self._as_of is None:
+            return await self._source.read_all(self._scope, timeout_ms)
+        # After a failure the answer may be late already: do not wait.
+        wait_ms = 1 if self._failures_in_row else WATCH_WAIT_MS
+        return await self._source.wait_for_changes(
+            self._scope, self._as_of, wait_ms, timeout_ms
+        )
+
+    async def _handle_failure(self, failure: data.SourceFailure) -> None:
+        """Notes a failure and waits before the next call."""
+        if isinstance(failure, data.HistoryGone):
+            event_log.log_failure(
+                _LOG, "history_gone", failure, scope=self._scope.name
+            )
+            self._as_of = None
+            return
+        self._state.last_store_failure_ms = self._clock.now_ms()
+        self._state.counts["store_failures"] += 1
+        if self._failures_in_row == 0:
+            event_log.log_failure(
+                _LOG, "store_lost", failure, scope=self._scope.name
+            )
+        pause_ms = min(RETRY_MIN_MS << self._failures_in_row, RETRY_MAX_MS)
+        self._failures_in_row = min(self._failures_in_row + 1, 8)
+        await _sleep_ms(pause_ms)
+
+    def _note_contact(self) -> None:
+        """Notes that the store has answered."""
+        self._state.counts["store_answers"] += 1
+        self._state.told_ms_by_scope[self._scope] = self._clock.now_ms()
+        if self._failures_in_row == 0:
+            return
+        event_log.log(
+            _LOG,
+            logging.INFO,
+            "store_regained",
+            scope=self._scope.name,
+            failures=self._failures_in_row,
+        )
+        self._failures_in_row = 0
+
+    async def _renew_source(self) -> None:
+        """Opens another connection after the settings have changed."""
+        if self._state.settings is self._settings:
+            return
+        self._settings = self._state.settings
+        await self._source.close()
+        self._source = self._platform.source(self._settings)
+
+
+async def _sleep_ms(pause_ms: int) -> None:
+    """Sleeps for a number of milliseconds."""
+    await anyio.sleep(pause_ms / clock_lib.MS_PER_SECOND)
--- /dev/null
+++ b/packages/node/sapphire_node/entry/host.py
@@ -0,0 +1,160 @@
+"""The entry host: its tasks, its start, reload and stop."""
+
+from collections.abc import Callable
+import logging
+import math
+import signal
+import sys
+
+import anyio
+import anyio.abc
+
+from sapphire_core.replication import data as replication_data
+from sapphire_data import clock as clock_lib
+from sapphire_data import failures
+from sapphire_net import bounded_output
+from sapphire_net import event_log
+from sapphire_node.entry import follower
+from sapphire_node.entry import host_state
+from sapphire_node.entry import knowledge
+from sapphire_node.entry import messages
+from sapphire_node.entry import packet_task
+from sapphire_node.entry import ports
+from sapphire_node.entry import readiness
+
+_LOG = logging.getLogger(__name__)
+
+EXIT_OK = 0
+EXIT_SETTINGS = 2
+# The fabric asks for readiness twice a second and leaves a host after two
+# misses; a third question and the packets on the way take the rest.
+LEAVE_MS = 1_800
+# Without packets for this long the fabric has left the host.
+QUIET_MS = 400
+# What is left of the time to stop for ending the tasks.
+EXIT_RESERVE_MS = 1_000
+POLL_MS = 100
+# Settings may change without a signal.
+SETTINGS_POLL_MS = 2_000
+
+MakePlatform = Callable[[ports.HostSettings], ports.Platform]
+
+
+def run(
+    settings: ports.HostSettings | failures.Failure,
+    make_platform: MakePlatform,
+) -> int:
+    """Runs the host until it is told to stop.
+
+    Args:
+        settings: The settings at the start, or what is wrong with them.
+        make_platform: Returns the adapter.
+
+    Returns:
+        The exit status of the process.
+    """
+    handler = bounded_output.BoundedHandler(sys.stdout.fileno())
+    event_log.configure_handler("info", handler)
+    if isinstance(settings, failures.Failure):
+        event_log.log_failure(_LOG, "settings_invalid", settings)
+        handler.write_waiting()
+        return EXIT_SETTINGS
+    anyio.run(_main, settings, make_platform, handler)
+    return EXIT_OK
+
+
+async def _main(
+    settings: ports.HostSettings,
+    make_platform: MakePlatform,
+    handler: bounded_output.BoundedHandler,
+) -> None:
+    """Starts all tasks and waits for the request to stop."""
+    clock = clock_lib.MonotonicClock()
+    state = host_state.HostState(settings)
+    platform = make_platform(settings)
+    event_log.log(
+        _LOG,
+        logging.INFO,
+        "started",
+        host=settings.host_name,
+        data_centre=settings.data_centre,
+        store=f"{settings.store_address[0]}:{settings.store_address[1]}",
+    )
+    batches, received_batches = anyio.create_memory_object_stream[
+        messages.BatchReceived
+    ](math.inf)
+    changes, received_changes = anyio.create_memory_object_stream[
+        messages.ChangesLearned
+    ](math.inf)
+    packets = packet_task.PacketTask(platform, state, clock, received_changes)
+    merged = knowledge.Knowledge(
+        platform.items, state, clock, received_batches, changes
+    )
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(handler.run)
+        tasks.start_soon(packets.run)
+        tasks.start_soon(merged.run)
+        for scope in (
+            replication_data.Scope.INTENT,
+            replication_data.Scope.REGISTRY,
+        ):
+            task = follower.Follower(scope, platform, state, clock, batches)
+            tasks.start_soon(task.run)
+        tasks.start_soon(readiness.Readiness(state).run)
+        tasks.start_soon(_follow_settings, platform, state)
+        await _wait_for_stop(platform, state)
+        await _leave(state, clock)
+        event_log.log(_LOG, logging.INFO, "stopped", **state.counts)
+        tasks.cancel_scope.cancel()
+
+
+async def _wait_for_stop(
+    platform: ports.Platform, state: host_state.HostState
+) -> None:
+    """Returns when the process is told to stop; reloads when told so."""
+    with anyio.open_signal_receiver(
+        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+    ) as signals:
+        async for number in signals:
+            if number is not signal.SIGHUP:
+                event_log.log(
+                    _LOG, logging.INFO, "stopping", signal=int(number)
+                )
+                state.is_stopping = True
+                return
+            _reload(platform, state, "signal")
+
+
+async def _leave(state: host_state.HostState, clock: clock_lib.Clock) -> None:
+    """Carries packets until the fabric has left this host."""
+    began_ms = clock.now_ms()
+    last_ms = began_ms + state.settings.limits.shutdown_ms - EXIT_RESERVE_MS
+    while clock.now_ms() < last_ms:
+        await anyio.sleep(POLL_MS / clock_lib.MS_PER_SECOND)
+        now_ms = clock.now_ms()
+        is_left = now_ms - began_ms >= LEAVE_MS
+        if is_left and now_ms - state.last_packet_ms >= QUIET_MS:
+            return
+
+
+async def _follow_settings(
+    platform: ports.Platform, state: host_state.HostState
+) -> None:
+    """Reloads settings that changed without a signal."""
+    while True:
+        await anyio.sleep(SETTINGS_POLL_MS / clock_lib.MS_PER_SECOND)
+        _reload(platform, state, "poll")
+
+
+def _reload(
+    platform: ports.Platform, state: host_state.HostState, cause: str
+) -> None:
+    """Takes the settings again; wrong ones leave the former in force."""
+    settings = platform.settings()
+    if isinstance(settings, failures.Failure):
+        event_log.log_failure(_LOG, "settings_invalid", settings, cause=cause)
+        return
+    if settings == state.settings:
+        return
+    state.settings = settings
+    event_log.log(_LOG, logging.INFO, "settings_reloaded", cause=cause)
--- /dev/null
+++ b/packages/node/sapphire_node/entry/packet_task.py
@@ -0,0 +1,286 @@
+"""The task that owns the packet socket and places flows."""
+
+import collections
+import logging
+import random
+import socket
+
+import anyio
+import anyio.streams.memory
+
+from sapphire_core.replication import data as replication_data
+from sapphire_core.tagged_flows import data
+from sapphire_core.tagged_flows import steering as steering_lib
+from sapphire_data import clock as clock_lib
+from sapphire_net import event_log
+from sapphire_node.entry import host_state
+from sapphire_node.entry import messages
+from sapphire_node.entry import ports
+
+_LOG = logging.getLogger(__name__)
+
+MAX_DATAGRAM_BYTES = 2_048
+# Packets read before other tasks get a turn.
+BURST_PACKETS = 64
+TICK_MS = 10
+SWEEP_MS = 100
+# Packets that arrive before the host can route are kept for as long as a
+# caller takes to send them again.
+HOLD_MS = 200
+MAX_HELD_PACKETS = 512
+
+ChangeReceiver = anyio.streams.memory.MemoryObjectReceiveStream[
+    messages.ChangesLearned
+]
+
+
+class PacketTask:
+    """Takes packets of the fabric and sends them on.
+
+    Args:
+        platform: Reads and writes packets.
+        state: The state of the process.
+        clock: The clock.
+        changes: What this host learns.
+    """
+
+    def __init__(
+        self,
+        platform: ports.Platform,
+        state: host_state.HostState,
+        clock: clock_lib.Clock,
+        changes: ChangeReceiver,
+    ) -> None:
+        self._format = platform.packets
+        self._state = state
+        self._clock = clock
+        self._changes = changes
+        self._steering = steering_lib.Steering(
+            state.settings.data_centre, random.Random(), self._report
+        )
+        self._known_scopes: set[replication_data.Scope] = set()
+        self._held: collections.deque[tuple[int, data.Packet]] = (
+            collections.deque(maxlen=MAX_HELD_PACKETS)
+        )
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.setblocking(False)
+        self._socket.bind(state.settings.packet_address)
+
+    async def run(self) -> None:
+        """Works until cancelled."""
+        with self._socket:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._learn)
+                tasks.start_soon(self._tick)
+                await self._receive()
+
+    async def _receive(self) -> None:
+        """Reads packets."""
+        while True:
+            await anyio.wait_readable(self._socket)
+            for _ in range(BURST_PACKETS):
+                try:
+                    datagram = self._socket.recv(MAX_DATAGRAM_BYTES)
+                except BlockingIOError:
+                    break
+                except OSError as error:
+                    # The kernel reports here that a former datagram found
+                    # nobody; the packet's flow shows it by its silence.
+                    self._state.counts["packet_socket_errors"] += 1
+                    event_log.log(
+                        _LOG,
+                        logging.DEBUG,
+                        "packet_socket_error",
+                        problem=repr(error),
+                    )
+                    continue
+                self._take(datagram)
+
+    def _take(self, datagram: bytes) -> None:
+        """Decides about one datagram."""
+        packet = self._format.read(datagram)
+        self._state.counts["packets"] += 1
+        if isinstance(packet, data.UnreadablePacket):
+            self._state.counts["unreadable_packets"] += 1
+            event_log.log_failure(_LOG, "packet_ignored", packet)
+            return
+        now_ms = self._clock.now_ms()
+        self._state.last_packet_ms = now_ms
+        if not self._state.is_ready:
+            self._held.append((now_ms, packet))
+            return
+        self._act(self._steering.handle(packet, now_ms))
+
+    def _act(self, action: data.Action) -> None:
+        """Sends what was decided."""
+        if isinstance(action, data.Forward):
+            datagram = self._format.write_forward(action)
+            self._send(datagram, action.upstream.address)
+            return
+        if isinstance(action, data.Reset):
+            datagram = self._format.write_reset(action.packet)
+            self._send(datagram, self._format.caller_address(action.packet))
+
+    def _send(self, datagram: bytes, address: data.Address) -> None:
+        """Sends one datagram; one that does not fit the link is lost."""
+        try:
+            self._socket.sendto(datagram, address)
+        except OSError as error:
+            self._state.counts["packets_not_sent"] += 1
+            event_log.log(
+                _LOG,
+                logging.WARNING,
+                "packet_not_sent",
+                address=f"{address[0]}:{address[1]}",
+                problem=repr(error),
+            )
+
+    async def _tick(self) -> None:
+        """Acts on the passing of time."""
+        swept_ms = 0
+        while True:
+            await anyio.sleep(TICK_MS / clock_lib.MS_PER_SECOND)
+            now_ms = self._clock.now_ms()
+            if self._steering.has_openings:
+                for action in self._steering.tick(now_ms):
+                    self._act(action)
+            if now_ms - swept_ms >= SWEEP_MS:
+                swept_ms = now_ms
+                self._steering.sweep(now_ms)
+
+    async def _learn(self) -> None:
+        """Takes what this host learns."""
+        async for message in self._changes:
+            now_ms = self._clock.now_ms()
+            for known in message.changes:
+                self._apply(known, message, now_ms)
+            self._known_scopes.add(message.scope)
+            self._check_readiness(now_ms)
+
+    def _apply(
+        self,
+        known: messages.KnownChange,
+        message: messages.ChangesLearned,
+        now_ms: int,
+    ) -> None:
+        """Takes one change."""
+        change = known.change
+        if isinstance(change, data.ConfigurationChange):
+            configuration = change.configuration
+            if self._steering.configure(configuration):
+                event_log.log(
+                    _LOG,
+                    logging.INFO,
+                    "configuration_in_force",
+                    version=configuration.version,
+                    revision=known.revision,
+                    routes=len(configuration.routes_by_endpoint),
+                    source=message.source,
+                )
+            return
+        table = self._steering.table
+        if isinstance(change, data.DataCentreChange):
+            table.set_out(change.data_centre, is_out=change.is_out)
+            event_log.log(
+                _LOG,
+                logging.INFO,
+                "data_centre_out" if change.is_out else "data_centre_in",
+                data_centre=change.data_centre,
+                revision=known.revision,
+                source=message.source,
+            )
+            return
+        if isinstance(change, data.UpstreamRemoval):
+            entry = table.remove(
+                change.upstream_id, now_ms, may_return=message.may_return
+            )
+            if entry is not None:
+                event_log.log(
+                    _LOG,
+                    logging.INFO,
+                    "upstream_removed",
+                    upstream=change.upstream_id,
+                    state=entry.upstream.state.value,
+                    may_return=message.may_return,
+                    revision=known.revision,
+                    source=message.source,
+                )
+            return
+        self._apply_upstream(change.upstream, known.revision, message, now_ms)
+
+    def _apply_upstream(
+        self,
+        upstream: data.Upstream,
+        revision: int,
+        message: messages.ChangesLearned,
+        now_ms: int,
+    ) -> None:
+        """Takes the report of an upstream; logs what is more than a beat."""
+        table = self._steering.table
+        known = table.by_id.get(upstream.upstream_id)
+        former = known.upstream if known is not None else None
+        was_removed = known is not None and known.removed_ms is not None
+        table.put(upstream, revision, now_ms)
+        if (
+            former is not None
+            and not was_removed
+            and former.state is upstream.state
+            and former.born_ms == upstream.born_ms
+            and former.address == upstream.address
+        ):
+            return
+        event_log.log(
+            _LOG,
+            logging.INFO,
+            "upstream_known",
+            upstream=upstream.upstream_id,
+            service=upstream.service,
+            data_centre=upstream.data_centre,
+            address=f"{upstream.address[0]}:{upstream.address[1]}",
+            state=upstream.state.value,
+            cold_ms=upstream.cold_ms,
+            was_known=former is not None,
+            was_removed=was_removed,
+            revision=revision,
+            source=message.source,
+        )
+
+    def _check_readiness(self, now_ms: int) -> None:
+        """Starts to route once configuration and registry are known."""
+        if self._state.is_ready or self._steering.configuration is None:
+            return
+        if replication_data.Scope.REGISTRY not in self._known_scopes:
+            return
+        self._state.is_ready = True
+        event_log.log(
+            _LOG,
+            logging.INFO,
+            "ready",
+            upstreams=len(self._steering.table.by_id),
+            held_packets=len(self._held),
+        )
+        while self._held:
+            held_ms, packet = self._held.popleft()
+            if now_ms - held_ms <= HOLD_MS:
+                self._act(self._steering.handle(packet, now_ms))
+
+    def _report(self, decision: steering_lib.Decision) -> None:
+        """Counts and logs a decision that touches the life of a flow."""
+        self._state.counts[f"verdict_{decision.verdict.value}"] += 1
+        flow = decision.flow_id
+        event_log.log(
+            _LOG,
+            logging.INFO,
+            decision.verdict.value,
+            flow=flow_text(flow),
+            upstream=decision.upstream_id,
+            service=decision.service,
+            **decision.detail,
+        )
+
+
+def flow_text(flow: data.FlowId) -> str:
+    """Returns a flow as logs show it: caller, then service."""
+    caller = socket.inet_ntoa(flow.caller_address.to_bytes(4, "big"))
+    service = socket.inet_ntoa(flow.service_address.to_bytes(4, "big"))
+    return f"{caller}:{flow.caller_port}-{service}:{flow.service_port}"
--- /dev/null
+++ b/packages/node/sapphire_node/entry/ports.py
@@ -0,0 +1,135 @@
+"""What the daemon needs of a platform; an adapter implements it.
+
+An adapter holds names, formats and calls. It takes no decisions: it reports
+what it read or why it could not.
+"""
+
+import dataclasses
+from typing import Protocol
+
+from sapphire_core.replication import data as replication_data
+from sapphire_core.tagged_flows import data as flow_data
+from sapphire_data import failures
+
+
+class PacketFormat(Protocol):
+    """How packets are laid out on the fabric."""
+
+    def read(
+        self, datagram: bytes
+    ) -> flow_data.Packet | flow_data.UnreadablePacket:
+        """Reads a packet of a caller.
+
+        Args:
+            datagram: The datagram as received.
+
+        Returns:
+            The packet; or why it is none.
+        """
+
+    def write_forward(self, forward: flow_data.Forward) -> bytes:
+        """Returns the datagram that carries a packet to an upstream."""
+
+    def write_reset(self, packet: flow_data.Packet) -> bytes:
+        """Returns the datagram that ends the flow of a packet."""
+
+    def caller_address(self, packet: flow_data.Packet) -> flow_data.Address:
+        """Returns where datagrams for the caller are sent."""
+
+
+class ItemFormat(Protocol):
+    """What the items of the store mean."""
+
+    def read(
+        self, item: replication_data.Item
+    ) -> flow_data.Change | failures.Failure:
+        """Returns the change that an item stands for, or why it has none."""
+
+
+class ItemSource(Protocol):
+    """A store that hosts can read and follow."""
+
+    async def read_all(
+        self, scope: replication_data.Scope, timeout_ms: int
+    ) -> replication_data.Batch | replication_data.SourceFailure:
+        """Reads all items of a scope, as new as any answer ever given.
+
+        Args:
+            scope: The scope.
+            timeout_ms: How long to wait for each part of the answer.
+        """
+
+    async def wait_for_changes(
+        self,
+        scope: replication_data.Scope,
+        after: int,
+        wait_ms: int,
+        timeout_ms: int,
+    ) -> replication_data.Batch | replication_data.SourceFailure:
+        """Waits until something changes.
+
+        Args:
+            scope: The scope.
+            after: The revision after which changes are wanted.
+            wait_ms: How long the source waits for a change.
+            timeout_ms: How long to wait for its answer beyond that.
+
+        Returns:
+            The changes, perhaps none; `HistoryGone` if all must be read.
+        """
+
+    async def close(self) -> None:
+        """Closes the connection; the next call opens one."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limits:
+    """The times that the platform's rules give.
+
+    Attributes:
+        shutdown_ms: From the request to stop until the process is killed.
+        flow_life_ms: After this time a flow may be dropped.
+    """
+
+    shutdown_ms: int
+    flow_life_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HostSettings:
+    """What a process learns from its settings.
+
+    Attributes:
+        host_name: The name of the host.
+        data_centre: Its data centre.
+        packet_address: Where packets of the fabric arrive.
+        readiness_address: Where readiness is asked for.
+        readiness_path: The path that is asked for.
+        peer_address: Where messages of other hosts arrive.
+        metrics_address: Where metrics are read.
+        store_address: Where the store answers.
+        limits: The times that the platform's rules give.
+    """
+
+    host_name: str
+    data_centre: str
+    packet_address: flow_data.Address
+    readiness_address: flow_data.Address
+    readiness_path: str
+    peer_address: flow_data.Address
+    metrics_address: flow_data.Address
+    store_address: flow_data.Address
+    limits: Limits
+
+
+class Platform(Protocol):
+    """All that an adapter gives."""
+
+    packets: PacketFormat
+    items: ItemFormat
+
+    def settings(self) -> HostSettings | failures.Failure:
+        """Reads the settings of this process anew."""
+
+    def source(self, settings: HostSettings) -> ItemSource:
+        """Returns a new connection to the store."""
--- /dev/null
+++ b/packages/node/sapphire_node/entry/readiness.py
@@ -0,0 +1,38 @@
+"""The task that answers the fabric's question whether the host is ready."""
+
+import anyio
+
+from sapphire_net import http1
+from sapphire_node.entry import host_state
+
+_OK = 200
+_NOT_FOUND = 404
+_UNAVAILABLE = 503
+
+
+class Readiness:
+    """Answers whether this host takes new flows.
+
+    Args:
+        state: The state of the process.
+    """
+
+    def __init__(self, state: host_state.HostState) -> None:
+        self._state = state
+
+    async def run(self) -> None:
+        """Serves until cancelled."""
+        address, port = self._state.settings.readiness_address
+        listener = await anyio.create_tcp_listener(
+            local_host=address, local_port=port
+        )
+        async with listener:
+            await http1.serve(listener, self._answer)
+
+    async def _answer(self, method: str, path: str) -> http1.Response:
+        """Returns the answer to one request."""
+        if method != "GET" or path != self._state.settings.readiness_path:
+            return http1.Response(_NOT_FOUND, b"")
+        if self._state.is_ready and not self._state.is_stopping:
+            return http1.Response(_OK, b"")
+        return http1.Response(_UNAVAILABLE, b"")
