--- a/packages/core/sapphire_core/tagged_flows/flow_records.py
+++ b/packages/core/sapphire_core/tagged_flows/flow_records.py
@@ -16,6 +16,8 @@
 # A request whose end was not seen counts as ended after this time; ten times
 # the mean work of the users' slowest kind of request.
 BUSY_LIMIT_MS = 500
+_SEQUENCE_MASK = 0xFFFF_FFFF
+_HALF_OF_SEQUENCES = 0x8000_0000
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -138,7 +140,7 @@
         self, packet: data.Packet, record: FlowRecord, now_ms: int
     ) -> None:
         """Takes a packet with data: a new request, more of it, or a repeat."""
-        end = (packet.sequence + packet.payload_bytes) & 0xFFFFFFFF
+        end = (packet.sequence + packet.payload_bytes) & _SEQUENCE_MASK
         if record.next_sequence and not _is_after(end, record.next_sequence):
             record.repeats += 1
             return
@@ -163,4 +165,4 @@
 
 def _is_after(number: int, other: int) -> bool:
     """Whether a sequence number comes after another, modulo 2**32."""
-    return 0 < ((number - other) & 0xFFFFFFFF) < 0x80000000
+    return 0 < ((number - other) & _SEQUENCE_MASK) < _HALF_OF_SEQUENCES
