--- a/packages/core/sapphire_core/replication/data.py
+++ b/packages/core/sapphire_core/replication/data.py
@@ -68,3 +68,7 @@
 
 class HistoryGone(SourceFailure):
     """The source no longer has the changes; all items must be read."""
+
+
+class LeaseEnded(SourceFailure):
+    """The lease is no longer there, and neither are its keys."""
--- a/packages/core/sapphire_core/replication/replica.py
+++ b/packages/core/sapphire_core/replication/replica.py
@@ -11,6 +11,11 @@
 
     The revision of an item decides, so batches from the store and from peers
     may come in any order and more than once.
+
+    Attributes:
+        as_of: The revision up to which the copy is complete.
+        last_change: The revision of the newest item.
+        is_complete: Whether all items were read once.
     """
 
     def __init__(self) -> None:
@@ -18,6 +23,7 @@
         self._removed_ms_by_key: dict[str, int] = {}
         self._complete_from = 0
         self.as_of = 0
+        self.last_change = 0
         self.is_complete = False
 
     def items(self) -> list[data.Item]:
@@ -48,6 +54,8 @@
             self.is_complete = True
         self.as_of = max(self.as_of, batch.as_of)
         news.sort(key=lambda item: item.revision)
+        if news:
+            self.last_change = max(self.last_change, news[-1].revision)
         return news
 
     def changes_after(self, revision: int) -> data.Batch:
--- a/packages/core/sapphire_core/tagged_flows/silence.py
+++ b/packages/core/sapphire_core/tagged_flows/silence.py
@@ -12,6 +12,10 @@
 # thousand openings silent, so one silent opening keeps flows away briefly.
 FIRST_AVOID_MS = 300
 MAX_AVOID_MS = 2_400
+# A peer's word is renewed with each of its beats.
+PEER_AVOID_MS = 600
+# An upstream that answered this host within two beats is not silent.
+PEER_DOUBT_MS = 500
 
 
 @dataclasses.dataclass(slots=True)
@@ -21,11 +25,13 @@
     Attributes:
         unanswered: Openings in a row that found no answer.
         avoid_until_ms: Until when it is used only if there is no other.
+        peers_until_ms: Until when a peer avoids it.
         answered_ms: When it last answered an opening.
     """
 
     unanswered: int = 0
     avoid_until_ms: int = 0
+    peers_until_ms: int = 0
     answered_ms: int = -MAX_AVOID_MS
 
 
@@ -45,6 +51,7 @@
         record = self._record(upstream_id)
         record.unanswered = 0
         record.avoid_until_ms = 0
+        record.peers_until_ms = 0
         record.answered_ms = now_ms
 
     def note_unanswered(
@@ -67,10 +74,36 @@
         )
         record.avoid_until_ms = now_ms + pause_ms
 
+    def note_peer(self, upstream_id: str, silent_ms: int, now_ms: int) -> None:
+        """Notes that a peer avoids an upstream for its silence.
+
+        What this host saw itself counts for more: an upstream that answered
+        it since then is not avoided.
+
+        Args:
+            upstream_id: The upstream.
+            silent_ms: For how much longer the peer avoids it.
+            now_ms: The current time.
+        """
+        record = self._record(upstream_id)
+        if now_ms - record.answered_ms < PEER_DOUBT_MS:
+            return
+        until_ms = now_ms + min(silent_ms, PEER_AVOID_MS)
+        record.peers_until_ms = max(record.peers_until_ms, until_ms)
+
+    def own_silent_ms(self, upstream_id: str, now_ms: int) -> int:
+        """Returns for how much longer this host avoids an upstream."""
+        record = self._records_by_id.get(upstream_id)
+        if record is None:
+            return 0
+        return max(0, record.avoid_until_ms - now_ms)
+
     def is_avoided(self, upstream_id: str, now_ms: int) -> bool:
         """Whether an upstream is to be used only if there is no other."""
         record = self._records_by_id.get(upstream_id)
-        return record is not None and now_ms < record.avoid_until_ms
+        if record is None:
+            return False
+        return now_ms < max(record.avoid_until_ms, record.peers_until_ms)
 
     def unanswered(self, upstream_id: str) -> int:
         """Returns how many openings in a row found no answer."""
--- a/packages/core/sapphire_core/tagged_flows/steering.py
+++ b/packages/core/sapphire_core/tagged_flows/steering.py
@@ -1,11 +1,13 @@
 """The decisions of one host about packets whose flows carry tags."""
 
 from collections.abc import Callable
+from collections.abc import Mapping
 import dataclasses
 import random
 
 import xxhash
 
+from sapphire_core.peers import data as peer_data
 from sapphire_core.tagged_flows import cold_budget
 from sapphire_core.tagged_flows import data
 from sapphire_core.tagged_flows import flow_records
@@ -65,6 +67,7 @@
         self.table = upstream_table.UpstreamTable()
         self.flows = flow_records.FlowRecords()
         self.hosts = 1
+        self._busy_elsewhere_by_tag: Mapping[int, float] = {}
 
     @property
     def configuration(self) -> data.Configuration | None:
@@ -125,6 +128,46 @@
             )
         return actions
 
+    def note_peers(
+        self,
+        busy_by_tag: Mapping[int, float],
+        silent_ms_by_tag: Mapping[int, int],
+        hosts: int,
+        now_ms: int,
+    ) -> None:
+        """Takes what other hosts have seen of upstreams.
+
+        Args:
+            busy_by_tag: The requests in progress at each upstream.
+            silent_ms_by_tag: How much longer some host avoids it.
+            hosts: How many hosts there may be, this one included.
+            now_ms: The current time.
+        """
+        self._busy_elsewhere_by_tag = busy_by_tag
+        self.hosts = hosts
+        for tag, silent_ms in silent_ms_by_tag.items():
+            entry = self.table.by_tag(tag)
+            if entry is not None and silent_ms > 0:
+                self._silence.note_peer(
+                    entry.upstream.upstream_id, silent_ms, now_ms
+                )
+
+    def reports(self, now_ms: int) -> tuple[peer_data.UpstreamReport, ...]:
+        """Returns what this host has seen of upstreams, for other hosts.
+
+        Args:
+            now_ms: The current time.
+        """
+        reports: list[peer_data.UpstreamReport] = []
+        for upstream_id, entry in self.table.by_id.items():
+            busy = self.flows.busy(upstream_id)
+            silent_ms = self._silence.own_silent_ms(upstream_id, now_ms)
+            if busy or silent_ms:
+                reports.append(
+                    peer_data.UpstreamReport(entry.tag, busy, silent_ms)
+                )
+        return tuple(reports)
+
     @property
     def has_openings(self) -> bool:
         """Whether openings are in progress."""
@@ -169,7 +212,7 @@
             packet,
             entry,
             copy=packet.acknowledged,
-            busy=self.flows.busy(entry.upstream.upstream_id),
+            busy=round(self._busy(entry), 1),
         )
         return data.Forward(packet, entry.upstream, entry.tag)
 
@@ -297,7 +340,7 @@
             candidates.append(
                 placement.Candidate(
                     entry,
-                    self.flows.busy(upstream_id),
+                    self._busy(entry),
                     self._silence.is_avoided(upstream_id, now_ms),
                     is_cold,
                 )
@@ -313,6 +356,11 @@
             )
         return chosen.entry
 
+    def _busy(self, entry: upstream_table.Entry) -> float:
+        """Returns how many requests an upstream has in progress, all told."""
+        own = self.flows.busy(entry.upstream.upstream_id)
+        return own + self._busy_elsewhere_by_tag.get(entry.tag, 0.0)
+
     def _tell(
         self,
         verdict: data.Verdict,
--- a/packages/node/sapphire_node/entry/follower.py
+++ b/packages/node/sapphire_node/entry/follower.py
@@ -23,10 +23,17 @@
 # Answers of a slow store, sixty to ninety times its 4 ms, are waited for.
 MAX_ANSWER_TIMEOUT_MS = 2_800
 RETRY_MIN_MS = 50
-RETRY_MAX_MS = 400
-# Reports of upstreams come several times a second in all; this many calls a
-# second read them in batches.
+RETRY_MAX_MS = 800
+# Changes of upstreams come in swarms; a pause reads several with one call.
 REGISTRY_PAUSE_MS = 250
+# The list of hosts is read cheaply; peers hear of a new host from itself.
+HOSTS_PAUSE_MS = 5_000
+_PAUSE_MS_BY_SCOPE = {
+    data.Scope.REGISTRY: REGISTRY_PAUSE_MS,
+    data.Scope.HOSTS: HOSTS_PAUSE_MS,
+}
+# How soon a host notices that it is to follow.
+IDLE_POLL_MS = 50
 
 BatchSender = anyio.streams.memory.MemoryObjectSendStream[
     messages.BatchReceived
@@ -60,23 +67,31 @@
         self._settings = state.settings
         self._source = platform.source(state.settings)
         self._failures_in_row = 0
-        self._as_of: int | None = None
+        self._must_read_all = True
 
     async def run(self) -> None:
-        """Follows the scope until cancelled."""
+        """Follows the scope until cancelled.
+
+        The first read is this host's own, so that what it acts on after its
+        start is as new as any answer that the store ever gave.
+        """
         while True:
+            if not self._must_read_all and not self._state.must_follow:
+                self._state.following.discard(self._scope)
+                await _sleep_ms(IDLE_POLL_MS)
+                continue
             await self._renew_source()
             batch = await self._next_batch()
             if isinstance(batch, data.SourceFailure):
                 await self._handle_failure(batch)
                 continue
             self._note_contact()
-            self._as_of = batch.as_of
+            self._must_read_all = False
             await self._batches.send(
                 messages.BatchReceived(self._scope, batch, "store")
             )
-            if self._scope is data.Scope.REGISTRY:
-                await _sleep_ms(REGISTRY_PAUSE_MS)
+            if self._scope is not data.Scope.INTENT:
+                await _sleep_ms(_PAUSE_MS_BY_SCOPE[self._scope])
 
     async def _next_batch(self) -> data.Batch | data.SourceFailure:
         """Reads everything, or waits for the next change."""
@@ -84,12 +99,15 @@
             ANSWER_TIMEOUT_MS << min(self._failures_in_row, 4),
             MAX_ANSWER_TIMEOUT_MS,
         )
-        if self._as_of is None:
+        if self._scope is data.Scope.HOSTS:
+            return await self._source.read_recent(self._scope, timeout_ms)
+        if self._must_read_all:
             return await self._source.read_all(self._scope, timeout_ms)
+        after = self._state.as_of_by_scope.get(self._scope, 0)
         # After a failure the answer may be late already: do not wait.
         wait_ms = 1 if self._failures_in_row else WATCH_WAIT_MS
         return await self._source.wait_for_changes(
-            self._scope, self._as_of, wait_ms, timeout_ms
+            self._scope, after, wait_ms, timeout_ms
         )
 
     async def _handle_failure(self, failure: data.SourceFailure) -> None:
@@ -98,8 +116,9 @@
             event_log.log_failure(
                 _LOG, "history_gone", failure, scope=self._scope.name
             )
-            self._as_of = None
+            self._must_read_all = True
             return
+        self._state.following.discard(self._scope)
         self._state.last_store_failure_ms = self._clock.now_ms()
         self._state.counts["store_failures"] += 1
         if self._failures_in_row == 0:
@@ -114,6 +133,7 @@
         """Notes that the store has answered."""
         self._state.counts["store_answers"] += 1
         self._state.told_ms_by_scope[self._scope] = self._clock.now_ms()
+        self._state.following.add(self._scope)
         if self._failures_in_row == 0:
             return
         event_log.log(
--- a/packages/node/sapphire_node/entry/host.py
+++ b/packages/node/sapphire_node/entry/host.py
@@ -9,16 +9,19 @@
 import anyio
 import anyio.abc
 
+from sapphire_core.peers import data as peer_data
 from sapphire_core.replication import data as replication_data
 from sapphire_data import clock as clock_lib
 from sapphire_data import failures
 from sapphire_net import bounded_output
 from sapphire_net import event_log
+from sapphire_node.entry import announcer
 from sapphire_node.entry import follower
 from sapphire_node.entry import host_state
 from sapphire_node.entry import knowledge
 from sapphire_node.entry import messages
 from sapphire_node.entry import packet_task
+from sapphire_node.entry import peer_task
 from sapphire_node.entry import ports
 from sapphire_node.entry import readiness
 
@@ -84,20 +87,29 @@
         messages.BatchReceived
     ](math.inf)
     changes, received_changes = anyio.create_memory_object_stream[
-        messages.ChangesLearned
+        messages.ChangesLearned | messages.PeersSeen
     ](math.inf)
-    packets = packet_task.PacketTask(platform, state, clock, received_changes)
+    to_peers, inbox = anyio.create_memory_object_stream[
+        messages.HostsListed | messages.NewsHeld | messages.UpstreamsSeen
+    ](math.inf)
+    contact = peer_data.Contact(
+        settings.host_name, settings.data_centre, *settings.peer_address
+    )
+    packets = packet_task.PacketTask(
+        platform, state, clock, received_changes, to_peers
+    )
     merged = knowledge.Knowledge(
-        platform.items, state, clock, received_batches, changes
+        platform.items, state, clock, received_batches, changes, to_peers
     )
+    peers = peer_task.PeerTask(contact, state, clock, inbox, batches, changes)
+    announced = announcer.Announcer(contact, platform, state)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(handler.run)
         tasks.start_soon(packets.run)
         tasks.start_soon(merged.run)
-        for scope in (
-            replication_data.Scope.INTENT,
-            replication_data.Scope.REGISTRY,
-        ):
+        tasks.start_soon(peers.run)
+        tasks.start_soon(announced.run)
+        for scope in replication_data.Scope:
             task = follower.Follower(scope, platform, state, clock, batches)
             tasks.start_soon(task.run)
         tasks.start_soon(readiness.Readiness(state).run)
--- a/packages/node/sapphire_node/entry/host_state.py
+++ b/packages/node/sapphire_node/entry/host_state.py
@@ -6,6 +6,11 @@
 from sapphire_core.replication import data as replication_data
 from sapphire_node.entry import ports
 
+# The scopes without which a host cannot place flows.
+ROUTING_SCOPES = frozenset(
+    {replication_data.Scope.INTENT, replication_data.Scope.REGISTRY}
+)
+
 
 @dataclasses.dataclass(slots=True)
 class HostState:
@@ -20,6 +25,10 @@
             none has.
         told_ms_by_scope: When a source last told of a scope, or confirmed
             that nothing changed.
+        as_of_by_scope: Up to which revision each scope is known.
+        change_by_scope: The revision of the newest known change.
+        must_follow: Whether this host is to follow the store itself.
+        following: The scopes that it follows, its last call having succeeded.
         counts: Counters by name, for metrics.
     """
 
@@ -31,6 +40,21 @@
     told_ms_by_scope: dict[replication_data.Scope, int] = dataclasses.field(
         default_factory=dict
     )
+    as_of_by_scope: dict[replication_data.Scope, int] = dataclasses.field(
+        default_factory=dict
+    )
+    change_by_scope: dict[replication_data.Scope, int] = dataclasses.field(
+        default_factory=dict
+    )
+    must_follow: bool = True
+    following: set[replication_data.Scope] = dataclasses.field(
+        default_factory=set
+    )
     counts: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
+
+    @property
+    def is_following(self) -> bool:
+        """Whether this host follows the store for others too."""
+        return self.must_follow and self.following >= ROUTING_SCOPES
--- a/packages/node/sapphire_node/entry/knowledge.py
+++ b/packages/node/sapphire_node/entry/knowledge.py
@@ -2,28 +2,39 @@
 
 import logging
 
+import anyio
+import anyio.abc
 import anyio.streams.memory
 
+from sapphire_core.peers import data as peer_data
 from sapphire_core.replication import data
 from sapphire_core.replication import replica
 from sapphire_data import clock as clock_lib
 from sapphire_data import failures
 from sapphire_net import event_log
+from sapphire_net import http1
 from sapphire_node.entry import host_state
 from sapphire_node.entry import messages
+from sapphire_node.entry import peer_task
 from sapphire_node.entry import ports
+from sapphire_wire import peer_messages
 
 _LOG = logging.getLogger(__name__)
 
 # Entries that lapse this soon after a failed call may have lapsed because of
 # the store; the platform calls it stable 4 s after a disruption.
 UNSTABLE_MS = 5_000
+_OK = 200
+_NOT_FOUND = 404
 
 BatchReceiver = anyio.streams.memory.MemoryObjectReceiveStream[
     messages.BatchReceived
 ]
 ChangeSender = anyio.streams.memory.MemoryObjectSendStream[
-    messages.ChangesLearned
+    messages.ChangesLearned | messages.PeersSeen
+]
+PeerSender = anyio.streams.memory.MemoryObjectSendStream[
+    messages.HostsListed | messages.NewsHeld | messages.UpstreamsSeen
 ]
 
 
@@ -36,6 +47,7 @@
         clock: The clock.
         batches: What sources tell.
         changes: Takes the news for the packet task.
+        peers: Takes the news for the peer task.
     """
 
     def __init__(
@@ -45,44 +57,94 @@
         clock: clock_lib.Clock,
         batches: BatchReceiver,
         changes: ChangeSender,
+        peers: PeerSender,
     ) -> None:
         self._items = items
         self._state = state
         self._clock = clock
         self._batches = batches
         self._changes = changes
+        self._peers = peers
         self._replicas_by_scope = {
-            scope: replica.Replica()
-            for scope in (data.Scope.INTENT, data.Scope.REGISTRY)
+            scope: replica.Replica() for scope in data.Scope
         }
 
     async def run(self) -> None:
-        """Merges batches until cancelled."""
-        async for message in self._batches:
-            await self._take(message)
+        """Merges batches, and answers peers, until cancelled."""
+        address = self._state.settings.peer_address
+        listener = await anyio.create_tcp_listener(
+            local_host=address[0], local_port=address[1]
+        )
+        async with listener, anyio.create_task_group() as tasks:
+            tasks.start_soon(http1.serve, listener, self._answer)
+            async for message in self._batches:
+                await self._take(message)
 
     async def _take(self, message: messages.BatchReceived) -> None:
         """Merges one batch and passes on what is news."""
         now_ms = self._clock.now_ms()
-        copy = self._replicas_by_scope[message.scope]
+        scope = message.scope
+        copy = self._replicas_by_scope[scope]
         was_complete = copy.is_complete
         news = copy.apply(message.batch, now_ms)
         copy.forget_old(now_ms)
+        self._state.as_of_by_scope[scope] = copy.as_of
         if not news and was_complete:
             return
+        self._state.change_by_scope[scope] = copy.last_change
+        if scope is data.Scope.HOSTS:
+            await self._peers.send(messages.HostsListed(self._contacts()))
+            return
+        await self._changes.send(
+            messages.ChangesLearned(
+                scope,
+                tuple(self._read(news)),
+                self._may_return(now_ms),
+                message.source,
+            )
+        )
+        await self._peers.send(messages.NewsHeld(scope))
+
+    def _read(self, news: list[data.Item]) -> list[messages.KnownChange]:
+        """Returns what items mean; those that cannot be read are left out."""
         learned: list[messages.KnownChange] = []
         for item in news:
             change = self._items.read(item)
             if isinstance(change, failures.Failure):
+                self._state.counts["items_ignored"] += 1
                 event_log.log_failure(
                     _LOG, "item_ignored", change, key=item.key
                 )
                 continue
             learned.append(messages.KnownChange(change, item.revision))
+        return learned
+
+    def _may_return(self, now_ms: int) -> bool:
+        """Whether entries may be missing because the store was away."""
         failed_ms = self._state.last_store_failure_ms
-        may_return = failed_ms is not None and now_ms - failed_ms < UNSTABLE_MS
-        await self._changes.send(
-            messages.ChangesLearned(
-                message.scope, tuple(learned), may_return, message.source
-            )
-        )
+        return failed_ms is not None and now_ms - failed_ms < UNSTABLE_MS
+
+    def _contacts(self) -> tuple[peer_data.Contact, ...]:
+        """Returns the hosts that the store lists."""
+        contacts: list[peer_data.Contact] = []
+        for item in self._replicas_by_scope[data.Scope.HOSTS].items():
+            contact = peer_messages.decode_contact(item.value or b"")
+            if isinstance(contact, failures.Failure):
+                event_log.log_failure(
+                    _LOG, "item_ignored", contact, key=item.key
+                )
+                continue
+            contacts.append(contact)
+        return tuple(contacts)
+
+    async def _answer(self, method: str, path: str) -> http1.Response:
+        """Answers a peer that lacks something."""
+        asked = peer_task.path_of(path)
+        if method != "GET" or asked is None:
+            return http1.Response(_NOT_FOUND, b"")
+        scope, after = asked
+        copy = self._replicas_by_scope[scope]
+        if not copy.is_complete:
+            return http1.Response(_NOT_FOUND, b"")
+        body = peer_messages.encode_batch(copy.changes_after(after))
+        return http1.Response(_OK, body)
--- a/packages/node/sapphire_node/entry/messages.py
+++ b/packages/node/sapphire_node/entry/messages.py
@@ -1,7 +1,9 @@
 """What the tasks of the entry host tell each other."""
 
+from collections.abc import Mapping
 import dataclasses
 
+from sapphire_core.peers import data as peer_data
 from sapphire_core.replication import data as replication_data
 from sapphire_core.tagged_flows import data as flow_data
 
@@ -50,3 +52,51 @@
     changes: tuple[KnownChange, ...]
     may_return: bool
     source: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HostsListed:
+    """The store's list of hosts has changed.
+
+    Attributes:
+        contacts: All hosts in it.
+    """
+
+    contacts: tuple[peer_data.Contact, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NewsHeld:
+    """This host holds changes that peers may lack.
+
+    Attributes:
+        scope: The scope.
+    """
+
+    scope: replication_data.Scope
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamsSeen:
+    """What this host has seen of upstreams.
+
+    Attributes:
+        reports: One for each upstream that is busy or silent.
+    """
+
+    reports: tuple[peer_data.UpstreamReport, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeersSeen:
+    """What other hosts have seen of upstreams.
+
+    Attributes:
+        busy_by_tag: The requests in progress at each upstream.
+        silent_ms_by_tag: How much longer some host avoids it.
+        hosts: How many hosts there may be, this one included.
+    """
+
+    busy_by_tag: Mapping[int, float]
+    silent_ms_by_tag: Mapping[int, int]
+    hosts: int
--- a/packages/node/sapphire_node/entry/packet_task.py
+++ b/packages/node/sapphire_node/entry/packet_task.py
@@ -30,8 +30,9 @@
 MAX_HELD_PACKETS = 512
 
 ChangeReceiver = anyio.streams.memory.MemoryObjectReceiveStream[
-    messages.ChangesLearned
+    messages.ChangesLearned | messages.PeersSeen
 ]
+SeenSender = anyio.streams.memory.MemoryObjectSendStream[messages.UpstreamsSeen]
 
 
 class PacketTask:
@@ -42,6 +43,7 @@
         state: The state of the process.
         clock: The clock.
         changes: What this host learns.
+        seen: Takes what it sees of upstreams.
     """
 
     def __init__(
@@ -50,11 +52,13 @@
         state: host_state.HostState,
         clock: clock_lib.Clock,
         changes: ChangeReceiver,
+        seen: SeenSender,
     ) -> None:
         self._format = platform.packets
         self._state = state
         self._clock = clock
         self._changes = changes
+        self._seen = seen
         self._steering = steering_lib.Steering(
             state.settings.data_centre, random.Random(), self._report
         )
@@ -152,6 +156,16 @@
         """Takes what this host learns."""
         async for message in self._changes:
             now_ms = self._clock.now_ms()
+            if isinstance(message, messages.PeersSeen):
+                self._steering.note_peers(
+                    message.busy_by_tag,
+                    message.silent_ms_by_tag,
+                    message.hosts,
+                    now_ms,
+                )
+                reports = self._steering.reports(now_ms)
+                await self._seen.send(messages.UpstreamsSeen(reports))
+                continue
             for known in message.changes:
                 self._apply(known, message, now_ms)
             self._known_scopes.add(message.scope)
--- /dev/null
+++ b/packages/node/sapphire_node/entry/peer_task.py
@@ -0,0 +1,250 @@
+"""The task that talks to other hosts.
+
+Beats go in datagrams: what a host knows up to which revision, who follows
+the store, and what it has seen of upstreams. What a host lacks it reads from
+a peer over HTTP.
+"""
+
+import logging
+import random
+import socket
+
+import anyio
+import anyio.abc
+import anyio.streams.memory
+
+from sapphire_core.peers import data as peer_data
+from sapphire_core.peers import roster as roster_lib
+from sapphire_core.replication import data
+from sapphire_data import clock as clock_lib
+from sapphire_data import failures
+from sapphire_net import event_log
+from sapphire_net import http1
+from sapphire_node.entry import follower
+from sapphire_node.entry import host_state
+from sapphire_node.entry import messages
+from sapphire_wire import peer_messages
+
+_LOG = logging.getLogger(__name__)
+
+BEAT_MS = 250
+# A host that follows the store itself hears the same from there; it asks a
+# peer only when its own connection turns out to be behind by this much.
+OWN_LEAD_MS = 300
+# Small answers take a few crossings of the network.
+PULL_TIMEOUT_MS = 1_000
+PULL_POLL_MS = 20
+BURST_DATAGRAMS = 64
+ITEMS_PATH = "/items"
+_OK = 200
+
+Inbox = anyio.streams.memory.MemoryObjectReceiveStream[
+    messages.HostsListed | messages.NewsHeld | messages.UpstreamsSeen
+]
+SeenSender = anyio.streams.memory.MemoryObjectSendStream[messages.PeersSeen]
+
+
+class PeerTask:
+    """Tells other hosts, hears them, and reads from them what is missing.
+
+    Args:
+        contact: How this host is reached.
+        state: The state of the process.
+        clock: The clock.
+        inbox: What other tasks tell.
+        batches: Takes what peers tell of the store.
+        seen: Takes what peers have seen of upstreams.
+    """
+
+    def __init__(
+        self,
+        contact: peer_data.Contact,
+        state: host_state.HostState,
+        clock: clock_lib.Clock,
+        inbox: Inbox,
+        batches: follower.BatchSender,
+        seen: SeenSender,
+    ) -> None:
+        self._contact = contact
+        self._state = state
+        self._clock = clock
+        self._inbox = inbox
+        self._batches = batches
+        self._seen = seen
+        rng = random.Random()
+        self._roster = roster_lib.Roster(contact, rng)
+        self._start_id = rng.getrandbits(62)
+        self._sequence = 0
+        self._reports: tuple[peer_data.UpstreamReport, ...] = ()
+        self._listed: frozenset[str] = frozenset()
+        # Since when a peer is known to be ahead, and which one, by scope.
+        self._ahead_by_scope: dict[data.Scope, tuple[int, str]] = {}
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.setblocking(False)
+        self._socket.bind((contact.address, contact.port))
+
+    async def run(self) -> None:
+        """Works until cancelled."""
+        with self._socket:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._receive)
+                tasks.start_soon(self._beat)
+                tasks.start_soon(self._pull)
+                await self._listen()
+
+    async def _listen(self) -> None:
+        """Takes what other tasks tell."""
+        async for message in self._inbox:
+            if isinstance(message, messages.UpstreamsSeen):
+                self._reports = message.reports
+            elif isinstance(message, messages.HostsListed):
+                self._listed = frozenset(c.host for c in message.contacts)
+                self._roster.set_listed(message.contacts)
+            else:
+                self._send_beat()
+
+    async def _beat(self) -> None:
+        """Sends beats at intervals, and passes on what peers have seen."""
+        while True:
+            now_ms = self._clock.now_ms()
+            self._roster.forget_old(now_ms, self._listed)
+            self._state.must_follow = self._roster.must_follow(
+                now_ms, is_leaving=self._state.is_stopping
+            )
+            self._send_beat()
+            live = self._roster.live(now_ms)
+            hosts = self._roster.hosts()
+            busy, silent_ms = roster_lib.merge_reports(live, hosts - 1)
+            await self._seen.send(messages.PeersSeen(busy, silent_ms, hosts))
+            await anyio.sleep(BEAT_MS / clock_lib.MS_PER_SECOND)
+
+    def _send_beat(self) -> None:
+        """Sends one beat to some peers."""
+        now_ms = self._clock.now_ms()
+        followers = self._roster.followers(now_ms)
+        if self._state.is_following:
+            followers[self._contact.host] = 0
+        failed_ms = self._state.last_store_failure_ms
+        self._sequence += 1
+        datagram = peer_messages.encode_beat(
+            peer_data.Beat(
+                contact=self._contact,
+                start_id=self._start_id,
+                sequence=self._sequence,
+                is_leaving=self._state.is_stopping,
+                revisions=self._state.change_by_scope,
+                store_failed_ms=None
+                if failed_ms is None
+                else now_ms - failed_ms,
+                follower_ages_ms=followers,
+                upstreams=self._reports,
+            )
+        )
+        for contact in self._roster.receivers():
+            try:
+                self._socket.sendto(datagram, (contact.address, contact.port))
+            except OSError as error:
+                self._state.counts["beats_not_sent"] += 1
+                event_log.log(
+                    _LOG,
+                    logging.DEBUG,
+                    "beat_not_sent",
+                    peer=contact.host,
+                    problem=repr(error),
+                )
+
+    async def _receive(self) -> None:
+        """Takes beats of other hosts."""
+        while True:
+            await anyio.wait_readable(self._socket)
+            for _ in range(BURST_DATAGRAMS):
+                try:
+                    datagram = self._socket.recv(peer_messages.MAX_BEAT_BYTES)
+                except BlockingIOError:
+                    break
+                except OSError:
+                    # A former beat found nobody; its host shows by silence.
+                    self._state.counts["peer_socket_errors"] += 1
+                    continue
+                self._take(datagram)
+
+    def _take(self, datagram: bytes) -> None:
+        """Takes one beat."""
+        beat = peer_messages.decode_beat(datagram)
+        if isinstance(beat, failures.Failure):
+            self._state.counts["unreadable_beats"] += 1
+            event_log.log_failure(_LOG, "beat_ignored", beat)
+            return
+        now_ms = self._clock.now_ms()
+        if self._roster.note_beat(beat, now_ms):
+            event_log.log(
+                _LOG,
+                logging.INFO,
+                "peer_started",
+                peer=beat.contact.host,
+                data_centre=beat.contact.data_centre,
+                start_id=beat.start_id,
+            )
+            # It may know of nobody yet.
+            self._send_beat()
+        if beat.store_failed_ms is not None:
+            failed_ms = now_ms - beat.store_failed_ms
+            known_ms = self._state.last_store_failure_ms
+            if known_ms is None or failed_ms > known_ms:
+                self._state.last_store_failure_ms = failed_ms
+        for scope, revision in beat.revisions.items():
+            if revision <= self._state.change_by_scope.get(scope, 0):
+                continue
+            since_ms, _ = self._ahead_by_scope.get(scope, (now_ms, ""))
+            self._ahead_by_scope[scope] = (since_ms, beat.contact.host)
+
+    async def _pull(self) -> None:
+        """Reads from peers what this host lacks."""
+        while True:
+            await anyio.sleep(PULL_POLL_MS / clock_lib.MS_PER_SECOND)
+            now_ms = self._clock.now_ms()
+            for scope, (since_ms, host) in list(self._ahead_by_scope.items()):
+                is_own = self._state.must_follow
+                if is_own and now_ms - since_ms < OWN_LEAD_MS:
+                    continue
+                del self._ahead_by_scope[scope]
+                await self._pull_from(scope, host)
+
+    async def _pull_from(self, scope: data.Scope, host: str) -> None:
+        """Reads a scope from one peer."""
+        contact = self._roster.contact(host)
+        if contact is None:
+            return
+        after = self._state.as_of_by_scope.get(scope, 0)
+        client = http1.Client((contact.address, contact.port))
+        path = f"{ITEMS_PATH}/{scope.value}/{after}"
+        response = await client.call("GET", path, PULL_TIMEOUT_MS)
+        await client.close()
+        if isinstance(response, http1.CallFailure):
+            self._state.counts["pull_failures"] += 1
+            event_log.log_failure(_LOG, "pull_failed", response, peer=host)
+            return
+        if response.status != _OK:
+            return
+        batch = peer_messages.decode_batch(response.body)
+        if isinstance(batch, failures.Failure):
+            self._state.counts["pull_failures"] += 1
+            event_log.log_failure(_LOG, "pull_failed", batch, peer=host)
+            return
+        await self._batches.send(messages.BatchReceived(scope, batch, host))
+
+
+def path_of(path: str) -> tuple[data.Scope, int] | None:
+    """Reads the path of a peer's question; None if it is none.
+
+    Args:
+        path: Such as `/items/1/530`: a scope, and the revision that the peer
+            knows.
+    """
+    parts = path.removeprefix(f"{ITEMS_PATH}/").split("/")
+    numbers = [int(part) for part in parts if part.isdecimal()]
+    scope_number, after = (*numbers, 0, 0)[:2]
+    known = {scope.value: scope for scope in data.Scope}
+    if len(parts) != len(numbers) or scope_number not in known:
+        return None
+    return known[scope_number], after
--- a/packages/node/sapphire_node/entry/ports.py
+++ b/packages/node/sapphire_node/entry/ports.py
@@ -78,6 +78,44 @@
             The changes, perhaps none; `HistoryGone` if all must be read.
         """
 
+    async def read_recent(
+        self, scope: replication_data.Scope, timeout_ms: int
+    ) -> replication_data.Batch | replication_data.SourceFailure:
+        """Reads all items of a scope cheaply, perhaps seconds old.
+
+        Args:
+            scope: The scope.
+            timeout_ms: How long to wait for each part of the answer.
+        """
+
+    async def announce(
+        self, host: str, value: bytes, life_ms: int, timeout_ms: int
+    ) -> int | replication_data.SourceFailure:
+        """Lists this host until its lease ends.
+
+        Args:
+            host: The name of the host.
+            value: What others need to reach it.
+            life_ms: How long the lease lasts without renewal.
+            timeout_ms: How long to wait for each answer.
+
+        Returns:
+            The lease; or why there is none.
+        """
+
+    async def renew(
+        self, lease: int, timeout_ms: int
+    ) -> replication_data.SourceFailure | None:
+        """Renews a lease.
+
+        Args:
+            lease: The lease.
+            timeout_ms: How long to wait for the answer.
+
+        Returns:
+            None; `LeaseEnded` if the host has to be announced anew.
+        """
+
     async def close(self) -> None:
         """Closes the connection; the next call opens one."""
 
--- /dev/null
+++ b/packages/wire/idl/peers.thrift
@@ -0,0 +1,41 @@
+// What entry hosts on one platform tell each other: beats in datagrams, and
+// batches of the store's items over HTTP.
+namespace py peers
+
+// A host's regular message.
+struct Beat {
+  1: required string host,
+  2: required string data_centre,
+  3: required string address,            // Where it takes messages.
+  4: required i32 port,
+  5: required i64 start_id,              // Random, new at each start.
+  6: required i64 sequence,              // Increases with each beat.
+  7: required bool is_leaving,
+  8: required list<i64> revisions,       // Of each scope, by its number - 1.
+  9: required i32 store_failed_ms,       // Age of the last failure; -1: none.
+  10: required list<string> followers,   // Hosts that follow the store,
+  11: required list<i32> follower_ages_ms, // and how old that knowledge is.
+  12: required list<i64> upstream_tags,
+  13: required list<i32> busy,           // Requests in progress, in hundredths.
+  14: required list<i32> silent_ms,      // How much longer it is avoided.
+}
+
+struct ItemRecord {
+  1: required string key,
+  2: required i64 revision,
+  3: optional binary value,              // Absent if the key was removed.
+}
+
+struct ItemBatch {
+  1: required list<ItemRecord> items,
+  2: required i64 as_of,
+  3: required bool is_full,
+}
+
+// How a host is reached; its entry in the store's list of hosts.
+struct Contact {
+  1: required string host,
+  2: required string data_centre,
+  3: required string address,
+  4: required i32 port,
+}
--- a/packages/wire/sapphire_wire/codec.py
+++ b/packages/wire/sapphire_wire/codec.py
@@ -1,51 +1,18 @@
-"""Encoding and decoding of thrift records with limits on their size."""
+"""Decoding of thrift records into results."""
 
-import struct
-from typing import Any
 from typing import TypeVar
-from typing import cast
 
 import expression
-from thrift import Thrift
-from thrift.protocol import TCompactProtocol
-from thrift.transport import TTransport
 
 from sapphire_data import failures
-
-MAX_RECORD_BYTES = 4_194_304
-MAX_CONTAINER_ITEMS = 262_144
+from sapphire_wire import plain_codec
 
 RecordT = TypeVar("RecordT")
 
-# Decoders of generated code raise these on malformed input.
-_DECODE_ERRORS = (
-    Thrift.TException,
-    EOFError,
-    ValueError,
-    TypeError,
-    KeyError,
-    IndexError,
-    AttributeError,
-    OverflowError,
-    MemoryError,
-    RecursionError,
-    struct.error,
-)
-
-
-def encode(record: Any) -> bytes:
-    """Encodes a generated thrift record in the compact protocol.
-
-    Args:
-        record: An instance of a generated class.
-
-    Returns:
-        The encoded bytes.
-    """
-    buffer = TTransport.TMemoryBuffer()
-    protocol = TCompactProtocol.TCompactProtocolAccelerated(buffer)
-    record.write(protocol)
-    return bytes(buffer.getvalue())
+MAX_RECORD_BYTES = plain_codec.MAX_RECORD_BYTES
+MAX_CONTAINER_ITEMS = plain_codec.MAX_CONTAINER_ITEMS
+encode = plain_codec.encode
+decode_plain = plain_codec.decode_plain
 
 
 def decode(
@@ -64,44 +31,3 @@
     if isinstance(decoded, failures.UnreadableInput):
         return expression.Error(decoded)
     return expression.Ok(decoded)
-
-
-def decode_plain(
-    record_type: type[RecordT], data: bytes
-) -> RecordT | failures.UnreadableInput:
-    """Decodes like `decode`, without the cost of a `Result`.
-
-    It is meant for the path of each datagram, where a `Result` costs more
-    than the decoder itself.
-
-    Args:
-        record_type: The generated class.
-        data: The bytes as received; they may hold anything.
-
-    Returns:
-        The validated record, or why the bytes cannot be read.
-    """
-    if len(data) > MAX_RECORD_BYTES:
-        return _unreadable(record_type, f"{len(data)} bytes is too long")
-    buffer = TTransport.TMemoryBuffer(data)
-    protocol = TCompactProtocol.TCompactProtocolAccelerated(
-        buffer,
-        string_length_limit=MAX_RECORD_BYTES,
-        container_length_limit=MAX_CONTAINER_ITEMS,
-    )
-    record: Any = record_type()
-    try:
-        record.read(protocol)
-        record.validate()
-    except _DECODE_ERRORS as error:
-        return _unreadable(record_type, repr(error))
-    return cast(RecordT, record)
-
-
-def _unreadable(
-    record_type: type[RecordT], problem: str
-) -> failures.UnreadableInput:
-    """Returns the failure for a record that cannot be decoded."""
-    return failures.UnreadableInput(
-        source=record_type.__name__, problem=problem
-    )
--- /dev/null
+++ b/packages/wire/sapphire_wire/gen/peers/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
--- /dev/null
+++ b/packages/wire/sapphire_wire/peer_messages.py
@@ -0,0 +1,148 @@
+"""Messages between entry hosts, as thrift records."""
+
+import zlib
+
+from sapphire_core.peers import data
+from sapphire_core.replication import data as replication_data
+from sapphire_data import failures
+from sapphire_wire import plain_codec
+from sapphire_wire.gen.peers import ttypes
+
+# One datagram of this size passes all links of the users' networks.
+MAX_BEAT_BYTES = 8_192
+_SCOPES = tuple(replication_data.Scope)
+_BUSY_UNITS = 100
+_NEVER_FAILED = -1
+
+
+def encode_beat(beat: data.Beat) -> bytes:
+    """Returns the datagram of a beat."""
+    contact = beat.contact
+    failed_ms = beat.store_failed_ms
+    return plain_codec.encode(
+        ttypes.Beat(
+            host=contact.host,
+            data_centre=contact.data_centre,
+            address=contact.address,
+            port=contact.port,
+            start_id=beat.start_id,
+            sequence=beat.sequence,
+            is_leaving=beat.is_leaving,
+            revisions=[beat.revisions.get(scope, 0) for scope in _SCOPES],
+            store_failed_ms=_NEVER_FAILED if failed_ms is None else failed_ms,
+            followers=list(beat.follower_ages_ms),
+            follower_ages_ms=list(beat.follower_ages_ms.values()),
+            upstream_tags=[report.tag for report in beat.upstreams],
+            busy=[int(r.busy * _BUSY_UNITS) for r in beat.upstreams],
+            silent_ms=[report.silent_ms for report in beat.upstreams],
+        )
+    )
+
+
+def decode_beat(datagram: bytes) -> data.Beat | failures.UnreadableInput:
+    """Reads the datagram of a beat.
+
+    Args:
+        datagram: The bytes as received; they may hold anything.
+    """
+    record = plain_codec.decode_plain(ttypes.Beat, datagram)
+    if isinstance(record, failures.UnreadableInput):
+        return record
+    lengths = {
+        len(record.upstream_tags),
+        len(record.busy),
+        len(record.silent_ms),
+    }
+    if len(lengths) != 1:
+        return failures.UnreadableInput(record.host, "reports of one length")
+    if len(record.followers) != len(record.follower_ages_ms):
+        return failures.UnreadableInput(record.host, "followers without ages")
+    if len(record.revisions) != len(_SCOPES):
+        return failures.UnreadableInput(record.host, "revisions of scopes")
+    failed_ms = record.store_failed_ms
+    reports = zip(
+        record.upstream_tags, record.busy, record.silent_ms, strict=True
+    )
+    ages = zip(record.followers, record.follower_ages_ms, strict=True)
+    return data.Beat(
+        contact=data.Contact(
+            record.host, record.data_centre, record.address, record.port
+        ),
+        start_id=record.start_id,
+        sequence=record.sequence,
+        is_leaving=bool(record.is_leaving),
+        revisions=dict(zip(_SCOPES, record.revisions, strict=True)),
+        store_failed_ms=None if failed_ms < 0 else failed_ms,
+        follower_ages_ms={host: max(0, age_ms) for host, age_ms in ages},
+        upstreams=tuple(
+            data.UpstreamReport(tag, busy / _BUSY_UNITS, silent_ms)
+            for tag, busy, silent_ms in reports
+        ),
+    )
+
+
+def encode_batch(batch: replication_data.Batch) -> bytes:
+    """Returns the body that carries a batch, compressed."""
+    record = ttypes.ItemBatch(
+        items=[
+            ttypes.ItemRecord(
+                key=item.key, revision=item.revision, value=item.value
+            )
+            for item in batch.items
+        ],
+        as_of=batch.as_of,
+        is_full=batch.is_full,
+    )
+    return zlib.compress(plain_codec.encode(record))
+
+
+def decode_batch(
+    body: bytes,
+) -> replication_data.Batch | failures.UnreadableInput:
+    """Reads the body that carries a batch.
+
+    Args:
+        body: The bytes as received; they may hold anything.
+    """
+    unpacker = zlib.decompressobj()
+    try:
+        content = unpacker.decompress(body, plain_codec.MAX_RECORD_BYTES)
+    except zlib.error as error:
+        return failures.UnreadableInput("batch", str(error))
+    record = plain_codec.decode_plain(ttypes.ItemBatch, content)
+    if isinstance(record, failures.UnreadableInput):
+        return record
+    return replication_data.Batch(
+        tuple(
+            replication_data.Item(item.key, item.revision, item.value)
+            for item in record.items
+        ),
+        record.as_of,
+        bool(record.is_full),
+    )
+
+
+def encode_contact(contact: data.Contact) -> bytes:
+    """Returns the value of a host's entry in the store's list of hosts."""
+    return plain_codec.encode(
+        ttypes.Contact(
+            host=contact.host,
+            data_centre=contact.data_centre,
+            address=contact.address,
+            port=contact.port,
+        )
+    )
+
+
+def decode_contact(value: bytes) -> data.Contact | failures.UnreadableInput:
+    """Reads the value of a host's entry in the store's list of hosts.
+
+    Args:
+        value: The bytes as read; they may hold anything.
+    """
+    record = plain_codec.decode_plain(ttypes.Contact, value)
+    if isinstance(record, failures.UnreadableInput):
+        return record
+    return data.Contact(
+        record.host, record.data_centre, record.address, record.port
+    )
--- /dev/null
+++ b/packages/wire/sapphire_wire/plain_codec.py
@@ -0,0 +1,91 @@
+"""Encoding and decoding of thrift records with limits on their size.
+
+Failures are plain unions here; `codec` wraps them in `Result`.
+"""
+
+import struct
+from typing import Any
+from typing import TypeVar
+from typing import cast
+
+from thrift import Thrift
+from thrift.protocol import TCompactProtocol
+from thrift.transport import TTransport
+
+from sapphire_data import failures
+
+MAX_RECORD_BYTES = 4_194_304
+MAX_CONTAINER_ITEMS = 262_144
+
+RecordT = TypeVar("RecordT")
+
+# Decoders of generated code raise these on malformed input.
+_DECODE_ERRORS = (
+    Thrift.TException,
+    EOFError,
+    ValueError,
+    TypeError,
+    KeyError,
+    IndexError,
+    AttributeError,
+    OverflowError,
+    MemoryError,
+    RecursionError,
+    struct.error,
+)
+
+
+def encode(record: Any) -> bytes:
+    """Encodes a generated thrift record in the compact protocol.
+
+    Args:
+        record: An instance of a generated class.
+
+    Returns:
+        The encoded bytes.
+    """
+    buffer = TTransport.TMemoryBuffer()
+    protocol = TCompactProtocol.TCompactProtocolAccelerated(buffer)
+    record.write(protocol)
+    return bytes(buffer.getvalue())
+
+
+def decode_plain(
+    record_type: type[RecordT], data: bytes
+) -> RecordT | failures.UnreadableInput:
+    """Decodes a generated thrift record.
+
+    It is meant for the path of each datagram, where a `Result` costs more
+    than the decoder itself, and for hosts that do not load its library.
+
+    Args:
+        record_type: The generated class.
+        data: The bytes as received; they may hold anything.
+
+    Returns:
+        The validated record, or why the bytes cannot be read.
+    """
+    if len(data) > MAX_RECORD_BYTES:
+        return _unreadable(record_type, f"{len(data)} bytes is too long")
+    buffer = TTransport.TMemoryBuffer(data)
+    protocol = TCompactProtocol.TCompactProtocolAccelerated(
+        buffer,
+        string_length_limit=MAX_RECORD_BYTES,
+        container_length_limit=MAX_CONTAINER_ITEMS,
+    )
+    record: Any = record_type()
+    try:
+        record.read(protocol)
+        record.validate()
+    except _DECODE_ERRORS as error:
+        return _unreadable(record_type, repr(error))
+    return cast(RecordT, record)
+
+
+def _unreadable(
+    record_type: type[RecordT], problem: str
+) -> failures.UnreadableInput:
+    """Returns the failure for a record that cannot be decoded."""
+    return failures.UnreadableInput(
+        source=record_type.__name__, problem=problem
+    )
