--- a/packages/core/sapphire_core/peers/roster.py
+++ b/packages/core/sapphire_core/peers/roster.py
@@ -19,11 +19,13 @@
 # How many hosts follow the store. One may be turned away by the store, or
 # have a connection that went silent, without delay for the others.
 FOLLOWERS = 2
-# Word of a follower reaches all hosts of a large fleet within three beats of
-# 250 ms; this is twice as much.
-FOLLOWER_LIFE_MS = 1_500
-# A host that left out four beats is not asked for anything.
+# Word of a follower reaches another data centre within 1 s, and all hosts of a
+# large fleet within three more beats of 250 ms.
+FOLLOWER_LIFE_MS = 1_800
+# A host that left out four beats is not asked for anything; beats between data
+# centres come once a second.
 CONTACT_LIFE_MS = 1_000
+FAR_CONTACT_LIFE_MS = 2_500
 # While too few hosts follow, one more of the ranking steps in at this pace,
 # so that a store that is down for all is not called by all.
 STEP_IN_MS = 200
@@ -211,7 +213,9 @@
         if peer.heard_ms is None:
             return False
         rounds = max(1.0, len(self._peers_by_host) / MAX_RECEIVERS)
-        return now_ms - peer.heard_ms <= CONTACT_LIFE_MS * rounds
+        is_near = peer.contact.data_centre == self._own.data_centre
+        life_ms = CONTACT_LIFE_MS if is_near else FAR_CONTACT_LIFE_MS
+        return now_ms - peer.heard_ms <= life_ms * rounds
 
 
 def merge_reports(
--- a/packages/node/sapphire_node/entry/host.py
+++ b/packages/node/sapphire_node/entry/host.py
@@ -99,9 +99,16 @@
         platform, state, clock, received_changes, to_peers
     )
     merged = knowledge.Knowledge(
-        platform.items, state, clock, received_batches, changes, to_peers
+        platform.items,
+        state=state,
+        clock=clock,
+        batches=received_batches,
+        changes=changes,
+        peers=to_peers,
+    )
+    peers = peer_task.PeerTask(
+        contact, state, clock, inbox=inbox, batches=batches, seen=changes
     )
-    peers = peer_task.PeerTask(contact, state, clock, inbox, batches, changes)
     announced = announcer.Announcer(contact, platform, state)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(handler.run)
--- a/packages/node/sapphire_node/entry/knowledge.py
+++ b/packages/node/sapphire_node/entry/knowledge.py
@@ -53,6 +53,7 @@
     def __init__(
         self,
         items: ports.ItemFormat,
+        *,
         state: host_state.HostState,
         clock: clock_lib.Clock,
         batches: BatchReceiver,
--- a/packages/node/sapphire_node/entry/peer_task.py
+++ b/packages/node/sapphire_node/entry/peer_task.py
@@ -28,6 +28,9 @@
 _LOG = logging.getLogger(__name__)
 
 BEAT_MS = 250
+# Other data centres are told this often without news; bytes between data
+# centres are paid for.
+FAR_BEAT_MS = 1_000
 # A host that follows the store itself hears the same from there; it asks a
 # peer only when its own connection turns out to be behind by this much.
 OWN_LEAD_MS = 300
@@ -61,6 +64,7 @@
         contact: peer_data.Contact,
         state: host_state.HostState,
         clock: clock_lib.Clock,
+        *,
         inbox: Inbox,
         batches: follower.BatchSender,
         seen: SeenSender,
@@ -75,6 +79,7 @@
         self._roster = roster_lib.Roster(contact, rng)
         self._start_id = rng.getrandbits(62)
         self._sequence = 0
+        self._far_beat_ms = 0
         self._reports: tuple[peer_data.UpstreamReport, ...] = ()
         self._listed: frozenset[str] = frozenset()
         # Since when a peer is known to be ahead, and which one, by scope.
@@ -101,7 +106,7 @@
                 self._listed = frozenset(c.host for c in message.contacts)
                 self._roster.set_listed(message.contacts)
             else:
-                self._send_beat()
+                self._send_beat(is_far_due=True)
 
     async def _beat(self) -> None:
         """Sends beats at intervals, and passes on what peers have seen."""
@@ -111,15 +116,18 @@
             self._state.must_follow = self._roster.must_follow(
                 now_ms, is_leaving=self._state.is_stopping
             )
-            self._send_beat()
+            is_far_due = now_ms - self._far_beat_ms >= FAR_BEAT_MS
+            if is_far_due:
+                self._far_beat_ms = now_ms
+            self._send_beat(is_far_due=is_far_due)
             live = self._roster.live(now_ms)
             hosts = self._roster.hosts()
             busy, silent_ms = roster_lib.merge_reports(live, hosts - 1)
             await self._seen.send(messages.PeersSeen(busy, silent_ms, hosts))
             await anyio.sleep(BEAT_MS / clock_lib.MS_PER_SECOND)
 
-    def _send_beat(self) -> None:
-        """Sends one beat to some peers."""
+    def _send_beat(self, *, is_far_due: bool) -> None:
+        """Sends one beat to some peers, to far ones only if that is due."""
         now_ms = self._clock.now_ms()
         followers = self._roster.followers(now_ms)
         if self._state.is_following:
@@ -141,6 +149,9 @@
             )
         )
         for contact in self._roster.receivers():
+            is_near = contact.data_centre == self._contact.data_centre
+            if not is_near and not is_far_due:
+                continue
             try:
                 self._socket.sendto(datagram, (contact.address, contact.port))
             except OSError as error:
@@ -186,7 +197,7 @@
                 start_id=beat.start_id,
             )
             # It may know of nobody yet.
-            self._send_beat()
+            self._send_beat(is_far_due=True)
         if beat.store_failed_ms is not None:
             failed_ms = now_ms - beat.store_failed_ms
             known_ms = self._state.last_store_failure_ms
