--- /dev/null
+++ b/packages/core/sapphire_core/peers/roster_test.py
@@ -0,0 +1,174 @@
+import random
+
+import testtools
+
+from sapphire_core.peers import data
+from sapphire_core.peers import roster
+from sapphire_lab.tagged_flows import builders
+
+STEP_MS = 250
+
+
+class Fleet:
+    """Hosts that hear all beats of each other at once.
+
+    Attributes:
+        working: The hosts whose calls to the store succeed.
+        silent: The hosts that tell nothing.
+    """
+
+    def __init__(self, names: list[str]) -> None:
+        self.rosters = {
+            name: roster.Roster(builders.beat(name).contact, random.Random(1))
+            for name in names
+        }
+        self.working = set(names)
+        self.silent: set[str] = set()
+        self.following: set[str] = set()
+        self.now_ms = 0
+        self.sequence = 0
+
+    def step(self) -> None:
+        """Passes one interval of beats."""
+        self.now_ms += STEP_MS
+        self.sequence += 1
+        for name, own in self.rosters.items():
+            is_due = own.must_follow(self.now_ms, is_leaving=False)
+            if is_due and name in self.working:
+                self.following.add(name)
+            else:
+                self.following.discard(name)
+        for name, own in self.rosters.items():
+            if name in self.silent:
+                continue
+            ages_ms = own.followers(self.now_ms)
+            if name in self.following:
+                ages_ms[name] = 0
+            beat = builders.beat(
+                name, sequence=self.sequence, followers=ages_ms
+            )
+            for other, peer in self.rosters.items():
+                if other != name:
+                    peer.note_beat(beat, self.now_ms)
+
+    def run(self, seconds: float) -> None:
+        """Passes time."""
+        for _ in range(int(seconds * 1_000 / STEP_MS)):
+            self.step()
+
+
+class FollowersTest(testtools.TestCase):
+    def fleet(self, size: int = 9) -> Fleet:
+        fleet = Fleet([f"host-{number}" for number in range(size)])
+        fleet.run(1)
+        return fleet
+
+    def test_two_of_any_number_of_hosts_follow(self) -> None:
+        for size in (2, 3, 9, 66):
+            self.assertEqual(2, len(self.fleet(size).following))
+
+    def test_a_host_that_hears_nobody_follows_at_once(self) -> None:
+        alone = roster.Roster(builders.beat("a").contact, random.Random(1))
+        self.assertTrue(alone.must_follow(0, is_leaving=False))
+
+    def test_others_step_in_for_followers_that_the_store_turns_away(
+        self,
+    ) -> None:
+        fleet = self.fleet()
+        fleet.working -= fleet.following
+        fleet.run(1)
+        self.assertGreaterEqual(len(fleet.following & fleet.working), 2)
+        self.assertLessEqual(len(fleet.following), 4)
+
+    def test_others_step_in_for_followers_that_died(self) -> None:
+        fleet = self.fleet()
+        dead = set(fleet.following)
+        fleet.silent |= dead
+        # The bound for configurations is 3 s.
+        fleet.run(2.5)
+        self.assertGreaterEqual(len(fleet.following - dead), 2)
+
+    def test_a_store_that_is_down_for_all_is_not_called_by_all(self) -> None:
+        fleet = self.fleet(66)
+        fleet.working.clear()
+        fleet.run(3)
+        due = [
+            own
+            for own in fleet.rosters.values()
+            if own.must_follow(fleet.now_ms, is_leaving=False)
+        ]
+        self.assertLess(len(due), 33)
+        fleet.working |= set(fleet.rosters)
+        fleet.run(2)
+        self.assertEqual(2, len(fleet.following))
+
+    def test_each_part_of_a_partition_has_followers(self) -> None:
+        fleet = self.fleet()
+        cut_off = {"host-0", "host-4", "host-7"}
+        rest = set(fleet.rosters) - cut_off
+        for part in (cut_off, rest):
+            alone = Fleet(sorted(part))
+            alone.rosters = {name: fleet.rosters[name] for name in part}
+            alone.now_ms = fleet.now_ms
+            alone.sequence = fleet.sequence
+            alone.run(2.5)
+            self.assertEqual(2, len(alone.following))
+
+    def test_a_leaving_host_does_not_follow(self) -> None:
+        own = roster.Roster(builders.beat("a").contact, random.Random(1))
+        self.assertFalse(own.must_follow(0, is_leaving=True))
+
+
+class RosterTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        own = builders.beat("own").contact
+        self.roster = roster.Roster(own, random.Random(1))
+
+    def test_listed_and_heard_hosts_are_counted_once(self) -> None:
+        listed = [builders.beat(name).contact for name in ("own", "a", "b")]
+        self.roster.set_listed(listed)
+        self.roster.note_beat(builders.beat("b"), 0)
+        self.roster.note_beat(builders.beat("c"), 0)
+        self.assertEqual(4, self.roster.hosts())
+
+    def test_a_host_is_forgotten_when_neither_listed_nor_heard(self) -> None:
+        self.roster.note_beat(builders.beat("a"), 0)
+        self.roster.forget_old(60_000, frozenset({"a"}))
+        self.assertEqual(2, self.roster.hosts())
+        self.roster.forget_old(60_000, frozenset())
+        self.assertEqual(1, self.roster.hosts())
+
+    def test_a_beat_that_comes_late_changes_nothing(self) -> None:
+        newer = builders.beat("a", sequence=5, change=9)
+        self.assertTrue(self.roster.note_beat(newer, 0))
+        self.assertFalse(
+            self.roster.note_beat(builders.beat("a", sequence=4), 1)
+        )
+        self.assertEqual([newer], self.roster.live(2))
+
+    def test_a_new_start_of_a_host_is_told(self) -> None:
+        self.roster.note_beat(builders.beat("a", sequence=50), 0)
+        again = builders.beat("a", start_id=2)
+        self.assertTrue(self.roster.note_beat(again, 1))
+
+    def test_receivers_are_bounded_and_mostly_near(self) -> None:
+        for number in range(100):
+            place = builders.DATA_CENTRE if number % 2 else "salem"
+            one = builders.beat(f"h{number}", data_centre=place)
+            self.roster.note_beat(one, 0)
+        receivers = self.roster.receivers()
+        self.assertEqual(roster.MAX_RECEIVERS, len(receivers))
+        far = [c for c in receivers if c.data_centre == "salem"]
+        self.assertEqual(roster.REMOTE_RECEIVERS, len(far))
+
+    def test_reports_of_a_part_of_the_hosts_stand_for_all(self) -> None:
+        beats = [
+            builders.beat(
+                f"h{n}", upstreams=(data.UpstreamReport(5, 1.0, 100 * n),)
+            )
+            for n in range(4)
+        ]
+        busy, silent_ms = roster.merge_reports(beats, 8)
+        self.assertEqual({5: 8.0}, busy)
+        self.assertEqual({5: 300}, silent_ms)
--- /dev/null
+++ b/packages/core/sapphire_core/tagged_flows/steering_test.py
@@ -0,0 +1,200 @@
+import testtools
+
+from sapphire_core.tagged_flows import data
+from sapphire_core.tagged_flows import steering
+from sapphire_core.tagged_flows import tags
+from sapphire_lab.tagged_flows import builders
+
+WAIT_MS = steering.ANSWER_TIMEOUT_MS
+
+
+def target(action: data.Action | None) -> str:
+    """Returns the upstream that a packet was sent to."""
+    if not isinstance(action, data.Forward):
+        return ""
+    return action.upstream.upstream_id
+
+
+class OpeningTest(testtools.TestCase):
+    def test_the_tag_of_the_chosen_upstream_goes_with_the_packet(self) -> None:
+        bench = builders.SteeringBench(builders.upstream("i-1"))
+        action = bench.open(1, 0)
+        assert isinstance(action, data.Forward)
+        self.assertEqual(tags.tag_of("i-1"), action.tag)
+
+    def test_a_tag_on_an_opening_packet_is_not_believed(self) -> None:
+        bench = builders.SteeringBench(
+            builders.upstream("i-1"), builders.upstream("i-2", "intake")
+        )
+        forged = builders.opening(1, tag=tags.tag_of("i-2"))
+        self.assertEqual("i-1", target(bench.steering.handle(forged, 0)))
+
+    def test_without_route_or_upstream_the_caller_is_told_at_once(self) -> None:
+        bench = builders.SteeringBench()
+        no_route = bench.steering.handle(builders.opening(1, port=9), 0)
+        self.assertEqual(
+            data.Reset(builders.opening(1, port=9), data.Verdict.NO_ROUTE),
+            no_route,
+        )
+        no_upstream = bench.open(2, 0)
+        self.assertEqual(
+            data.Reset(builders.opening(2), data.Verdict.NO_UPSTREAM),
+            no_upstream,
+        )
+
+    def test_a_silent_upstream_is_left_before_the_caller_asks_again(
+        self,
+    ) -> None:
+        bench = builders.SteeringBench(
+            builders.upstream("i-1"), builders.upstream("i-2")
+        )
+        first = target(bench.open(1, 0))
+        self.assertEqual([], bench.steering.tick(WAIT_MS - 1))
+        actions = bench.steering.tick(WAIT_MS)
+        self.assertEqual(1, len(actions))
+        self.assertNotIn(target(actions[0]), ("", first))
+
+    def test_what_one_opening_learned_serves_the_next(self) -> None:
+        bench = builders.SteeringBench(
+            builders.upstream("i-1"), builders.upstream("i-2")
+        )
+        silent = target(bench.open(1, 0))
+        bench.steering.tick(WAIT_MS)
+        for number in range(2, 10):
+            action = bench.open(number, WAIT_MS + number)
+            self.assertNotEqual(silent, target(action))
+            bench.answer(number, action, WAIT_MS + number + 5)
+
+    def test_a_single_upstream_gets_the_copies_too(self) -> None:
+        bench = builders.SteeringBench(builders.upstream("i-1"))
+        bench.open(1, 0)
+        self.assertEqual([], bench.steering.tick(WAIT_MS))
+        self.assertEqual("i-1", target(bench.open(1, 200, copy=1)))
+        self.assertEqual("i-1", target(bench.open(1, 600, copy=2)))
+
+    def test_tries_are_bounded_for_each_copy(self) -> None:
+        upstreams = [builders.upstream(f"i-{n}") for n in range(9)]
+        bench = builders.SteeringBench(*upstreams)
+        bench.open(1, 0)
+        sent = [
+            action
+            for now_ms in range(10, 200, 10)
+            for action in bench.steering.tick(now_ms)
+        ]
+        self.assertEqual(steering.MAX_TRIES_PER_COPY - 1, len(sent))
+
+    def test_draining_out_and_cold_upstreams_get_no_new_flow(self) -> None:
+        draining = data.UpstreamState.DRAINING
+        bench = builders.SteeringBench(
+            builders.upstream("i-1"),
+            builders.upstream("i-2", state=draining),
+            builders.upstream("i-3", data_centre="salem"),
+            builders.upstream("i-4", cold_ms=2_000),
+        )
+        bench.steering.table.set_out("salem", is_out=True)
+        chosen = {target(bench.open(n, 0)) for n in range(50)}
+        self.assertEqual({"i-1"}, chosen)
+
+
+class OpenFlowTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.bench = builders.SteeringBench(
+            builders.upstream("i-1"), builders.upstream("i-2")
+        )
+        self.steering = self.bench.steering
+
+    def handle(self, tag: int, now_ms: int = 0, number: int = 1) -> str:
+        packet = builders.packet(number, tag=tag)
+        return target(self.steering.handle(packet, now_ms))
+
+    def test_a_host_that_never_saw_the_flow_carries_it(self) -> None:
+        for upstream_id in ("i-1", "i-2"):
+            tag = tags.tag_of(upstream_id)
+            self.assertEqual(upstream_id, self.handle(tag))
+
+    def test_planned_changes_leave_flows_where_they_are(self) -> None:
+        tag = tags.tag_of("i-1")
+        draining = builders.upstream("i-1", state=data.UpstreamState.DRAINING)
+        self.steering.table.put(draining, 9, 0)
+        self.assertEqual("i-1", self.handle(tag))
+        self.steering.table.set_out(builders.DATA_CENTRE, is_out=True)
+        self.assertEqual("i-1", self.handle(tag))
+        self.steering.configure(builders.configuration(2, ("other",)))
+        self.assertEqual("i-1", self.handle(tag))
+        self.steering.table.remove("i-1", 0, may_return=False)
+        self.assertEqual("i-1", self.handle(tag))
+
+    def test_a_tag_that_no_one_wrote_goes_nowhere(self) -> None:
+        action = self.steering.handle(builders.packet(1, tag=12345), 0)
+        self.assertIsInstance(action, data.Drop)
+
+    def test_a_flow_whose_address_was_reused_is_ended_at_once(self) -> None:
+        upstream = builders.upstream("i-1")
+        self.steering.table.remove("i-1", 0, may_return=False)
+        other = builders.upstream("i-9", "intake", address=upstream.address)
+        self.steering.table.put(other, 9, 2_000)
+        packet = builders.packet(1, tag=tags.tag_of("i-1"))
+        self.assertEqual(
+            data.Reset(packet, data.Verdict.UPSTREAM_GONE),
+            self.steering.handle(packet, 2_100),
+        )
+
+    def test_an_opening_sent_to_two_stays_with_the_one_that_opened_it(
+        self,
+    ) -> None:
+        # Both answer; the second answer reaches the caller after the first
+        # was acknowledged, and its tag is on the packets from then on.
+        first = self.bench.open(1, 0)
+        second = self.steering.tick(WAIT_MS)[0]
+        assert isinstance(first, data.Forward)
+        assert isinstance(second, data.Forward)
+        name = first.upstream.upstream_id
+        self.assertEqual(name, self.handle(first.tag, WAIT_MS + 1))
+        self.assertEqual(name, self.handle(second.tag, WAIT_MS + 2))
+
+    def test_a_late_copy_of_the_opening_goes_where_the_flow_is(self) -> None:
+        first = self.bench.open(1, 0)
+        assert isinstance(first, data.Forward)
+        self.handle(first.tag, 5)
+        copy = self.bench.open(1, 200, copy=1)
+        self.assertEqual(first.upstream.upstream_id, target(copy))
+
+
+class ConfigurationTest(testtools.TestCase):
+    def test_an_older_configuration_is_not_taken(self) -> None:
+        bench = builders.SteeringBench()
+        self.assertTrue(bench.steering.configure(builders.configuration(5)))
+        for version in (5, 4, 1):
+            older = builders.configuration(version, ("other",))
+            self.assertFalse(bench.steering.configure(older))
+        configuration = bench.steering.configuration
+        assert configuration is not None
+        self.assertEqual(5, configuration.version)
+
+    def test_copies_of_an_opening_get_the_same_share_of_a_split_route(
+        self,
+    ) -> None:
+        bench = builders.SteeringBench(
+            builders.upstream("i-1", "old"), builders.upstream("i-2", "new")
+        )
+        plain = builders.configuration(2, ("old", "new"))
+        shares = (data.ServiceShare("old", 90), data.ServiceShare("new", 10))
+        endpoint = (builders.SERVICE_ADDRESS, builders.SERVICE_PORT)
+        split = data.Configuration(
+            2,
+            {endpoint: data.Route("split", shares, 1, 200)},
+            plain.services_by_name,
+            15_000,
+        )
+        bench.steering.configure(split)
+        chosen = [target(bench.open(n, 0)) for n in range(1_000)]
+        self.assertGreater(chosen.count("i-2"), 50)
+        self.assertLess(chosen.count("i-2"), 200)
+        other = builders.SteeringBench(
+            builders.upstream("i-1", "old"), builders.upstream("i-2", "new")
+        )
+        other.steering.configure(split)
+        self.assertEqual(
+            chosen, [target(other.open(n, 0)) for n in range(1_000)]
+        )
--- /dev/null
+++ b/packages/core/sapphire_core/tagged_flows/upstream_table_test.py
@@ -0,0 +1,109 @@
+from unittest import mock
+
+import testtools
+
+from sapphire_core.tagged_flows import data
+from sapphire_core.tagged_flows import tags
+from sapphire_core.tagged_flows import upstream_table
+from sapphire_lab.tagged_flows import builders
+
+
+class UpstreamTableTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.table = upstream_table.UpstreamTable()
+
+    def takers(self, now_ms: int = 0, service: str = "board") -> list[str]:
+        return [
+            entry.upstream.upstream_id
+            for entry in self.table.takers(service, now_ms)
+        ]
+
+    def test_only_ready_upstreams_of_the_service_take_new_flows(self) -> None:
+        draining = data.UpstreamState.DRAINING
+        self.table.put(builders.upstream("i-1"), 1, 0)
+        self.table.put(builders.upstream("i-2", state=draining), 2, 0)
+        self.table.put(builders.upstream("i-3", "intake"), 3, 0)
+        self.assertEqual(["i-1"], self.takers())
+
+    def test_a_data_centre_that_is_out_gets_nothing_new(self) -> None:
+        self.table.put(builders.upstream("i-1", data_centre="salem"), 1, 0)
+        self.table.set_out("salem", is_out=True)
+        self.assertEqual([], self.takers())
+        self.table.set_out("salem", is_out=False)
+        self.assertEqual(["i-1"], self.takers())
+
+    def test_a_removed_upstream_takes_nothing_new_but_keeps_its_flows(
+        self,
+    ) -> None:
+        self.table.put(builders.upstream("i-1"), 1, 0)
+        self.table.remove("i-1", 1_000, may_return=False)
+        self.assertEqual([], self.takers(1_000))
+        self.assertIsNotNone(self.table.by_tag(tags.tag_of("i-1")))
+
+    def test_an_entry_that_lapsed_with_the_store_serves_for_two_seconds(
+        self,
+    ) -> None:
+        self.table.put(builders.upstream("i-1"), 1, 0)
+        self.table.remove("i-1", 1_000, may_return=True)
+        self.assertEqual(["i-1"], self.takers(3_000))
+        self.assertEqual([], self.takers(3_400))
+        self.table.put(builders.upstream("i-1"), 2, 3_500)
+        self.assertEqual(["i-1"], self.takers(3_500))
+
+    def test_a_lapsed_entry_serves_no_more_once_its_address_is_reused(
+        self,
+    ) -> None:
+        address = ("10.1.0.1", 6080)
+        self.table.put(builders.upstream("i-1", address=address), 1, 0)
+        self.table.remove("i-1", 1_000, may_return=True)
+        other = builders.upstream("i-2", "intake", address=address)
+        self.table.put(other, 2, 1_100)
+        self.assertEqual([], self.takers(1_200))
+        entry = self.table.by_tag(tags.tag_of("i-1"))
+        assert entry is not None
+        self.assertTrue(entry.is_replaced)
+
+    def test_flows_of_a_removed_upstream_are_known_for_their_whole_life(
+        self,
+    ) -> None:
+        self.table.put(builders.upstream("i-1"), 1, 0)
+        self.table.remove("i-1", 0, may_return=False)
+        self.table.forget_old(upstream_table.FLOW_LIFE_MS - 1)
+        self.assertIsNotNone(self.table.by_tag(tags.tag_of("i-1")))
+        self.table.forget_old(upstream_table.FLOW_LIFE_MS)
+        self.assertIsNone(self.table.by_tag(tags.tag_of("i-1")))
+
+    def test_of_two_with_one_tag_the_first_registered_keeps_it(self) -> None:
+        with mock.patch.object(tags, "tag_of", return_value=5):
+            # Hosts learn of the two in either order.
+            for order in (("i-1", "i-2"), ("i-2", "i-1")):
+                table = upstream_table.UpstreamTable()
+                revisions = {"i-1": 10, "i-2": 20}
+                for name in order:
+                    table.put(builders.upstream(name), revisions[name], 0)
+                entry = table.by_tag(5)
+                assert entry is not None
+                self.assertEqual("i-1", entry.upstream.upstream_id)
+                takers = table.takers("board", 0)
+                names = [taker.upstream.upstream_id for taker in takers]
+                self.assertEqual(["i-1"], names)
+
+    def test_the_second_takes_the_tag_when_the_first_is_forgotten(self) -> None:
+        with mock.patch.object(tags, "tag_of", return_value=5):
+            self.table.put(builders.upstream("i-1"), 1, 0)
+            self.table.put(builders.upstream("i-2"), 2, 0)
+            self.table.remove("i-1", 0, may_return=False)
+            self.assertEqual([], self.takers())
+            self.table.forget_old(upstream_table.FLOW_LIFE_MS)
+        self.assertEqual(["i-2"], self.takers())
+
+    def test_a_new_start_under_the_same_identity_is_told(self) -> None:
+        one = builders.upstream("i-1", born_ms=5)
+        self.assertIsNotNone(self.table.put(one, 1, 0))
+        self.assertIsNone(self.table.put(one, 2, 0))
+        again = builders.upstream("i-1", born_ms=6, cold_ms=2_000)
+        entry = self.table.put(again, 3, 100)
+        assert entry is not None
+        self.assertTrue(entry.is_cold(2_099))
+        self.assertFalse(entry.is_cold(2_100))
--- /dev/null
+++ b/packages/lab/sapphire_lab/tagged_flows/__init__.py
@@ -0,0 +1,1 @@
+"""Builders for flows whose upstream travels in a tag."""
--- /dev/null
+++ b/packages/lab/sapphire_lab/tagged_flows/builders.py
@@ -0,0 +1,176 @@
+"""Builders of packets, upstreams, configurations and beats."""
+
+import random
+
+from sapphire_core.peers import data as peer_data
+from sapphire_core.replication import data as replication_data
+from sapphire_core.tagged_flows import data
+from sapphire_core.tagged_flows import steering as steering_lib
+
+SERVICE_ADDRESS = 0xC6120001
+SERVICE_PORT = 443
+CALLER_ADDRESS = 0x64400007
+DATA_CENTRE = "tacoma"
+SEED = 7
+
+
+def upstream(
+    upstream_id: str,
+    service: str = "board",
+    data_centre: str = DATA_CENTRE,
+    *,
+    address: data.Address | None = None,
+    state: data.UpstreamState = data.UpstreamState.READY,
+    slots: int = 3,
+    cold_ms: int = 0,
+    born_ms: int = 1,
+    heartbeat: int = 1,
+) -> data.Upstream:
+    """Returns an upstream whose address follows from its identity."""
+    digits = sum(ord(letter) * 31 for letter in upstream_id) % 65_000
+    return data.Upstream(
+        upstream_id=upstream_id,
+        guard=digits,
+        address=address or (f"10.1.{digits % 250}.{digits // 260}", 6080),
+        service=service,
+        data_centre=data_centre,
+        slots=slots,
+        state=state,
+        cold_ms=cold_ms,
+        born_ms=born_ms,
+        heartbeat=heartbeat,
+    )
+
+
+def configuration(
+    version: int = 1,
+    services: tuple[str, ...] = ("board",),
+    *,
+    cold_flows_per_s: float = 10.0,
+) -> data.Configuration:
+    """Returns a configuration with one route to each service.
+
+    The ports of the routes count up from `SERVICE_PORT`.
+    """
+    return data.Configuration(
+        version=version,
+        routes_by_endpoint={
+            (SERVICE_ADDRESS, SERVICE_PORT + number): data.Route(
+                f"route-{name}", (data.ServiceShare(name, 1),), 1, 200
+            )
+            for number, name in enumerate(services)
+        },
+        services_by_name={
+            name: data.Service(name, cold_flows_per_s, 2_000, 2_000)
+            for name in services
+        },
+        idle_timeout_ms=15_000,
+    )
+
+
+def flow(number: int = 1, port: int = SERVICE_PORT) -> data.FlowId:
+    """Returns a flow of one caller, named by its port."""
+    return data.FlowId(CALLER_ADDRESS, 40_000 + number, SERVICE_ADDRESS, port)
+
+
+def opening(
+    number: int = 1, *, copy: int = 0, tag: int = 0, port: int = SERVICE_PORT
+) -> data.Packet:
+    """Returns an opening packet."""
+    return data.Packet(
+        flow(number, port), True, False, False, tag, 1, copy, 0, b"open"
+    )
+
+
+def packet(
+    number: int = 1,
+    *,
+    tag: int,
+    sequence: int = 2,
+    acknowledged: int = 100,
+    payload_bytes: int = 300,
+    is_closing: bool = False,
+    is_reset: bool = False,
+) -> data.Packet:
+    """Returns a packet of an open flow."""
+    return data.Packet(
+        flow(number),
+        False,
+        is_closing,
+        is_reset,
+        tag,
+        sequence,
+        acknowledged,
+        payload_bytes,
+        b"data",
+    )
+
+
+class SteeringBench:
+    """A steering core with its reports, and short names for its inputs.
+
+    Attributes:
+        steering: The core.
+        decisions: What it reported.
+    """
+
+    def __init__(self, *upstreams: data.Upstream) -> None:
+        self.decisions: list[steering_lib.Decision] = []
+        self.steering = steering_lib.Steering(
+            DATA_CENTRE, random.Random(SEED), self.decisions.append
+        )
+        self.steering.configure(configuration())
+        for number, one in enumerate(upstreams):
+            self.steering.table.put(one, number + 1, 0)
+
+    def open(self, number: int, now_ms: int, copy: int = 0) -> data.Action:
+        """Hands an opening packet to the core."""
+        return self.steering.handle(opening(number, copy=copy), now_ms)
+
+    def answer(self, number: int, action: data.Action, now_ms: int) -> None:
+        """Hands the caller's next packet to the core, as after an answer."""
+        if isinstance(action, data.Forward):
+            self.steering.handle(packet(number, tag=action.tag), now_ms)
+
+    def verdicts(self) -> list[data.Verdict]:
+        """Returns the verdicts reported so far."""
+        return [decision.verdict for decision in self.decisions]
+
+
+def item(
+    key: str, revision: int, value: bytes | None = b"v"
+) -> replication_data.Item:
+    """Returns an item of the store."""
+    return replication_data.Item(key, revision, value)
+
+
+def batch(
+    *items: replication_data.Item, as_of: int, is_full: bool = False
+) -> replication_data.Batch:
+    """Returns what a source tells."""
+    return replication_data.Batch(items, as_of, is_full)
+
+
+def beat(
+    host: str,
+    *,
+    sequence: int = 1,
+    start_id: int = 1,
+    data_centre: str = DATA_CENTRE,
+    is_leaving: bool = False,
+    change: int = 0,
+    store_failed_ms: int | None = None,
+    followers: dict[str, int] | None = None,
+    upstreams: tuple[peer_data.UpstreamReport, ...] = (),
+) -> peer_data.Beat:
+    """Returns a beat of a host."""
+    return peer_data.Beat(
+        contact=peer_data.Contact(host, data_centre, "127.0.0.1", 7720),
+        start_id=start_id,
+        sequence=sequence,
+        is_leaving=is_leaving,
+        revisions=dict.fromkeys(replication_data.Scope, change),
+        store_failed_ms=store_failed_ms,
+        follower_ages_ms=followers or {},
+        upstreams=upstreams,
+    )
