Dead upstreams of open flows are told; a flow keeps the upstream that opened it

And a host that joined a flow after its opening went by the tag of each packet, so that a later answer of a second upstream could move the flow.

--- a/packages/core/sapphire_core/tagged_flows/flow_records.py
+++ b/packages/core/sapphire_core/tagged_flows/flow_records.py
@@ -1,8 +1,9 @@
 """What this host has seen of open flows, as soft state.
 
 No flow depends on it: a host without the record follows the tag. It serves
-to infer which upstreams are busy, and to hold a flow at the upstream that
-opened it when an opening was sent to two.
+to infer which upstreams are busy or dead, and to hold a flow at the upstream
+that opened it when its opening was sent to two and the later answer put
+another tag on its packets.
 """
 
 import collections
@@ -26,22 +27,23 @@
 
     Attributes:
         entry: The upstream that holds it.
-        is_pinned: Whether the opening went to several upstreams, so that the
-            tag may name one that does not hold the flow.
+        opened_ms: When this host first saw it.
         seen_ms: When its last packet came.
         next_sequence: The number after the last byte of data seen.
         acknowledged: The highest number that the caller acknowledged.
         busy_since_ms: When the request in progress began; None if idle.
         repeats: How often the caller sent the same data again in a row.
+        sent_ms: When the data that it repeats came first.
     """
 
     entry: upstream_table.Entry
-    is_pinned: bool
+    opened_ms: int
     seen_ms: int
     next_sequence: int = 0
     acknowledged: int = 0
     busy_since_ms: int | None = None
     repeats: int = 0
+    sent_ms: int = 0
 
 
 class FlowRecords:
@@ -70,8 +72,6 @@
         flow_id: data.FlowId,
         entry: upstream_table.Entry,
         now_ms: int,
-        *,
-        is_pinned: bool,
     ) -> FlowRecord:
         """Starts the record of a flow.
 
@@ -79,13 +79,12 @@
             flow_id: The flow.
             entry: The upstream that holds it.
             now_ms: The current time.
-            is_pinned: Whether its opening went to several upstreams.
 
         Returns:
             The record.
         """
         self.close(flow_id)
-        record = FlowRecord(entry, is_pinned, now_ms)
+        record = FlowRecord(entry, now_ms, now_ms)
         self._by_flow[flow_id] = record
         if len(self._by_flow) > MAX_RECORDS:
             self.close(next(iter(self._by_flow)))
@@ -109,9 +108,7 @@
         if packet.payload_bytes > 0:
             self._note_data(packet, record, now_ms)
             return
-        if _is_after(packet.acknowledged, record.acknowledged):
-            record.acknowledged = packet.acknowledged
-            record.repeats = 0
+        self._note_progress(packet, record, now_ms)
 
     def close(self, flow_id: data.FlowId) -> None:
         """Drops the record of a flow, if there is one."""
@@ -146,12 +143,22 @@
             return
         record.next_sequence = end
         record.repeats = 0
-        if _is_after(packet.acknowledged, record.acknowledged):
-            record.acknowledged = packet.acknowledged
+        record.sent_ms = now_ms
+        self._note_progress(packet, record, now_ms)
         if record.busy_since_ms is None:
             self._busy_by_id[record.entry.upstream.upstream_id] += 1
         record.busy_since_ms = now_ms
 
+    def _note_progress(
+        self, packet: data.Packet, record: FlowRecord, now_ms: int
+    ) -> None:
+        """Takes an acknowledgement: the upstream has sent something."""
+        is_first = record.acknowledged == 0
+        if is_first or _is_after(packet.acknowledged, record.acknowledged):
+            record.acknowledged = packet.acknowledged
+            record.repeats = 0
+            record.entry.alive_ms = now_ms
+
     def _end_request(self, record: FlowRecord) -> None:
         """Notes that no request is in progress on a flow."""
         if record.busy_since_ms is None:
--- /dev/null
+++ b/packages/core/sapphire_core/tagged_flows/lost_flows_test.py
@@ -0,0 +1,89 @@
+import testtools
+
+from sapphire_core.tagged_flows import data
+from sapphire_core.tagged_flows import tags
+from sapphire_lab.tagged_flows import builders
+
+# When a caller sends its data: at first and again, by the protocol.
+COPIES_MS = (0, 200, 600, 1_400)
+
+
+class LostFlowsTest(testtools.TestCase):
+    """A caller that sends its data again and again on an open flow."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.bench = builders.SteeringBench(
+            builders.upstream("i-1"), builders.upstream("i-2")
+        )
+        self.steering = self.bench.steering
+        self.tag = tags.tag_of("i-1")
+
+    def send(self, now_ms: int, number: int = 1, **fields: int) -> data.Action:
+        packet = builders.packet(number, tag=self.tag, **fields)
+        return self.steering.handle(packet, now_ms)
+
+    def opening_fails(self, now_ms: int) -> None:
+        """Another opening at the upstream finds no answer."""
+        self.steering.note_peers({}, {self.tag: 600}, 9, now_ms)
+
+    def test_a_dead_upstream_is_told_by_the_second_repeat(self) -> None:
+        self.assertIsInstance(self.send(0), data.Forward)
+        self.assertIsInstance(self.send(200), data.Forward)
+        self.opening_fails(300)
+        self.assertIsInstance(self.send(600), data.Reset)
+
+    def test_repeats_alone_are_no_sign_of_death(self) -> None:
+        # A request that takes longer than the caller's first repeats.
+        for now_ms in COPIES_MS:
+            self.assertIsInstance(self.send(now_ms), data.Forward)
+
+    def test_a_silent_opening_alone_is_no_sign_of_death(self) -> None:
+        self.send(0)
+        self.opening_fails(300)
+        self.assertIsInstance(
+            self.send(600, sequence=302, acknowledged=900), data.Forward
+        )
+
+    def test_another_flow_that_goes_on_shows_that_it_lives(self) -> None:
+        self.send(0)
+        self.send(100, number=2)
+        self.send(200)
+        self.send(250, number=2, acknowledged=1_300, payload_bytes=0)
+        self.opening_fails(300)
+        self.assertIsInstance(self.send(600), data.Forward)
+
+    def test_copies_that_arrive_together_after_a_pause_of_the_host(
+        self,
+    ) -> None:
+        self.opening_fails(2_000)
+        for _ in COPIES_MS:
+            self.assertIsInstance(self.send(2_001), data.Forward)
+
+    def test_progress_of_the_flow_itself_starts_anew(self) -> None:
+        self.send(0)
+        self.send(200)
+        self.opening_fails(550)
+        action = self.send(600, acknowledged=1_300, payload_bytes=0)
+        self.assertIsInstance(action, data.Forward)
+        action = self.send(610, sequence=302, acknowledged=1_300)
+        self.assertIsInstance(action, data.Forward)
+
+    def test_an_upstream_that_left_the_registry_is_told_sooner(self) -> None:
+        self.steering.table.remove("i-1", 0, may_return=False)
+        self.assertIsInstance(self.send(1_000), data.Forward)
+        self.assertIsInstance(self.send(1_200), data.Reset)
+
+    def test_an_entry_that_lapsed_with_the_store_is_no_sign_of_death(
+        self,
+    ) -> None:
+        self.steering.table.remove("i-1", 0, may_return=True)
+        for now_ms in COPIES_MS:
+            action = self.send(1_000 + now_ms)
+            self.assertIsInstance(action, data.Forward)
+
+    def test_a_draining_upstream_keeps_its_flows(self) -> None:
+        draining = builders.upstream("i-1", state=data.UpstreamState.DRAINING)
+        self.steering.table.put(draining, 9, 0)
+        for now_ms in COPIES_MS:
+            self.assertIsInstance(self.send(now_ms), data.Forward)
--- a/packages/core/sapphire_core/tagged_flows/openings.py
+++ b/packages/core/sapphire_core/tagged_flows/openings.py
@@ -60,6 +60,15 @@
         """Removes and returns the opening of a flow, None if there is none."""
         return self._by_flow.pop(flow_id, None)
 
+    def postpone(self, pause_ms: int) -> None:
+        """Gives upstreams more time after this host stood still.
+
+        Args:
+            pause_ms: How long it stood still.
+        """
+        for opening in self._by_flow.values():
+            opening.sent_ms += pause_ms
+
     def unanswered(self, now_ms: int, after_ms: int) -> list[Opening]:
         """Returns the openings whose last upstream has not answered.
 
--- a/packages/core/sapphire_core/tagged_flows/steering.py
+++ b/packages/core/sapphire_core/tagged_flows/steering.py
@@ -11,6 +11,7 @@
 from sapphire_core.tagged_flows import cold_budget
 from sapphire_core.tagged_flows import data
 from sapphire_core.tagged_flows import flow_records
+from sapphire_core.tagged_flows import lost_flows
 from sapphire_core.tagged_flows import openings as openings_lib
 from sapphire_core.tagged_flows import placement
 from sapphire_core.tagged_flows import silence as silence_lib
@@ -21,6 +22,12 @@
 ANSWER_TIMEOUT_MS = 40
 # An opening goes to this many upstreams before it waits for the caller's copy.
 MAX_TRIES_PER_COPY = 3
+# The network may deliver a packet twice within this time; callers send no
+# copy that early.
+DOUBLE_MS = 100
+# A longer pause between two calls of `tick` (every 10 ms) means that this host
+# stood still; answers that came meanwhile wait to be read.
+PAUSE_MS = 60
 
 
 @dataclasses.dataclass(slots=True)
@@ -67,6 +74,7 @@
         self.table = upstream_table.UpstreamTable()
         self.flows = flow_records.FlowRecords()
         self.hosts = 1
+        self._ticked_ms = 0
         self._busy_elsewhere_by_tag: Mapping[int, float] = {}
 
     @property
@@ -106,7 +114,7 @@
     def tick(self, now_ms: int) -> list[data.Action]:
         """Sends unanswered openings elsewhere.
 
-        To be called every 10 ms while openings are in progress.
+        To be called every 10 ms.
 
         Args:
             now_ms: The current time.
@@ -115,6 +123,10 @@
             What to send.
         """
         actions: list[data.Action] = []
+        pause_ms = now_ms - self._ticked_ms
+        self._ticked_ms = now_ms
+        if pause_ms > PAUSE_MS:
+            self._openings.postpone(pause_ms)
         for opening in self._openings.unanswered(now_ms, ANSWER_TIMEOUT_MS):
             action = self._try_next(opening, now_ms)
             if action is not None:
@@ -168,11 +180,6 @@
                 )
         return tuple(reports)
 
-    @property
-    def has_openings(self) -> bool:
-        """Whether openings are in progress."""
-        return len(self._openings) > 0
-
     def sweep(self, now_ms: int) -> None:
         """Forgets old state; to be called every 100 ms or so.
 
@@ -189,8 +196,12 @@
         """Decides about an opening packet, the first copy or a later one."""
         record = self.flows.get(packet.flow_id)
         if record is not None:
-            # A late copy of the opening of a flow that is open.
-            return data.Forward(packet, record.entry.upstream, record.entry.tag)
+            if _may_be_copy(packet, record, now_ms):
+                return data.Forward(
+                    packet, record.entry.upstream, record.entry.tag
+                )
+            # The caller uses its port for another flow.
+            self.flows.close(packet.flow_id)
         opening = self._openings.get(packet.flow_id)
         if opening is not None:
             return self._open_again(opening, packet, now_ms)
@@ -264,15 +275,27 @@
     def _continue(self, packet: data.Packet, now_ms: int) -> data.Action:
         """Decides about a packet of a flow that an upstream has answered."""
         record = self.flows.get(packet.flow_id)
-        if record is None or _has_moved(packet, record):
+        if record is None:
             record = self._learn(packet, now_ms)
         if record is None:
             self._tell(data.Verdict.UNKNOWN_TAG, packet, None, tag=packet.tag)
             return data.Drop(packet, data.Verdict.UNKNOWN_TAG)
         self.flows.note(packet, record, now_ms)
         entry = record.entry
-        if entry.is_replaced and not packet.is_reset:
-            self._tell(data.Verdict.UPSTREAM_GONE, packet, entry)
+        if packet.is_reset:
+            return data.Forward(packet, entry.upstream, entry.tag)
+        if entry.is_replaced or self._is_lost(record, now_ms):
+            self._tell(
+                data.Verdict.UPSTREAM_GONE,
+                packet,
+                entry,
+                is_replaced=entry.is_replaced,
+                repeats=record.repeats,
+                waited_ms=now_ms - record.sent_ms,
+                silent_openings=self._silence.unanswered(
+                    entry.upstream.upstream_id
+                ),
+            )
             self.flows.close(packet.flow_id)
             return data.Reset(packet, data.Verdict.UPSTREAM_GONE)
         return data.Forward(packet, entry.upstream, entry.tag)
@@ -289,10 +312,16 @@
             return None
         if opening is not None and packet.tag == entry.tag:
             self._silence.note_answered(entry.upstream.upstream_id, now_ms)
-        is_pinned = opening is not None and len(opening.tried) > 1
-        return self.flows.open(
-            packet.flow_id, entry, now_ms, is_pinned=is_pinned
-        )
+            entry.alive_ms = now_ms
+        return self.flows.open(packet.flow_id, entry, now_ms)
+
+    def _is_lost(self, record: flow_records.FlowRecord, now_ms: int) -> bool:
+        """Whether the upstream of an open flow is dead."""
+        if record.repeats == 0:
+            return False
+        upstream_id = record.entry.upstream.upstream_id
+        is_silent = self._silence.is_avoided(upstream_id, now_ms)
+        return lost_flows.is_lost(record, now_ms, is_silent=is_silent)
 
     def _service_for(self, packet: data.Packet) -> data.Service | None:
         """Returns the service that a new flow goes to, None without a route.
@@ -380,6 +409,10 @@
         )
 
 
-def _has_moved(packet: data.Packet, record: flow_records.FlowRecord) -> bool:
-    """Whether a packet's tag names another upstream than its record."""
-    return not record.is_pinned and packet.tag != record.entry.tag
+def _may_be_copy(
+    packet: data.Packet, record: flow_records.FlowRecord, now_ms: int
+) -> bool:
+    """Whether an opening packet belongs to a flow that is open already."""
+    if packet.acknowledged == 0:
+        return now_ms - record.opened_ms < DOUBLE_MS
+    return now_ms - record.opened_ms < openings_lib.OPENING_LIFE_MS
--- a/packages/core/sapphire_core/tagged_flows/upstream_table.py
+++ b/packages/core/sapphire_core/tagged_flows/upstream_table.py
@@ -26,6 +26,7 @@
         removed_ms: When it left the registry; None while it is there.
         usable_until_ms: Until when it gets new flows though it was removed.
         is_replaced: Whether another upstream has its address.
+        alive_ms: When this host last saw that it sends; None if never.
     """
 
     upstream: data.Upstream
@@ -35,6 +36,7 @@
     removed_ms: int | None = None
     usable_until_ms: int = 0
     is_replaced: bool = False
+    alive_ms: int | None = None
 
     def is_cold(self, now_ms: int) -> bool:
         """Whether it bears only its cold rate."""
@@ -186,8 +188,14 @@
         self._by_address[address] = entry
         if former is None or former is entry:
             return
-        if former.upstream.address == address:
-            former.is_replaced = True
+        if former.upstream.address != address:
+            return
+        if former.upstream.born_ms > entry.upstream.born_ms:
+            # A late report of the one that had the address before.
+            self._by_address[address] = former
+            entry.is_replaced = True
+            return
+        former.is_replaced = True
 
     def _promote(self, tag: int) -> None:
         """Gives a tag that has become free to the oldest that shares it."""
--- /dev/null
+++ b/packages/net/sapphire_net/bounded_output_test.py
@@ -0,0 +1,78 @@
+import logging
+import os
+
+import testtools
+
+from sapphire_net import bounded_output
+from sapphire_net import event_log
+
+
+class BoundedOutputTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.reader, self.writer = os.pipe()
+        self.addCleanup(os.close, self.reader)
+        self.handler = bounded_output.BoundedHandler(self.writer)
+        self.handler.setFormatter(event_log.KeyValueFormatter())
+
+    def write(self, event: str) -> None:
+        record = logging.LogRecord(
+            "test", logging.INFO, "", 0, event, None, None
+        )
+        self.handler.emit(record)
+
+    def read(self) -> bytes:
+        os.set_blocking(self.reader, False)
+        content = b""
+        while True:
+            try:
+                content += os.read(self.reader, 65_536)
+            except BlockingIOError:
+                return content
+            self.handler.write_waiting()
+
+    def test_lines_come_in_order(self) -> None:
+        for number in range(100):
+            self.write(f"event-{number}")
+        self.handler.write_waiting()
+        events = [line.rpartition(b"=")[2] for line in self.read().splitlines()]
+        expected = [f"event-{number}".encode() for number in range(100)]
+        self.assertEqual(expected, events)
+        os.close(self.writer)
+
+    def test_a_full_pipe_neither_blocks_nor_grows(self) -> None:
+        # Nobody reads; the pipe holds 64 KiB and the handler its bound.
+        for _ in range(20):
+            for _ in range(1_000):
+                self.write("x" * 200)
+            self.handler.write_waiting()
+        self.assertGreater(self.handler.lines_left_out, 10_000)
+        content = self.read()
+        self.assertLess(
+            len(content), bounded_output.MAX_WAITING_BYTES + 200_000
+        )
+        self.write("later")
+        self.handler.write_waiting()
+        rest = content + self.read()
+        said = sum(
+            int(line.rpartition(b"count=")[2])
+            for line in rest.splitlines()
+            if b"log_lines_left_out" in line
+        )
+        self.assertEqual(self.handler.lines_left_out, said)
+        for line in rest.splitlines():
+            self.assertIn(b"event=", line)
+        os.close(self.writer)
+
+    def test_a_reader_that_is_gone_stops_nothing(self) -> None:
+        reader, writer = os.pipe()
+        handler = bounded_output.BoundedHandler(writer)
+        os.close(reader)
+        self.handler = handler
+        handler.setFormatter(event_log.KeyValueFormatter())
+        self.write("unread")
+        handler.write_waiting()
+        self.write("unread")
+        handler.write_waiting()
+        os.close(writer)
+        os.close(self.writer)
--- /dev/null
+++ b/packages/net/sapphire_net/http1_test.py
@@ -0,0 +1,150 @@
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+import anyio
+import anyio.abc
+import testtools
+
+from sapphire_net import http1
+
+TIMEOUT_MS = 300
+
+
+async def echo(method: str, path: str) -> http1.Response:
+    return http1.Response(200, f"{method} {path}".encode())
+
+
+async def is_closed(stream: anyio.abc.ByteStream) -> bool:
+    """Reads to the end of a connection; fails if there is none."""
+    with anyio.fail_after(5):
+        while True:
+            try:
+                await stream.receive()
+            except (anyio.EndOfStream, anyio.BrokenResourceError):
+                return True
+
+
+async def raw_server(
+    answers: list[bytes], *, task_status: anyio.abc.TaskStatus[int]
+) -> None:
+    """Answers each connection's first bytes with the next of some answers."""
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    task_status.started(listener.extra(anyio.abc.SocketAttribute.local_port))
+
+    async def handle(stream: anyio.abc.ByteStream) -> None:
+        async with stream:
+            await stream.receive()
+            answer = answers.pop(0)
+            if answer:
+                await stream.send(answer)
+                return
+            await anyio.sleep_forever()
+
+    async with listener:
+        await listener.serve(handle)
+
+
+def with_raw_server(
+    answers: list[bytes], body: Callable[[http1.Client], Awaitable[None]]
+) -> None:
+    """Runs a test body against a server with given answers."""
+
+    async def main() -> None:
+        async with anyio.create_task_group() as tasks:
+            port = await tasks.start(raw_server, answers)
+            await body(http1.Client(("127.0.0.1", port)))
+            tasks.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+class ClientTest(testtools.TestCase):
+    def test_calls_share_a_connection(self) -> None:
+        async def main() -> None:
+            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+            port = listener.extra(anyio.abc.SocketAttribute.local_port)
+            async with listener, anyio.create_task_group() as tasks:
+                tasks.start_soon(http1.serve, listener, echo)
+                client = http1.Client(("127.0.0.1", port))
+                for number in range(3):
+                    answer = await client.call("GET", f"/{number}", TIMEOUT_MS)
+                    expected = http1.Response(200, f"GET /{number}".encode())
+                    self.assertEqual(expected, answer)
+                await client.close()
+                tasks.cancel_scope.cancel()
+
+        anyio.run(main)
+
+    def test_faults_are_told_and_the_next_call_starts_anew(self) -> None:
+        faults = {
+            "silence": (b"", http1.CallTimeout),
+            "half an answer": (OK[:-1], http1.CallFailure),
+            "no answer": (b"HTTP/1.1", http1.CallFailure),
+            "no HTTP": (b"\x00\x01\x02\r\n\r\n", http1.CallFailure),
+        }
+        for name, (answer, expected) in faults.items():
+
+            async def body(
+                client: http1.Client,
+                name: str = name,
+                expected: type = expected,
+            ) -> None:
+                failure = await client.call("GET", "/", TIMEOUT_MS)
+                self.assertIs(expected, type(failure), name)
+                assert isinstance(failure, http1.CallFailure)
+                self.assertTrue(failure.may_have_run)
+                again = await client.call("GET", "/", TIMEOUT_MS)
+                self.assertEqual(http1.Response(200, b"ok"), again)
+
+            with_raw_server([answer, OK], body)
+
+    def test_a_late_answer_is_never_taken_for_the_next(self) -> None:
+        async def body(client: http1.Client) -> None:
+            await client.call("GET", "/first", TIMEOUT_MS)
+            again = await client.call("GET", "/second", TIMEOUT_MS)
+            assert isinstance(again, http1.Response)
+            self.assertEqual(b"ok", again.body)
+
+        late = OK.replace(b"ok", b"no") + OK.replace(b"ok", b"xx")
+        with_raw_server([b"", OK, late], body)
+
+    def test_a_server_that_is_not_there_has_run_nothing(self) -> None:
+        async def main() -> None:
+            client = http1.Client(("127.0.0.1", 1))
+            failure = await client.call("GET", "/", TIMEOUT_MS)
+            assert isinstance(failure, http1.CallFailure)
+            self.assertFalse(failure.may_have_run)
+
+        anyio.run(main)
+
+    def test_a_body_that_is_too_long_is_not_kept(self) -> None:
+        size = http1.MAX_BODY_BYTES + 1
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {size}\r\n\r\n".encode()
+
+        async def body(client: http1.Client) -> None:
+            failure = await client.call("GET", "/", 10_000)
+            self.assertIs(http1.CallFailure, type(failure))
+
+        with_raw_server([head + bytes(size)], body)
+
+
+class ServerTest(testtools.TestCase):
+    def test_bad_requests_end_their_connection_only(self) -> None:
+        async def main() -> None:
+            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+            port = listener.extra(anyio.abc.SocketAttribute.local_port)
+            async with listener, anyio.create_task_group() as tasks:
+                tasks.start_soon(http1.serve, listener, echo)
+                bad = await anyio.connect_tcp("127.0.0.1", port)
+                await bad.send(b"\x00\x00\r\n\r\n")
+                self.assertTrue(await is_closed(bad))
+                client = http1.Client(("127.0.0.1", port))
+                answer = await client.call("GET", "/x", TIMEOUT_MS)
+                self.assertEqual(http1.Response(200, b"GET /x"), answer)
+                await client.close()
+                tasks.cancel_scope.cancel()
+
+        anyio.run(main)
--- a/packages/node/sapphire_node/entry/packet_task.py
+++ b/packages/node/sapphire_node/entry/packet_task.py
@@ -145,9 +145,8 @@
         while True:
             await anyio.sleep(TICK_MS / clock_lib.MS_PER_SECOND)
             now_ms = self._clock.now_ms()
-            if self._steering.has_openings:
-                for action in self._steering.tick(now_ms):
-                    self._act(action)
+            for action in self._steering.tick(now_ms):
+                self._act(action)
             if now_ms - swept_ms >= SWEEP_MS:
                 swept_ms = now_ms
                 self._steering.sweep(now_ms)
