--- a/packages/core/sapphire_core/tagged_flows/lost_flows_test.py
+++ b/packages/core/sapphire_core/tagged_flows/lost_flows_test.py
@@ -19,8 +19,22 @@
         self.steering = self.bench.steering
         self.tag = tags.tag_of("i-1")
 
-    def send(self, now_ms: int, number: int = 1, **fields: int) -> data.Action:
-        packet = builders.packet(number, tag=self.tag, **fields)
+    def send(
+        self,
+        now_ms: int,
+        number: int = 1,
+        *,
+        sequence: int = 2,
+        acknowledged: int = 100,
+        payload_bytes: int = 300,
+    ) -> data.Action:
+        packet = builders.packet(
+            number,
+            tag=self.tag,
+            sequence=sequence,
+            acknowledged=acknowledged,
+            payload_bytes=payload_bytes,
+        )
         return self.steering.handle(packet, now_ms)
 
     def opening_fails(self, now_ms: int) -> None:
--- a/packages/core/sapphire_core/tagged_flows/steering.py
+++ b/packages/core/sapphire_core/tagged_flows/steering.py
@@ -97,6 +97,19 @@
         self._configuration = configuration
         return True
 
+    def has_upstreams(self, now_ms: int) -> bool:
+        """Whether any service of the configuration has an upstream.
+
+        Args:
+            now_ms: The current time.
+        """
+        if self._configuration is None:
+            return False
+        for service in self._configuration.services_by_name:
+            if self.table.takers(service, now_ms):
+                return True
+        return False
+
     def handle(self, packet: data.Packet, now_ms: int) -> data.Action:
         """Decides about one packet of a caller.
 
--- a/packages/node/sapphire_node/entry/packet_task.py
+++ b/packages/node/sapphire_node/entry/packet_task.py
@@ -11,6 +11,7 @@
 from sapphire_core.replication import data as replication_data
 from sapphire_core.tagged_flows import data
 from sapphire_core.tagged_flows import steering as steering_lib
+from sapphire_core.tagged_flows import upstream_table
 from sapphire_data import clock as clock_lib
 from sapphire_net import event_log
 from sapphire_node.entry import host_state
@@ -28,6 +29,9 @@
 # caller takes to send them again.
 HOLD_MS = 200
 MAX_HELD_PACKETS = 512
+# A registry without any upstream may only have lost its entries while the
+# store was away; those that live are back after this time.
+SETTLE_MS = upstream_table.LAPSE_GRACE_MS
 
 ChangeReceiver = anyio.streams.memory.MemoryObjectReceiveStream[
     messages.ChangesLearned | messages.PeersSeen
@@ -62,6 +66,7 @@
         self._steering = steering_lib.Steering(
             state.settings.data_centre, random.Random(), self._report
         )
+        self._complete_ms: int | None = None
         self._known_scopes: set[replication_data.Scope] = set()
         self._held: collections.deque[tuple[int, data.Packet]] = (
             collections.deque(maxlen=MAX_HELD_PACKETS)
@@ -150,6 +155,7 @@
             if now_ms - swept_ms >= SWEEP_MS:
                 swept_ms = now_ms
                 self._steering.sweep(now_ms)
+                self._check_readiness(now_ms)
 
     async def _learn(self) -> None:
         """Takes what this host learns."""
@@ -264,6 +270,11 @@
             return
         if replication_data.Scope.REGISTRY not in self._known_scopes:
             return
+        if self._complete_ms is None:
+            self._complete_ms = now_ms
+        is_settled = now_ms - self._complete_ms >= SETTLE_MS
+        if not self._steering.has_upstreams(now_ms) and not is_settled:
+            return
         self._state.is_ready = True
         event_log.log(
             _LOG,
--- /dev/null
+++ b/packages/node/sapphire_node/entry/packet_task_test.py
@@ -0,0 +1,151 @@
+import socket
+
+import anyio
+import testtools
+
+from sapphire_core.replication import data as replication_data
+from sapphire_core.tagged_flows import data
+from sapphire_data import clock as clock_lib
+from sapphire_lab.tagged_flows import builders
+from sapphire_node.entry import host_state
+from sapphire_node.entry import messages
+from sapphire_node.entry import packet_task
+from sapphire_node.entry import ports
+
+LOOPBACK = "127.0.0.1"
+
+
+class Format:
+    """Packets as the test writes them: a letter for the kind of packet."""
+
+    def read(self, datagram: bytes) -> data.Packet | data.UnreadablePacket:
+        if datagram == b"opening":
+            return builders.opening()
+        return data.UnreadablePacket("unknown")
+
+    def write_forward(self, forward: data.Forward) -> bytes:
+        return b"forwarded"
+
+    def write_reset(self, packet: data.Packet) -> bytes:
+        return b"reset"
+
+    def caller_address(self, packet: data.Packet) -> data.Address:
+        raise NotImplementedError
+
+
+class Platform:
+    """An adapter that only reads packets."""
+
+    def __init__(self) -> None:
+        self.packets: ports.PacketFormat = Format()
+        self.items: ports.ItemFormat
+
+    def settings(self) -> ports.HostSettings:
+        raise NotImplementedError
+
+    def source(self, settings: ports.HostSettings) -> ports.ItemSource:
+        raise NotImplementedError
+
+
+class PacketTaskTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.clock = clock_lib.ManualClock(1_000)
+        self.state = host_state.HostState(
+            ports.HostSettings(
+                host_name="edge-1",
+                data_centre=builders.DATA_CENTRE,
+                packet_address=(LOOPBACK, 0),
+                readiness_address=(LOOPBACK, 0),
+                readiness_path="/ready",
+                peer_address=(LOOPBACK, 0),
+                metrics_address=(LOOPBACK, 0),
+                store_address=(LOOPBACK, 0),
+                limits=ports.Limits(6_000, 60_000),
+            )
+        )
+        self.upstream = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.addCleanup(self.upstream.close)
+        self.upstream.bind((LOOPBACK, 0))
+        self.upstream.setblocking(False)
+        self.changes, received = anyio.create_memory_object_stream[
+            messages.ChangesLearned | messages.PeersSeen
+        ](10)
+        seen, self.seen = anyio.create_memory_object_stream[
+            messages.UpstreamsSeen
+        ](10)
+        self.task = packet_task.PacketTask(
+            Platform(), self.state, self.clock, received, seen
+        )
+        self.addCleanup(self.task._socket.close)
+
+    def learn(
+        self, scope: replication_data.Scope, *changes: data.Change
+    ) -> None:
+        """Hands the task what this host learned."""
+        known = tuple(messages.KnownChange(one, 5) for one in changes)
+        learned = messages.ChangesLearned(scope, known, False, "test")
+
+        async def main() -> None:
+            await self.changes.send(learned)
+            with anyio.move_on_after(0.05):
+                await self.task._learn()
+
+        anyio.run(main)
+
+    def learn_configuration(self) -> None:
+        change = data.ConfigurationChange(builders.configuration())
+        self.learn(replication_data.Scope.INTENT, change)
+
+    def learn_upstream(self) -> None:
+        address = (LOOPBACK, self.upstream.getsockname()[1])
+        upstream = builders.upstream("i-1", address=address)
+        change = data.UpstreamChange(upstream)
+        self.learn(replication_data.Scope.REGISTRY, change)
+
+    def received(self) -> int:
+        """Returns how many packets the upstream got."""
+        count = 0
+        while True:
+            try:
+                self.upstream.recv(100)
+            except BlockingIOError:
+                return count
+            count += 1
+
+    def test_packets_that_come_too_early_are_kept(self) -> None:
+        self.task._take(b"opening")
+        self.clock.advance(packet_task.HOLD_MS)
+        self.learn_upstream()
+        self.assertEqual(0, self.received())
+        self.learn_configuration()
+        self.assertTrue(self.state.is_ready)
+        self.assertEqual(1, self.received())
+
+    def test_a_packet_that_its_caller_has_sent_again_is_not_kept(self) -> None:
+        self.task._take(b"opening")
+        self.clock.advance(packet_task.HOLD_MS + 1)
+        self.learn_upstream()
+        self.learn_configuration()
+        self.assertEqual(0, self.received())
+
+    def test_a_registry_without_upstreams_is_not_believed_at_once(
+        self,
+    ) -> None:
+        # The host started just after the store came back without its entries.
+        self.learn(replication_data.Scope.REGISTRY)
+        self.learn_configuration()
+        self.assertFalse(self.state.is_ready)
+        self.learn_upstream()
+        self.assertTrue(self.state.is_ready)
+
+    def test_a_registry_that_stays_empty_is_believed(self) -> None:
+        self.learn(replication_data.Scope.REGISTRY)
+        self.learn_configuration()
+        self.clock.advance(packet_task.SETTLE_MS)
+        self.learn(replication_data.Scope.REGISTRY)
+        self.assertTrue(self.state.is_ready)
+
+    def test_what_is_no_packet_is_counted(self) -> None:
+        self.task._take(b"noise")
+        self.assertEqual(1, self.state.counts["unreadable_packets"])
