--- a/packages/core/sapphire_core/tagged_flows/flow_records.py
+++ b/packages/core/sapphire_core/tagged_flows/flow_records.py
@@ -17,6 +17,8 @@
 # A request whose end was not seen counts as ended after this time; ten times
 # the mean work of the users' slowest kind of request.
 BUSY_LIMIT_MS = 500
+# Callers repeat data after 200 ms (the protocol), less what a link may vary.
+REPEAT_MS = 150
 _SEQUENCE_MASK = 0xFFFF_FFFF
 _HALF_OF_SEQUENCES = 0x8000_0000
 
@@ -108,7 +110,10 @@
         if packet.payload_bytes > 0:
             self._note_data(packet, record, now_ms)
             return
-        self._note_progress(packet, record, now_ms)
+        if self._note_progress(packet, record, now_ms):
+            # Callers send nothing between a request and its response, so an
+            # acknowledgement without data takes a response.
+            self._end_request(record)
 
     def close(self, flow_id: data.FlowId) -> None:
         """Drops the record of a flow, if there is one."""
@@ -139,7 +144,9 @@
         """Takes a packet with data: a new request, more of it, or a repeat."""
         end = (packet.sequence + packet.payload_bytes) & _SEQUENCE_MASK
         if record.next_sequence and not _is_after(end, record.next_sequence):
-            record.repeats += 1
+            # Packets of one upload overtake each other within milliseconds.
+            if now_ms - record.sent_ms >= REPEAT_MS:
+                record.repeats += 1
             return
         record.next_sequence = end
         record.repeats = 0
@@ -151,13 +158,15 @@
 
     def _note_progress(
         self, packet: data.Packet, record: FlowRecord, now_ms: int
-    ) -> None:
-        """Takes an acknowledgement: the upstream has sent something."""
+    ) -> bool:
+        """Takes an acknowledgement; whether the upstream has sent data."""
         is_first = record.acknowledged == 0
-        if is_first or _is_after(packet.acknowledged, record.acknowledged):
+        is_further = _is_after(packet.acknowledged, record.acknowledged)
+        if is_first or is_further:
             record.acknowledged = packet.acknowledged
             record.repeats = 0
             record.entry.alive_ms = now_ms
+        return is_further and not is_first
 
     def _end_request(self, record: FlowRecord) -> None:
         """Notes that no request is in progress on a flow."""
--- a/packages/core/sapphire_core/tagged_flows/steering.py
+++ b/packages/core/sapphire_core/tagged_flows/steering.py
@@ -20,6 +20,11 @@
 # An answered opening takes two crossings between caller, host and upstream
 # and back: up to 15 ms on the users' networks.
 ANSWER_TIMEOUT_MS = 40
+# While hosts join or leave, the caller's answer may pass through another host
+# than its opening did. Its first copy comes after 200 ms; this is before.
+SHIFT_TIMEOUT_MS = 150
+# The fabric asks twice a second whether a host is ready, and takes two misses.
+SHIFT_MS = 1_500
 # An opening goes to this many upstreams before it waits for the caller's copy.
 MAX_TRIES_PER_COPY = 3
 # The network may deliver a packet twice within this time; callers send no
@@ -75,6 +80,7 @@
         self.flows = flow_records.FlowRecords()
         self.hosts = 1
         self._ticked_ms = 0
+        self._shift_until_ms = 0
         self._busy_elsewhere_by_tag: Mapping[int, float] = {}
 
     @property
@@ -140,7 +146,9 @@
         self._ticked_ms = now_ms
         if pause_ms > PAUSE_MS:
             self._openings.postpone(pause_ms)
-        for opening in self._openings.unanswered(now_ms, ANSWER_TIMEOUT_MS):
+        for opening in self._openings.unanswered(
+            now_ms, self._answer_timeout_ms(now_ms)
+        ):
             action = self._try_next(opening, now_ms)
             if action is not None:
                 actions.append(action)
@@ -177,6 +185,14 @@
                     entry.upstream.upstream_id, silent_ms, now_ms
                 )
 
+    def note_shift(self, now_ms: int) -> None:
+        """Notes that a host joins or leaves, so that flows change hosts.
+
+        Args:
+            now_ms: The current time.
+        """
+        self._shift_until_ms = now_ms + SHIFT_MS
+
     def reports(self, now_ms: int) -> tuple[peer_data.UpstreamReport, ...]:
         """Returns what this host has seen of upstreams, for other hosts.
 
@@ -240,12 +256,18 @@
         )
         return data.Forward(packet, entry.upstream, entry.tag)
 
+    def _answer_timeout_ms(self, now_ms: int) -> int:
+        """Returns how long an upstream has to answer an opening."""
+        if now_ms < self._shift_until_ms:
+            return SHIFT_TIMEOUT_MS
+        return ANSWER_TIMEOUT_MS
+
     def _open_again(
         self, opening: openings_lib.Opening, packet: data.Packet, now_ms: int
     ) -> data.Action:
         """Decides about a further copy of an opening packet."""
         opening.packet = packet
-        if now_ms - opening.sent_ms >= ANSWER_TIMEOUT_MS:
+        if now_ms - opening.sent_ms >= self._answer_timeout_ms(now_ms):
             opening.has_failed = False
             action = self._try_next(opening, now_ms)
             if action is not None:
@@ -260,9 +282,10 @@
     ) -> data.Action | None:
         """Notes the silence of an upstream and sends the opening to another."""
         last = opening.tried[-1]
-        self._silence.note_unanswered(
-            last.upstream.upstream_id, opening.sent_ms, now_ms
-        )
+        if now_ms >= self._shift_until_ms:
+            self._silence.note_unanswered(
+                last.upstream.upstream_id, opening.sent_ms, now_ms
+            )
         opening.has_failed = True
         copies = opening.packet.acknowledged + 1
         if len(opening.tried) >= MAX_TRIES_PER_COPY * copies:
--- a/packages/core/sapphire_core/tagged_flows/steering_test.py
+++ b/packages/core/sapphire_core/tagged_flows/steering_test.py
@@ -96,6 +96,32 @@
         self.assertEqual({"i-1"}, chosen)
 
 
+class ShiftTest(testtools.TestCase):
+    """Hosts join or leave, and callers' answers pass through others."""
+
+    def test_an_answer_that_passed_elsewhere_is_not_silence(self) -> None:
+        bench = builders.SteeringBench(
+            builders.upstream("i-1"), builders.upstream("i-2")
+        )
+        bench.steering.note_shift(0)
+        first = target(bench.open(1, 0))
+        for now_ms in range(10, steering.SHIFT_TIMEOUT_MS, 10):
+            self.assertEqual([], bench.steering.tick(now_ms))
+        again = bench.steering.tick(steering.SHIFT_TIMEOUT_MS)
+        self.assertNotIn(target(again[0]), ("", first))
+        self.assertEqual((), bench.steering.reports(200))
+
+    def test_it_ends_once_the_fabric_has_settled(self) -> None:
+        bench = builders.SteeringBench(
+            builders.upstream("i-1"), builders.upstream("i-2")
+        )
+        bench.steering.note_shift(0)
+        now_ms = steering.SHIFT_MS
+        bench.steering.tick(now_ms)
+        bench.open(1, now_ms)
+        self.assertEqual(1, len(bench.steering.tick(now_ms + WAIT_MS)))
+
+
 class OpenFlowTest(testtools.TestCase):
     def setUp(self) -> None:
         super().setUp()
--- a/packages/node/sapphire_node/entry/messages.py
+++ b/packages/node/sapphire_node/entry/messages.py
@@ -95,8 +95,11 @@
         busy_by_tag: The requests in progress at each upstream.
         silent_ms_by_tag: How much longer some host avoids it.
         hosts: How many hosts there may be, this one included.
+        has_shifted: Whether a host has joined or is leaving, so that flows
+            change hosts.
     """
 
     busy_by_tag: Mapping[int, float]
     silent_ms_by_tag: Mapping[int, int]
     hosts: int
+    has_shifted: bool
--- a/packages/node/sapphire_node/entry/packet_task.py
+++ b/packages/node/sapphire_node/entry/packet_task.py
@@ -168,6 +168,8 @@
                     message.hosts,
                     now_ms,
                 )
+                if message.has_shifted:
+                    self._steering.note_shift(now_ms)
                 reports = self._steering.reports(now_ms)
                 await self._seen.send(messages.UpstreamsSeen(reports))
                 continue
@@ -276,6 +278,7 @@
         if not self._steering.has_upstreams(now_ms) and not is_settled:
             return
         self._state.is_ready = True
+        self._steering.note_shift(now_ms)
         event_log.log(
             _LOG,
             logging.INFO,
--- a/packages/node/sapphire_node/entry/peer_task.py
+++ b/packages/node/sapphire_node/entry/peer_task.py
@@ -80,6 +80,7 @@
         self._start_id = rng.getrandbits(62)
         self._sequence = 0
         self._far_beat_ms = 0
+        self._has_shifted = True
         self._reports: tuple[peer_data.UpstreamReport, ...] = ()
         self._listed: frozenset[str] = frozenset()
         # Since when a peer is known to be ahead, and which one, by scope.
@@ -123,7 +124,13 @@
             live = self._roster.live(now_ms)
             hosts = self._roster.hosts()
             busy, silent_ms = roster_lib.merge_reports(live, hosts - 1)
-            await self._seen.send(messages.PeersSeen(busy, silent_ms, hosts))
+            has_shifted = self._has_shifted or any(
+                beat.is_leaving for beat in live
+            )
+            self._has_shifted = False
+            await self._seen.send(
+                messages.PeersSeen(busy, silent_ms, hosts, has_shifted)
+            )
             await anyio.sleep(BEAT_MS / clock_lib.MS_PER_SECOND)
 
     def _send_beat(self, *, is_far_due: bool) -> None:
@@ -196,6 +203,7 @@
                 data_centre=beat.contact.data_centre,
                 start_id=beat.start_id,
             )
+            self._has_shifted = True
             # It may know of nobody yet.
             self._send_beat(is_far_due=True)
         if beat.store_failed_ms is not None:
