Late openings give way to fresh ones while a service has no free slot

An opening whose copy number shows that it has missed its route's objective waits for a free slot, at most until 1.1 s of its age. Openings under way count as load. Not measured yet.

--- a/packages/core/sapphire_core/tagged_flows/data.py
+++ b/packages/core/sapphire_core/tagged_flows/data.py
@@ -220,7 +220,7 @@
 
     OPENED = "opened"
     OPENED_AGAIN = "opened_again"
-    CONTINUED = "continued"
+    GIVES_WAY = "gives_way"
     NO_ROUTE = "no_route"
     NO_UPSTREAM = "no_upstream"
     UPSTREAM_GONE = "upstream_gone"
@@ -270,7 +270,18 @@
     verdict: Verdict
 
 
-Action = Forward | Reset | Drop
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wait:
+    """Send nothing yet; `Steering.tick` sends the packet later.
+
+    Attributes:
+        packet: The packet.
+    """
+
+    packet: Packet
+
+
+Action = Forward | Reset | Drop | Wait
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/sapphire_core/tagged_flows/openings.py
+++ b/packages/core/sapphire_core/tagged_flows/openings.py
@@ -1,5 +1,6 @@
 """Opening packets that no upstream has answered yet."""
 
+import collections
 import dataclasses
 
 from sapphire_core.tagged_flows import data
@@ -30,6 +31,11 @@
     tried: list[upstream_table.Entry]
     has_failed: bool = False
 
+    @property
+    def counted_id(self) -> str:
+        """The identity of the upstream that got it last."""
+        return self.tried[-1].upstream.upstream_id
+
     @property
     def tried_ids(self) -> set[str]:
         """The identities of the upstreams that got it."""
@@ -41,6 +47,7 @@
 
     def __init__(self) -> None:
         self._by_flow: dict[data.FlowId, Opening] = {}
+        self._count_by_id: collections.Counter[str] = collections.Counter()
 
     def __len__(self) -> int:
         """Returns how many openings are in progress."""
@@ -50,15 +57,49 @@
         """Returns the opening of a flow, None if there is none."""
         return self._by_flow.get(flow_id)
 
+    def count(self, upstream_id: str) -> int:
+        """Returns how many openings an upstream has got and not answered.
+
+        One that it failed to answer in time does not count.
+        """
+        return self._count_by_id[upstream_id]
+
     def add(self, opening: Opening) -> None:
         """Takes a new opening; the oldest makes room if there are too many."""
         if len(self._by_flow) >= MAX_OPENINGS:
-            del self._by_flow[next(iter(self._by_flow))]
+            self.pop(next(iter(self._by_flow)))
         self._by_flow[opening.packet.flow_id] = opening
+        self._count_by_id[opening.counted_id] += 1
+
+    def fail(self, opening: Opening) -> None:
+        """Notes that the last upstream of an opening did not answer."""
+        if not opening.has_failed:
+            opening.has_failed = True
+            self._uncount(opening)
+
+    def send(
+        self, opening: Opening, entry: upstream_table.Entry, now_ms: int
+    ) -> None:
+        """Notes that an opening goes to an upstream, the same or another.
+
+        Args:
+            opening: The opening.
+            entry: The upstream.
+            now_ms: The current time.
+        """
+        self.fail(opening)
+        if opening.tried[-1] is not entry:
+            opening.tried.append(entry)
+        opening.sent_ms = now_ms
+        opening.has_failed = False
+        self._count_by_id[opening.counted_id] += 1
 
     def pop(self, flow_id: data.FlowId) -> Opening | None:
         """Removes and returns the opening of a flow, None if there is none."""
-        return self._by_flow.pop(flow_id, None)
+        opening = self._by_flow.pop(flow_id, None)
+        if opening is not None and not opening.has_failed:
+            self._uncount(opening)
+        return opening
 
     def postpone(self, pause_ms: int) -> None:
         """Gives upstreams more time after this host stood still.
@@ -90,5 +131,11 @@
             if now_ms - opening.first_ms > OPENING_LIFE_MS
         ]
         for opening in expired:
-            del self._by_flow[opening.packet.flow_id]
+            self.pop(opening.packet.flow_id)
         return expired
+
+    def _uncount(self, opening: Opening) -> None:
+        """Ends the count of an opening at its last upstream."""
+        self._count_by_id[opening.counted_id] -= 1
+        if self._count_by_id[opening.counted_id] <= 0:
+            del self._count_by_id[opening.counted_id]
--- a/packages/core/sapphire_core/tagged_flows/steering.py
+++ b/packages/core/sapphire_core/tagged_flows/steering.py
@@ -16,6 +16,7 @@
 from sapphire_core.tagged_flows import placement
 from sapphire_core.tagged_flows import silence as silence_lib
 from sapphire_core.tagged_flows import upstream_table
+from sapphire_core.tagged_flows import waiting as waiting_lib
 
 # An answered opening takes two crossings between caller, host and upstream
 # and back: up to 15 ms on the users' networks.
@@ -74,6 +75,7 @@
         self._report = report
         self._configuration: data.Configuration | None = None
         self._openings = openings_lib.Openings()
+        self._waiting = waiting_lib.Waiting()
         self._silence = silence_lib.Silence()
         self._budget = cold_budget.ColdBudget(rng.getrandbits(32))
         self.table = upstream_table.UpstreamTable()
@@ -152,6 +154,8 @@
             action = self._try_next(opening, now_ms)
             if action is not None:
                 actions.append(action)
+        if len(self._waiting) > 0:
+            actions.extend(self._release(now_ms))
         for opening in self._openings.expire(now_ms):
             self._tell(
                 data.Verdict.UNANSWERED,
@@ -234,8 +238,13 @@
         opening = self._openings.get(packet.flow_id)
         if opening is not None:
             return self._open_again(opening, packet, now_ms)
-        service = self._service_for(packet)
-        if service is None:
+        waiter = self._waiting.get(packet.flow_id)
+        if waiter is not None:
+            waiter.packet = packet
+            return data.Wait(packet)
+        route = self._route_for(packet)
+        service = self._service_for(packet, route)
+        if route is None or service is None:
             self._tell(data.Verdict.NO_ROUTE, packet, None)
             return data.Reset(packet, data.Verdict.NO_ROUTE)
         entry = self._choose(service, (), now_ms)
@@ -244,6 +253,31 @@
                 data.Verdict.NO_UPSTREAM, packet, None, wanted=service.name
             )
             return data.Reset(packet, data.Verdict.NO_UPSTREAM)
+        if (
+            waiting_lib.is_late(packet, route)
+            and not self._has_free_slot(entry)
+            and self._waiting.has_room()
+        ):
+            self._waiting.add(packet, service, route.priority, now_ms)
+            self._tell(
+                data.Verdict.GIVES_WAY,
+                packet,
+                entry,
+                copy=packet.acknowledged,
+                busy=round(self._busy(entry), 1),
+                waiting=len(self._waiting),
+            )
+            return data.Wait(packet)
+        return self._start(packet, service, entry, now_ms)
+
+    def _start(
+        self,
+        packet: data.Packet,
+        service: data.Service,
+        entry: upstream_table.Entry,
+        now_ms: int,
+    ) -> data.Action:
+        """Sends an opening to its first upstream."""
         self._openings.add(
             openings_lib.Opening(packet, service.name, now_ms, now_ms, [entry])
         )
@@ -256,6 +290,40 @@
         )
         return data.Forward(packet, entry.upstream, entry.tag)
 
+    def _release(self, now_ms: int) -> list[data.Action]:
+        """Sends openings that gave way while there are free slots."""
+        actions: list[data.Action] = []
+        full: set[str] = set()
+        for waiter in self._waiting.in_order():
+            is_due = now_ms >= waiter.until_ms
+            if waiter.service.name in full and not is_due:
+                continue
+            entry = self._choose(waiter.service, (), now_ms)
+            if entry is None:
+                self._waiting.remove(waiter)
+                self._tell(
+                    data.Verdict.NO_UPSTREAM,
+                    waiter.packet,
+                    None,
+                    wanted=waiter.service.name,
+                )
+                actions.append(
+                    data.Reset(waiter.packet, data.Verdict.NO_UPSTREAM)
+                )
+                continue
+            if not is_due and not self._has_free_slot(entry):
+                full.add(waiter.service.name)
+                continue
+            self._waiting.remove(waiter)
+            actions.append(
+                self._start(waiter.packet, waiter.service, entry, now_ms)
+            )
+        return actions
+
+    def _has_free_slot(self, entry: upstream_table.Entry) -> bool:
+        """Whether an upstream is believed to work on a request at once."""
+        return self._busy(entry) < entry.upstream.slots
+
     def _answer_timeout_ms(self, now_ms: int) -> int:
         """Returns how long an upstream has to answer an opening."""
         if now_ms < self._shift_until_ms:
@@ -268,13 +336,11 @@
         """Decides about a further copy of an opening packet."""
         opening.packet = packet
         if now_ms - opening.sent_ms >= self._answer_timeout_ms(now_ms):
-            opening.has_failed = False
             action = self._try_next(opening, now_ms)
             if action is not None:
                 return action
         last = opening.tried[-1]
-        opening.sent_ms = now_ms
-        opening.has_failed = False
+        self._openings.send(opening, last, now_ms)
         return data.Forward(packet, last.upstream, last.tag)
 
     def _try_next(
@@ -286,7 +352,7 @@
             self._silence.note_unanswered(
                 last.upstream.upstream_id, opening.sent_ms, now_ms
             )
-        opening.has_failed = True
+        self._openings.fail(opening)
         copies = opening.packet.acknowledged + 1
         if len(opening.tried) >= MAX_TRIES_PER_COPY * copies:
             return None
@@ -296,9 +362,7 @@
         entry = self._choose(service, opening.tried_ids, now_ms)
         if entry is None:
             return None
-        opening.tried.append(entry)
-        opening.sent_ms = now_ms
-        opening.has_failed = False
+        self._openings.send(opening, entry, now_ms)
         self._tell(
             data.Verdict.OPENED_AGAIN,
             opening.packet,
@@ -359,16 +423,21 @@
         is_silent = self._silence.is_avoided(upstream_id, now_ms)
         return lost_flows.is_lost(record, now_ms, is_silent=is_silent)
 
-    def _service_for(self, packet: data.Packet) -> data.Service | None:
-        """Returns the service that a new flow goes to, None without a route.
-
-        All copies of an opening packet get the same one.
-        """
+    def _route_for(self, packet: data.Packet) -> data.Route | None:
+        """Returns the route of a new flow, None if there is none."""
         if self._configuration is None:
             return None
-        route = self._configuration.routes_by_endpoint.get(
+        return self._configuration.routes_by_endpoint.get(
             packet.flow_id.endpoint
         )
+
+    def _service_for(
+        self, packet: data.Packet, route: data.Route | None
+    ) -> data.Service | None:
+        """Returns the service that a new flow goes to, None without a route.
+
+        All copies of an opening packet get the same one.
+        """
         if route is None:
             return None
         if len(route.shares) == 1:
@@ -423,7 +492,8 @@
 
     def _busy(self, entry: upstream_table.Entry) -> float:
         """Returns how many requests an upstream has in progress, all told."""
-        own = self.flows.busy(entry.upstream.upstream_id)
+        upstream_id = entry.upstream.upstream_id
+        own = self.flows.busy(upstream_id) + self._openings.count(upstream_id)
         return own + self._busy_elsewhere_by_tag.get(entry.tag, 0.0)
 
     def _tell(
--- /dev/null
+++ b/packages/core/sapphire_core/tagged_flows/waiting.py
@@ -0,0 +1,100 @@
+"""Openings that give way to others while a service is full.
+
+When all hosts return, or many callers come at once, requests that waited for
+long and requests that come just now ask for the same slots. The former have
+missed their objective already; a little more waiting costs their callers
+little. The latter can still meet theirs. So an opening that is late by its
+copy number waits until an upstream has a free slot, or until its caller would
+give it up. This is the order of a queue that serves the newest first under
+overload, for those openings only whose age is known.
+"""
+
+import dataclasses
+
+from sapphire_core.tagged_flows import data
+
+# How old an opening is by the number of copies sent before it (the protocol).
+COPY_AGES_MS = (0, 200, 600)
+# Callers give up an opening after 1,400 ms; the rest is for the answer.
+MAX_AGE_MS = 1_100
+MAX_WAITING = 2_000
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Waiter:
+    """An opening that waits.
+
+    Attributes:
+        packet: The last copy of its opening packet.
+        service: The service that it goes to.
+        priority: How urgent its route is; 0 is the most urgent.
+        since_ms: When it began to wait.
+        until_ms: When it is sent whatever the load.
+    """
+
+    packet: data.Packet
+    service: data.Service
+    priority: int
+    since_ms: int
+    until_ms: int
+
+
+def age_ms(packet: data.Packet) -> int:
+    """Returns how long ago the caller sent the first copy of an opening."""
+    copies = min(packet.acknowledged, len(COPY_AGES_MS) - 1)
+    return COPY_AGES_MS[copies]
+
+
+def is_late(packet: data.Packet, route: data.Route) -> bool:
+    """Whether an opening cannot meet the objective of its route any more."""
+    return 0 < route.objective_ms <= age_ms(packet)
+
+
+class Waiting:
+    """The openings that wait, by flow."""
+
+    def __init__(self) -> None:
+        self._by_flow: dict[data.FlowId, Waiter] = {}
+
+    def __len__(self) -> int:
+        """Returns how many openings wait."""
+        return len(self._by_flow)
+
+    def has_room(self) -> bool:
+        """Whether another opening may wait."""
+        return len(self._by_flow) < MAX_WAITING
+
+    def get(self, flow_id: data.FlowId) -> Waiter | None:
+        """Returns the waiting opening of a flow, None if there is none."""
+        return self._by_flow.get(flow_id)
+
+    def add(
+        self,
+        packet: data.Packet,
+        service: data.Service,
+        priority: int,
+        now_ms: int,
+    ) -> None:
+        """Lets an opening wait.
+
+        Args:
+            packet: The opening packet.
+            service: The service that it goes to.
+            priority: How urgent its route is.
+            now_ms: The current time.
+        """
+        until_ms = now_ms + max(0, MAX_AGE_MS - age_ms(packet))
+        self._by_flow[packet.flow_id] = Waiter(
+            packet, service, priority, now_ms, until_ms
+        )
+
+    def in_order(self) -> list[Waiter]:
+        """Returns all that wait, the most urgent and then the oldest first."""
+        return sorted(
+            self._by_flow.values(),
+            key=lambda waiter: (waiter.priority, waiter.until_ms),
+        )
+
+    def remove(self, waiter: Waiter) -> None:
+        """Ends the wait of an opening."""
+        self._by_flow.pop(waiter.packet.flow_id, None)
--- /dev/null
+++ b/packages/core/sapphire_core/tagged_flows/waiting_test.py
@@ -0,0 +1,107 @@
+"""The load pattern: many callers come back at the same moment.
+
+Hosts were away for a second or more. All requests of that time come at once,
+as later copies of their openings, beside those that begin just now.
+"""
+
+import testtools
+
+from sapphire_core.tagged_flows import data
+from sapphire_core.tagged_flows import waiting
+from sapphire_lab.tagged_flows import builders
+
+SLOTS = 3
+
+
+class ReturnOfAllTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.bench = builders.SteeringBench(
+            builders.upstream("i-1", slots=SLOTS)
+        )
+        self.steering = self.bench.steering
+
+    def begin(self, number: int, now_ms: int) -> None:
+        """A fresh request that is being worked on."""
+        action = self.bench.open(number, now_ms)
+        self.assertIsInstance(action, data.Forward)
+        self.bench.answer(number, action, now_ms)
+
+    def finish(self, number: int, now_ms: int) -> None:
+        """The response to it has been taken."""
+        end = builders.packet(
+            number,
+            tag=self.steering.table.by_id["i-1"].tag,
+            sequence=302,
+            acknowledged=900,
+            payload_bytes=0,
+            is_closing=True,
+        )
+        self.steering.handle(end, now_ms)
+
+    def test_late_openings_give_way_while_there_is_no_free_slot(self) -> None:
+        for number in range(SLOTS):
+            self.begin(number, 0)
+        late = self.bench.open(50, 1, copy=1)
+        self.assertIsInstance(late, data.Wait)
+        # One that begins just now goes past it.
+        self.begin(10, 2)
+        self.assertEqual([], self.steering.tick(10))
+        for number in (0, 1):
+            self.finish(number, 20)
+        sent = self.steering.tick(30)
+        self.assertEqual([50], [numbers_of(action) for action in sent])
+
+    def test_with_free_slots_nobody_waits(self) -> None:
+        self.assertIsInstance(self.bench.open(1, 0, copy=2), data.Forward)
+
+    def test_no_wait_lasts_until_the_caller_gives_up(self) -> None:
+        for number in range(SLOTS):
+            self.begin(number, 0)
+        for copy, age_ms in ((1, 200), (2, 600)):
+            late = self.bench.open(50 + copy, 0, copy=copy)
+            self.assertIsInstance(late, data.Wait)
+            due_ms = waiting.MAX_AGE_MS - age_ms
+            self.assertLess(age_ms + due_ms, 1_400)
+        sent = [
+            (numbers_of(action), now_ms)
+            for now_ms in range(10, 1_000, 10)
+            for action in self.steering.tick(now_ms)
+        ]
+        # The slots are free again 500 ms after the last sign of use.
+        self.assertEqual([52, 51], [number for number, _ in sent])
+        self.assertEqual([500, 900], [now_ms for _, now_ms in sent])
+
+    def test_a_further_copy_changes_nothing(self) -> None:
+        for number in range(SLOTS):
+            self.begin(number, 0)
+        self.bench.open(50, 1, copy=1)
+        self.assertIsInstance(self.bench.open(50, 401, copy=2), data.Wait)
+        for number in range(SLOTS):
+            self.finish(number, 410)
+        self.assertEqual(1, len(self.steering.tick(420)))
+        self.assertEqual([], self.steering.tick(430))
+
+    def test_openings_that_can_meet_their_objective_do_not_wait(self) -> None:
+        for number in range(SLOTS):
+            self.begin(number, 0)
+        self.assertIsInstance(self.bench.open(50, 0), data.Forward)
+
+    def test_one_whose_upstreams_have_gone_is_told_so(self) -> None:
+        for number in range(SLOTS):
+            self.begin(number, 0)
+        self.bench.open(50, 0, copy=1)
+        self.steering.table.remove("i-1", 5, may_return=False)
+        self.assertEqual(
+            [
+                data.Reset(
+                    builders.opening(50, copy=1), data.Verdict.NO_UPSTREAM
+                )
+            ],
+            self.steering.tick(10),
+        )
+
+
+def numbers_of(action: data.Action) -> int:
+    """Returns the number of the flow that an action is about."""
+    return action.packet.flow_id.caller_port - 40_000
