--- a/packages/core/sapphire_core/tagged_flows/data.py
+++ b/packages/core/sapphire_core/tagged_flows/data.py
@@ -220,6 +220,8 @@
 
     OPENED = "opened"
     OPENED_AGAIN = "opened_again"
+    ANSWERED = "answered"
+    CLOSED = "closed"
     GIVES_WAY = "gives_way"
     NO_ROUTE = "no_route"
     NO_UPSTREAM = "no_upstream"
--- a/packages/core/sapphire_core/tagged_flows/flow_records.py
+++ b/packages/core/sapphire_core/tagged_flows/flow_records.py
@@ -36,6 +36,7 @@
         busy_since_ms: When the request in progress began; None if idle.
         repeats: How often the caller sent the same data again in a row.
         sent_ms: When the data that it repeats came first.
+        is_closed: Whether the caller has ended it.
     """
 
     entry: upstream_table.Entry
@@ -46,6 +47,7 @@
     busy_since_ms: int | None = None
     repeats: int = 0
     sent_ms: int = 0
+    is_closed: bool = False
 
 
 class FlowRecords:
--- a/packages/core/sapphire_core/tagged_flows/steering.py
+++ b/packages/core/sapphire_core/tagged_flows/steering.py
@@ -382,7 +382,17 @@
             return data.Drop(packet, data.Verdict.UNKNOWN_TAG)
         self.flows.note(packet, record, now_ms)
         entry = record.entry
-        if packet.is_reset:
+        if packet.is_reset or (packet.is_closing and not record.is_closed):
+            record.is_closed = True
+            self._tell(
+                data.Verdict.CLOSED,
+                packet,
+                entry,
+                by_reset=int(packet.is_reset),
+                age_ms=now_ms - record.opened_ms,
+                repeats=record.repeats,
+            )
+        if packet.is_reset or packet.is_closing:
             return data.Forward(packet, entry.upstream, entry.tag)
         if entry.is_replaced or self._is_lost(record, now_ms):
             self._tell(
@@ -413,6 +423,13 @@
         if opening is not None and packet.tag == entry.tag:
             self._silence.note_answered(entry.upstream.upstream_id, now_ms)
             entry.alive_ms = now_ms
+            self._tell(
+                data.Verdict.ANSWERED,
+                packet,
+                entry,
+                waited_ms=now_ms - opening.first_ms,
+                tries=len(opening.tried),
+            )
         return self.flows.open(packet.flow_id, entry, now_ms)
 
     def _is_lost(self, record: flow_records.FlowRecord, now_ms: int) -> bool:
--- a/packages/node/sapphire_node/entry/follower.py
+++ b/packages/node/sapphire_node/entry/follower.py
@@ -81,7 +81,11 @@
                 await _sleep_ms(IDLE_POLL_MS)
                 continue
             await self._renew_source()
+            began_ms = self._clock.now_ms()
             batch = await self._next_batch()
+            self._state.durations_ms_by_name[host_state.STORE_CALL].append(
+                self._clock.now_ms() - began_ms
+            )
             if isinstance(batch, data.SourceFailure):
                 await self._handle_failure(batch)
                 continue
--- a/packages/node/sapphire_node/entry/host.py
+++ b/packages/node/sapphire_node/entry/host.py
@@ -20,6 +20,7 @@
 from sapphire_node.entry import host_state
 from sapphire_node.entry import knowledge
 from sapphire_node.entry import messages
+from sapphire_node.entry import metrics_task
 from sapphire_node.entry import packet_task
 from sapphire_node.entry import peer_task
 from sapphire_node.entry import ports
@@ -120,6 +121,7 @@
             task = follower.Follower(scope, platform, state, clock, batches)
             tasks.start_soon(task.run)
         tasks.start_soon(readiness.Readiness(state).run)
+        tasks.start_soon(metrics_task.MetricsTask(state, clock).run)
         tasks.start_soon(_follow_settings, platform, state)
         await _wait_for_stop(platform, state)
         await _leave(state, clock)
--- a/packages/node/sapphire_node/entry/host_state.py
+++ b/packages/node/sapphire_node/entry/host_state.py
@@ -11,6 +11,19 @@
     {replication_data.Scope.INTENT, replication_data.Scope.REGISTRY}
 )
 
+# How many durations of a kind are kept until they are read.
+MAX_DURATIONS = 4_096
+OPENING_ANSWERED = "opening.answered"
+STORE_CALL = "store.call"
+
+
+def new_durations() -> dict[str, collections.deque[int]]:
+    """Returns the durations that a process keeps, all empty."""
+    return {
+        name: collections.deque(maxlen=MAX_DURATIONS)
+        for name in (OPENING_ANSWERED, STORE_CALL)
+    }
+
 
 @dataclasses.dataclass(slots=True)
 class HostState:
@@ -30,6 +43,7 @@
         must_follow: Whether this host is to follow the store itself.
         following: The scopes that it follows, its last call having succeeded.
         counts: Counters by name, for metrics.
+        durations_ms_by_name: Recent durations, for metrics.
     """
 
     settings: ports.HostSettings
@@ -53,6 +67,9 @@
     counts: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
+    durations_ms_by_name: dict[str, collections.deque[int]] = dataclasses.field(
+        default_factory=new_durations
+    )
 
     @property
     def is_following(self) -> bool:
--- /dev/null
+++ b/packages/node/sapphire_node/entry/metrics_task.py
@@ -0,0 +1,137 @@
+"""The task that serves metrics.
+
+Hot paths count in plain integers and keep recent durations. The library that
+makes metrics of them is loaded when they are first read: it takes a fifth of
+the start and a quarter of the memory of a host.
+"""
+
+import importlib
+from typing import Any
+
+import anyio
+
+from sapphire_core.replication import data as replication_data
+from sapphire_data import clock as clock_lib
+from sapphire_net import http1
+from sapphire_node.entry import host_state
+
+PATH = "/metrics"
+_OK = 200
+_NOT_FOUND = 404
+_PREFIX = "sapphirearch.host"
+
+
+class MetricsTask:
+    """Serves the counts and durations of one process.
+
+    Args:
+        state: The state of the process.
+        clock: The clock.
+    """
+
+    def __init__(
+        self, state: host_state.HostState, clock: clock_lib.Clock
+    ) -> None:
+        self._state = state
+        self._clock = clock
+        self._metrics: Any = None
+        self._histograms_by_name: dict[str, Any] = {}
+
+    async def run(self) -> None:
+        """Serves until cancelled."""
+        address, port = self._state.settings.metrics_address
+        listener = await anyio.create_tcp_listener(
+            local_host=address, local_port=port
+        )
+        async with listener:
+            await http1.serve(listener, self.answer)
+
+    async def answer(self, method: str, path: str) -> http1.Response:
+        """Returns the answer to one request."""
+        if method != "GET" or path != PATH:
+            return http1.Response(_NOT_FOUND, b"")
+        return http1.Response(_OK, self.render())
+
+    def render(self) -> bytes:
+        """Returns all metrics in the text format of Prometheus."""
+        if self._metrics is None:
+            self._metrics = self._load()
+        for name, histogram in self._histograms_by_name.items():
+            durations_ms = self._state.durations_ms_by_name[name]
+            while durations_ms:
+                histogram.record(durations_ms.popleft())
+        rendered: bytes = self._metrics.render()
+        return rendered
+
+    def _load(self) -> Any:
+        """Loads the library and registers what is read at collection."""
+        library = importlib.import_module("sapphire_net.metrics")
+        metrics = library.Metrics(
+            "sapphirearchd", self._state.settings.host_name
+        )
+        metrics.observe_counter(
+            f"{_PREFIX}.events",
+            "{event}",
+            "Events of this process by name, as its logs name them.",
+            self._read_counts,
+        )
+        metrics.observe_gauge(
+            f"{_PREFIX}.knowledge.age",
+            "ms",
+            "The time since a source told of a scope of the store.",
+            self._read_ages,
+        )
+        metrics.observe_gauge(
+            f"{_PREFIX}.knowledge.revision",
+            "{revision}",
+            "The revision of the newest known change of a scope.",
+            self._read_revisions,
+        )
+        metrics.observe_gauge(
+            f"{_PREFIX}.state",
+            "1",
+            "Whether the host is ready, stopping, follows the store.",
+            self._read_state,
+        )
+        for name in self._state.durations_ms_by_name:
+            self._histograms_by_name[name] = metrics.meter.create_histogram(
+                f"{_PREFIX}.{name}", unit="ms"
+            )
+        return metrics
+
+    def _read_counts(self) -> dict[tuple[tuple[str, str], ...], float]:
+        """Returns the counters by name."""
+        return {
+            (("event", name),): float(count)
+            for name, count in self._state.counts.items()
+        }
+
+    def _read_ages(self) -> dict[tuple[tuple[str, str], ...], float]:
+        """Returns the age of what is known of each scope."""
+        now_ms = self._clock.now_ms()
+        return {
+            _scope_key(scope): float(now_ms - told_ms)
+            for scope, told_ms in self._state.told_ms_by_scope.items()
+        }
+
+    def _read_revisions(self) -> dict[tuple[tuple[str, str], ...], float]:
+        """Returns the newest revision of each scope."""
+        return {
+            _scope_key(scope): float(revision)
+            for scope, revision in self._state.change_by_scope.items()
+        }
+
+    def _read_state(self) -> dict[tuple[tuple[str, str], ...], float]:
+        """Returns the life of the process."""
+        return {
+            (("state", "ready"),): float(self._state.is_ready),
+            (("state", "stopping"),): float(self._state.is_stopping),
+            (("state", "following"),): float(self._state.is_following),
+        }
+
+
+def _scope_key(
+    scope: replication_data.Scope,
+) -> tuple[tuple[str, str], ...]:
+    """Returns the attributes of a scope's reading."""
+    return (("scope", scope.name.lower()),)
--- /dev/null
+++ b/packages/node/sapphire_node/entry/metrics_task_test.py
@@ -0,0 +1,71 @@
+import anyio
+import testtools
+
+from sapphire_core.replication import data as replication_data
+from sapphire_data import clock as clock_lib
+from sapphire_node.entry import host_state
+from sapphire_node.entry import metrics_task
+from sapphire_node.entry import ports
+
+LOOPBACK = ("127.0.0.1", 0)
+
+
+class MetricsTaskTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        settings = ports.HostSettings(
+            host_name="edge-1",
+            data_centre="tacoma",
+            packet_address=LOOPBACK,
+            readiness_address=LOOPBACK,
+            readiness_path="/ready",
+            peer_address=LOOPBACK,
+            metrics_address=LOOPBACK,
+            store_address=LOOPBACK,
+            limits=ports.Limits(6_000, 60_000),
+        )
+        self.state = host_state.HostState(settings)
+        self.clock = clock_lib.ManualClock(5_000)
+        self.task = metrics_task.MetricsTask(self.state, self.clock)
+
+    def values(self) -> dict[str, float]:
+        lines = self.task.render().decode().splitlines()
+        found: dict[str, float] = {}
+        for line in lines:
+            if line.startswith("#"):
+                continue
+            name, _, value = line.rpartition(" ")
+            found[name] = float(value)
+        return found
+
+    def value(self, *parts: str) -> float:
+        """Returns the one value whose name holds all parts."""
+        found = [
+            value
+            for name, value in self.values().items()
+            if all(part in name for part in parts)
+        ]
+        self.assertEqual(1, len(found), str(parts))
+        return found[0]
+
+    def test_counts_and_ages_are_as_they_stand_when_read(self) -> None:
+        self.state.counts["verdict_opened"] += 3
+        self.state.told_ms_by_scope[replication_data.Scope.INTENT] = 4_200
+        self.assertEqual(3, self.value("events", 'event="verdict_opened"'))
+        self.assertEqual(800, self.value("age", 'scope="intent"'))
+        self.clock.advance(100)
+        self.state.counts["verdict_opened"] += 1
+        self.assertEqual(4, self.value("events", 'event="verdict_opened"'))
+        self.assertEqual(900, self.value("age", 'scope="intent"'))
+
+    def test_durations_are_taken_once(self) -> None:
+        durations = self.state.durations_ms_by_name
+        durations[host_state.OPENING_ANSWERED].extend([5, 70])
+        for _ in range(2):
+            count = self.value("opening_answered", "_count")
+            self.assertEqual(2, count)
+        self.assertEqual(75, self.value("opening_answered", "_sum"))
+
+    def test_other_paths_are_unknown(self) -> None:
+        answer = anyio.run(self.task.answer, "GET", "/other")
+        self.assertEqual(404, answer.status)
--- a/packages/node/sapphire_node/entry/packet_task.py
+++ b/packages/node/sapphire_node/entry/packet_task.py
@@ -294,6 +294,11 @@
     def _report(self, decision: steering_lib.Decision) -> None:
         """Counts and logs a decision that touches the life of a flow."""
         self._state.counts[f"verdict_{decision.verdict.value}"] += 1
+        if decision.verdict is data.Verdict.ANSWERED:
+            waited_ms = int(decision.detail["waited_ms"])
+            self._state.durations_ms_by_name[
+                host_state.OPENING_ANSWERED
+            ].append(waited_ms)
         flow = decision.flow_id
         event_log.log(
             _LOG,
