No opening is sent on while its caller may have gone on through another host

An opening now waits at most until the next copy is due, goes to three upstreams of itself, and stays where it is while hosts of the data centre join or leave, until its caller sends another copy.

--- a/packages/core/sapphire_core/tagged_flows/openings.py
+++ b/packages/core/sapphire_core/tagged_flows/openings.py
@@ -22,6 +22,9 @@
         sent_ms: When it was last sent to an upstream.
         tried: The upstreams that got it, in order.
         has_failed: Whether the last one was noted as unanswered.
+        copies_seen: How many further copies came to this host.
+        may_go_on_elsewhere: Whether hosts joined or left since it was sent, so
+            that its caller's answer may pass through another host.
     """
 
     packet: data.Packet
@@ -30,6 +33,8 @@
     sent_ms: int
     tried: list[upstream_table.Entry]
     has_failed: bool = False
+    copies_seen: int = 0
+    may_go_on_elsewhere: bool = False
 
     @property
     def counted_id(self) -> str:
@@ -110,6 +115,11 @@
         for opening in self._by_flow.values():
             opening.sent_ms += pause_ms
 
+    def note_shift(self) -> None:
+        """Notes that hosts join or leave."""
+        for opening in self._by_flow.values():
+            opening.may_go_on_elsewhere = True
+
     def unanswered(self, now_ms: int, after_ms: int) -> list[Opening]:
         """Returns the openings whose last upstream has not answered.
 
@@ -119,7 +129,9 @@
         """
         found: list[Opening] = []
         for opening in self._by_flow.values():
-            if not opening.has_failed and now_ms - opening.sent_ms >= after_ms:
+            if opening.has_failed or opening.may_go_on_elsewhere:
+                continue
+            if now_ms - opening.sent_ms >= after_ms:
                 found.append(opening)
         return found
 
--- a/packages/core/sapphire_core/tagged_flows/steering.py
+++ b/packages/core/sapphire_core/tagged_flows/steering.py
@@ -22,12 +22,12 @@
 # and back: up to 15 ms on the users' networks.
 ANSWER_TIMEOUT_MS = 40
 # While hosts join or leave, the caller's answer may pass through another host
-# than its opening did. Its first copy comes after 200 ms; this is before.
-SHIFT_TIMEOUT_MS = 150
-# The fabric asks twice a second whether a host is ready, and takes two misses.
+# than its opening did, so only a copy from the caller tells of silence. The
+# fabric asks twice a second whether a host is ready, and takes two misses.
 SHIFT_MS = 1_500
-# An opening goes to this many upstreams before it waits for the caller's copy.
-MAX_TRIES_PER_COPY = 3
+# An opening goes to this many upstreams of itself, and to another one with each
+# copy from the caller.
+MAX_TRIES = 3
 # The network may deliver a packet twice within this time; callers send no
 # copy that early.
 DOUBLE_MS = 100
@@ -148,12 +148,7 @@
         self._ticked_ms = now_ms
         if pause_ms > PAUSE_MS:
             self._openings.postpone(pause_ms)
-        for opening in self._openings.unanswered(
-            now_ms, self._answer_timeout_ms(now_ms)
-        ):
-            action = self._try_next(opening, now_ms)
-            if action is not None:
-                actions.append(action)
+        actions.extend(self._resend(now_ms))
         if len(self._waiting) > 0:
             actions.extend(self._release(now_ms))
         for opening in self._openings.expire(now_ms):
@@ -165,6 +160,15 @@
             )
         return actions
 
+    def _resend(self, now_ms: int) -> list[data.Action]:
+        """Sends openings whose upstream is silent to others."""
+        actions: list[data.Action] = []
+        for opening in self._openings.unanswered(now_ms, ANSWER_TIMEOUT_MS):
+            action = self._try_next(opening, now_ms)
+            if action is not None:
+                actions.append(action)
+        return actions
+
     def note_peers(
         self,
         busy_by_tag: Mapping[int, float],
@@ -196,6 +200,7 @@
             now_ms: The current time.
         """
         self._shift_until_ms = now_ms + SHIFT_MS
+        self._openings.note_shift()
 
     def reports(self, now_ms: int) -> tuple[peer_data.UpstreamReport, ...]:
         """Returns what this host has seen of upstreams, for other hosts.
@@ -278,9 +283,11 @@
         now_ms: int,
     ) -> data.Action:
         """Sends an opening to its first upstream."""
-        self._openings.add(
-            openings_lib.Opening(packet, service.name, now_ms, now_ms, [entry])
+        opening = openings_lib.Opening(
+            packet, service.name, now_ms, now_ms, [entry]
         )
+        opening.may_go_on_elsewhere = now_ms < self._shift_until_ms
+        self._openings.add(opening)
         self._tell(
             data.Verdict.OPENED,
             packet,
@@ -324,18 +331,14 @@
         """Whether an upstream is believed to work on a request at once."""
         return self._busy(entry) < entry.upstream.slots
 
-    def _answer_timeout_ms(self, now_ms: int) -> int:
-        """Returns how long an upstream has to answer an opening."""
-        if now_ms < self._shift_until_ms:
-            return SHIFT_TIMEOUT_MS
-        return ANSWER_TIMEOUT_MS
-
     def _open_again(
         self, opening: openings_lib.Opening, packet: data.Packet, now_ms: int
     ) -> data.Action:
         """Decides about a further copy of an opening packet."""
         opening.packet = packet
-        if now_ms - opening.sent_ms >= self._answer_timeout_ms(now_ms):
+        opening.copies_seen += 1
+        opening.may_go_on_elsewhere = now_ms < self._shift_until_ms
+        if now_ms - opening.sent_ms >= ANSWER_TIMEOUT_MS:
             action = self._try_next(opening, now_ms)
             if action is not None:
                 return action
@@ -348,13 +351,11 @@
     ) -> data.Action | None:
         """Notes the silence of an upstream and sends the opening to another."""
         last = opening.tried[-1]
-        if now_ms >= self._shift_until_ms:
-            self._silence.note_unanswered(
-                last.upstream.upstream_id, opening.sent_ms, now_ms
-            )
+        self._silence.note_unanswered(
+            last.upstream.upstream_id, opening.sent_ms, now_ms
+        )
         self._openings.fail(opening)
-        copies = opening.packet.acknowledged + 1
-        if len(opening.tried) >= MAX_TRIES_PER_COPY * copies:
+        if len(opening.tried) >= MAX_TRIES + opening.copies_seen:
             return None
         service = self._service_named(opening.service)
         if service is None:
--- a/packages/core/sapphire_core/tagged_flows/waiting.py
+++ b/packages/core/sapphire_core/tagged_flows/waiting.py
@@ -15,8 +15,9 @@
 
 # How old an opening is by the number of copies sent before it (the protocol).
 COPY_AGES_MS = (0, 200, 600)
-# Callers give up an opening after 1,400 ms; the rest is for the answer.
-MAX_AGE_MS = 1_100
+# An opening is sent on before its caller's next copy, which may reach another
+# host, or 300 ms before its caller gives it up after 1,400 ms.
+SENT_BY_AGE_MS = (150, 550, 1_100)
 MAX_WAITING = 2_000
 
 
@@ -41,8 +42,7 @@
 
 def age_ms(packet: data.Packet) -> int:
     """Returns how long ago the caller sent the first copy of an opening."""
-    copies = min(packet.acknowledged, len(COPY_AGES_MS) - 1)
-    return COPY_AGES_MS[copies]
+    return COPY_AGES_MS[_copies(packet)]
 
 
 def is_late(packet: data.Packet, route: data.Route) -> bool:
@@ -50,6 +50,11 @@
     return 0 < route.objective_ms <= age_ms(packet)
 
 
+def _copies(packet: data.Packet) -> int:
+    """Returns how many copies were sent before a packet, 2 at most."""
+    return min(packet.acknowledged, len(COPY_AGES_MS) - 1)
+
+
 class Waiting:
     """The openings that wait, by flow."""
 
@@ -83,7 +88,7 @@
             priority: How urgent its route is.
             now_ms: The current time.
         """
-        until_ms = now_ms + max(0, MAX_AGE_MS - age_ms(packet))
+        until_ms = now_ms + SENT_BY_AGE_MS[_copies(packet)] - age_ms(packet)
         self._by_flow[packet.flow_id] = Waiter(
             packet, service, priority, now_ms, until_ms
         )
--- a/packages/node/sapphire_node/entry/peer_task.py
+++ b/packages/node/sapphire_node/entry/peer_task.py
@@ -80,7 +80,7 @@
         self._start_id = rng.getrandbits(62)
         self._sequence = 0
         self._far_beat_ms = 0
-        self._has_shifted = True
+        self._has_shifted = False
         self._reports: tuple[peer_data.UpstreamReport, ...] = ()
         self._listed: frozenset[str] = frozenset()
         # Since when a peer is known to be ahead, and which one, by scope.
@@ -125,7 +125,7 @@
             hosts = self._roster.hosts()
             busy, silent_ms = roster_lib.merge_reports(live, hosts - 1)
             has_shifted = self._has_shifted or any(
-                beat.is_leaving for beat in live
+                beat.is_leaving and self._is_near(beat.contact) for beat in live
             )
             self._has_shifted = False
             await self._seen.send(
@@ -156,8 +156,7 @@
             )
         )
         for contact in self._roster.receivers():
-            is_near = contact.data_centre == self._contact.data_centre
-            if not is_near and not is_far_due:
+            if not is_far_due and not self._is_near(contact):
                 continue
             try:
                 self._socket.sendto(datagram, (contact.address, contact.port))
@@ -171,6 +170,10 @@
                     problem=repr(error),
                 )
 
+    def _is_near(self, contact: peer_data.Contact) -> bool:
+        """Whether a host stands in this host's data centre."""
+        return contact.data_centre == self._contact.data_centre
+
     async def _receive(self) -> None:
         """Takes beats of other hosts."""
         while True:
@@ -203,7 +206,8 @@
                 data_centre=beat.contact.data_centre,
                 start_id=beat.start_id,
             )
-            self._has_shifted = True
+            # The fabric spreads a data centre's flows over its own hosts.
+            self._has_shifted |= self._is_near(beat.contact)
             # It may know of nobody yet.
             self._send_beat(is_far_due=True)
         if beat.store_failed_ms is not None:
