--- a/packages/core/sapphire_core/tagged_flows/steering.py
+++ b/packages/core/sapphire_core/tagged_flows/steering.py
@@ -218,6 +218,11 @@
                 )
         return tuple(reports)
 
+    @property
+    def waiting(self) -> int:
+        """How many openings give way to others."""
+        return len(self._waiting)
+
     def sweep(self, now_ms: int) -> None:
         """Forgets old state; to be called every 100 ms or so.
 
@@ -303,6 +308,9 @@
         full: set[str] = set()
         for waiter in self._waiting.in_order():
             is_due = now_ms >= waiter.until_ms
+            if is_due and not waiter.is_last:
+                self._waiting.remove(waiter)
+                continue
             if waiter.service.name in full and not is_due:
                 continue
             entry = self._choose(waiter.service, (), now_ms)
--- a/packages/core/sapphire_core/tagged_flows/waiting.py
+++ b/packages/core/sapphire_core/tagged_flows/waiting.py
@@ -4,8 +4,8 @@
 long and requests that come just now ask for the same slots. The former have
 missed their objective already; a little more waiting costs their callers
 little. The latter can still meet theirs. So an opening that is late by its
-copy number waits until an upstream has a free slot, or until its caller would
-give it up. This is the order of a queue that serves the newest first under
+copy number waits until an upstream has a free slot, or until the next copy is
+due; the last copy is sent in any case before its caller gives up. This is the order of a queue that serves the newest first under
 overload, for those openings only whose age is known.
 """
 
@@ -15,9 +15,9 @@
 
 # How old an opening is by the number of copies sent before it (the protocol).
 COPY_AGES_MS = (0, 200, 600)
-# An opening is sent on before its caller's next copy, which may reach another
-# host, or 300 ms before its caller gives it up after 1,400 ms.
-SENT_BY_AGE_MS = (150, 550, 1_100)
+# An opening waits until its caller's next copy is due, which may reach another
+# host; the last one until 150 ms before its caller gives up after 1,400 ms.
+WAIT_BY_AGE_MS = (150, 550, 1_250)
 MAX_WAITING = 2_000
 
 
@@ -30,7 +30,7 @@
         service: The service that it goes to.
         priority: How urgent its route is; 0 is the most urgent.
         since_ms: When it began to wait.
-        until_ms: When it is sent whatever the load.
+        until_ms: Until when it waits.
     """
 
     packet: data.Packet
@@ -39,6 +39,11 @@
     since_ms: int
     until_ms: int
 
+    @property
+    def is_last(self) -> bool:
+        """Whether no further copy is to come, so that it is sent in any case."""
+        return self.packet.acknowledged >= len(COPY_AGES_MS) - 1
+
 
 def age_ms(packet: data.Packet) -> int:
     """Returns how long ago the caller sent the first copy of an opening."""
@@ -88,7 +93,7 @@
             priority: How urgent its route is.
             now_ms: The current time.
         """
-        until_ms = now_ms + SENT_BY_AGE_MS[_copies(packet)] - age_ms(packet)
+        until_ms = now_ms + WAIT_BY_AGE_MS[_copies(packet)] - age_ms(packet)
         self._by_flow[packet.flow_id] = Waiter(
             packet, service, priority, now_ms, until_ms
         )
--- a/packages/core/sapphire_core/tagged_flows/waiting_test.py
+++ b/packages/core/sapphire_core/tagged_flows/waiting_test.py
@@ -54,22 +54,30 @@
     def test_with_free_slots_nobody_waits(self) -> None:
         self.assertIsInstance(self.bench.open(1, 0, copy=2), data.Forward)
 
-    def test_no_wait_lasts_until_the_next_copy_or_the_end(self) -> None:
-        # The next copy may reach another host, which opens the flow too.
-        for copy, age_ms, next_ms in ((1, 200, 600), (2, 600, 1_400)):
-            bench = builders.SteeringBench(builders.upstream("i-1", slots=1))
-            self.assertIsInstance(bench.open(1, 0), data.Forward)
-            now_ms = 0
-            self.assertIsInstance(bench.open(2, 0, copy=copy), data.Wait)
-            sent: list[data.Action] = []
-            while not sent:
-                now_ms += 10
-                bench.steering.note_shift(now_ms)
-                bench.steering.note_peers(
-                    {bench.steering.table.by_id["i-1"].tag: 9.0}, {}, 9, now_ms
-                )
-                sent = bench.steering.tick(now_ms)
-            self.assertLess(age_ms + now_ms, next_ms)
+    def wait(self, copy: int) -> tuple[int, list[data.Action]]:
+        """Returns when a late opening stops to wait, and what is sent then."""
+        bench = builders.SteeringBench(builders.upstream("i-1", slots=1))
+        tag = bench.steering.table.by_id["i-1"].tag
+        self.assertIsInstance(bench.open(1, 0, copy=copy), data.Forward)
+        self.assertIsInstance(bench.open(2, 0, copy=copy), data.Wait)
+        for now_ms in range(10, 1_400, 10):
+            bench.steering.note_shift(now_ms)
+            bench.steering.note_peers({tag: 9.0}, {}, 9, now_ms)
+            sent = bench.steering.tick(now_ms)
+            if bench.steering.waiting == 0:
+                return now_ms, sent
+        raise AssertionError("it waits for ever")
+
+    def test_no_wait_lasts_until_the_next_copy(self) -> None:
+        # That copy may reach another host, which opens the flow too.
+        ended_ms, sent = self.wait(copy=1)
+        self.assertLess(200 + ended_ms, 600)
+        self.assertEqual([], sent)
+
+    def test_the_last_copy_is_sent_before_its_caller_gives_up(self) -> None:
+        ended_ms, sent = self.wait(copy=2)
+        self.assertLess(600 + ended_ms, 1_400)
+        self.assertEqual(1, len(sent))
 
     def test_a_further_copy_changes_nothing(self) -> None:
         for number in range(SLOTS):
