--- a/packages/core/sapphire_core/tagged_flows/waiting.py
+++ b/packages/core/sapphire_core/tagged_flows/waiting.py
@@ -5,8 +5,9 @@
 missed their objective already; a little more waiting costs their callers
 little. The latter can still meet theirs. So an opening that is late by its
 copy number waits until an upstream has a free slot, or until the next copy is
-due; the last copy is sent in any case before its caller gives up. This is the order of a queue that serves the newest first under
-overload, for those openings only whose age is known.
+due; the last copy is sent in any case before its caller gives up. This is the
+order of a queue that serves the newest first under overload, for those
+openings only whose age is known.
 """
 
 import dataclasses
@@ -41,7 +42,7 @@
 
     @property
     def is_last(self) -> bool:
-        """Whether no further copy is to come, so that it is sent in any case."""
+        """Whether no further copy is to come."""
         return self.packet.acknowledged >= len(COPY_AGES_MS) - 1
 
 
