--- /dev/null
+++ b/packages/ctl/sapphire_ctl/commands/explain.py
@@ -0,0 +1,70 @@
+"""The command `explain`."""
+
+import pathlib
+from typing import Annotated
+
+import typer
+
+from sapphire_ctl import explaining
+from sapphire_ctl import failures as ctl_failures
+from sapphire_ctl import options
+from sapphire_ctl import output
+from sapphire_ctl import running
+from sapphire_data import failures
+
+EXAMPLES = """
+Examples:
+
+  sapphirectl explain 100.64.0.7:40001-198.18.0.1:443 logs/*.log
+
+  sapphirectl explain 100.64.0.7:40001 collected.log --json
+"""
+
+
+def explain(
+    flow: Annotated[
+        str,
+        typer.Argument(help="The flow as logs write it, or a part of it."),
+    ],
+    logs: Annotated[
+        list[pathlib.Path],
+        typer.Argument(help="Logs of hosts, one file each or collected."),
+    ],
+    *,
+    as_json: options.Json = False,
+) -> None:
+    """Join the logs of several hosts to the story of one flow."""
+    out = output.Output(as_json)
+    errors: list[failures.Failure] = []
+    lines: list[explaining.Line] = []
+    for path in logs:
+        content, read_errors = running.read_input(path)
+        errors += read_errors
+        for text in content.decode("utf-8", "replace").splitlines():
+            line = explaining.parse(text, path.stem)
+            if line is not None:
+                lines.append(line)
+    found = explaining.timeline(lines, flow)
+    if not found and not errors:
+        errors.append(ctl_failures.UnknownName("flow", flow, ()))
+    meaning = explaining.verdict(found, flow) if found else ""
+    out.table(
+        ("time_ms", "host", "event", "fields"),
+        (
+            (
+                line.time_ms,
+                line.host,
+                line.event,
+                " ".join(f"{k}={v}" for k, v in line.fields.items()),
+            )
+            for line in found
+        ),
+    )
+    if meaning:
+        out.line(f"verdict: {meaning}")
+    fields: dict[str, object] = {
+        "flow": flow,
+        "verdict": meaning,
+        "timeline": found,
+    }
+    running.finish(out, "explain", "", fields, errors)
--- a/packages/ctl/sapphire_ctl/main.py
+++ b/packages/ctl/sapphire_ctl/main.py
@@ -4,6 +4,7 @@
 
 from sapphire_ctl.commands import check
 from sapphire_ctl.commands import documents
+from sapphire_ctl.commands import explain
 from sapphire_ctl.commands import history
 from sapphire_ctl.commands import intents
 from sapphire_ctl.commands import report
@@ -39,6 +40,7 @@
 app.command("rollback", epilog=documents.ROLLBACK_EXAMPLES)(documents.rollback)
 app.command("status", epilog=status.EXAMPLES)(status.status)
 app.command("history", epilog=history.EXAMPLES)(history.history)
+app.command("explain", epilog=explain.EXAMPLES)(explain.explain)
 app.command("report", epilog=report.EXAMPLES)(report.report)
 data_centre_app.command("out", epilog=intents.DATA_CENTRE_EXAMPLES)(
     intents.data_centre_out
