--- a/packages/node/sapphire_node/entry/follower.py
+++ b/packages/node/sapphire_node/entry/follower.py
@@ -68,6 +68,7 @@
         self._source = platform.source(state.settings)
         self._failures_in_row = 0
         self._must_read_all = True
+        self._told_as_of = 0
 
     async def run(self) -> None:
         """Follows the scope until cancelled.
@@ -91,6 +92,7 @@
                 continue
             self._note_contact()
             self._must_read_all = False
+            self._told_as_of = batch.as_of
             await self._batches.send(
                 messages.BatchReceived(self._scope, batch, "store")
             )
@@ -107,7 +109,10 @@
             return await self._source.read_recent(self._scope, timeout_ms)
         if self._must_read_all:
             return await self._source.read_all(self._scope, timeout_ms)
-        after = self._state.as_of_by_scope.get(self._scope, 0)
+        # Peers may have told more meanwhile; what this follower was told itself
+        # may still be on its way to the copy.
+        known = self._state.as_of_by_scope.get(self._scope, 0)
+        after = max(known, self._told_as_of)
         # After a failure the answer may be late already: do not wait.
         wait_ms = 1 if self._failures_in_row else WATCH_WAIT_MS
         return await self._source.wait_for_changes(
