A host that has just started is answered alone; only followers tell other data centres of news at once

Cause: on a grown site each of 66 hosts answered each new one by beats to 16 hosts, 68,000 datagrams at a common start, and each host passed news on to other data centres.

--- a/packages/node/sapphire_node/entry/peer_task.py
+++ b/packages/node/sapphire_node/entry/peer_task.py
@@ -107,7 +107,8 @@
                 self._listed = frozenset(c.host for c in message.contacts)
                 self._roster.set_listed(message.contacts)
             else:
-                self._send_beat(is_far_due=True)
+                # Followers tell other data centres, which pass it on inside.
+                self._send_beat(is_far_due=self._state.is_following)
 
     async def _beat(self) -> None:
         """Sends beats at intervals, and passes on what peers have seen."""
@@ -135,13 +136,21 @@
 
     def _send_beat(self, *, is_far_due: bool) -> None:
         """Sends one beat to some peers, to far ones only if that is due."""
-        now_ms = self._clock.now_ms()
+        receivers = [
+            contact
+            for contact in self._roster.receivers()
+            if is_far_due or self._is_near(contact)
+        ]
+        self._send_to(receivers, self._encoded_beat(self._clock.now_ms()))
+
+    def _encoded_beat(self, now_ms: int) -> bytes:
+        """Returns the datagram of this host's next beat."""
         followers = self._roster.followers(now_ms)
         if self._state.is_following:
             followers[self._contact.host] = 0
         failed_ms = self._state.last_store_failure_ms
         self._sequence += 1
-        datagram = peer_messages.encode_beat(
+        return peer_messages.encode_beat(
             peer_data.Beat(
                 contact=self._contact,
                 start_id=self._start_id,
@@ -155,9 +164,12 @@
                 upstreams=self._reports,
             )
         )
-        for contact in self._roster.receivers():
-            if not is_far_due and not self._is_near(contact):
-                continue
+
+    def _send_to(
+        self, receivers: list[peer_data.Contact], datagram: bytes
+    ) -> None:
+        """Sends a datagram to some hosts; one that cannot be sent is lost."""
+        for contact in receivers:
             try:
                 self._socket.sendto(datagram, (contact.address, contact.port))
             except OSError as error:
@@ -209,7 +221,7 @@
             # The fabric spreads a data centre's flows over its own hosts.
             self._has_shifted |= self._is_near(beat.contact)
             # It may know of nobody yet.
-            self._send_beat(is_far_due=True)
+            self._send_to([beat.contact], self._encoded_beat(now_ms))
         if beat.store_failed_ms is not None:
             failed_ms = now_ms - beat.store_failed_ms
             known_ms = self._state.last_store_failure_ms
