--- a/packages/node/sapphire_node/entry/host.py
+++ b/packages/node/sapphire_node/entry/host.py
@@ -36,7 +36,7 @@
 # Without packets for this long the fabric has left the host.
 QUIET_MS = 400
 # What is left of the time to stop for ending the tasks.
-EXIT_RESERVE_MS = 1_000
+EXIT_RESERVE_MS = 2_000
 POLL_MS = 100
 # Settings may change without a signal.
 SETTINGS_POLL_MS = 2_000
