--- a/packages/node/sapphire_node/entry/announcer.py
+++ b/packages/node/sapphire_node/entry/announcer.py
@@ -44,6 +44,7 @@
 
     async def run(self) -> None:
         """Keeps the entry until cancelled."""
+        await self._state.settle()
         while True:
             source = self._platform.source(self._state.settings)
             failure = await self._step(source)
--- a/packages/node/sapphire_node/entry/follower.py
+++ b/packages/node/sapphire_node/entry/follower.py
@@ -76,6 +76,8 @@
         The first read is this host's own, so that what it acts on after its
         start is as new as any answer that the store ever gave.
         """
+        if self._scope not in host_state.ROUTING_SCOPES:
+            await self._state.settle()
         while True:
             if not self._must_read_all and not self._state.must_follow:
                 self._state.following.discard(self._scope)
--- a/packages/node/sapphire_node/entry/host_state.py
+++ b/packages/node/sapphire_node/entry/host_state.py
@@ -3,7 +3,10 @@
 import collections
 import dataclasses
 
+import anyio
+
 from sapphire_core.replication import data as replication_data
+from sapphire_data import clock as clock_lib
 from sapphire_node.entry import ports
 
 # The scopes without which a host cannot place flows.
@@ -11,6 +14,9 @@
     {replication_data.Scope.INTENT, replication_data.Scope.REGISTRY}
 )
 
+# A host that is not ready by then may need its peers for it.
+START_MS = 500
+START_POLL_MS = 20
 # How many durations of a kind are kept until they are read.
 MAX_DURATIONS = 4_096
 OPENING_ANSWERED = "opening.answered"
@@ -71,6 +77,16 @@
         default_factory=new_durations
     )
 
+    async def settle(self) -> None:
+        """Returns when the host is ready, or has been starting for long.
+
+        What is not needed to become ready waits for this.
+        """
+        for _ in range(START_MS // START_POLL_MS):
+            if self.is_ready:
+                return
+            await anyio.sleep(START_POLL_MS / clock_lib.MS_PER_SECOND)
+
     @property
     def is_following(self) -> bool:
         """Whether this host follows the store for others too."""
--- a/packages/node/sapphire_node/entry/peer_task.py
+++ b/packages/node/sapphire_node/entry/peer_task.py
@@ -112,6 +112,7 @@
 
     async def _beat(self) -> None:
         """Sends beats at intervals, and passes on what peers have seen."""
+        await self._state.settle()
         while True:
             now_ms = self._clock.now_ms()
             self._roster.forget_old(now_ms, self._listed)
