An upstream that resets openings is left by the caller's next try, and peers know at once

Ruled out: the registry (its entry lapsed 3 s later, as it should).

Now the silence of a further upstream counts only if the caller has sent a copy; another try of the same caller goes to another upstream; of silent ones the least silent is tried; and peers of the data centre hear of a silent upstream at once.

--- a/packages/core/sapphire_core/tagged_flows/openings.py
+++ b/packages/core/sapphire_core/tagged_flows/openings.py
@@ -9,6 +9,8 @@
 # A caller waits this long for its flow to open (the protocol's 1.4 s).
 OPENING_LIFE_MS = 1_500
 MAX_OPENINGS = 10_000
+# Callers whose flow was reset try again at once; one crossing and back.
+RETRY_WITHIN_MS = 300
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -52,6 +54,7 @@
 
     def __init__(self) -> None:
         self._by_flow: dict[data.FlowId, Opening] = {}
+        self._last_by_caller: dict[tuple[int, data.Endpoint], Opening] = {}
         self._count_by_id: collections.Counter[str] = collections.Counter()
 
     def __len__(self) -> int:
@@ -74,8 +77,30 @@
         if len(self._by_flow) >= MAX_OPENINGS:
             self.pop(next(iter(self._by_flow)))
         self._by_flow[opening.packet.flow_id] = opening
+        self._last_by_caller[_caller(opening.packet)] = opening
         self._count_by_id[opening.counted_id] += 1
 
+    def tried_for_caller(self, packet: data.Packet, now_ms: int) -> set[str]:
+        """Returns the upstreams that may have reset another try of a caller.
+
+        An upstream that does not listen resets the opening, and its caller
+        opens another flow within milliseconds; the host sees neither answer.
+
+        Args:
+            packet: The opening packet of the new flow.
+            now_ms: The current time.
+
+        Returns:
+            The identities of the upstreams that hold an unanswered opening of
+            the same caller for the same endpoint.
+        """
+        last = self._last_by_caller.get(_caller(packet))
+        if last is None or now_ms - last.first_ms > RETRY_WITHIN_MS:
+            return set()
+        if last.packet.flow_id not in self._by_flow:
+            return set()
+        return last.tried_ids
+
     def fail(self, opening: Opening) -> None:
         """Notes that the last upstream of an opening did not answer."""
         if not opening.has_failed:
@@ -102,8 +127,12 @@
     def pop(self, flow_id: data.FlowId) -> Opening | None:
         """Removes and returns the opening of a flow, None if there is none."""
         opening = self._by_flow.pop(flow_id, None)
-        if opening is not None and not opening.has_failed:
+        if opening is None:
+            return None
+        if not opening.has_failed:
             self._uncount(opening)
+        if self._last_by_caller.get(_caller(opening.packet)) is opening:
+            del self._last_by_caller[_caller(opening.packet)]
         return opening
 
     def postpone(self, pause_ms: int) -> None:
@@ -151,3 +180,8 @@
         self._count_by_id[opening.counted_id] -= 1
         if self._count_by_id[opening.counted_id] <= 0:
             del self._count_by_id[opening.counted_id]
+
+
+def _caller(packet: data.Packet) -> tuple[int, data.Endpoint]:
+    """Returns who asks for what, whatever port it uses."""
+    return (packet.flow_id.caller_address, packet.flow_id.endpoint)
--- a/packages/core/sapphire_core/tagged_flows/placement.py
+++ b/packages/core/sapphire_core/tagged_flows/placement.py
@@ -1,6 +1,5 @@
 """The choice of an upstream for a new flow."""
 
-from collections.abc import Callable
 from collections.abc import Container
 from collections.abc import Sequence
 import dataclasses
@@ -20,13 +19,14 @@
     Attributes:
         entry: The upstream.
         busy: The requests that it is believed to have in progress.
-        is_avoided: Whether it left openings unanswered.
+        unanswered: How many openings in a row it left unanswered; 0 if it is
+            not avoided for that.
         is_cold: Whether it bears only its cold rate, and has room in it.
     """
 
     entry: upstream_table.Entry
     busy: float
-    is_avoided: bool
+    unanswered: int
     is_cold: bool
 
 
@@ -39,8 +39,8 @@
     """Returns the upstream that is to get a new flow.
 
     Warm upstreams that answer go first, then cold ones with room, then those
-    that left openings unanswered; within a group the one with the least work
-    for its slots, own data centre first.
+    that left openings unanswered, the fewest first; within a group the one with
+    the least work for its slots, own data centre first.
 
     Args:
         candidates: The upstreams that may get it.
@@ -52,27 +52,23 @@
         The candidate, None if there is none.
     """
     fresh = [c for c in candidates if c.entry.upstream.upstream_id not in tried]
-    for belongs in (_is_good, _is_cold_only, _is_any):
+    for belongs in (_is_good, _is_cold_only):
         group = [c for c in fresh if belongs(c)]
         if group:
             return _least_loaded(group, data_centre, rng)
-    return None
-
-
-_Belongs = Callable[[Candidate], bool]
+    if not fresh:
+        return None
+    fewest = min(c.unanswered for c in fresh)
+    group = [c for c in fresh if c.unanswered == fewest]
+    return _least_loaded(group, data_centre, rng)
 
 
 def _is_good(candidate: Candidate) -> bool:
-    return not candidate.is_avoided and not candidate.is_cold
+    return candidate.unanswered == 0 and not candidate.is_cold
 
 
 def _is_cold_only(candidate: Candidate) -> bool:
-    return not candidate.is_avoided
-
-
-def _is_any(candidate: Candidate) -> bool:
-    del candidate
-    return True
+    return candidate.unanswered == 0
 
 
 def _least_loaded(
--- a/packages/core/sapphire_core/tagged_flows/silence.py
+++ b/packages/core/sapphire_core/tagged_flows/silence.py
@@ -106,9 +106,12 @@
         return now_ms < max(record.avoid_until_ms, record.peers_until_ms)
 
     def unanswered(self, upstream_id: str) -> int:
-        """Returns how many openings in a row found no answer."""
+        """Returns how many openings in a row found no answer, at least one.
+
+        One stands for the word of a peer.
+        """
         record = self._records_by_id.get(upstream_id)
-        return record.unanswered if record is not None else 0
+        return max(record.unanswered, 1) if record is not None else 1
 
     def forget(self, upstream_id: str) -> None:
         """Drops the record of an upstream."""
--- a/packages/core/sapphire_core/tagged_flows/steering.py
+++ b/packages/core/sapphire_core/tagged_flows/steering.py
@@ -81,6 +81,7 @@
         self.table = upstream_table.UpstreamTable()
         self.flows = flow_records.FlowRecords()
         self.hosts = 1
+        self.has_urgent_report = False
         self._ticked_ms = 0
         self._shift_until_ms = 0
         self._busy_elsewhere_by_tag: Mapping[int, float] = {}
@@ -164,7 +165,7 @@
         """Sends openings whose upstream is silent to others."""
         actions: list[data.Action] = []
         for opening in self._openings.unanswered(now_ms, ANSWER_TIMEOUT_MS):
-            action = self._try_next(opening, now_ms)
+            action = self._try_next(opening, now_ms, is_asked_again=False)
             if action is not None:
                 actions.append(action)
         return actions
@@ -257,7 +258,10 @@
         if route is None or service is None:
             self._tell(data.Verdict.NO_ROUTE, packet, None)
             return data.Reset(packet, data.Verdict.NO_ROUTE)
-        entry = self._choose(service, (), now_ms)
+        refused = self._openings.tried_for_caller(packet, now_ms)
+        entry = self._choose(service, refused, now_ms)
+        if entry is None and refused:
+            entry = self._choose(service, (), now_ms)
         if entry is None:
             self._tell(
                 data.Verdict.NO_UPSTREAM, packet, None, wanted=service.name
@@ -347,21 +351,37 @@
         opening.copies_seen += 1
         opening.may_go_on_elsewhere = now_ms < self._shift_until_ms
         if now_ms - opening.sent_ms >= ANSWER_TIMEOUT_MS:
-            action = self._try_next(opening, now_ms)
+            action = self._try_next(opening, now_ms, is_asked_again=True)
             if action is not None:
                 return action
         last = opening.tried[-1]
         self._openings.send(opening, last, now_ms)
         return data.Forward(packet, last.upstream, last.tag)
 
+    def _note_silent(
+        self, entry: upstream_table.Entry, sent_ms: int, now_ms: int
+    ) -> None:
+        """Notes that an upstream did not answer, and that peers should know."""
+        upstream_id = entry.upstream.upstream_id
+        was_avoided = self._silence.own_silent_ms(upstream_id, now_ms) > 0
+        self._silence.note_unanswered(upstream_id, sent_ms, now_ms)
+        is_avoided = self._silence.own_silent_ms(upstream_id, now_ms) > 0
+        if is_avoided and not was_avoided:
+            self.has_urgent_report = True
+
     def _try_next(
-        self, opening: openings_lib.Opening, now_ms: int
+        self,
+        opening: openings_lib.Opening,
+        now_ms: int,
+        *,
+        is_asked_again: bool,
     ) -> data.Action | None:
         """Notes the silence of an upstream and sends the opening to another."""
         last = opening.tried[-1]
-        self._silence.note_unanswered(
-            last.upstream.upstream_id, opening.sent_ms, now_ms
-        )
+        if is_asked_again or len(opening.tried) == 1:
+            # The caller of an opening that was sent on may have been reset by
+            # its first upstream; then it answers none of the others.
+            self._note_silent(last, opening.sent_ms, now_ms)
         self._openings.fail(opening)
         if len(opening.tried) >= MAX_TRIES + opening.copies_seen:
             return None
@@ -501,7 +521,9 @@
                 placement.Candidate(
                     entry,
                     self._busy(entry),
-                    self._silence.is_avoided(upstream_id, now_ms),
+                    self._silence.unanswered(upstream_id)
+                    if self._silence.is_avoided(upstream_id, now_ms)
+                    else 0,
                     is_cold,
                 )
             )
--- a/packages/core/sapphire_core/tagged_flows/steering_test.py
+++ b/packages/core/sapphire_core/tagged_flows/steering_test.py
@@ -98,6 +98,54 @@
         self.assertEqual({"i-1"}, chosen)
 
 
+class RefusalTest(testtools.TestCase):
+    """The load pattern: an upstream that does not listen resets openings.
+
+    Its callers open another flow within milliseconds, and give up after two.
+    """
+
+    def test_the_next_try_of_a_caller_goes_to_another_upstream(self) -> None:
+        for _ in range(20):
+            bench = builders.SteeringBench(
+                builders.upstream("i-1"),
+                builders.upstream("i-2", data_centre="salem"),
+            )
+            first = target(bench.open(1, 0))
+            second = target(bench.open(2, 5))
+            self.assertEqual({"i-1", "i-2"}, {first, second})
+
+    def test_with_one_upstream_it_goes_there_again(self) -> None:
+        bench = builders.SteeringBench(builders.upstream("i-1"))
+        bench.open(1, 0)
+        self.assertEqual("i-1", target(bench.open(2, 5)))
+
+    def test_only_the_first_upstream_of_such_an_opening_is_avoided(
+        self,
+    ) -> None:
+        # The caller has gone and answers none of the others.
+        bench = builders.SteeringBench(
+            builders.upstream("i-1"),
+            builders.upstream("i-2", data_centre="salem"),
+            builders.upstream("i-3", data_centre="salem"),
+        )
+        self.assertEqual("i-1", target(bench.open(1, 0)))
+        for now_ms in range(10, 200, 10):
+            bench.steering.tick(now_ms)
+        silent = [
+            report.tag
+            for report in bench.steering.reports(200)
+            if report.silent_ms > 0
+        ]
+        self.assertEqual([tags.tag_of("i-1")], silent)
+
+    def test_peers_are_to_know_at_once(self) -> None:
+        bench = builders.SteeringBench(builders.upstream("i-1"))
+        bench.open(1, 0)
+        self.assertFalse(bench.steering.has_urgent_report)
+        bench.steering.tick(WAIT_MS)
+        self.assertTrue(bench.steering.has_urgent_report)
+
+
 class ShiftTest(testtools.TestCase):
     """Hosts join or leave, and callers' answers pass through others."""
 
--- a/packages/node/sapphire_node/entry/messages.py
+++ b/packages/node/sapphire_node/entry/messages.py
@@ -82,9 +82,11 @@
 
     Attributes:
         reports: One for each upstream that is busy or silent.
+        is_urgent: Whether an upstream has just turned silent.
     """
 
     reports: tuple[peer_data.UpstreamReport, ...]
+    is_urgent: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/node/sapphire_node/entry/packet_task.py
+++ b/packages/node/sapphire_node/entry/packet_task.py
@@ -152,6 +152,12 @@
             now_ms = self._clock.now_ms()
             for action in self._steering.tick(now_ms):
                 self._act(action)
+            if self._steering.has_urgent_report:
+                self._steering.has_urgent_report = False
+                reports = self._steering.reports(now_ms)
+                await self._seen.send(
+                    messages.UpstreamsSeen(reports, is_urgent=True)
+                )
             if now_ms - swept_ms >= SWEEP_MS:
                 swept_ms = now_ms
                 self._steering.sweep(now_ms)
@@ -171,7 +177,9 @@
                 if message.has_shifted:
                     self._steering.note_shift(now_ms)
                 reports = self._steering.reports(now_ms)
-                await self._seen.send(messages.UpstreamsSeen(reports))
+                await self._seen.send(
+                    messages.UpstreamsSeen(reports, is_urgent=False)
+                )
                 continue
             for known in message.changes:
                 self._apply(known, message, now_ms)
--- a/packages/node/sapphire_node/entry/peer_task.py
+++ b/packages/node/sapphire_node/entry/peer_task.py
@@ -103,6 +103,8 @@
         async for message in self._inbox:
             if isinstance(message, messages.UpstreamsSeen):
                 self._reports = message.reports
+                if message.is_urgent:
+                    self._send_beat(is_far_due=False)
             elif isinstance(message, messages.HostsListed):
                 self._listed = frozenset(c.host for c in message.contacts)
                 self._roster.set_listed(message.contacts)
@@ -135,6 +137,20 @@
             )
             await anyio.sleep(BEAT_MS / clock_lib.MS_PER_SECOND)
 
+    def _pass_on(self, now_ms: int) -> None:
+        """Tells the packet task what peers have seen."""
+        live = self._roster.live(now_ms)
+        hosts = self._roster.hosts()
+        busy, silent_ms = roster_lib.merge_reports(live, hosts - 1)
+        has_shifted = self._has_shifted or any(
+            beat.is_leaving and self._is_near(beat.contact) for beat in live
+        )
+        self._has_shifted = False
+        # The stream has no bound, so this never waits.
+        self._seen.send_nowait(
+            messages.PeersSeen(busy, silent_ms, hosts, has_shifted)
+        )
+
     def _send_beat(self, *, is_far_due: bool) -> None:
         """Sends one beat to some peers, to far ones only if that is due."""
         receivers = [
@@ -228,6 +244,8 @@
             known_ms = self._state.last_store_failure_ms
             if known_ms is None or failed_ms > known_ms:
                 self._state.last_store_failure_ms = failed_ms
+        if any(report.silent_ms > 0 for report in beat.upstreams):
+            self._pass_on(now_ms)
         for scope, revision in beat.revisions.items():
             if revision <= self._state.change_by_scope.get(scope, 0):
                 continue
