--- a/Makefile
+++ b/Makefile
@@ -5,8 +5,15 @@
 SEED ?= 1
 STAMP := $(VENV)/.installed
 
+# The users' bench, where it is present: BENCH=PATH SITE=PATH WHY=TEXT.
+BENCH ?=
+SITE ?=
+DAYS ?= 40
+WHY ?=
+
 .PHONY: test demo trial check format measure measure-flows measure-requests \
-	measure-config measure-forward measure-slopes thrift lock
+	measure-config measure-forward measure-slopes thrift lock \
+	bench bench-quiet bench-score bench-hunt soak
 
 test: $(STAMP)
 	$(BIN)/python -m pytest
@@ -18,6 +25,30 @@
 trial: $(STAMP)
 	$(BIN)/python -m sapphire_lab.demo.main --faults
 
+bench:
+	@test -n "$(BENCH)" && test -x "$(BENCH)" || { \
+	  echo "The users' bench is not here; give its path with BENCH=PATH."; \
+	  exit 1; }
+	@test -n "$(SITE)" || { echo "Give a site file with SITE=PATH."; exit 1; }
+	@test -n "$(WHY)" || { echo "Say with WHY=TEXT what the run is for."; exit 1; }
+
+bench-quiet: bench
+	$(BENCH) run $(SITE) quiet-1 --why "$(WHY)"
+
+bench-score: bench
+	$(BENCH) score $(SITE) --why "$(WHY)"
+
+bench-hunt: bench
+	$(BENCH) hunt $(SITE) --days $(DAYS) --why "$(WHY)"
+
+# Real host processes under overlapping faults: SEEDS=1-50 FAULTS=20.
+SEEDS ?= 1-5
+FAULTS ?= 20
+
+soak: $(STAMP)
+	cd platform && ../$(BIN)/python -m sapphire_platform_lab.soak.main \
+	  --seeds $(SEEDS) --faults $(FAULTS)
+
 check: $(STAMP)
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
