--- a/packages/core/sapphire_core/tagged_flows/data.py
+++ b/packages/core/sapphire_core/tagged_flows/data.py
@@ -227,7 +227,6 @@
     NO_UPSTREAM = "no_upstream"
     UPSTREAM_GONE = "upstream_gone"
     UNKNOWN_TAG = "unknown_tag"
-    NOT_READY = "not_ready"
     UNANSWERED = "unanswered"
 
 
--- a/packages/core/sapphire_core/tagged_flows/steering.py
+++ b/packages/core/sapphire_core/tagged_flows/steering.py
@@ -7,14 +7,11 @@
 
 import xxhash
 
-from sapphire_core.peers import data as peer_data
-from sapphire_core.tagged_flows import cold_budget
+from sapphire_core.tagged_flows import chooser as chooser_lib
 from sapphire_core.tagged_flows import data
 from sapphire_core.tagged_flows import flow_records
 from sapphire_core.tagged_flows import lost_flows
 from sapphire_core.tagged_flows import openings as openings_lib
-from sapphire_core.tagged_flows import placement
-from sapphire_core.tagged_flows import silence as silence_lib
 from sapphire_core.tagged_flows import upstream_table
 from sapphire_core.tagged_flows import waiting as waiting_lib
 
@@ -70,21 +67,17 @@
     def __init__(
         self, data_centre: str, rng: random.Random, report: Report
     ) -> None:
-        self._data_centre = data_centre
-        self._rng = rng
         self._report = report
         self._configuration: data.Configuration | None = None
         self._openings = openings_lib.Openings()
         self._waiting = waiting_lib.Waiting()
-        self._silence = silence_lib.Silence()
-        self._budget = cold_budget.ColdBudget(rng.getrandbits(32))
         self.table = upstream_table.UpstreamTable()
         self.flows = flow_records.FlowRecords()
-        self.hosts = 1
-        self.has_urgent_report = False
+        self.chooser = chooser_lib.Chooser(
+            data_centre, rng, self.table, self.flows, self._openings
+        )
         self._ticked_ms = 0
         self._shift_until_ms = 0
-        self._busy_elsewhere_by_tag: Mapping[int, float] = {}
 
     @property
     def configuration(self) -> data.Configuration | None:
@@ -185,14 +178,8 @@
             hosts: How many hosts there may be, this one included.
             now_ms: The current time.
         """
-        self._busy_elsewhere_by_tag = busy_by_tag
-        self.hosts = hosts
-        for tag, silent_ms in silent_ms_by_tag.items():
-            entry = self.table.by_tag(tag)
-            if entry is not None and silent_ms > 0:
-                self._silence.note_peer(
-                    entry.upstream.upstream_id, silent_ms, now_ms
-                )
+        self.chooser.note_peers(busy_by_tag, silent_ms_by_tag, now_ms)
+        self.chooser.set_hosts(hosts, are_joining=now_ms < self._shift_until_ms)
 
     def note_shift(self, now_ms: int) -> None:
         """Notes that a host joins or leaves, so that flows change hosts.
@@ -203,22 +190,6 @@
         self._shift_until_ms = now_ms + SHIFT_MS
         self._openings.note_shift()
 
-    def reports(self, now_ms: int) -> tuple[peer_data.UpstreamReport, ...]:
-        """Returns what this host has seen of upstreams, for other hosts.
-
-        Args:
-            now_ms: The current time.
-        """
-        reports: list[peer_data.UpstreamReport] = []
-        for upstream_id, entry in self.table.by_id.items():
-            busy = self.flows.busy(upstream_id)
-            silent_ms = self._silence.own_silent_ms(upstream_id, now_ms)
-            if busy or silent_ms:
-                reports.append(
-                    peer_data.UpstreamReport(entry.tag, busy, silent_ms)
-                )
-        return tuple(reports)
-
     @property
     def waiting(self) -> int:
         """How many openings give way to others."""
@@ -234,7 +205,8 @@
         if self._configuration is not None:
             idle_ms = self._configuration.idle_timeout_ms
         self.flows.expire(now_ms, idle_ms)
-        self.table.forget_old(now_ms)
+        for upstream_id in self.table.forget_old(now_ms):
+            self.chooser.forget(upstream_id)
 
     def _open(self, packet: data.Packet, now_ms: int) -> data.Action:
         """Decides about an opening packet, the first copy or a later one."""
@@ -259,9 +231,9 @@
             self._tell(data.Verdict.NO_ROUTE, packet, None)
             return data.Reset(packet, data.Verdict.NO_ROUTE)
         refused = self._openings.tried_for_caller(packet, now_ms)
-        entry = self._choose(service, refused, now_ms)
+        entry = self.chooser.choose(service, refused, now_ms)
         if entry is None and refused:
-            entry = self._choose(service, (), now_ms)
+            entry = self.chooser.choose(service, (), now_ms)
         if entry is None:
             self._tell(
                 data.Verdict.NO_UPSTREAM, packet, None, wanted=service.name
@@ -269,7 +241,7 @@
             return data.Reset(packet, data.Verdict.NO_UPSTREAM)
         if (
             waiting_lib.is_late(packet, route)
-            and not self._has_free_slot(entry)
+            and not self.chooser.has_free_slot(entry)
             and self._waiting.has_room()
         ):
             self._waiting.add(packet, service, route.priority, now_ms)
@@ -278,7 +250,7 @@
                 packet,
                 entry,
                 copy=packet.acknowledged,
-                busy=round(self._busy(entry), 1),
+                busy=round(self.chooser.busy(entry), 1),
                 waiting=len(self._waiting),
             )
             return data.Wait(packet)
@@ -302,7 +274,7 @@
             packet,
             entry,
             copy=packet.acknowledged,
-            busy=round(self._busy(entry), 1),
+            busy=round(self.chooser.busy(entry), 1),
         )
         return data.Forward(packet, entry.upstream, entry.tag)
 
@@ -317,7 +289,7 @@
                 continue
             if waiter.service.name in full and not is_due:
                 continue
-            entry = self._choose(waiter.service, (), now_ms)
+            entry = self.chooser.choose(waiter.service, (), now_ms)
             if entry is None:
                 self._waiting.remove(waiter)
                 self._tell(
@@ -330,7 +302,7 @@
                     data.Reset(waiter.packet, data.Verdict.NO_UPSTREAM)
                 )
                 continue
-            if not is_due and not self._has_free_slot(entry):
+            if not is_due and not self.chooser.has_free_slot(entry):
                 full.add(waiter.service.name)
                 continue
             self._waiting.remove(waiter)
@@ -339,10 +311,6 @@
             )
         return actions
 
-    def _has_free_slot(self, entry: upstream_table.Entry) -> bool:
-        """Whether an upstream is believed to work on a request at once."""
-        return self._busy(entry) < entry.upstream.slots
-
     def _open_again(
         self, opening: openings_lib.Opening, packet: data.Packet, now_ms: int
     ) -> data.Action:
@@ -358,17 +326,6 @@
         self._openings.send(opening, last, now_ms)
         return data.Forward(packet, last.upstream, last.tag)
 
-    def _note_silent(
-        self, entry: upstream_table.Entry, sent_ms: int, now_ms: int
-    ) -> None:
-        """Notes that an upstream did not answer, and that peers should know."""
-        upstream_id = entry.upstream.upstream_id
-        was_avoided = self._silence.own_silent_ms(upstream_id, now_ms) > 0
-        self._silence.note_unanswered(upstream_id, sent_ms, now_ms)
-        is_avoided = self._silence.own_silent_ms(upstream_id, now_ms) > 0
-        if is_avoided and not was_avoided:
-            self.has_urgent_report = True
-
     def _try_next(
         self,
         opening: openings_lib.Opening,
@@ -381,14 +338,14 @@
         if is_asked_again or len(opening.tried) == 1:
             # The caller of an opening that was sent on may have been reset by
             # its first upstream; then it answers none of the others.
-            self._note_silent(last, opening.sent_ms, now_ms)
+            self.chooser.note_silent(last, opening.sent_ms, now_ms)
         self._openings.fail(opening)
         if len(opening.tried) >= MAX_TRIES + opening.copies_seen:
             return None
         service = self._service_named(opening.service)
         if service is None:
             return None
-        entry = self._choose(service, opening.tried_ids, now_ms)
+        entry = self.chooser.choose(service, opening.tried_ids, now_ms)
         if entry is None:
             return None
         self._openings.send(opening, entry, now_ms)
@@ -431,9 +388,7 @@
                 is_replaced=entry.is_replaced,
                 repeats=record.repeats,
                 waited_ms=now_ms - record.sent_ms,
-                silent_openings=self._silence.unanswered(
-                    entry.upstream.upstream_id
-                ),
+                silent_openings=self.chooser.silent_openings(entry, now_ms),
             )
             self.flows.close(packet.flow_id)
             return data.Reset(packet, data.Verdict.UPSTREAM_GONE)
@@ -450,8 +405,7 @@
         if entry is None:
             return None
         if opening is not None and packet.tag == entry.tag:
-            self._silence.note_answered(entry.upstream.upstream_id, now_ms)
-            entry.alive_ms = now_ms
+            self.chooser.note_answered(entry, now_ms)
             self._tell(
                 data.Verdict.ANSWERED,
                 packet,
@@ -465,8 +419,7 @@
         """Whether the upstream of an open flow is dead."""
         if record.repeats == 0:
             return False
-        upstream_id = record.entry.upstream.upstream_id
-        is_silent = self._silence.is_avoided(upstream_id, now_ms)
+        is_silent = self.chooser.silent_openings(record.entry, now_ms) > 0
         return lost_flows.is_lost(record, now_ms, is_silent=is_silent)
 
     def _route_for(self, packet: data.Packet) -> data.Route | None:
@@ -502,48 +455,6 @@
             return None
         return self._configuration.services_by_name.get(name)
 
-    def _choose(
-        self,
-        service: data.Service,
-        tried: set[str] | tuple[()],
-        now_ms: int,
-    ) -> upstream_table.Entry | None:
-        """Returns the upstream for a new flow, None if none may get it."""
-        candidates: list[placement.Candidate] = []
-        for entry in self.table.takers(service.name, now_ms):
-            upstream_id = entry.upstream.upstream_id
-            is_cold = entry.is_cold(now_ms)
-            if is_cold and not self._budget.has_room(
-                upstream_id, service, self.hosts, now_ms
-            ):
-                continue
-            candidates.append(
-                placement.Candidate(
-                    entry,
-                    self._busy(entry),
-                    self._silence.unanswered(upstream_id)
-                    if self._silence.is_avoided(upstream_id, now_ms)
-                    else 0,
-                    is_cold,
-                )
-            )
-        chosen = placement.choose(
-            candidates, self._data_centre, tried, self._rng
-        )
-        if chosen is None:
-            return None
-        if chosen.is_cold:
-            self._budget.take(
-                chosen.entry.upstream.upstream_id, service, self.hosts, now_ms
-            )
-        return chosen.entry
-
-    def _busy(self, entry: upstream_table.Entry) -> float:
-        """Returns how many requests an upstream has in progress, all told."""
-        upstream_id = entry.upstream.upstream_id
-        own = self.flows.busy(upstream_id) + self._openings.count(upstream_id)
-        return own + self._busy_elsewhere_by_tag.get(entry.tag, 0.0)
-
     def _tell(
         self,
         verdict: data.Verdict,
--- a/packages/core/sapphire_core/tagged_flows/steering_test.py
+++ b/packages/core/sapphire_core/tagged_flows/steering_test.py
@@ -133,7 +133,7 @@
             bench.steering.tick(now_ms)
         silent = [
             report.tag
-            for report in bench.steering.reports(200)
+            for report in bench.steering.chooser.reports(200)
             if report.silent_ms > 0
         ]
         self.assertEqual([tags.tag_of("i-1")], silent)
@@ -141,9 +141,9 @@
     def test_peers_are_to_know_at_once(self) -> None:
         bench = builders.SteeringBench(builders.upstream("i-1"))
         bench.open(1, 0)
-        self.assertFalse(bench.steering.has_urgent_report)
+        self.assertFalse(bench.steering.chooser.has_urgent_report)
         bench.steering.tick(WAIT_MS)
-        self.assertTrue(bench.steering.has_urgent_report)
+        self.assertTrue(bench.steering.chooser.has_urgent_report)
 
 
 class ShiftTest(testtools.TestCase):
@@ -157,7 +157,7 @@
         first = target(bench.open(1, 0))
         for now_ms in range(10, 200, 10):
             self.assertEqual([], bench.steering.tick(now_ms))
-        self.assertEqual((), bench.steering.reports(200))
+        self.assertEqual((), bench.steering.chooser.reports(200))
         self.assertNotIn(target(bench.open(1, 200, copy=1)), ("", first))
 
     def test_it_holds_for_openings_on_the_way_when_it_begins_and_ends(
@@ -182,6 +182,43 @@
         self.assertEqual(1, len(bench.steering.tick(now_ms + WAIT_MS)))
 
 
+class ColdStartTest(testtools.TestCase):
+    """All hosts and all upstreams of a service have just started."""
+
+    def flows(self, hosts: int, rate: float) -> int:
+        """Returns how many flows one host gives a cold upstream in 1 s."""
+        bench = builders.SteeringBench(builders.upstream("i-1", cold_ms=60_000))
+        bench.steering.configure(
+            builders.configuration(2, cold_flows_per_s=rate)
+        )
+        bench.steering.note_shift(0)
+        if hosts:
+            after_ms = steering.SHIFT_MS
+            bench.steering.note_peers({}, {}, hosts, after_ms)
+        started_ms = 2_000
+        return sum(
+            isinstance(bench.open(n, started_ms + n * 10), data.Forward)
+            for n in range(100)
+        )
+
+    def test_a_host_that_has_heard_of_none_takes_a_small_part(self) -> None:
+        # Else nine hosts that have just started give nine times the rate.
+        self.assertLessEqual(self.flows(0, 10.0), 1)
+
+    def test_a_host_that_has_heard_the_others_takes_its_part(self) -> None:
+        self.assertGreaterEqual(self.flows(2, 20.0), 4)
+        self.assertLessEqual(self.flows(2, 20.0), 10)
+
+    def test_hosts_that_join_are_counted_before_all_are_heard(self) -> None:
+        bench = builders.SteeringBench(builders.upstream("i-1", cold_ms=60_000))
+        bench.steering.note_shift(0)
+        # The first beat is of one peer only.
+        bench.steering.note_peers({}, {}, 2, 10)
+        sent = [bench.open(n, 20 + n * 10) for n in range(100)]
+        forwards = [a for a in sent if isinstance(a, data.Forward)]
+        self.assertLessEqual(len(forwards), 1)
+
+
 class OpenFlowTest(testtools.TestCase):
     def setUp(self) -> None:
         super().setUp()
--- a/packages/core/sapphire_core/tagged_flows/upstream_table.py
+++ b/packages/core/sapphire_core/tagged_flows/upstream_table.py
@@ -136,23 +136,29 @@
         entry.usable_until_ms = now_ms + LAPSE_GRACE_MS if may_return else 0
         return entry
 
-    def forget_old(self, now_ms: int) -> None:
+    def forget_old(self, now_ms: int) -> list[str]:
         """Forgets upstreams that cannot have open flows any more.
 
         Args:
             now_ms: The current time.
+
+        Returns:
+            Their identities.
         """
+        forgotten: list[str] = []
         for entry in list(self.by_id.values()):
             if entry.removed_ms is None:
                 continue
             if now_ms - entry.removed_ms < FLOW_LIFE_MS:
                 continue
             del self.by_id[entry.upstream.upstream_id]
+            forgotten.append(entry.upstream.upstream_id)
             if self._by_address.get(entry.upstream.address) is entry:
                 del self._by_address[entry.upstream.address]
             if self._by_tag.get(entry.tag) is entry:
                 del self._by_tag[entry.tag]
                 self._promote(entry.tag)
+        return forgotten
 
     def by_tag(self, tag: int) -> Entry | None:
         """Returns the upstream that a tag names, None if it is unknown."""
--- a/packages/node/sapphire_node/entry/packet_task.py
+++ b/packages/node/sapphire_node/entry/packet_task.py
@@ -152,9 +152,9 @@
             now_ms = self._clock.now_ms()
             for action in self._steering.tick(now_ms):
                 self._act(action)
-            if self._steering.has_urgent_report:
-                self._steering.has_urgent_report = False
-                reports = self._steering.reports(now_ms)
+            if self._steering.chooser.has_urgent_report:
+                self._steering.chooser.has_urgent_report = False
+                reports = self._steering.chooser.reports(now_ms)
                 await self._seen.send(
                     messages.UpstreamsSeen(reports, is_urgent=True)
                 )
@@ -176,7 +176,7 @@
                 )
                 if message.has_shifted:
                     self._steering.note_shift(now_ms)
-                reports = self._steering.reports(now_ms)
+                reports = self._steering.chooser.reports(now_ms)
                 await self._seen.send(
                     messages.UpstreamsSeen(reports, is_urgent=False)
                 )
