--- a/packages/core/sapphire_core/tagged_flows/upstream_table.py
+++ b/packages/core/sapphire_core/tagged_flows/upstream_table.py
@@ -60,6 +60,7 @@
 
     def __init__(self) -> None:
         self.by_id: dict[str, Entry] = {}
+        self._by_service: dict[str, dict[str, Entry]] = {}
         self._by_tag: dict[int, Entry] = {}
         self._by_address: dict[data.Address, Entry] = {}
         self._out_data_centres: set[str] = set()
@@ -105,7 +106,10 @@
             entry.cold_until_ms = max(
                 entry.cold_until_ms, now_ms + upstream.cold_ms
             )
+        self._leave_service(entry)
         entry.upstream = upstream
+        members = self._by_service.setdefault(upstream.service, {})
+        members[upstream.upstream_id] = entry
         entry.removed_ms = None
         entry.is_replaced = False
         self.by_id[upstream.upstream_id] = entry
@@ -152,6 +156,7 @@
             if now_ms - entry.removed_ms < FLOW_LIFE_MS:
                 continue
             del self.by_id[entry.upstream.upstream_id]
+            self._leave_service(entry)
             forgotten.append(entry.upstream.upstream_id)
             if self._by_address.get(entry.upstream.address) is entry:
                 del self._by_address[entry.upstream.address]
@@ -172,12 +177,10 @@
             now_ms: The current time.
 
         Returns:
-            The entries, cold ones included, in the order of identities.
+            The entries, cold ones included.
         """
         found: list[Entry] = []
-        for entry in self.by_id.values():
-            if entry.upstream.service != service:
-                continue
+        for entry in self._by_service.get(service, {}).values():
             if not entry.takes_new_flows(now_ms):
                 continue
             if entry.upstream.data_centre in self._out_data_centres:
@@ -187,6 +190,16 @@
             found.append(entry)
         return found
 
+    def _leave_service(self, entry: Entry) -> None:
+        """Takes an upstream out of the service that it last reported."""
+        service = entry.upstream.service
+        members = self._by_service.get(service)
+        if members is None:
+            return
+        members.pop(entry.upstream.upstream_id, None)
+        if not members:
+            del self._by_service[service]
+
     def _take_address(self, entry: Entry) -> None:
         """Notes who has an address now, and who has lost it."""
         address = entry.upstream.address
--- a/packages/core/sapphire_core/tagged_flows/upstream_table_test.py
+++ b/packages/core/sapphire_core/tagged_flows/upstream_table_test.py
@@ -26,6 +26,14 @@
         self.table.put(builders.upstream("i-3", "intake"), 3, 0)
         self.assertEqual(["i-1"], self.takers())
 
+    def test_an_upstream_that_reports_another_service_moves_there(
+        self,
+    ) -> None:
+        self.table.put(builders.upstream("i-1"), 1, 0)
+        self.table.put(builders.upstream("i-1", "intake"), 2, 0)
+        self.assertEqual([], self.takers())
+        self.assertEqual(["i-1"], self.takers(service="intake"))
+
     def test_a_data_centre_that_is_out_gets_nothing_new(self) -> None:
         self.table.put(builders.upstream("i-1", data_centre="salem"), 1, 0)
         self.table.set_out("salem", is_out=True)
