--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 WHY ?=
 
 .PHONY: test demo trial check format measure measure-flows measure-requests \
-	measure-config measure-forward measure-slopes thrift lock \
+	measure-config measure-forward measure-slopes measure-tagged_flows thrift lock \
 	bench bench-quiet bench-score bench-hunt soak
 
 test: $(STAMP)
@@ -62,7 +62,7 @@
 	measure-slopes
 
 measure-flows measure-requests measure-config measure-forward \
-	measure-slopes: measure-%: $(STAMP)
+	measure-slopes measure-tagged_flows: measure-%: $(STAMP)
 	$(BIN)/python -m sapphire_lab.$*.measure --seed $(SEED)
 
 # Regenerates the committed thrift code; needs the thrift compiler 0.17 or newer.
