--- a/packages/net/sapphire_net/http1.py
+++ b/packages/net/sapphire_net/http1.py
@@ -187,9 +187,16 @@
         async with stream:
             try:
                 await _serve_connection(stream, answer)
-            except (OSError, anyio.BrokenResourceError, anyio.EndOfStream):
-                # The other side left, which ends the connection and no more.
+            except anyio.EndOfStream:
+                # The other side has closed the connection between requests.
                 return
+            except (OSError, anyio.BrokenResourceError) as error:
+                event_log.log(
+                    _LOG,
+                    logging.INFO,
+                    "connection_lost",
+                    problem=repr(error),
+                )
             except h11.ProtocolError as error:
                 event_log.log(
                     _LOG, logging.WARNING, "bad_request", problem=str(error)
--- a/packages/node/sapphire_node/entry/packet_task.py
+++ b/packages/node/sapphire_node/entry/packet_task.py
@@ -98,7 +98,7 @@
                     self._state.counts["packet_socket_errors"] += 1
                     event_log.log(
                         _LOG,
-                        logging.DEBUG,
+                        logging.INFO,
                         "packet_socket_error",
                         problem=repr(error),
                     )
--- a/packages/node/sapphire_node/entry/peer_task.py
+++ b/packages/node/sapphire_node/entry/peer_task.py
@@ -125,16 +125,7 @@
             if is_far_due:
                 self._far_beat_ms = now_ms
             self._send_beat(is_far_due=is_far_due)
-            live = self._roster.live(now_ms)
-            hosts = self._roster.hosts()
-            busy, silent_ms = roster_lib.merge_reports(live, hosts - 1)
-            has_shifted = self._has_shifted or any(
-                beat.is_leaving and self._is_near(beat.contact) for beat in live
-            )
-            self._has_shifted = False
-            await self._seen.send(
-                messages.PeersSeen(busy, silent_ms, hosts, has_shifted)
-            )
+            self._pass_on(now_ms)
             await anyio.sleep(BEAT_MS / clock_lib.MS_PER_SECOND)
 
     def _pass_on(self, now_ms: int) -> None:
@@ -193,7 +184,7 @@
                 self._state.counts["beats_not_sent"] += 1
                 event_log.log(
                     _LOG,
-                    logging.DEBUG,
+                    logging.INFO,
                     "beat_not_sent",
                     peer=contact.host,
                     problem=repr(error),
@@ -212,9 +203,15 @@
                     datagram = self._socket.recv(peer_messages.MAX_BEAT_BYTES)
                 except BlockingIOError:
                     break
-                except OSError:
+                except OSError as error:
                     # A former beat found nobody; its host shows by silence.
                     self._state.counts["peer_socket_errors"] += 1
+                    event_log.log(
+                        _LOG,
+                        logging.INFO,
+                        "peer_socket_error",
+                        problem=repr(error),
+                    )
                     continue
                 self._take(datagram)
 
@@ -279,6 +276,15 @@
             event_log.log_failure(_LOG, "pull_failed", response, peer=host)
             return
         if response.status != _OK:
+            self._state.counts["pull_failures"] += 1
+            event_log.log(
+                _LOG,
+                logging.WARNING,
+                "pull_refused",
+                peer=host,
+                scope=scope.name,
+                status=response.status,
+            )
             return
         batch = peer_messages.decode_batch(response.body)
         if isinstance(batch, failures.Failure):
