--- a/packages/ctl/sapphire_ctl/main_test.py
+++ b/packages/ctl/sapphire_ctl/main_test.py
@@ -37,6 +37,7 @@
                 "check",
                 "data-centre in",
                 "data-centre out",
+                "explain",
                 "history",
                 "plan",
                 "promote",
