--- a/packages/node/sapphire_node/entry/host.py
+++ b/packages/node/sapphire_node/entry/host.py
@@ -1,5 +1,6 @@
 """The entry host: its tasks, its start, reload and stop."""
 
+from collections.abc import AsyncIterator
 from collections.abc import Callable
 import logging
 import math
@@ -123,27 +124,30 @@
         tasks.start_soon(readiness.Readiness(state).run)
         tasks.start_soon(metrics_task.MetricsTask(state, clock).run)
         tasks.start_soon(_follow_settings, platform, state)
-        await _wait_for_stop(platform, state)
-        await _leave(state, clock)
+        with anyio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+        ) as signals:
+            await _wait_for_stop(signals, platform, state)
+            # Signals that follow change nothing: the host leaves as soon as
+            # the fabric lets it.
+            await _leave(state, clock)
         event_log.log(_LOG, logging.INFO, "stopped", **state.counts)
         tasks.cancel_scope.cancel()
 
 
 async def _wait_for_stop(
-    platform: ports.Platform, state: host_state.HostState
+    signals: AsyncIterator[signal.Signals],
+    platform: ports.Platform,
+    state: host_state.HostState,
 ) -> None:
     """Returns when the process is told to stop; reloads when told so."""
-    with anyio.open_signal_receiver(
-        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-    ) as signals:
-        async for number in signals:
-            if number is not signal.SIGHUP:
-                event_log.log(
-                    _LOG, logging.INFO, "stopping", signal=int(number)
-                )
-                state.is_stopping = True
-                return
+    async for number in signals:
+        if number is signal.SIGHUP:
             _reload(platform, state, "signal")
+            continue
+        event_log.log(_LOG, logging.INFO, "stopping", signal=int(number))
+        state.is_stopping = True
+        return
 
 
 async def _leave(state: host_state.HostState, clock: clock_lib.Clock) -> None:
