--- /dev/null
+++ b/packages/lab/sapphire_lab/tagged_flows/hosts.py
@@ -0,0 +1,27 @@
+"""Builders of the settings and state of an entry host."""
+
+from sapphire_lab.tagged_flows import builders
+from sapphire_node.entry import host_state
+from sapphire_node.entry import ports
+
+ANY_PORT = ("127.0.0.1", 0)
+
+
+def settings() -> ports.HostSettings:
+    """Returns settings on the loopback address, with any free ports."""
+    return ports.HostSettings(
+        host_name="edge-1",
+        data_centre=builders.DATA_CENTRE,
+        packet_address=ANY_PORT,
+        readiness_address=ANY_PORT,
+        readiness_path="/ready",
+        peer_address=ANY_PORT,
+        metrics_address=ANY_PORT,
+        store_address=ANY_PORT,
+        limits=ports.Limits(shutdown_ms=6_000, flow_life_ms=60_000),
+    )
+
+
+def state() -> host_state.HostState:
+    """Returns the state of a process that has just started."""
+    return host_state.HostState(settings())
--- a/packages/node/sapphire_node/entry/follower_test.py
+++ b/packages/node/sapphire_node/entry/follower_test.py
@@ -6,12 +6,12 @@
 from sapphire_core.replication import data
 from sapphire_data import clock as clock_lib
 from sapphire_lab.tagged_flows import builders
+from sapphire_lab.tagged_flows import hosts
 from sapphire_node.entry import follower
 from sapphire_node.entry import host_state
 from sapphire_node.entry import messages
 from sapphire_node.entry import ports
 
-LOOPBACK = ("127.0.0.1", 0)
 Answer = data.Batch | data.SourceFailure
 
 FULL = builders.batch(builders.item("a", 5), as_of=5, is_full=True)
@@ -86,18 +86,7 @@
         prepare: Callable[[host_state.HostState], None] | None = None,
     ) -> tuple[Source, host_state.HostState, list[data.Batch]]:
         """Runs a follower of the intent until it has made some calls."""
-        settings = ports.HostSettings(
-            host_name="edge-1",
-            data_centre="tacoma",
-            packet_address=LOOPBACK,
-            readiness_address=LOOPBACK,
-            readiness_path="/ready",
-            peer_address=LOOPBACK,
-            metrics_address=LOOPBACK,
-            store_address=LOOPBACK,
-            limits=ports.Limits(6_000, 60_000),
-        )
-        state = host_state.HostState(settings)
+        state = hosts.state()
         if prepare is not None:
             prepare(state)
         source = Source(answers)
--- a/packages/node/sapphire_node/entry/metrics_task_test.py
+++ b/packages/node/sapphire_node/entry/metrics_task_test.py
@@ -3,28 +3,15 @@
 
 from sapphire_core.replication import data as replication_data
 from sapphire_data import clock as clock_lib
+from sapphire_lab.tagged_flows import hosts
 from sapphire_node.entry import host_state
 from sapphire_node.entry import metrics_task
-from sapphire_node.entry import ports
-
-LOOPBACK = ("127.0.0.1", 0)
 
 
 class MetricsTaskTest(testtools.TestCase):
     def setUp(self) -> None:
         super().setUp()
-        settings = ports.HostSettings(
-            host_name="edge-1",
-            data_centre="tacoma",
-            packet_address=LOOPBACK,
-            readiness_address=LOOPBACK,
-            readiness_path="/ready",
-            peer_address=LOOPBACK,
-            metrics_address=LOOPBACK,
-            store_address=LOOPBACK,
-            limits=ports.Limits(6_000, 60_000),
-        )
-        self.state = host_state.HostState(settings)
+        self.state = hosts.state()
         self.clock = clock_lib.ManualClock(5_000)
         self.task = metrics_task.MetricsTask(self.state, self.clock)
 
--- a/packages/node/sapphire_node/entry/packet_task_test.py
+++ b/packages/node/sapphire_node/entry/packet_task_test.py
@@ -7,7 +7,7 @@
 from sapphire_core.tagged_flows import data
 from sapphire_data import clock as clock_lib
 from sapphire_lab.tagged_flows import builders
-from sapphire_node.entry import host_state
+from sapphire_lab.tagged_flows import hosts
 from sapphire_node.entry import messages
 from sapphire_node.entry import packet_task
 from sapphire_node.entry import ports
@@ -51,19 +51,7 @@
     def setUp(self) -> None:
         super().setUp()
         self.clock = clock_lib.ManualClock(1_000)
-        self.state = host_state.HostState(
-            ports.HostSettings(
-                host_name="edge-1",
-                data_centre=builders.DATA_CENTRE,
-                packet_address=(LOOPBACK, 0),
-                readiness_address=(LOOPBACK, 0),
-                readiness_path="/ready",
-                peer_address=(LOOPBACK, 0),
-                metrics_address=(LOOPBACK, 0),
-                store_address=(LOOPBACK, 0),
-                limits=ports.Limits(6_000, 60_000),
-            )
-        )
+        self.state = hosts.state()
         self.upstream = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.addCleanup(self.upstream.close)
         self.upstream.bind((LOOPBACK, 0))
