--- a/packages/core/sapphire_core/tagged_flows/upstream_table.py
+++ b/packages/core/sapphire_core/tagged_flows/upstream_table.py
@@ -65,11 +65,6 @@
         self._by_address: dict[data.Address, Entry] = {}
         self._out_data_centres: set[str] = set()
 
-    @property
-    def out_data_centres(self) -> frozenset[str]:
-        """The data centres that operators have taken out."""
-        return frozenset(self._out_data_centres)
-
     def set_out(self, data_centre: str, *, is_out: bool) -> None:
         """Takes a data centre out, or back.
 
--- a/packages/core/sapphire_core/tagged_flows/waiting.py
+++ b/packages/core/sapphire_core/tagged_flows/waiting.py
@@ -30,14 +30,12 @@
         packet: The last copy of its opening packet.
         service: The service that it goes to.
         priority: How urgent its route is; 0 is the most urgent.
-        since_ms: When it began to wait.
         until_ms: Until when it waits.
     """
 
     packet: data.Packet
     service: data.Service
     priority: int
-    since_ms: int
     until_ms: int
 
     @property
@@ -96,7 +94,7 @@
         """
         until_ms = now_ms + WAIT_BY_AGE_MS[_copies(packet)] - age_ms(packet)
         self._by_flow[packet.flow_id] = Waiter(
-            packet, service, priority, now_ms, until_ms
+            packet, service, priority, until_ms
         )
 
     def in_order(self) -> list[Waiter]:
