--- a/packages/net/sapphire_net/http1.py
+++ b/packages/net/sapphire_net/http1.py
@@ -205,6 +205,23 @@
     await listener.serve(handle)
 
 
+async def serve_at(address: tuple[str, int], answer: Answer) -> None:
+    """Listens, and answers requests without bodies until cancelled.
+
+    Args:
+        address: The IPv4 address and port to listen at.
+        answer: Returns the response to a method and a path.
+
+    Raises:
+        OSError: The address is not this machine's, or is in use.
+    """
+    listener = await anyio.create_tcp_listener(
+        local_host=address[0], local_port=address[1]
+    )
+    async with listener:
+        await serve(listener, answer)
+
+
 async def _serve_connection(
     stream: anyio.abc.ByteStream, answer: Answer
 ) -> None:
--- a/packages/node/sapphire_node/entry/knowledge.py
+++ b/packages/node/sapphire_node/entry/knowledge.py
@@ -73,11 +73,8 @@
     async def run(self) -> None:
         """Merges batches, and answers peers, until cancelled."""
         address = self._state.settings.peer_address
-        listener = await anyio.create_tcp_listener(
-            local_host=address[0], local_port=address[1]
-        )
-        async with listener, anyio.create_task_group() as tasks:
-            tasks.start_soon(http1.serve, listener, self._answer)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(http1.serve_at, address, self._answer)
             async for message in self._batches:
                 await self._take(message)
 
--- a/packages/node/sapphire_node/entry/metrics_task.py
+++ b/packages/node/sapphire_node/entry/metrics_task.py
@@ -8,8 +8,6 @@
 import importlib
 from typing import Any
 
-import anyio
-
 from sapphire_core.replication import data as replication_data
 from sapphire_data import clock as clock_lib
 from sapphire_net import http1
@@ -39,12 +37,8 @@
 
     async def run(self) -> None:
         """Serves until cancelled."""
-        address, port = self._state.settings.metrics_address
-        listener = await anyio.create_tcp_listener(
-            local_host=address, local_port=port
-        )
-        async with listener:
-            await http1.serve(listener, self.answer)
+        address = self._state.settings.metrics_address
+        await http1.serve_at(address, self.answer)
 
     async def answer(self, method: str, path: str) -> http1.Response:
         """Returns the answer to one request."""
--- a/packages/node/sapphire_node/entry/packet_task.py
+++ b/packages/node/sapphire_node/entry/packet_task.py
@@ -13,6 +13,7 @@
 from sapphire_core.tagged_flows import steering as steering_lib
 from sapphire_core.tagged_flows import upstream_table
 from sapphire_data import clock as clock_lib
+from sapphire_net import datagrams
 from sapphire_net import event_log
 from sapphire_node.entry import host_state
 from sapphire_node.entry import messages
@@ -21,8 +22,6 @@
 _LOG = logging.getLogger(__name__)
 
 MAX_DATAGRAM_BYTES = 2_048
-# Packets read before other tasks get a turn.
-BURST_PACKETS = 64
 TICK_MS = 10
 SWEEP_MS = 100
 # Packets that arrive before the host can route are kept for as long as a
@@ -71,9 +70,7 @@
         self._held: collections.deque[tuple[int, data.Packet]] = (
             collections.deque(maxlen=MAX_HELD_PACKETS)
         )
-        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self._socket.setblocking(False)
-        self._socket.bind(state.settings.packet_address)
+        self._socket = datagrams.open_socket(state.settings.packet_address)
 
     async def run(self) -> None:
         """Works until cancelled."""
@@ -81,29 +78,23 @@
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._learn)
                 tasks.start_soon(self._tick)
-                await self._receive()
+                await datagrams.read_all(
+                    self._socket,
+                    MAX_DATAGRAM_BYTES,
+                    self._take,
+                    self._note_socket_error,
+                )
 
-    async def _receive(self) -> None:
-        """Reads packets."""
-        while True:
-            await anyio.wait_readable(self._socket)
-            for _ in range(BURST_PACKETS):
-                try:
-                    datagram = self._socket.recv(MAX_DATAGRAM_BYTES)
-                except BlockingIOError:
-                    break
-                except OSError as error:
-                    # The kernel reports here that a former datagram found
-                    # nobody; the packet's flow shows it by its silence.
-                    self._state.counts["packet_socket_errors"] += 1
-                    event_log.log(
-                        _LOG,
-                        logging.INFO,
-                        "packet_socket_error",
-                        problem=repr(error),
-                    )
-                    continue
-                self._take(datagram)
+    def _note_socket_error(self, error: OSError) -> None:
+        """Notes an error of the socket.
+
+        The kernel reports here that a former datagram found nobody; the
+        packet's flow shows it by its silence.
+        """
+        self._state.counts["packet_socket_errors"] += 1
+        event_log.log(
+            _LOG, logging.INFO, "packet_socket_error", problem=repr(error)
+        )
 
     def _take(self, datagram: bytes) -> None:
         """Decides about one datagram."""
--- a/packages/node/sapphire_node/entry/peer_task.py
+++ b/packages/node/sapphire_node/entry/peer_task.py
@@ -7,7 +7,6 @@
 
 import logging
 import random
-import socket
 
 import anyio
 import anyio.abc
@@ -18,6 +17,7 @@
 from sapphire_core.replication import data
 from sapphire_data import clock as clock_lib
 from sapphire_data import failures
+from sapphire_net import datagrams
 from sapphire_net import event_log
 from sapphire_net import http1
 from sapphire_node.entry import follower
@@ -37,7 +37,6 @@
 # Small answers take a few crossings of the network.
 PULL_TIMEOUT_MS = 1_000
 PULL_POLL_MS = 20
-BURST_DATAGRAMS = 64
 ITEMS_PATH = "/items"
 _OK = 200
 
@@ -85,18 +84,21 @@
         self._listed: frozenset[str] = frozenset()
         # Since when a peer is known to be ahead, and which one, by scope.
         self._ahead_by_scope: dict[data.Scope, tuple[int, str]] = {}
-        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self._socket.setblocking(False)
-        self._socket.bind((contact.address, contact.port))
+        self._socket = datagrams.open_socket((contact.address, contact.port))
 
     async def run(self) -> None:
         """Works until cancelled."""
         with self._socket:
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._receive)
                 tasks.start_soon(self._beat)
                 tasks.start_soon(self._pull)
-                await self._listen()
+                tasks.start_soon(self._listen)
+                await datagrams.read_all(
+                    self._socket,
+                    peer_messages.MAX_BEAT_BYTES,
+                    self._take,
+                    self._note_socket_error,
+                )
 
     async def _listen(self) -> None:
         """Takes what other tasks tell."""
@@ -194,26 +196,12 @@
         """Whether a host stands in this host's data centre."""
         return contact.data_centre == self._contact.data_centre
 
-    async def _receive(self) -> None:
-        """Takes beats of other hosts."""
-        while True:
-            await anyio.wait_readable(self._socket)
-            for _ in range(BURST_DATAGRAMS):
-                try:
-                    datagram = self._socket.recv(peer_messages.MAX_BEAT_BYTES)
-                except BlockingIOError:
-                    break
-                except OSError as error:
-                    # A former beat found nobody; its host shows by silence.
-                    self._state.counts["peer_socket_errors"] += 1
-                    event_log.log(
-                        _LOG,
-                        logging.INFO,
-                        "peer_socket_error",
-                        problem=repr(error),
-                    )
-                    continue
-                self._take(datagram)
+    def _note_socket_error(self, error: OSError) -> None:
+        """Notes that a former beat found nobody; its host shows by silence."""
+        self._state.counts["peer_socket_errors"] += 1
+        event_log.log(
+            _LOG, logging.INFO, "peer_socket_error", problem=repr(error)
+        )
 
     def _take(self, datagram: bytes) -> None:
         """Takes one beat."""
--- a/packages/node/sapphire_node/entry/readiness.py
+++ b/packages/node/sapphire_node/entry/readiness.py
@@ -1,7 +1,5 @@
 """The task that answers the fabric's question whether the host is ready."""
 
-import anyio
-
 from sapphire_net import http1
 from sapphire_node.entry import host_state
 
@@ -22,12 +20,8 @@
 
     async def run(self) -> None:
         """Serves until cancelled."""
-        address, port = self._state.settings.readiness_address
-        listener = await anyio.create_tcp_listener(
-            local_host=address, local_port=port
-        )
-        async with listener:
-            await http1.serve(listener, self._answer)
+        address = self._state.settings.readiness_address
+        await http1.serve_at(address, self._answer)
 
     async def _answer(self, method: str, path: str) -> http1.Response:
         """Returns the answer to one request."""
