A host stays in rotation until the one before it is back

Ruled out: silent upstreams, the store, load.

Tried first and taken back: opening the packet socket before the daemon is loaded, so that packets wait there for 0.2 s at a start.

--- a/packages/core/sapphire_core/peers/roster.py
+++ b/packages/core/sapphire_core/peers/roster.py
@@ -26,6 +26,9 @@
 # centres come once a second.
 CONTACT_LIFE_MS = 1_000
 FAR_CONTACT_LIFE_MS = 2_500
+# A host that is restarted is silent for about 1 s, its start included; one that
+# is silent for longer than this has gone.
+AWAY_LIFE_MS = 4_000
 # While too few hosts follow, one more of the ranking steps in at this pace,
 # so that a store that is down for all is not called by all.
 STEP_IN_MS = 200
@@ -191,6 +194,26 @@
         wait_ms = max(0, better + ahead + 1 - FOLLOWERS) * STEP_IN_MS
         return now_ms - self._lacking_since_ms >= wait_ms
 
+    def is_near_host_away(self, now_ms: int) -> bool:
+        """Whether another host of this data centre is likely to come back.
+
+        Args:
+            now_ms: The current time.
+
+        Returns:
+            Whether one is leaving, or was heard some seconds ago and not since.
+        """
+        for peer in self._peers_by_host.values():
+            if peer.beat is None or peer.heard_ms is None:
+                continue
+            if peer.contact.data_centre != self._own.data_centre:
+                continue
+            if now_ms - peer.heard_ms > AWAY_LIFE_MS:
+                continue
+            if peer.beat.is_leaving or not self._is_live(peer, now_ms):
+                return True
+        return False
+
     def receivers(self) -> list[data.Contact]:
         """Returns the hosts that get this host's next beat."""
         contacts = [peer.contact for peer in self._peers_by_host.values()]
--- a/packages/core/sapphire_core/peers/roster_test.py
+++ b/packages/core/sapphire_core/peers/roster_test.py
@@ -172,3 +172,33 @@
         busy, silent_ms = roster.merge_reports(beats, 8)
         self.assertEqual({5: 8.0}, busy)
         self.assertEqual({5: 300}, silent_ms)
+
+
+class NearHostAwayTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.roster = roster.Roster(
+            builders.beat("edge-1").contact, random.Random(1)
+        )
+
+    def test_a_host_that_is_heard_is_not_away(self) -> None:
+        self.roster.note_beat(builders.beat("edge-2", sequence=1), 0)
+        self.assertFalse(self.roster.is_near_host_away(250))
+
+    def test_a_host_that_is_leaving_is_away(self) -> None:
+        beat = builders.beat("edge-2", sequence=1, is_leaving=True)
+        self.roster.note_beat(beat, 0)
+        self.assertTrue(self.roster.is_near_host_away(250))
+
+    def test_a_silent_host_is_away_for_some_time(self) -> None:
+        self.roster.note_beat(builders.beat("edge-2", sequence=1), 0)
+        self.assertTrue(
+            self.roster.is_near_host_away(roster.CONTACT_LIFE_MS + 1)
+        )
+        self.assertFalse(self.roster.is_near_host_away(roster.AWAY_LIFE_MS + 1))
+
+    def test_a_host_that_is_back_is_not_away(self) -> None:
+        leaving = builders.beat("edge-2", sequence=9, is_leaving=True)
+        self.roster.note_beat(leaving, 0)
+        self.roster.note_beat(builders.beat("edge-2", start_id=2), 1_500)
+        self.assertFalse(self.roster.is_near_host_away(1_600))
--- a/packages/node/sapphire_node/entry/host.py
+++ b/packages/node/sapphire_node/entry/host.py
@@ -11,6 +11,7 @@
 import anyio.abc
 
 from sapphire_core.peers import data as peer_data
+from sapphire_core.peers import departure
 from sapphire_core.replication import data as replication_data
 from sapphire_data import clock as clock_lib
 from sapphire_data import failures
@@ -31,13 +32,6 @@
 
 EXIT_OK = 0
 EXIT_SETTINGS = 2
-# The fabric asks for readiness twice a second and leaves a host after two
-# misses; a third question and the packets on the way take the rest.
-LEAVE_MS = 1_800
-# Without packets for this long the fabric has left the host.
-QUIET_MS = 400
-# What is left of the time to stop for ending the tasks.
-EXIT_RESERVE_MS = 2_000
 POLL_MS = 100
 # Settings may change without a signal.
 SETTINGS_POLL_MS = 2_000
@@ -146,20 +140,33 @@
             _reload(platform, state, "signal")
             continue
         event_log.log(_LOG, logging.INFO, "stopping", signal=int(number))
-        state.is_stopping = True
         return
 
 
 async def _leave(state: host_state.HostState, clock: clock_lib.Clock) -> None:
     """Carries packets until the fabric has left this host."""
-    began_ms = clock.now_ms()
-    last_ms = began_ms + state.settings.limits.shutdown_ms - EXIT_RESERVE_MS
-    while clock.now_ms() < last_ms:
-        await anyio.sleep(POLL_MS / clock_lib.MS_PER_SECOND)
+    way_out = departure.Departure(
+        clock.now_ms(), state.settings.limits.shutdown_ms
+    )
+    while True:
         now_ms = clock.now_ms()
-        is_left = now_ms - began_ms >= LEAVE_MS
-        if is_left and now_ms - state.last_packet_ms >= QUIET_MS:
+        stage = way_out.step(
+            now_ms,
+            state.last_packet_ms,
+            is_near_host_away=state.is_near_host_away,
+        )
+        if stage is departure.Stage.LEFT:
             return
+        if stage is departure.Stage.LEAVING and not state.is_leaving:
+            state.is_leaving = True
+            event_log.log(
+                _LOG,
+                logging.INFO,
+                "leaving",
+                waited_ms=now_ms - way_out.told_ms,
+                is_near_host_away=state.is_near_host_away,
+            )
+        await anyio.sleep(POLL_MS / clock_lib.MS_PER_SECOND)
 
 
 async def _follow_settings(
--- a/packages/node/sapphire_node/entry/host_state.py
+++ b/packages/node/sapphire_node/entry/host_state.py
@@ -38,7 +38,9 @@
     Attributes:
         settings: The settings in force.
         is_ready: Whether the host can place new flows.
-        is_stopping: Whether it was told to stop.
+        is_leaving: Whether it was told to stop and has left the rotation.
+        is_near_host_away: Whether another host of its data centre is leaving,
+            or has been silent for a short time.
         last_packet_ms: When the last packet came.
         last_store_failure_ms: When a call to the store last failed; None if
             none has.
@@ -54,7 +56,8 @@
 
     settings: ports.HostSettings
     is_ready: bool = False
-    is_stopping: bool = False
+    is_leaving: bool = False
+    is_near_host_away: bool = False
     last_packet_ms: int = 0
     last_store_failure_ms: int | None = None
     told_ms_by_scope: dict[replication_data.Scope, int] = dataclasses.field(
--- a/packages/node/sapphire_node/entry/metrics_task.py
+++ b/packages/node/sapphire_node/entry/metrics_task.py
@@ -119,7 +119,7 @@
         """Returns the life of the process."""
         return {
             (("state", "ready"),): float(self._state.is_ready),
-            (("state", "stopping"),): float(self._state.is_stopping),
+            (("state", "stopping"),): float(self._state.is_leaving),
             (("state", "following"),): float(self._state.is_following),
         }
 
--- a/packages/node/sapphire_node/entry/peer_task.py
+++ b/packages/node/sapphire_node/entry/peer_task.py
@@ -37,6 +37,7 @@
 # Small answers take a few crossings of the network.
 PULL_TIMEOUT_MS = 1_000
 PULL_POLL_MS = 20
+DEPARTURE_POLL_MS = 20
 ITEMS_PATH = "/items"
 _OK = 200
 
@@ -93,6 +94,7 @@
                 tasks.start_soon(self._beat)
                 tasks.start_soon(self._pull)
                 tasks.start_soon(self._listen)
+                tasks.start_soon(self._tell_departure)
                 await datagrams.read_all(
                     self._socket,
                     peer_messages.MAX_BEAT_BYTES,
@@ -121,8 +123,9 @@
             now_ms = self._clock.now_ms()
             self._roster.forget_old(now_ms, self._listed)
             self._state.must_follow = self._roster.must_follow(
-                now_ms, is_leaving=self._state.is_stopping
+                now_ms, is_leaving=self._state.is_leaving
             )
+            self._note_near_hosts(now_ms)
             is_far_due = now_ms - self._far_beat_ms >= FAR_BEAT_MS
             if is_far_due:
                 self._far_beat_ms = now_ms
@@ -130,6 +133,12 @@
             self._pass_on(now_ms)
             await anyio.sleep(BEAT_MS / clock_lib.MS_PER_SECOND)
 
+    async def _tell_departure(self) -> None:
+        """Tells at once that this host leaves; others may wait for it."""
+        while not self._state.is_leaving:
+            await anyio.sleep(DEPARTURE_POLL_MS / clock_lib.MS_PER_SECOND)
+        self._send_beat(is_far_due=False)
+
     def _pass_on(self, now_ms: int) -> None:
         """Tells the packet task what peers have seen."""
         live = self._roster.live(now_ms)
@@ -144,6 +153,10 @@
             messages.PeersSeen(busy, silent_ms, hosts, has_shifted)
         )
 
+    def _note_near_hosts(self, now_ms: int) -> None:
+        """Notes whether a host of this data centre is away."""
+        self._state.is_near_host_away = self._roster.is_near_host_away(now_ms)
+
     def _send_beat(self, *, is_far_due: bool) -> None:
         """Sends one beat to some peers, to far ones only if that is due."""
         receivers = [
@@ -165,7 +178,7 @@
                 contact=self._contact,
                 start_id=self._start_id,
                 sequence=self._sequence,
-                is_leaving=self._state.is_stopping,
+                is_leaving=self._state.is_leaving,
                 revisions=self._state.change_by_scope,
                 store_failed_ms=None
                 if failed_ms is None
@@ -224,6 +237,7 @@
             self._has_shifted |= self._is_near(beat.contact)
             # It may know of nobody yet.
             self._send_to([beat.contact], self._encoded_beat(now_ms))
+        self._note_near_hosts(now_ms)
         if beat.store_failed_ms is not None:
             failed_ms = now_ms - beat.store_failed_ms
             known_ms = self._state.last_store_failure_ms
--- /dev/null
+++ b/packages/node/sapphire_node/entry/peer_task_test.py
@@ -0,0 +1,73 @@
+import anyio
+import testtools
+
+from sapphire_core.peers import data as peer_data
+from sapphire_data import clock as clock_lib
+from sapphire_lab.tagged_flows import builders
+from sapphire_lab.tagged_flows import hosts
+from sapphire_net import datagrams
+from sapphire_node.entry import messages
+from sapphire_node.entry import peer_task
+from sapphire_wire import peer_messages
+
+ANY_ADDRESS = ("127.0.0.1", 0)
+
+
+class PeerTaskTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.clock = clock_lib.ManualClock(1_000)
+        self.state = hosts.state()
+        self.inbox, inbox = anyio.create_memory_object_stream[
+            messages.HostsListed | messages.NewsHeld | messages.UpstreamsSeen
+        ](10)
+        batches, self.batches = anyio.create_memory_object_stream[
+            messages.BatchReceived
+        ](10)
+        seen, self.seen = anyio.create_memory_object_stream[messages.PeersSeen](
+            10
+        )
+        self.task = peer_task.PeerTask(
+            peer_data.Contact("edge-1", builders.DATA_CENTRE, *ANY_ADDRESS),
+            self.state,
+            self.clock,
+            inbox=inbox,
+            batches=batches,
+            seen=seen,
+        )
+        self.addCleanup(self.task._socket.close)
+        self.peer = datagrams.open_socket(ANY_ADDRESS)
+        self.addCleanup(self.peer.close)
+
+    def contact(self) -> peer_data.Contact:
+        """Returns how the peer is reached."""
+        address, port = self.peer.getsockname()
+        return peer_data.Contact("edge-2", builders.DATA_CENTRE, address, port)
+
+    def test_a_departure_is_told_at_once(self) -> None:
+        self.task._roster.set_listed([self.contact()])
+        self.state.is_leaving = True
+
+        async def main() -> bytes:
+            await self.task._tell_departure()
+            await anyio.wait_readable(self.peer)
+            return self.peer.recv(peer_messages.MAX_BEAT_BYTES)
+
+        beat = peer_messages.decode_beat(anyio.run(main))
+        self.assertIsInstance(beat, peer_data.Beat)
+        assert isinstance(beat, peer_data.Beat)
+        self.assertTrue(beat.is_leaving)
+
+    def test_a_departure_is_noted_at_once(self) -> None:
+        beat = builders.beat("edge-2", is_leaving=True)
+        self.task._take(peer_messages.encode_beat(beat))
+        self.assertTrue(self.state.is_near_host_away)
+
+    def test_a_host_of_another_data_centre_is_not_waited_for(self) -> None:
+        beat = builders.beat("edge-2", data_centre="far", is_leaving=True)
+        self.task._take(peer_messages.encode_beat(beat))
+        self.assertFalse(self.state.is_near_host_away)
+
+    def test_what_is_no_beat_is_counted(self) -> None:
+        self.task._take(b"noise")
+        self.assertEqual(1, self.state.counts["unreadable_beats"])
--- a/packages/node/sapphire_node/entry/readiness.py
+++ b/packages/node/sapphire_node/entry/readiness.py
@@ -27,6 +27,6 @@
         """Returns the answer to one request."""
         if method != "GET" or path != self._state.settings.readiness_path:
             return http1.Response(_NOT_FOUND, b"")
-        if self._state.is_ready and not self._state.is_stopping:
+        if self._state.is_ready and not self._state.is_leaving:
             return http1.Response(_OK, b"")
         return http1.Response(_UNAVAILABLE, b"")
