Tasks of an entry host wake when there is work, not by polls

A host that did nothing woke some 260 times a second: a tick of 10 ms, polls for a read from peers, for its role and for its departure. Events take their place; the tick runs while openings are pending; beats that arrive within 20 ms are read together. Reads from peers go on side by side, so that a silent peer holds up only the scope that it is asked for.

--- a/packages/net/sapphire_net/datagrams.py
+++ b/packages/net/sapphire_net/datagrams.py
@@ -5,6 +5,8 @@
 
 import anyio
 
+from sapphire_data import clock
+
 # Datagrams read before other tasks get a turn.
 BURST_DATAGRAMS = 64
 
@@ -32,7 +34,11 @@
 
 
 async def read_all(
-    opened: socket.socket, max_bytes: int, take: Take, note_error: NoteError
+    opened: socket.socket,
+    max_bytes: int,
+    take: Take,
+    note_error: NoteError,
+    pause_ms: int = 0,
 ) -> None:
     """Reads datagrams until cancelled.
 
@@ -42,9 +48,13 @@
         take: Is given each datagram.
         note_error: Is given each error of the socket. The kernel reports here
             that a former datagram found nobody.
+        pause_ms: How long datagrams may wait for others, so that several are
+            read at a time.
     """
     while True:
         await anyio.wait_readable(opened)
+        if pause_ms > 0:
+            await anyio.sleep(pause_ms / clock.MS_PER_SECOND)
         for _ in range(BURST_DATAGRAMS):
             try:
                 datagram = opened.recv(max_bytes)
--- a/packages/node/sapphire_node/entry/follower.py
+++ b/packages/node/sapphire_node/entry/follower.py
@@ -32,8 +32,6 @@
     data.Scope.REGISTRY: REGISTRY_PAUSE_MS,
     data.Scope.HOSTS: HOSTS_PAUSE_MS,
 }
-# How soon a host notices that it is to follow.
-IDLE_POLL_MS = 50
 
 BatchSender = anyio.streams.memory.MemoryObjectSendStream[
     messages.BatchReceived
@@ -81,7 +79,7 @@
         while True:
             if not self._must_read_all and not self._state.must_follow:
                 self._state.following.discard(self._scope)
-                await _sleep_ms(IDLE_POLL_MS)
+                await self._state.wait_to_follow()
                 continue
             await self._renew_source()
             began_ms = self._clock.now_ms()
--- a/packages/node/sapphire_node/entry/follower_test.py
+++ b/packages/node/sapphire_node/entry/follower_test.py
@@ -148,7 +148,7 @@
 
     def test_the_first_read_is_its_own_whoever_follows(self) -> None:
         def idle(state: host_state.HostState) -> None:
-            state.must_follow = False
+            state.set_must_follow(False)
 
         source, _, _ = self.run_follower([SILENT, FULL], 2, idle)
         self.assertEqual([-1, -1], source.calls)
--- a/packages/node/sapphire_node/entry/host.py
+++ b/packages/node/sapphire_node/entry/host.py
@@ -158,7 +158,7 @@
         if stage is departure.Stage.LEFT:
             return
         if stage is departure.Stage.LEAVING and not state.is_leaving:
-            state.is_leaving = True
+            state.leaving.set()
             event_log.log(
                 _LOG,
                 logging.INFO,
--- a/packages/node/sapphire_node/entry/host_state.py
+++ b/packages/node/sapphire_node/entry/host_state.py
@@ -31,6 +31,13 @@
     }
 
 
+def _set_event() -> anyio.Event:
+    """Returns an event that has happened."""
+    event = anyio.Event()
+    event.set()
+    return event
+
+
 @dataclasses.dataclass(slots=True)
 class HostState:
     """The life of the process.
@@ -38,7 +45,7 @@
     Attributes:
         settings: The settings in force.
         is_ready: Whether the host can place new flows.
-        is_leaving: Whether it was told to stop and has left the rotation.
+        leaving: Set when it was told to stop and has left the rotation.
         is_near_host_away: Whether another host of its data centre is leaving,
             or has been silent for a short time.
         last_packet_ms: When the last packet came.
@@ -48,7 +55,6 @@
             that nothing changed.
         as_of_by_scope: Up to which revision each scope is known.
         change_by_scope: The revision of the newest known change.
-        must_follow: Whether this host is to follow the store itself.
         following: The scopes that it follows, its last call having succeeded.
         counts: Counters by name, for metrics.
         durations_ms_by_name: Recent durations, for metrics.
@@ -56,7 +62,7 @@
 
     settings: ports.HostSettings
     is_ready: bool = False
-    is_leaving: bool = False
+    leaving: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     is_near_host_away: bool = False
     last_packet_ms: int = 0
     last_store_failure_ms: int | None = None
@@ -69,7 +75,6 @@
     change_by_scope: dict[replication_data.Scope, int] = dataclasses.field(
         default_factory=dict
     )
-    must_follow: bool = True
     following: set[replication_data.Scope] = dataclasses.field(
         default_factory=set
     )
@@ -80,6 +85,33 @@
         default_factory=new_durations
     )
 
+    _must_follow: anyio.Event = dataclasses.field(default_factory=_set_event)
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the host was told to stop and has left the rotation."""
+        return self.leaving.is_set()
+
+    @property
+    def must_follow(self) -> bool:
+        """Whether this host is to follow the store itself."""
+        return self._must_follow.is_set()
+
+    def set_must_follow(self, must_follow: bool) -> None:
+        """Decides whether this host is to follow the store itself.
+
+        Args:
+            must_follow: Whether it is to.
+        """
+        if must_follow:
+            self._must_follow.set()
+        elif self._must_follow.is_set():
+            self._must_follow = anyio.Event()
+
+    async def wait_to_follow(self) -> None:
+        """Returns when this host is to follow the store itself."""
+        await self._must_follow.wait()
+
     async def settle(self) -> None:
         """Returns when the host is ready, or has been starting for long.
 
--- a/packages/node/sapphire_node/entry/packet_task.py
+++ b/packages/node/sapphire_node/entry/packet_task.py
@@ -65,6 +65,7 @@
         self._steering = steering_lib.Steering(
             state.settings.data_centre, random.Random(), self._report
         )
+        self._pending = anyio.Event()
         self._complete_ms: int | None = None
         self._known_scopes: set[replication_data.Scope] = set()
         self._held: collections.deque[tuple[int, data.Packet]] = (
@@ -109,7 +110,15 @@
         if not self._state.is_ready:
             self._held.append((now_ms, packet))
             return
+        self._handle(packet, now_ms)
+
+    def _handle(self, packet: data.Packet, now_ms: int) -> None:
+        """Decides about a packet and sees to what it leaves pending."""
+        if not self._steering.has_pending:
+            self._steering.resume(now_ms)
         self._act(self._steering.handle(packet, now_ms))
+        if self._steering.has_pending:
+            self._pending.set()
 
     def _act(self, action: data.Action) -> None:
         """Sends what was decided."""
@@ -139,7 +148,7 @@
         """Acts on the passing of time."""
         swept_ms = 0
         while True:
-            await anyio.sleep(TICK_MS / clock_lib.MS_PER_SECOND)
+            await self._wait_for_tick()
             now_ms = self._clock.now_ms()
             for action in self._steering.tick(now_ms):
                 self._act(action)
@@ -154,6 +163,14 @@
                 self._steering.sweep(now_ms)
                 self._check_readiness(now_ms)
 
+    async def _wait_for_tick(self) -> None:
+        """Returns after a tick, or a sweep later while nothing is pending."""
+        if not self._steering.has_pending:
+            self._pending = anyio.Event()
+            with anyio.move_on_after(SWEEP_MS / clock_lib.MS_PER_SECOND):
+                await self._pending.wait()
+        await anyio.sleep(TICK_MS / clock_lib.MS_PER_SECOND)
+
     async def _learn(self) -> None:
         """Takes what this host learns."""
         async for message in self._changes:
@@ -288,7 +305,7 @@
         while self._held:
             held_ms, packet = self._held.popleft()
             if now_ms - held_ms <= HOLD_MS:
-                self._act(self._steering.handle(packet, now_ms))
+                self._handle(packet, now_ms)
 
     def _report(self, decision: steering_lib.Decision) -> None:
         """Counts and logs a decision that touches the life of a flow."""
--- a/packages/node/sapphire_node/entry/packet_task_test.py
+++ b/packages/node/sapphire_node/entry/packet_task_test.py
@@ -5,6 +5,7 @@
 
 from sapphire_core.replication import data as replication_data
 from sapphire_core.tagged_flows import data
+from sapphire_core.tagged_flows import steering
 from sapphire_data import clock as clock_lib
 from sapphire_lab.tagged_flows import builders
 from sapphire_lab.tagged_flows import hosts
@@ -134,6 +135,27 @@
         self.learn(replication_data.Scope.REGISTRY)
         self.assertTrue(self.state.is_ready)
 
+    def test_an_opening_after_a_quiet_time_is_sent_on_without_delay(
+        self,
+    ) -> None:
+        # The task does not tick while nothing is pending; that is no pause.
+        other = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.addCleanup(other.close)
+        other.bind((LOOPBACK, 0))
+        address = (LOOPBACK, other.getsockname()[1])
+        self.learn_upstream()
+        self.learn_configuration()
+        upstream = builders.upstream("i-2", address=address)
+        self.learn(
+            replication_data.Scope.REGISTRY, data.UpstreamChange(upstream)
+        )
+        self.task._steering.note_shift(-steering.SHIFT_MS)
+        self.clock.advance(10_000)
+        self.task._take(b"opening")
+        self.clock.advance(steering.ANSWER_TIMEOUT_MS)
+        actions = self.task._steering.tick(self.clock.now_ms())
+        self.assertEqual(1, len(actions))
+
     def test_what_is_no_packet_is_counted(self) -> None:
         self.task._take(b"noise")
         self.assertEqual(1, self.state.counts["unreadable_packets"])
--- a/packages/node/sapphire_node/entry/peer_task.py
+++ b/packages/node/sapphire_node/entry/peer_task.py
@@ -28,6 +28,8 @@
 _LOG = logging.getLogger(__name__)
 
 BEAT_MS = 250
+# Beats of many hosts come at any moment; those of this time are read together.
+READ_PAUSE_MS = 20
 # Other data centres are told this often without news; bytes between data
 # centres are paid for.
 FAR_BEAT_MS = 1_000
@@ -37,7 +39,6 @@
 # Small answers take a few crossings of the network.
 PULL_TIMEOUT_MS = 1_000
 PULL_POLL_MS = 20
-DEPARTURE_POLL_MS = 20
 ITEMS_PATH = "/items"
 _OK = 200
 
@@ -85,6 +86,9 @@
         self._listed: frozenset[str] = frozenset()
         # Since when a peer is known to be ahead, and which one, by scope.
         self._ahead_by_scope: dict[data.Scope, tuple[int, str]] = {}
+        self._is_behind = anyio.Event()
+        # The scopes that are being read from a peer.
+        self._pulled_scopes: set[data.Scope] = set()
         self._socket = datagrams.open_socket((contact.address, contact.port))
 
     async def run(self) -> None:
@@ -100,6 +104,7 @@
                     peer_messages.MAX_BEAT_BYTES,
                     self._take,
                     self._note_socket_error,
+                    READ_PAUSE_MS,
                 )
 
     async def _listen(self) -> None:
@@ -122,8 +127,10 @@
         while True:
             now_ms = self._clock.now_ms()
             self._roster.forget_old(now_ms, self._listed)
-            self._state.must_follow = self._roster.must_follow(
-                now_ms, is_leaving=self._state.is_leaving
+            self._state.set_must_follow(
+                self._roster.must_follow(
+                    now_ms, is_leaving=self._state.is_leaving
+                )
             )
             self._note_near_hosts(now_ms)
             is_far_due = now_ms - self._far_beat_ms >= FAR_BEAT_MS
@@ -135,8 +142,7 @@
 
     async def _tell_departure(self) -> None:
         """Tells at once that this host leaves; others may wait for it."""
-        while not self._state.is_leaving:
-            await anyio.sleep(DEPARTURE_POLL_MS / clock_lib.MS_PER_SECOND)
+        await self._state.leaving.wait()
         self._send_beat(is_far_due=False)
 
     def _pass_on(self, now_ms: int) -> None:
@@ -237,7 +243,8 @@
             self._has_shifted |= self._is_near(beat.contact)
             # It may know of nobody yet.
             self._send_to([beat.contact], self._encoded_beat(now_ms))
-        self._note_near_hosts(now_ms)
+        if beat.is_leaving or self._state.is_near_host_away:
+            self._note_near_hosts(now_ms)
         if beat.store_failed_ms is not None:
             failed_ms = now_ms - beat.store_failed_ms
             known_ms = self._state.last_store_failure_ms
@@ -250,18 +257,35 @@
                 continue
             since_ms, _ = self._ahead_by_scope.get(scope, (now_ms, ""))
             self._ahead_by_scope[scope] = (since_ms, beat.contact.host)
+            self._is_behind.set()
 
     async def _pull(self) -> None:
         """Reads from peers what this host lacks."""
-        while True:
-            await anyio.sleep(PULL_POLL_MS / clock_lib.MS_PER_SECOND)
-            now_ms = self._clock.now_ms()
-            for scope, (since_ms, host) in list(self._ahead_by_scope.items()):
-                is_own = self._state.must_follow
-                if is_own and now_ms - since_ms < OWN_LEAD_MS:
-                    continue
-                del self._ahead_by_scope[scope]
-                await self._pull_from(scope, host)
+        async with anyio.create_task_group() as tasks:
+            while True:
+                if not self._ahead_by_scope:
+                    self._is_behind = anyio.Event()
+                    await self._is_behind.wait()
+                now_ms = self._clock.now_ms()
+                for scope, (since_ms, host) in list(
+                    self._ahead_by_scope.items()
+                ):
+                    is_own = self._state.must_follow
+                    if is_own and now_ms - since_ms < OWN_LEAD_MS:
+                        continue
+                    if scope in self._pulled_scopes:
+                        continue
+                    del self._ahead_by_scope[scope]
+                    self._pulled_scopes.add(scope)
+                    tasks.start_soon(self._pull_scope, scope, host)
+                await anyio.sleep(PULL_POLL_MS / clock_lib.MS_PER_SECOND)
+
+    async def _pull_scope(self, scope: data.Scope, host: str) -> None:
+        """Reads a scope from one peer, alone with it meanwhile."""
+        try:
+            await self._pull_from(scope, host)
+        finally:
+            self._pulled_scopes.discard(scope)
 
     async def _pull_from(self, scope: data.Scope, host: str) -> None:
         """Reads a scope from one peer."""
--- a/packages/node/sapphire_node/entry/peer_task_test.py
+++ b/packages/node/sapphire_node/entry/peer_task_test.py
@@ -2,6 +2,7 @@
 import testtools
 
 from sapphire_core.peers import data as peer_data
+from sapphire_core.replication import data as replication_data
 from sapphire_data import clock as clock_lib
 from sapphire_lab.tagged_flows import builders
 from sapphire_lab.tagged_flows import hosts
@@ -46,7 +47,7 @@
 
     def test_a_departure_is_told_at_once(self) -> None:
         self.task._roster.set_listed([self.contact()])
-        self.state.is_leaving = True
+        self.state.leaving.set()
 
         async def main() -> bytes:
             await self.task._tell_departure()
@@ -71,3 +72,32 @@
     def test_what_is_no_beat_is_counted(self) -> None:
         self.task._take(b"noise")
         self.assertEqual(1, self.state.counts["unreadable_beats"])
+
+    def test_a_silent_peer_holds_up_only_the_scope_that_it_is_asked_for(
+        self,
+    ) -> None:
+        self.state.set_must_follow(False)
+        asked: list[replication_data.Scope] = []
+
+        async def ask(scope: replication_data.Scope, host: str) -> None:
+            asked.append(scope)
+            await anyio.sleep_forever()
+
+        self.patch(self.task, "_pull_from", ask)
+
+        async def main() -> None:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.task._pull)
+                beat = builders.beat("edge-2", change=7)
+                self.task._take(peer_messages.encode_beat(beat))
+                for _ in range(100):
+                    await anyio.sleep(0)
+                beat = builders.beat("edge-3", change=8)
+                self.task._take(peer_messages.encode_beat(beat))
+                for _ in range(100):
+                    await anyio.sleep(0)
+                tasks.cancel_scope.cancel()
+
+        anyio.run(main)
+        self.assertEqual(set(replication_data.Scope), set(asked))
+        self.assertEqual(len(replication_data.Scope), len(asked))
