--- /dev/null
+++ b/packages/core/sapphire_core/flow_state/buckets.py
@@ -0,0 +1,79 @@
+"""Flow state in bucket tables and keepers' records, for any fabric."""
+
+import struct
+
+import xxhash
+
+from sapphire_core.flow_state import data
+from sapphire_core.flows import data as bucket_data
+from sapphire_core.flows import router as router_lib
+
+# Address and port of the service, as `service_views.service_key` packs them.
+_ENDPOINT = struct.Struct(">IH")
+_FLOW = struct.Struct(">IIHH")
+
+
+class BucketFlowState:
+    """Decides by the bucket that a flow hashes to.
+
+    Args:
+        router: The routing of this host.
+    """
+
+    def __init__(self, router: router_lib.Router) -> None:
+        self._router = router
+
+    def decide(self, packet: data.FlowPacket, now_ms: int) -> data.Outcome:
+        """See `ports.FlowState`."""
+        key, flow_hash = _key_and_hash(packet)
+        return _outcome(
+            self._router.route(
+                key, flow_hash, packet.is_opening, packet.is_closing, now_ms
+            )
+        )
+
+    def decide_relayed(
+        self,
+        packet: data.FlowPacket,
+        header: bucket_data.RelayHeader,
+        now_ms: int,
+    ) -> data.Outcome:
+        """See `ports.FlowState`."""
+        key, flow_hash = _key_and_hash(packet)
+        return _outcome(
+            self._router.route_relayed(
+                header,
+                key,
+                flow_hash,
+                packet.is_opening,
+                packet.is_closing,
+                now_ms,
+            )
+        )
+
+
+def _key_and_hash(packet: data.FlowPacket) -> tuple[bytes, int]:
+    """Returns the service's key and the flow's hash, as for an IPv4 packet."""
+    flow_id = packet.flow_id
+    flow = _FLOW.pack(
+        flow_id.caller_address,
+        flow_id.service_address,
+        flow_id.caller_port,
+        flow_id.service_port,
+    )
+    key = _ENDPOINT.pack(flow_id.service_address, flow_id.service_port)
+    return key, xxhash.xxh64_intdigest(flow)
+
+
+def _outcome(decision: bucket_data.Decision) -> data.Outcome:
+    """Returns a decision in the terms that all implementations share."""
+    if isinstance(decision, bucket_data.Forward):
+        return data.ToUpstream(decision.upstream.name, 0)
+    if isinstance(decision, bucket_data.Relay):
+        header = bucket_data.RelayHeader(
+            decision.visited, decision.upstream, decision.revision
+        )
+        return data.ToHost(decision.host_id, header)
+    if isinstance(decision, bucket_data.GiveUp):
+        return data.Refused(repr(decision.reason))
+    return data.Unsent(repr(decision.reason))
--- /dev/null
+++ b/packages/lab/sapphire_lab/flow_state/__init__.py
@@ -0,0 +1,1 @@
+"""Fleets of hosts that hold flow state in either way."""
--- /dev/null
+++ b/packages/lab/sapphire_lab/flow_state/fleets.py
@@ -0,0 +1,254 @@
+"""Fleets whose hosts hold flow state in either way, behind one interface."""
+
+import collections
+import random
+from typing import Protocol
+
+from sapphire_core.flow_state import buckets
+from sapphire_core.flow_state import data
+from sapphire_core.flow_state import ports
+from sapphire_core.flow_state import tagged
+from sapphire_core.tagged_flows import data as tagged_data
+from sapphire_core.tagged_flows import steering as steering_lib
+from sapphire_lab.flows import scenario
+from sapphire_lab.flows import world as world_lib
+from sapphire_lab.tagged_flows import builders
+
+SERVICE = "board"
+SERVICE_ADDRESS = 0xC0000201  # 192.0.2.1
+DATA_CENTRE = "tacoma"
+STEP_MS = 100
+MAX_RELAYS = 20
+# The most that a change takes to be in force on all hosts of a fleet.
+SETTLE_MS = 10_000
+
+
+class Fleet(Protocol):
+    """Hosts, upstreams and the operators of one service.
+
+    Attributes:
+        states_by_host: The flow state of each live host.
+    """
+
+    states_by_host: dict[str, ports.FlowState]
+
+    @property
+    def now_ms(self) -> int:
+        """The current time."""
+
+    def start_host(self, host: str) -> None:
+        """Starts a host that knows nothing of open flows."""
+
+    def stop_host(self, host: str) -> None:
+        """Asks a host to stop, and returns when it has."""
+
+    def add_upstream(self) -> str:
+        """Adds an upstream and returns its identity."""
+
+    def drain_upstream(self, upstream_id: str) -> None:
+        """Lets an upstream finish its flows."""
+
+    def settle(self) -> None:
+        """Passes the time after which changes are in force."""
+
+
+class TaggedFleet:
+    """Hosts whose flows carry tags."""
+
+    def __init__(self, seed: int, hosts: int, upstreams: int) -> None:
+        self._now_ms = 100_000
+        self.states_by_host: dict[str, ports.FlowState] = {}
+        self._rng = random.Random(seed)
+        self._steering_by_host: dict[str, steering_lib.Steering] = {}
+        self._upstreams_by_id: dict[str, tagged_data.Upstream] = {}
+        for _ in range(upstreams):
+            self.add_upstream()
+        for number in range(hosts):
+            self.start_host(f"host-{number}")
+
+    @property
+    def now_ms(self) -> int:
+        """The current time."""
+        return self._now_ms
+
+    def start_host(self, host: str) -> None:
+        """See `Fleet`."""
+        steering = steering_lib.Steering(
+            DATA_CENTRE, self._rng, lambda decision: None
+        )
+        route = tagged_data.Route(
+            SERVICE, (tagged_data.ServiceShare(SERVICE, 1),), 1, 0
+        )
+        endpoint = (SERVICE_ADDRESS, builders.SERVICE_PORT)
+        service = tagged_data.Service(SERVICE, 1_000.0, 2_000, 100_000)
+        steering.configure(
+            tagged_data.Configuration(
+                1, {endpoint: route}, {SERVICE: service}, 1_800_000
+            )
+        )
+        self._steering_by_host[host] = steering
+        self.states_by_host[host] = tagged.TaggedFlowState(steering)
+        for upstream in self._upstreams_by_id.values():
+            steering.table.put(upstream, 1, self.now_ms)
+
+    def stop_host(self, host: str) -> None:
+        """See `Fleet`."""
+        del self.states_by_host[host]
+        del self._steering_by_host[host]
+
+    def add_upstream(self) -> str:
+        """See `Fleet`."""
+        upstream_id = f"i-{len(self._upstreams_by_id)}"
+        self._put(builders.upstream(upstream_id, SERVICE, slots=1_000))
+        return upstream_id
+
+    def drain_upstream(self, upstream_id: str) -> None:
+        """See `Fleet`."""
+        self._put(
+            builders.upstream(
+                upstream_id,
+                SERVICE,
+                slots=1_000,
+                state=tagged_data.UpstreamState.DRAINING,
+            )
+        )
+
+    def settle(self) -> None:
+        """See `Fleet`."""
+        for _ in range(SETTLE_MS // STEP_MS):
+            self._now_ms += STEP_MS
+            for steering in self._steering_by_host.values():
+                steering.tick(self.now_ms)
+                steering.sweep(self.now_ms)
+
+    def _put(self, upstream: tagged_data.Upstream) -> None:
+        """Tells all hosts of an upstream."""
+        self._upstreams_by_id[upstream.upstream_id] = upstream
+        for steering in self._steering_by_host.values():
+            steering.table.put(upstream, 1, self.now_ms)
+
+
+class BucketFleet:
+    """Hosts with bucket tables, whose knowledge of each other is uneven."""
+
+    def __init__(self, seed: int, hosts: int, upstreams: int) -> None:
+        self.states_by_host: dict[str, ports.FlowState] = {}
+        self._world = world_lib.World(seed)
+        deployment = scenario.Deployment(
+            "one", (DATA_CENTRE,), {SERVICE: upstreams}, slots=1
+        )
+        self._operator = scenario.Operator(deployment)
+        self._world.commit(self._operator.configuration())
+        for number in range(hosts):
+            self.start_host(f"host-{number}")
+        self.settle()
+
+    @property
+    def now_ms(self) -> int:
+        """The current time."""
+        return self._world.now_ms
+
+    def start_host(self, host: str) -> None:
+        """See `Fleet`."""
+        self._world.join(host, DATA_CENTRE)
+        router = self._world.fabric.routers_by_id[host]
+        self.states_by_host[host] = buckets.BucketFlowState(router)
+
+    def stop_host(self, host: str) -> None:
+        """See `Fleet`."""
+        self._world.leave(host)
+        while host in self._world.hosts_by_id:
+            self._world.step(STEP_MS)
+        del self.states_by_host[host]
+
+    def add_upstream(self) -> str:
+        """See `Fleet`."""
+        upstream = self._operator.add(SERVICE)
+        self._world.commit(self._operator.configuration())
+        return upstream.name
+
+    def drain_upstream(self, upstream_id: str) -> None:
+        """See `Fleet`."""
+        self._operator.drain(SERVICE, upstream_id, self.now_ms)
+        self._world.commit(self._operator.configuration())
+
+    def settle(self) -> None:
+        """See `Fleet`."""
+        for _ in range(SETTLE_MS // STEP_MS):
+            self._world.step(STEP_MS)
+
+
+class Callers:
+    """Callers whose packets reach hosts at random.
+
+    Attributes:
+        upstream_by_flow: The upstream that opened each flow.
+
+    Args:
+        fleet: The hosts.
+        seed: Decides which host gets a packet.
+    """
+
+    def __init__(self, fleet: Fleet, seed: int) -> None:
+        self._fleet = fleet
+        self._rng = random.Random(seed)
+        self._tag_by_flow: dict[int, int] = {}
+        self.upstream_by_flow: dict[int, str] = {}
+
+    def open(self, count: int) -> collections.Counter[str]:
+        """Opens flows and returns how many each upstream got."""
+        opened: collections.Counter[str] = collections.Counter()
+        for _ in range(count):
+            number = len(self.upstream_by_flow)
+            outcome = self.send(number, is_opening=True)
+            if not isinstance(outcome, data.ToUpstream):
+                raise AssertionError(f"flow {number} was not opened: {outcome}")
+            self.upstream_by_flow[number] = outcome.upstream_id
+            self._tag_by_flow[number] = outcome.tag
+            # The caller takes the upstream's answer and says so.
+            self.send(number)
+            opened[outcome.upstream_id] += 1
+        return opened
+
+    def misplaced(self) -> list[int]:
+        """Sends a packet on each flow; returns the flows that went astray."""
+        return [
+            number
+            for number, upstream_id in self.upstream_by_flow.items()
+            if upstream_id != _upstream_of(self.send(number))
+        ]
+
+    def forget_tags(self) -> None:
+        """Lets callers send packets without tags from now on."""
+        self._tag_by_flow.clear()
+
+    def send(
+        self,
+        number: int,
+        *,
+        is_opening: bool = False,
+        port: int = builders.SERVICE_PORT,
+    ) -> data.Outcome:
+        """Sends a packet to some host and returns its last outcome."""
+        flow_id = tagged_data.FlowId(
+            0x0A000000 + number, 40_000, SERVICE_ADDRESS, port
+        )
+        packet = data.FlowPacket(
+            flow_id, is_opening, False, self._tag_by_flow.get(number, 0)
+        )
+        now_ms = self._fleet.now_ms
+        host = self._rng.choice(sorted(self._fleet.states_by_host))
+        outcome = self._fleet.states_by_host[host].decide(packet, now_ms)
+        for _ in range(MAX_RELAYS):
+            if not isinstance(outcome, data.ToHost):
+                return outcome
+            state = self._fleet.states_by_host[outcome.host_id]
+            outcome = state.decide_relayed(packet, outcome.header, now_ms)
+        raise AssertionError(f"packet relayed {MAX_RELAYS} times")
+
+
+def _upstream_of(outcome: data.Outcome) -> str:
+    """Returns the upstream that got a packet, empty if none did."""
+    if isinstance(outcome, data.ToUpstream):
+        return outcome.upstream_id
+    return ""
