A host that has started asks peers for upstreams that left the registry

Cause: entries lapse while their upstreams are cut off from the store; a host that starts meanwhile finds nothing of them there, and dropped packets of their open flows as of an unknown tag. Peers keep the last values of removed keys for 30 s and tell them once.

--- a/packages/core/sapphire_core/replication/replica.py
+++ b/packages/core/sapphire_core/replication/replica.py
@@ -2,7 +2,8 @@
 
 from sapphire_core.replication import data
 
-# Removed keys are remembered for peers that are behind by less than this.
+# Removed keys are remembered for peers that are behind by less than this, and
+# for the flows of upstreams that have left the registry.
 TOMBSTONE_LIFE_MS = 30_000
 
 
@@ -21,6 +22,8 @@
     def __init__(self) -> None:
         self._items_by_key: dict[str, data.Item] = {}
         self._removed_ms_by_key: dict[str, int] = {}
+        # The last values of keys that were removed.
+        self._former_by_key: dict[str, data.Item] = {}
         self._complete_from = 0
         self.as_of = 0
         self.last_change = 0
@@ -38,6 +41,16 @@
         """Returns an item, None if it never existed or was forgotten."""
         return self._items_by_key.get(key)
 
+    def removed(self) -> data.Batch:
+        """Returns the last values of keys that were removed lately.
+
+        Flows of removed upstreams may be open; a host that has just started
+        finds nothing of them in the store.
+        """
+        return data.Batch(
+            tuple(self._former_by_key.values()), self.as_of, False
+        )
+
     def apply(self, batch: data.Batch, now_ms: int) -> list[data.Item]:
         """Takes what a source tells.
 
@@ -87,6 +100,7 @@
             if now_ms - removed_ms < TOMBSTONE_LIFE_MS:
                 continue
             del self._removed_ms_by_key[key]
+            self._former_by_key.pop(key, None)
             item = self._items_by_key.pop(key)
             self._complete_from = max(self._complete_from, item.revision)
 
@@ -103,11 +117,20 @@
             return False
         self._items_by_key[item.key] = item
         if item.value is None:
-            self._removed_ms_by_key[item.key] = now_ms
+            self._note_removed(known, now_ms)
         else:
             self._removed_ms_by_key.pop(item.key, None)
+            self._former_by_key.pop(item.key, None)
         return True
 
+    def _note_removed(self, former: data.Item | None, now_ms: int) -> None:
+        """Keeps the last value of a key that was removed."""
+        if former is None:
+            return
+        self._removed_ms_by_key[former.key] = now_ms
+        if former.value is not None:
+            self._former_by_key[former.key] = former
+
     def _remove_missing(
         self, batch: data.Batch, now_ms: int
     ) -> list[data.Item]:
@@ -121,6 +144,6 @@
                 continue
             tombstone = data.Item(key, batch.as_of, None)
             self._items_by_key[key] = tombstone
-            self._removed_ms_by_key[key] = now_ms
+            self._note_removed(item, now_ms)
             removed.append(tombstone)
         return removed
--- a/packages/core/sapphire_core/replication/replica_test.py
+++ b/packages/core/sapphire_core/replication/replica_test.py
@@ -87,3 +87,36 @@
         self.assertEqual((40, 1), (copy.as_of, copy.last_change))
         copy.apply(data.Batch((), 50, False), 0)
         self.assertEqual((50, 1), (copy.as_of, copy.last_change))
+
+
+class RemovedTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.copy = replica.Replica()
+        full = batch(item("a", 1, b"old"), item("b", 2), as_of=2, is_full=True)
+        self.copy.apply(full, 0)
+
+    def test_the_last_value_of_a_removed_key_is_kept(self) -> None:
+        self.copy.apply(batch(item("a", 3, b"new"), as_of=3), 0)
+        self.copy.apply(batch(item("a", 4, None), as_of=4), 0)
+        self.assertEqual((item("a", 3, b"new"),), self.copy.removed().items)
+
+    def test_keys_that_a_full_read_no_longer_has_are_kept(self) -> None:
+        self.copy.apply(batch(item("b", 2), as_of=5, is_full=True), 0)
+        self.assertEqual((item("a", 1, b"old"),), self.copy.removed().items)
+
+    def test_a_key_that_came_back_is_not_removed(self) -> None:
+        self.copy.apply(batch(item("a", 4, None), as_of=4), 0)
+        self.copy.apply(batch(item("a", 5), as_of=5), 0)
+        self.assertEqual((), self.copy.removed().items)
+
+    def test_removed_keys_are_forgotten_in_the_end(self) -> None:
+        self.copy.apply(batch(item("a", 4, None), as_of=4), 0)
+        self.copy.forget_old(replica.TOMBSTONE_LIFE_MS - 1)
+        self.assertEqual(1, len(self.copy.removed().items))
+        self.copy.forget_old(replica.TOMBSTONE_LIFE_MS)
+        self.assertEqual((), self.copy.removed().items)
+
+    def test_the_removal_of_an_unknown_key_keeps_nothing(self) -> None:
+        self.copy.apply(batch(item("c", 4, None), as_of=4), 0)
+        self.assertEqual((), self.copy.removed().items)
--- a/packages/node/sapphire_node/entry/follower.py
+++ b/packages/node/sapphire_node/entry/follower.py
@@ -34,7 +34,7 @@
 }
 
 BatchSender = anyio.streams.memory.MemoryObjectSendStream[
-    messages.BatchReceived
+    messages.BatchReceived | messages.RemovedRead
 ]
 
 
--- a/packages/node/sapphire_node/entry/follower_test.py
+++ b/packages/node/sapphire_node/entry/follower_test.py
@@ -94,7 +94,7 @@
 
         async def main() -> None:
             batches, received = anyio.create_memory_object_stream[
-                messages.BatchReceived
+                messages.BatchReceived | messages.RemovedRead
             ](100)
             task = follower.Follower(
                 data.Scope.INTENT,
--- a/packages/node/sapphire_node/entry/host.py
+++ b/packages/node/sapphire_node/entry/host.py
@@ -80,7 +80,7 @@
         store=f"{settings.store_address[0]}:{settings.store_address[1]}",
     )
     batches, received_batches = anyio.create_memory_object_stream[
-        messages.BatchReceived
+        messages.BatchReceived | messages.RemovedRead
     ](math.inf)
     changes, received_changes = anyio.create_memory_object_stream[
         messages.ChangesLearned | messages.PeersSeen
--- a/packages/node/sapphire_node/entry/knowledge.py
+++ b/packages/node/sapphire_node/entry/knowledge.py
@@ -9,6 +9,7 @@
 from sapphire_core.peers import data as peer_data
 from sapphire_core.replication import data
 from sapphire_core.replication import replica
+from sapphire_core.tagged_flows import data as flow_data
 from sapphire_data import clock as clock_lib
 from sapphire_data import failures
 from sapphire_net import event_log
@@ -28,7 +29,7 @@
 _NOT_FOUND = 404
 
 BatchReceiver = anyio.streams.memory.MemoryObjectReceiveStream[
-    messages.BatchReceived
+    messages.BatchReceived | messages.RemovedRead
 ]
 ChangeSender = anyio.streams.memory.MemoryObjectSendStream[
     messages.ChangesLearned | messages.PeersSeen
@@ -76,6 +77,9 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(http1.serve_at, address, self._answer)
             async for message in self._batches:
+                if isinstance(message, messages.RemovedRead):
+                    await self._take_removed(message)
+                    continue
                 await self._take(message)
 
     async def _take(self, message: messages.BatchReceived) -> None:
@@ -103,6 +107,38 @@
         )
         await self._peers.send(messages.NewsHeld(scope))
 
+    async def _take_removed(self, message: messages.RemovedRead) -> None:
+        """Passes on what left a scope before this host started.
+
+        Flows to upstreams among it may be open. They are learned and removed
+        in one step, so that they get nothing new.
+        """
+        copy = self._replicas_by_scope[message.scope]
+        changes: list[messages.KnownChange] = []
+        unknown = [
+            item
+            for item in message.batch.items
+            if copy.get(item.key) is None and item.revision <= copy.as_of
+        ]
+        for known in self._read(unknown):
+            if not isinstance(known.change, flow_data.UpstreamChange):
+                continue
+            removal = flow_data.UpstreamRemoval(
+                known.change.upstream.upstream_id
+            )
+            changes.append(known)
+            changes.append(messages.KnownChange(removal, copy.as_of))
+        if not copy.is_complete or not changes:
+            return
+        await self._changes.send(
+            messages.ChangesLearned(
+                message.scope,
+                tuple(changes),
+                self._may_return(self._clock.now_ms()),
+                message.source,
+            )
+        )
+
     def _read(self, news: list[data.Item]) -> list[messages.KnownChange]:
         """Returns what items mean; those that cannot be read are left out."""
         learned: list[messages.KnownChange] = []
@@ -137,12 +173,14 @@
 
     async def _answer(self, method: str, path: str) -> http1.Response:
         """Answers a peer that lacks something."""
-        asked = peer_task.path_of(path)
+        asked = peer_task.question_of(path)
         if method != "GET" or asked is None:
             return http1.Response(_NOT_FOUND, b"")
-        scope, after = asked
-        copy = self._replicas_by_scope[scope]
+        copy = self._replicas_by_scope[asked.scope]
         if not copy.is_complete:
             return http1.Response(_NOT_FOUND, b"")
-        body = peer_messages.encode_batch(copy.changes_after(after))
-        return http1.Response(_OK, body)
+        if asked.after is None:
+            batch = copy.removed()
+        else:
+            batch = copy.changes_after(asked.after)
+        return http1.Response(_OK, peer_messages.encode_batch(batch))
--- a/packages/node/sapphire_node/entry/messages.py
+++ b/packages/node/sapphire_node/entry/messages.py
@@ -23,6 +23,21 @@
     source: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RemovedRead:
+    """A peer has told what left a scope before this host started.
+
+    Attributes:
+        scope: The scope.
+        batch: The last values of removed keys.
+        source: Who told it, for logs.
+    """
+
+    scope: replication_data.Scope
+    batch: replication_data.Batch
+    source: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class KnownChange:
     """A change that this host has learned of.
--- a/packages/node/sapphire_node/entry/peer_task.py
+++ b/packages/node/sapphire_node/entry/peer_task.py
@@ -5,6 +5,7 @@
 a peer over HTTP.
 """
 
+import dataclasses
 import logging
 import random
 
@@ -40,6 +41,9 @@
 PULL_TIMEOUT_MS = 1_000
 PULL_POLL_MS = 20
 ITEMS_PATH = "/items"
+REMOVED_PATH = "/removed"
+# How many peers a host that has just started asks for what left the registry.
+REMOVED_PEERS = 2
 _OK = 200
 
 Inbox = anyio.streams.memory.MemoryObjectReceiveStream[
@@ -87,6 +91,8 @@
         # Since when a peer is known to be ahead, and which one, by scope.
         self._ahead_by_scope: dict[data.Scope, tuple[int, str]] = {}
         self._is_behind = anyio.Event()
+        self._new_peers: set[str] = set()
+        self._has_new_peer = anyio.Event()
         # The scopes that are being read from a peer.
         self._pulled_scopes: set[data.Scope] = set()
         self._socket = datagrams.open_socket((contact.address, contact.port))
@@ -99,6 +105,7 @@
                 tasks.start_soon(self._pull)
                 tasks.start_soon(self._listen)
                 tasks.start_soon(self._tell_departure)
+                tasks.start_soon(self._read_removed)
                 await datagrams.read_all(
                     self._socket,
                     peer_messages.MAX_BEAT_BYTES,
@@ -239,6 +246,8 @@
                 data_centre=beat.contact.data_centre,
                 start_id=beat.start_id,
             )
+            self._new_peers.add(beat.contact.host)
+            self._has_new_peer.set()
             # The fabric spreads a data centre's flows over its own hosts.
             self._has_shifted |= self._is_near(beat.contact)
             # It may know of nobody yet.
@@ -289,18 +298,50 @@
 
     async def _pull_from(self, scope: data.Scope, host: str) -> None:
         """Reads a scope from one peer."""
+        after = self._state.as_of_by_scope.get(scope, 0)
+        path = f"{ITEMS_PATH}/{scope.value}/{after}"
+        batch = await self._ask(host, scope, path)
+        if batch is not None:
+            await self._batches.send(messages.BatchReceived(scope, batch, host))
+
+    async def _read_removed(self) -> None:
+        """Reads from a few peers what left the registry before the start.
+
+        Peers that have just started too have nothing to tell, so more than
+        one is asked.
+        """
+        scope = data.Scope.REGISTRY
+        path = f"{REMOVED_PATH}/{scope.value}"
+        await self._state.settle()
+        while scope not in self._state.as_of_by_scope:
+            # What was removed says little before what is there is known.
+            await anyio.sleep(PULL_POLL_MS / clock_lib.MS_PER_SECOND)
+        asked: set[str] = set()
+        while len(asked) < REMOVED_PEERS:
+            await self._has_new_peer.wait()
+            self._has_new_peer = anyio.Event()
+            for host in self._new_peers - asked:
+                asked.add(host)
+                batch = await self._ask(host, scope, path)
+                if batch is not None:
+                    await self._batches.send(
+                        messages.RemovedRead(scope, batch, host)
+                    )
+
+    async def _ask(
+        self, host: str, scope: data.Scope, path: str
+    ) -> data.Batch | None:
+        """Asks one peer for items; None, with a log line, without answer."""
         contact = self._roster.contact(host)
         if contact is None:
-            return
-        after = self._state.as_of_by_scope.get(scope, 0)
+            return None
         client = http1.Client((contact.address, contact.port))
-        path = f"{ITEMS_PATH}/{scope.value}/{after}"
         response = await client.call("GET", path, PULL_TIMEOUT_MS)
         await client.close()
         if isinstance(response, http1.CallFailure):
             self._state.counts["pull_failures"] += 1
             event_log.log_failure(_LOG, "pull_failed", response, peer=host)
-            return
+            return None
         if response.status != _OK:
             self._state.counts["pull_failures"] += 1
             event_log.log(
@@ -311,26 +352,41 @@
                 scope=scope.name,
                 status=response.status,
             )
-            return
+            return None
         batch = peer_messages.decode_batch(response.body)
         if isinstance(batch, failures.Failure):
             self._state.counts["pull_failures"] += 1
             event_log.log_failure(_LOG, "pull_failed", batch, peer=host)
-            return
-        await self._batches.send(messages.BatchReceived(scope, batch, host))
+            return None
+        return batch
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Question:
+    """What a peer asks for.
+
+    Attributes:
+        scope: The scope.
+        after: The revision that it knows; None if it asks for what was removed.
+    """
+
+    scope: data.Scope
+    after: int | None
 
 
-def path_of(path: str) -> tuple[data.Scope, int] | None:
+def question_of(path: str) -> Question | None:
     """Reads the path of a peer's question; None if it is none.
 
     Args:
         path: Such as `/items/1/530`: a scope, and the revision that the peer
-            knows.
+            knows; or `/removed/2`: a scope.
     """
-    parts = path.removeprefix(f"{ITEMS_PATH}/").split("/")
-    numbers = [int(part) for part in parts if part.isdecimal()]
-    scope_number, after = (*numbers, 0, 0)[:2]
-    known = {scope.value: scope for scope in data.Scope}
-    if len(parts) != len(numbers) or scope_number not in known:
-        return None
-    return known[scope_number], after
+    known = {str(scope.value): scope for scope in data.Scope}
+    match path.split("/"):
+        case ["", "items", scope, after] if (
+            scope in known and after.isdecimal()
+        ):
+            return Question(known[scope], int(after))
+        case ["", "removed", scope] if scope in known:
+            return Question(known[scope], None)
+    return None
--- a/packages/node/sapphire_node/entry/peer_task_test.py
+++ b/packages/node/sapphire_node/entry/peer_task_test.py
@@ -1,4 +1,7 @@
+import dataclasses
+
 import anyio
+import anyio.abc
 import testtools
 
 from sapphire_core.peers import data as peer_data
@@ -7,6 +10,7 @@
 from sapphire_lab.tagged_flows import builders
 from sapphire_lab.tagged_flows import hosts
 from sapphire_net import datagrams
+from sapphire_net import http1
 from sapphire_node.entry import messages
 from sapphire_node.entry import peer_task
 from sapphire_wire import peer_messages
@@ -14,7 +18,7 @@
 ANY_ADDRESS = ("127.0.0.1", 0)
 
 
-class PeerTaskTest(testtools.TestCase):
+class PeerTaskBench(testtools.TestCase):
     def setUp(self) -> None:
         super().setUp()
         self.clock = clock_lib.ManualClock(1_000)
@@ -23,7 +27,7 @@
             messages.HostsListed | messages.NewsHeld | messages.UpstreamsSeen
         ](10)
         batches, self.batches = anyio.create_memory_object_stream[
-            messages.BatchReceived
+            messages.BatchReceived | messages.RemovedRead
         ](10)
         seen, self.seen = anyio.create_memory_object_stream[messages.PeersSeen](
             10
@@ -45,6 +49,8 @@
         address, port = self.peer.getsockname()
         return peer_data.Contact("edge-2", builders.DATA_CENTRE, address, port)
 
+
+class PeerTaskTest(PeerTaskBench):
     def test_a_departure_is_told_at_once(self) -> None:
         self.task._roster.set_listed([self.contact()])
         self.state.leaving.set()
@@ -101,3 +107,57 @@
         anyio.run(main)
         self.assertEqual(set(replication_data.Scope), set(asked))
         self.assertEqual(len(replication_data.Scope), len(asked))
+
+
+class RemovedTest(PeerTaskBench):
+    """A host that has just started asks for what left the registry."""
+
+    def run_beside(self, answer: http1.Answer) -> list[str]:
+        """Lets a peer that serves be heard; returns who told of what."""
+        self.state.as_of_by_scope[replication_data.Scope.REGISTRY] = 9
+
+        async def main() -> list[str]:
+            async with anyio.create_task_group() as tasks:
+                listener = await anyio.create_tcp_listener(
+                    local_host=ANY_ADDRESS[0]
+                )
+                port = listener.extra(anyio.abc.SocketAttribute.local_port)
+                tasks.start_soon(http1.serve, listener, answer)
+                tasks.start_soon(self.task._read_removed)
+                beat = builders.beat("edge-2")
+                contact = dataclasses.replace(beat.contact, port=port)
+                beat = dataclasses.replace(beat, contact=contact)
+                self.task._take(peer_messages.encode_beat(beat))
+                message = await self.batches.receive()
+                tasks.cancel_scope.cancel()
+            assert isinstance(message, messages.RemovedRead)
+            return [item.key for item in message.batch.items]
+
+        return anyio.run(main)
+
+    def test_a_peer_is_asked(self) -> None:
+        paths: list[str] = []
+
+        async def answer(method: str, path: str) -> http1.Response:
+            paths.append(path)
+            batch = builders.batch(builders.item("a", 4), as_of=9)
+            return http1.Response(200, peer_messages.encode_batch(batch))
+
+        self.assertEqual(["a"], self.run_beside(answer))
+        self.assertEqual(["/removed/2"], paths)
+
+
+class QuestionTest(testtools.TestCase):
+    def test_questions_are_read(self) -> None:
+        registry = replication_data.Scope.REGISTRY
+        for path, expected in (
+            ("/items/2/530", peer_task.Question(registry, 530)),
+            ("/removed/2", peer_task.Question(registry, None)),
+            ("/items/2", None),
+            ("/items/2/x", None),
+            ("/items/9/1", None),
+            ("/removed/9", None),
+            ("/removed/2/1", None),
+            ("/", None),
+        ):
+            self.assertEqual(expected, peer_task.question_of(path))
