Former upstreams get nothing new and no resets; the registry is read less often

What a peer tells of removed entries says nothing of why they left: an entry that lapsed with the store must not count as a death (a reset of a living flow), and a host that starts after an outage must not send new flows to it. Former upstreams are a change of their own; whoever has their address now keeps it.

--- a/packages/core/sapphire_core/tagged_flows/data.py
+++ b/packages/core/sapphire_core/tagged_flows/data.py
@@ -210,11 +210,37 @@
     upstream_id: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class FormerUpstream:
+    """An upstream left the registry before this host knew of it.
+
+    Attributes:
+        upstream: Its last report.
+    """
+
+    upstream: Upstream
+
+
 Change = (
-    ConfigurationChange | DataCentreChange | UpstreamChange | UpstreamRemoval
+    ConfigurationChange
+    | DataCentreChange
+    | UpstreamChange
+    | UpstreamRemoval
+    | FormerUpstream
 )
 
 
+class RemovalCause(enum.Enum):
+    """Why the entry of an upstream is no longer in the registry."""
+
+    # The upstream has ended, or is to be treated so.
+    LEFT = "left"
+    # It may have lapsed only because the registry was away.
+    REGISTRY_AWAY = "registry_away"
+    # It was removed before this host started.
+    UNKNOWN = "unknown"
+
+
 class Verdict(enum.StrEnum):
     """What happened to a packet, as logs and counters name it."""
 
--- a/packages/core/sapphire_core/tagged_flows/lost_flows.py
+++ b/packages/core/sapphire_core/tagged_flows/lost_flows.py
@@ -17,6 +17,7 @@
 upstream looks the same as its death; the caller cannot go on there either.
 """
 
+from sapphire_core.tagged_flows import data
 from sapphire_core.tagged_flows import flow_records
 from sapphire_core.tagged_flows import upstream_table
 
@@ -52,6 +53,8 @@
 
 def _has_left(entry: upstream_table.Entry, now_ms: int) -> bool:
     """Whether an upstream has left the registry of itself."""
-    if entry.removed_ms is None or entry.usable_until_ms > 0:
+    if entry.removed_ms is None:
+        return False
+    if entry.removal_cause is not data.RemovalCause.LEFT:
         return False
     return now_ms - entry.removed_ms >= REMOVED_MS
--- a/packages/core/sapphire_core/tagged_flows/lost_flows_test.py
+++ b/packages/core/sapphire_core/tagged_flows/lost_flows_test.py
@@ -84,18 +84,29 @@
         self.assertIsInstance(action, data.Forward)
 
     def test_an_upstream_that_left_the_registry_is_told_sooner(self) -> None:
-        self.steering.table.remove("i-1", 0, may_return=False)
+        self.steering.table.remove("i-1", 0, data.RemovalCause.LEFT)
         self.assertIsInstance(self.send(1_000), data.Forward)
         self.assertIsInstance(self.send(1_200), data.Reset)
 
     def test_an_entry_that_lapsed_with_the_store_is_no_sign_of_death(
         self,
     ) -> None:
-        self.steering.table.remove("i-1", 0, may_return=True)
+        self.steering.table.remove("i-1", 0, data.RemovalCause.REGISTRY_AWAY)
         for now_ms in COPIES_MS:
             action = self.send(1_000 + now_ms)
             self.assertIsInstance(action, data.Forward)
 
+    def test_an_entry_that_was_removed_before_the_start_is_no_sign_of_death(
+        self,
+    ) -> None:
+        former = builders.upstream("i-9")
+        entry = self.steering.table.put_former(former, 1, 0)
+        assert entry is not None
+        for now_ms in COPIES_MS:
+            packet = builders.packet(9, tag=entry.tag)
+            action = self.steering.handle(packet, 1_000 + now_ms)
+            self.assertIsInstance(action, data.Forward)
+
     def test_a_draining_upstream_keeps_its_flows(self) -> None:
         draining = builders.upstream("i-1", state=data.UpstreamState.DRAINING)
         self.steering.table.put(draining, 9, 0)
--- a/packages/core/sapphire_core/tagged_flows/steering_test.py
+++ b/packages/core/sapphire_core/tagged_flows/steering_test.py
@@ -245,7 +245,7 @@
         self.assertEqual("i-1", self.handle(tag))
         self.steering.configure(builders.configuration(2, ("other",)))
         self.assertEqual("i-1", self.handle(tag))
-        self.steering.table.remove("i-1", 0, may_return=False)
+        self.steering.table.remove("i-1", 0, data.RemovalCause.LEFT)
         self.assertEqual("i-1", self.handle(tag))
 
     def test_a_tag_that_no_one_wrote_goes_nowhere(self) -> None:
@@ -254,7 +254,7 @@
 
     def test_a_flow_whose_address_was_reused_is_ended_at_once(self) -> None:
         upstream = builders.upstream("i-1")
-        self.steering.table.remove("i-1", 0, may_return=False)
+        self.steering.table.remove("i-1", 0, data.RemovalCause.LEFT)
         other = builders.upstream("i-9", "intake", address=upstream.address)
         self.steering.table.put(other, 9, 2_000)
         packet = builders.packet(1, tag=tags.tag_of("i-1"))
--- a/packages/core/sapphire_core/tagged_flows/upstream_table.py
+++ b/packages/core/sapphire_core/tagged_flows/upstream_table.py
@@ -24,6 +24,7 @@
             with one tag, the first keeps it.
         cold_until_ms: When it is warm.
         removed_ms: When it left the registry; None while it is there.
+        removal_cause: Why it left; None while it is there.
         usable_until_ms: Until when it gets new flows though it was removed.
         is_replaced: Whether another upstream has its address.
         alive_ms: When this host last saw that it sends; None if never.
@@ -34,6 +35,7 @@
     order: int
     cold_until_ms: int
     removed_ms: int | None = None
+    removal_cause: data.RemovalCause | None = None
     usable_until_ms: int = 0
     is_replaced: bool = False
     alive_ms: int | None = None
@@ -106,6 +108,7 @@
         members = self._by_service.setdefault(upstream.service, {})
         members[upstream.upstream_id] = entry
         entry.removed_ms = None
+        entry.removal_cause = None
         entry.is_replaced = False
         self.by_id[upstream.upstream_id] = entry
         holder = self._by_tag.setdefault(entry.tag, entry)
@@ -114,16 +117,48 @@
         self._take_address(entry)
         return entry if is_new_start else None
 
+    def put_former(
+        self, upstream: data.Upstream, revision: int, now_ms: int
+    ) -> Entry | None:
+        """Takes an upstream that left the registry before it was known here.
+
+        It gets nothing new. What is known of others counts for more than its
+        last report.
+
+        Args:
+            upstream: Its last report.
+            revision: The revision of the registry at that report.
+            now_ms: The current time.
+
+        Returns:
+            The entry if it was unknown, else None.
+        """
+        if upstream.upstream_id in self.by_id:
+            return None
+        entry = Entry(
+            upstream,
+            tags.tag_of(upstream.upstream_id),
+            revision,
+            now_ms,
+            removed_ms=now_ms,
+            removal_cause=data.RemovalCause.UNKNOWN,
+            usable_until_ms=now_ms,
+        )
+        self.by_id[upstream.upstream_id] = entry
+        self._by_tag.setdefault(entry.tag, entry)
+        holder = self._by_address.setdefault(upstream.address, entry)
+        entry.is_replaced = holder is not entry
+        return entry
+
     def remove(
-        self, upstream_id: str, now_ms: int, *, may_return: bool
+        self, upstream_id: str, now_ms: int, cause: data.RemovalCause
     ) -> Entry | None:
         """Notes that an upstream has left the registry.
 
         Args:
             upstream_id: The upstream.
             now_ms: The current time.
-            may_return: Whether its entry may have lapsed only because the
-                registry was away.
+            cause: Why.
 
         Returns:
             The entry if it was in the registry before, else None.
@@ -132,7 +167,10 @@
         if entry is None or entry.removed_ms is not None:
             return None
         entry.removed_ms = now_ms
-        entry.usable_until_ms = now_ms + LAPSE_GRACE_MS if may_return else 0
+        entry.removal_cause = cause
+        entry.usable_until_ms = now_ms
+        if cause is data.RemovalCause.REGISTRY_AWAY:
+            entry.usable_until_ms += LAPSE_GRACE_MS
         return entry
 
     def forget_old(self, now_ms: int) -> list[str]:
--- a/packages/core/sapphire_core/tagged_flows/upstream_table_test.py
+++ b/packages/core/sapphire_core/tagged_flows/upstream_table_test.py
@@ -45,7 +45,7 @@
         self,
     ) -> None:
         self.table.put(builders.upstream("i-1"), 1, 0)
-        self.table.remove("i-1", 1_000, may_return=False)
+        self.table.remove("i-1", 1_000, data.RemovalCause.LEFT)
         self.assertEqual([], self.takers(1_000))
         self.assertIsNotNone(self.table.by_tag(tags.tag_of("i-1")))
 
@@ -53,7 +53,7 @@
         self,
     ) -> None:
         self.table.put(builders.upstream("i-1"), 1, 0)
-        self.table.remove("i-1", 1_000, may_return=True)
+        self.table.remove("i-1", 1_000, data.RemovalCause.REGISTRY_AWAY)
         self.assertEqual(["i-1"], self.takers(3_000))
         self.assertEqual([], self.takers(3_400))
         self.table.put(builders.upstream("i-1"), 2, 3_500)
@@ -64,7 +64,7 @@
     ) -> None:
         address = ("10.1.0.1", 6080)
         self.table.put(builders.upstream("i-1", address=address), 1, 0)
-        self.table.remove("i-1", 1_000, may_return=True)
+        self.table.remove("i-1", 1_000, data.RemovalCause.REGISTRY_AWAY)
         other = builders.upstream("i-2", "intake", address=address)
         self.table.put(other, 2, 1_100)
         self.assertEqual([], self.takers(1_200))
@@ -76,7 +76,7 @@
         self,
     ) -> None:
         self.table.put(builders.upstream("i-1"), 1, 0)
-        self.table.remove("i-1", 0, may_return=False)
+        self.table.remove("i-1", 0, data.RemovalCause.LEFT)
         self.table.forget_old(upstream_table.FLOW_LIFE_MS - 1)
         self.assertIsNotNone(self.table.by_tag(tags.tag_of("i-1")))
         self.table.forget_old(upstream_table.FLOW_LIFE_MS)
@@ -101,7 +101,7 @@
         with mock.patch.object(tags, "tag_of", return_value=5):
             self.table.put(builders.upstream("i-1"), 1, 0)
             self.table.put(builders.upstream("i-2"), 2, 0)
-            self.table.remove("i-1", 0, may_return=False)
+            self.table.remove("i-1", 0, data.RemovalCause.LEFT)
             self.assertEqual([], self.takers())
             self.table.forget_old(upstream_table.FLOW_LIFE_MS)
         self.assertEqual(["i-2"], self.takers())
@@ -115,3 +115,38 @@
         assert entry is not None
         self.assertTrue(entry.is_cold(2_099))
         self.assertFalse(entry.is_cold(2_100))
+
+
+class FormerUpstreamTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.table = upstream_table.UpstreamTable()
+        self.former = builders.upstream("i-1", address=("10.1.0.1", 6080))
+
+    def test_a_former_upstream_keeps_its_flows_and_gets_no_new_ones(
+        self,
+    ) -> None:
+        entry = self.table.put_former(self.former, 3, 1_000)
+        assert entry is not None
+        self.assertIs(entry, self.table.by_tag(entry.tag))
+        self.assertFalse(entry.is_replaced)
+        self.assertEqual([], self.table.takers("board", 1_000))
+
+    def test_a_former_upstream_that_comes_back_gets_flows(self) -> None:
+        self.table.put_former(self.former, 3, 1_000)
+        self.table.put(self.former, 9, 2_000)
+        self.assertEqual(1, len(self.table.takers("board", 2_000)))
+
+    def test_whoever_has_its_address_now_keeps_it(self) -> None:
+        # Even if its clock says that it started before.
+        heir = builders.upstream("i-2", address=("10.1.0.1", 6080), born_ms=0)
+        self.table.put(heir, 1, 0)
+        entry = self.table.put_former(self.former, 3, 1_000)
+        assert entry is not None
+        self.assertTrue(entry.is_replaced)
+        self.assertFalse(self.table.by_id["i-2"].is_replaced)
+
+    def test_a_former_upstream_is_forgotten_in_the_end(self) -> None:
+        self.table.put_former(self.former, 3, 1_000)
+        late_ms = 1_000 + upstream_table.FLOW_LIFE_MS
+        self.assertEqual(["i-1"], self.table.forget_old(late_ms))
--- a/packages/core/sapphire_core/tagged_flows/waiting_test.py
+++ b/packages/core/sapphire_core/tagged_flows/waiting_test.py
@@ -98,7 +98,7 @@
         for number in range(SLOTS):
             self.begin(number, 0)
         self.bench.open(50, 0, copy=1)
-        self.steering.table.remove("i-1", 5, may_return=False)
+        self.steering.table.remove("i-1", 5, data.RemovalCause.LEFT)
         self.assertEqual(
             [
                 data.Reset(
--- a/packages/node/sapphire_node/entry/follower.py
+++ b/packages/node/sapphire_node/entry/follower.py
@@ -25,7 +25,7 @@
 RETRY_MIN_MS = 50
 RETRY_MAX_MS = 800
 # Changes of upstreams come in swarms; a pause reads several with one call.
-REGISTRY_PAUSE_MS = 250
+REGISTRY_PAUSE_MS = 500
 # The list of hosts is read cheaply; peers hear of a new host from itself.
 HOSTS_PAUSE_MS = 5_000
 _PAUSE_MS_BY_SCOPE = {
--- a/packages/node/sapphire_node/entry/knowledge.py
+++ b/packages/node/sapphire_node/entry/knowledge.py
@@ -101,7 +101,7 @@
             messages.ChangesLearned(
                 scope,
                 tuple(self._read(news)),
-                self._may_return(now_ms),
+                self._removal_cause(now_ms),
                 message.source,
             )
         )
@@ -110,8 +110,7 @@
     async def _take_removed(self, message: messages.RemovedRead) -> None:
         """Passes on what left a scope before this host started.
 
-        Flows to upstreams among it may be open. They are learned and removed
-        in one step, so that they get nothing new.
+        Flows to upstreams among it may be open.
         """
         copy = self._replicas_by_scope[message.scope]
         changes: list[messages.KnownChange] = []
@@ -123,18 +122,15 @@
         for known in self._read(unknown):
             if not isinstance(known.change, flow_data.UpstreamChange):
                 continue
-            removal = flow_data.UpstreamRemoval(
-                known.change.upstream.upstream_id
-            )
-            changes.append(known)
-            changes.append(messages.KnownChange(removal, copy.as_of))
+            former = flow_data.FormerUpstream(known.change.upstream)
+            changes.append(messages.KnownChange(former, known.revision))
         if not copy.is_complete or not changes:
             return
         await self._changes.send(
             messages.ChangesLearned(
                 message.scope,
                 tuple(changes),
-                self._may_return(self._clock.now_ms()),
+                flow_data.RemovalCause.UNKNOWN,
                 message.source,
             )
         )
@@ -153,10 +149,12 @@
             learned.append(messages.KnownChange(change, item.revision))
         return learned
 
-    def _may_return(self, now_ms: int) -> bool:
-        """Whether entries may be missing because the store was away."""
+    def _removal_cause(self, now_ms: int) -> flow_data.RemovalCause:
+        """Returns why entries that are missing now were removed."""
         failed_ms = self._state.last_store_failure_ms
-        return failed_ms is not None and now_ms - failed_ms < UNSTABLE_MS
+        if failed_ms is not None and now_ms - failed_ms < UNSTABLE_MS:
+            return flow_data.RemovalCause.REGISTRY_AWAY
+        return flow_data.RemovalCause.LEFT
 
     def _contacts(self) -> tuple[peer_data.Contact, ...]:
         """Returns the hosts that the store lists."""
--- a/packages/node/sapphire_node/entry/knowledge_test.py
+++ b/packages/node/sapphire_node/entry/knowledge_test.py
@@ -68,11 +68,10 @@
             learned = [known.change for known in told.changes]
         return learned
 
-    def test_removed_upstreams_are_known_but_gone(self) -> None:
+    def test_removed_upstreams_are_known_as_former_ones(self) -> None:
         self.read_store("i-1", as_of=5)
-        upstream, removal = self.hear_removed("i-2")
-        self.assertIsInstance(upstream, flow_data.UpstreamChange)
-        self.assertEqual(flow_data.UpstreamRemoval("i-2"), removal)
+        former = flow_data.FormerUpstream(builders.upstream("i-2"))
+        self.assertEqual([former], self.hear_removed("i-2"))
 
     def test_what_this_host_knows_itself_counts(self) -> None:
         self.read_store("i-1", as_of=5)
--- a/packages/node/sapphire_node/entry/messages.py
+++ b/packages/node/sapphire_node/entry/messages.py
@@ -58,14 +58,13 @@
     Attributes:
         scope: The scope that they belong to.
         changes: The changes, oldest first.
-        may_return: Whether entries may have lapsed only because the registry
-            was away.
+        removal_cause: Why entries were removed, if some were.
         source: Who told them, for logs.
     """
 
     scope: replication_data.Scope
     changes: tuple[KnownChange, ...]
-    may_return: bool
+    removal_cause: flow_data.RemovalCause
     source: str
 
 
--- a/packages/node/sapphire_node/entry/packet_task.py
+++ b/packages/node/sapphire_node/entry/packet_task.py
@@ -229,7 +229,7 @@
             return
         if isinstance(change, data.UpstreamRemoval):
             entry = table.remove(
-                change.upstream_id, now_ms, may_return=message.may_return
+                change.upstream_id, now_ms, message.removal_cause
             )
             if entry is not None:
                 event_log.log(
@@ -238,11 +238,22 @@
                     "upstream_removed",
                     upstream=change.upstream_id,
                     state=entry.upstream.state.value,
-                    may_return=message.may_return,
+                    cause=message.removal_cause.value,
                     revision=known.revision,
                     source=message.source,
                 )
             return
+        if isinstance(change, data.FormerUpstream):
+            table.put_former(change.upstream, known.revision, now_ms)
+            event_log.log(
+                _LOG,
+                logging.INFO,
+                "former_upstream_known",
+                upstream=change.upstream.upstream_id,
+                revision=known.revision,
+                source=message.source,
+            )
+            return
         self._apply_upstream(change.upstream, known.revision, message, now_ms)
 
     def _apply_upstream(
--- a/packages/node/sapphire_node/entry/packet_task_test.py
+++ b/packages/node/sapphire_node/entry/packet_task_test.py
@@ -73,7 +73,9 @@
     ) -> None:
         """Hands the task what this host learned."""
         known = tuple(messages.KnownChange(one, 5) for one in changes)
-        learned = messages.ChangesLearned(scope, known, False, "test")
+        learned = messages.ChangesLearned(
+            scope, known, data.RemovalCause.LEFT, "test"
+        )
 
         async def main() -> None:
             await self.changes.send(learned)
