--- a/packages/lab/sapphire_lab/tagged_flows/measure.py
+++ b/packages/lab/sapphire_lab/tagged_flows/measure.py
@@ -4,6 +4,8 @@
 """
 
 import json
+import logging
+import os
 import random
 import time
 import tracemalloc
@@ -18,6 +20,8 @@
 from sapphire_core.tagged_flows import data
 from sapphire_core.tagged_flows import upstream_table
 from sapphire_lab.tagged_flows import builders
+from sapphire_net import bounded_output
+from sapphire_net import event_log
 from sapphire_wire import peer_messages
 
 UPSTREAMS = 20_000
@@ -28,6 +32,7 @@
 HOSTS = 7_000
 REPORTS = 40
 FLOW_RECORDS = 5_000
+LOG_LINES = 20_000
 
 app = typer.Typer(add_completion=False)
 
@@ -43,6 +48,7 @@
         **_packet_slopes(),
         **_beat_slopes(rng),
         **_replica_slopes(),
+        **_log_slopes(),
     }
     print(json.dumps({"seed": seed, **slopes}, indent=2))
 
@@ -167,5 +173,35 @@
     }
 
 
+def _log_slopes() -> dict[str, float]:
+    """Returns what a log line of an opening costs, and one that is left out."""
+    logger = logging.getLogger("measure")
+    reader, writer = os.pipe()
+    null = os.open(os.devnull, os.O_WRONLY)
+    costs_us: dict[str, float] = {}
+    for name, descriptor in (
+        ("log_line_us", null),
+        ("log_line_us_nobody_reads", writer),
+    ):
+        handler = bounded_output.BoundedHandler(descriptor)
+        event_log.configure_handler("info", handler)
+        begin_s = time.process_time()
+        for number in range(LOG_LINES):
+            event_log.log(
+                logger,
+                logging.INFO,
+                "opened",
+                flow=f"100.64.0.7:{number}-198.18.0.1:443",
+                upstream="i-3f1d2e2499",
+                service="board",
+                copy=0,
+                busy=1.5,
+            )
+        costs_us[name] = _cpu_us(begin_s, LOG_LINES)
+    for descriptor in (reader, writer, null):
+        os.close(descriptor)
+    return costs_us
+
+
 if __name__ == "__main__":
     app()
