--- a/packages/core/sapphire_core/tagged_flows/upstream_table.py
+++ b/packages/core/sapphire_core/tagged_flows/upstream_table.py
@@ -25,7 +25,6 @@
         cold_until_ms: When it is warm.
         removed_ms: When it left the registry; None while it is there.
         removal_cause: Why it left; None while it is there.
-        usable_until_ms: Until when it gets new flows though it was removed.
         is_replaced: Whether another upstream has its address.
         alive_ms: When this host last saw that it sends; None if never.
     """
@@ -36,7 +35,6 @@
     cold_until_ms: int
     removed_ms: int | None = None
     removal_cause: data.RemovalCause | None = None
-    usable_until_ms: int = 0
     is_replaced: bool = False
     alive_ms: int | None = None
 
@@ -50,7 +48,10 @@
             return False
         if self.removed_ms is None:
             return True
-        return now_ms < self.usable_until_ms and not self.is_replaced
+        if self.removal_cause is not data.RemovalCause.REGISTRY_AWAY:
+            return False
+        is_awaited = now_ms - self.removed_ms < LAPSE_GRACE_MS
+        return is_awaited and not self.is_replaced
 
 
 class UpstreamTable:
@@ -142,7 +143,6 @@
             now_ms,
             removed_ms=now_ms,
             removal_cause=data.RemovalCause.UNKNOWN,
-            usable_until_ms=now_ms,
         )
         self.by_id[upstream.upstream_id] = entry
         self._by_tag.setdefault(entry.tag, entry)
@@ -168,9 +168,6 @@
             return None
         entry.removed_ms = now_ms
         entry.removal_cause = cause
-        entry.usable_until_ms = now_ms
-        if cause is data.RemovalCause.REGISTRY_AWAY:
-            entry.usable_until_ms += LAPSE_GRACE_MS
         return entry
 
     def forget_old(self, now_ms: int) -> list[str]:
