--- a/packages/core/sapphire_core/tagged_flows/steering.py
+++ b/packages/core/sapphire_core/tagged_flows/steering.py
@@ -122,6 +122,9 @@
         Returns:
             What to send.
         """
+        if not self.has_pending:
+            # No tick was due before; that is no pause of this host.
+            self._ticked_ms = now_ms
         if packet.is_opening:
             return self._open(packet, now_ms)
         return self._continue(packet, now_ms)
@@ -131,18 +134,10 @@
         """Whether openings wait for an answer or for a free slot."""
         return len(self._openings) > 0 or len(self._waiting) > 0
 
-    def resume(self, now_ms: int) -> None:
-        """Notes that `tick` was not called because nothing was pending.
-
-        Args:
-            now_ms: The current time.
-        """
-        self._ticked_ms = now_ms
-
     def tick(self, now_ms: int) -> list[data.Action]:
         """Sends unanswered openings elsewhere.
 
-        To be called every 10 ms while `has_pending`, after a call of `resume`.
+        To be called every 10 ms while `has_pending`.
 
         Args:
             now_ms: The current time.
--- a/packages/node/sapphire_node/entry/packet_task.py
+++ b/packages/node/sapphire_node/entry/packet_task.py
@@ -114,8 +114,6 @@
 
     def _handle(self, packet: data.Packet, now_ms: int) -> None:
         """Decides about a packet and sees to what it leaves pending."""
-        if not self._steering.has_pending:
-            self._steering.resume(now_ms)
         self._act(self._steering.handle(packet, now_ms))
         if self._steering.has_pending:
             self._pending.set()
