What peers ask is written and read in one place; near hosts and status codes too

Paths were put together in two methods and read by a third that spelled the same words; the roster compared data centres in three places and the peer task in a fourth; four modules held the same status codes.

--- a/packages/core/sapphire_core/peers/roster.py
+++ b/packages/core/sapphire_core/peers/roster.py
@@ -194,6 +194,14 @@
         wait_ms = max(0, better + ahead + 1 - FOLLOWERS) * STEP_IN_MS
         return now_ms - self._lacking_since_ms >= wait_ms
 
+    def is_near(self, contact: data.Contact) -> bool:
+        """Whether a host stands in this host's data centre.
+
+        Args:
+            contact: How the host is reached.
+        """
+        return contact.data_centre == self._own.data_centre
+
     def is_near_host_away(self, now_ms: int) -> bool:
         """Whether another host of this data centre is likely to come back.
 
@@ -206,7 +214,7 @@
         for peer in self._peers_by_host.values():
             if peer.beat is None or peer.heard_ms is None:
                 continue
-            if peer.contact.data_centre != self._own.data_centre:
+            if not self.is_near(peer.contact):
                 continue
             if now_ms - peer.heard_ms > AWAY_LIFE_MS:
                 continue
@@ -222,8 +230,7 @@
         near: list[data.Contact] = []
         far: list[data.Contact] = []
         for contact in contacts:
-            is_near = contact.data_centre == self._own.data_centre
-            (near if is_near else far).append(contact)
+            (near if self.is_near(contact) else far).append(contact)
         far = self._rng.sample(far, min(len(far), REMOTE_RECEIVERS))
         room = MAX_RECEIVERS - len(far)
         return self._rng.sample(near, min(len(near), room)) + far
@@ -236,7 +243,7 @@
         if peer.heard_ms is None:
             return False
         rounds = max(1.0, len(self._peers_by_host) / MAX_RECEIVERS)
-        is_near = peer.contact.data_centre == self._own.data_centre
+        is_near = self.is_near(peer.contact)
         life_ms = CONTACT_LIFE_MS if is_near else FAR_CONTACT_LIFE_MS
         return now_ms - peer.heard_ms <= life_ms * rounds
 
--- a/packages/net/sapphire_net/http1.py
+++ b/packages/net/sapphire_net/http1.py
@@ -23,6 +23,9 @@
 MAX_BODY_BYTES = 8_388_608
 CONNECT_TIMEOUT_MS = 1_000
 SERVER_IDLE_MS = 30_000
+OK = 200
+NOT_FOUND = 404
+UNAVAILABLE = 503
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/node/sapphire_node/entry/knowledge.py
+++ b/packages/node/sapphire_node/entry/knowledge.py
@@ -25,8 +25,6 @@
 # Entries that lapse this soon after a failed call may have lapsed because of
 # the store; the platform calls it stable 4 s after a disruption.
 UNSTABLE_MS = 5_000
-_OK = 200
-_NOT_FOUND = 404
 
 BatchReceiver = anyio.streams.memory.MemoryObjectReceiveStream[
     messages.BatchReceived | messages.RemovedRead
@@ -173,12 +171,12 @@
         """Answers a peer that lacks something."""
         asked = peer_task.question_of(path)
         if method != "GET" or asked is None:
-            return http1.Response(_NOT_FOUND, b"")
+            return http1.Response(http1.NOT_FOUND, b"")
         copy = self._replicas_by_scope[asked.scope]
         if not copy.is_complete:
-            return http1.Response(_NOT_FOUND, b"")
+            return http1.Response(http1.NOT_FOUND, b"")
         if asked.after is None:
             batch = copy.removed()
         else:
             batch = copy.changes_after(asked.after)
-        return http1.Response(_OK, peer_messages.encode_batch(batch))
+        return http1.Response(http1.OK, peer_messages.encode_batch(batch))
--- a/packages/node/sapphire_node/entry/metrics_task.py
+++ b/packages/node/sapphire_node/entry/metrics_task.py
@@ -14,8 +14,6 @@
 from sapphire_node.entry import host_state
 
 PATH = "/metrics"
-_OK = 200
-_NOT_FOUND = 404
 _PREFIX = "sapphirearch.host"
 
 
@@ -43,8 +41,8 @@
     async def answer(self, method: str, path: str) -> http1.Response:
         """Returns the answer to one request."""
         if method != "GET" or path != PATH:
-            return http1.Response(_NOT_FOUND, b"")
-        return http1.Response(_OK, self.render())
+            return http1.Response(http1.NOT_FOUND, b"")
+        return http1.Response(http1.OK, self.render())
 
     def render(self) -> bytes:
         """Returns all metrics in the text format of Prometheus."""
--- a/packages/node/sapphire_node/entry/peer_task.py
+++ b/packages/node/sapphire_node/entry/peer_task.py
@@ -40,11 +40,11 @@
 # Small answers take a few crossings of the network.
 PULL_TIMEOUT_MS = 1_000
 PULL_POLL_MS = 20
-ITEMS_PATH = "/items"
-REMOVED_PATH = "/removed"
 # How many peers a host that has just started asks for what left the registry.
 REMOVED_PEERS = 2
-_OK = 200
+# The first words of the paths by which peers are asked.
+_ITEMS = "items"
+_REMOVED = "removed"
 
 Inbox = anyio.streams.memory.MemoryObjectReceiveStream[
     messages.HostsListed | messages.NewsHeld | messages.UpstreamsSeen
@@ -52,6 +52,42 @@
 SeenSender = anyio.streams.memory.MemoryObjectSendStream[messages.PeersSeen]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Question:
+    """What a host asks a peer for.
+
+    Attributes:
+        scope: The scope.
+        after: The revision that it knows; None if it asks for what was removed.
+    """
+
+    scope: data.Scope
+    after: int | None
+
+    @property
+    def path(self) -> str:
+        """The path, such as `/items/1/530` or `/removed/2`."""
+        if self.after is None:
+            return f"/{_REMOVED}/{self.scope.value}"
+        return f"/{_ITEMS}/{self.scope.value}/{self.after}"
+
+
+def question_of(path: str) -> Question | None:
+    """Reads the path of a peer's question; None if it is none.
+
+    Args:
+        path: The path, as `Question.path` writes it.
+    """
+    scopes = {str(scope.value): scope for scope in data.Scope}
+    match path.split("/"):
+        case ["", kind, scope, after] if kind == _ITEMS and scope in scopes:
+            if after.isdecimal():
+                return Question(scopes[scope], int(after))
+        case ["", kind, scope] if kind == _REMOVED and scope in scopes:
+            return Question(scopes[scope], None)
+    return None
+
+
 class PeerTask:
     """Tells other hosts, hears them, and reads from them what is missing.
 
@@ -158,7 +194,8 @@
         hosts = self._roster.hosts()
         busy, silent_ms = roster_lib.merge_reports(live, hosts - 1)
         has_shifted = self._has_shifted or any(
-            beat.is_leaving and self._is_near(beat.contact) for beat in live
+            beat.is_leaving and self._roster.is_near(beat.contact)
+            for beat in live
         )
         self._has_shifted = False
         # The stream has no bound, so this never waits.
@@ -175,7 +212,7 @@
         receivers = [
             contact
             for contact in self._roster.receivers()
-            if is_far_due or self._is_near(contact)
+            if is_far_due or self._roster.is_near(contact)
         ]
         self._send_to(receivers, self._encoded_beat(self._clock.now_ms()))
 
@@ -218,10 +255,6 @@
                     problem=repr(error),
                 )
 
-    def _is_near(self, contact: peer_data.Contact) -> bool:
-        """Whether a host stands in this host's data centre."""
-        return contact.data_centre == self._contact.data_centre
-
     def _note_socket_error(self, error: OSError) -> None:
         """Notes that a former beat found nobody; its host shows by silence."""
         self._state.counts["peer_socket_errors"] += 1
@@ -249,7 +282,7 @@
             self._new_peers.add(beat.contact.host)
             self._has_new_peer.set()
             # The fabric spreads a data centre's flows over its own hosts.
-            self._has_shifted |= self._is_near(beat.contact)
+            self._has_shifted |= self._roster.is_near(beat.contact)
             # It may know of nobody yet.
             self._send_to([beat.contact], self._encoded_beat(now_ms))
         if beat.is_leaving or self._state.is_near_host_away:
@@ -299,8 +332,7 @@
     async def _pull_from(self, scope: data.Scope, host: str) -> None:
         """Reads a scope from one peer."""
         after = self._state.as_of_by_scope.get(scope, 0)
-        path = f"{ITEMS_PATH}/{scope.value}/{after}"
-        batch = await self._ask(host, scope, path)
+        batch = await self._ask(host, Question(scope, after))
         if batch is not None:
             await self._batches.send(messages.BatchReceived(scope, batch, host))
 
@@ -311,7 +343,7 @@
         one is asked.
         """
         scope = data.Scope.REGISTRY
-        path = f"{REMOVED_PATH}/{scope.value}"
+        question = Question(scope, None)
         await self._state.settle()
         while scope not in self._state.as_of_by_scope:
             # What was removed says little before what is there is known.
@@ -322,34 +354,32 @@
             self._has_new_peer = anyio.Event()
             for host in self._new_peers - asked:
                 asked.add(host)
-                batch = await self._ask(host, scope, path)
+                batch = await self._ask(host, question)
                 if batch is not None:
                     await self._batches.send(
                         messages.RemovedRead(scope, batch, host)
                     )
 
-    async def _ask(
-        self, host: str, scope: data.Scope, path: str
-    ) -> data.Batch | None:
+    async def _ask(self, host: str, question: Question) -> data.Batch | None:
         """Asks one peer for items; None, with a log line, without answer."""
         contact = self._roster.contact(host)
         if contact is None:
             return None
         client = http1.Client((contact.address, contact.port))
-        response = await client.call("GET", path, PULL_TIMEOUT_MS)
+        response = await client.call("GET", question.path, PULL_TIMEOUT_MS)
         await client.close()
         if isinstance(response, http1.CallFailure):
             self._state.counts["pull_failures"] += 1
             event_log.log_failure(_LOG, "pull_failed", response, peer=host)
             return None
-        if response.status != _OK:
+        if response.status != http1.OK:
             self._state.counts["pull_failures"] += 1
             event_log.log(
                 _LOG,
                 logging.WARNING,
                 "pull_refused",
                 peer=host,
-                scope=scope.name,
+                scope=question.scope.name,
                 status=response.status,
             )
             return None
@@ -359,34 +389,3 @@
             event_log.log_failure(_LOG, "pull_failed", batch, peer=host)
             return None
         return batch
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Question:
-    """What a peer asks for.
-
-    Attributes:
-        scope: The scope.
-        after: The revision that it knows; None if it asks for what was removed.
-    """
-
-    scope: data.Scope
-    after: int | None
-
-
-def question_of(path: str) -> Question | None:
-    """Reads the path of a peer's question; None if it is none.
-
-    Args:
-        path: Such as `/items/1/530`: a scope, and the revision that the peer
-            knows; or `/removed/2`: a scope.
-    """
-    known = {str(scope.value): scope for scope in data.Scope}
-    match path.split("/"):
-        case ["", "items", scope, after] if (
-            scope in known and after.isdecimal()
-        ):
-            return Question(known[scope], int(after))
-        case ["", "removed", scope] if scope in known:
-            return Question(known[scope], None)
-    return None
--- a/packages/node/sapphire_node/entry/readiness.py
+++ b/packages/node/sapphire_node/entry/readiness.py
@@ -3,10 +3,6 @@
 from sapphire_net import http1
 from sapphire_node.entry import host_state
 
-_OK = 200
-_NOT_FOUND = 404
-_UNAVAILABLE = 503
-
 
 class Readiness:
     """Answers whether this host takes new flows.
@@ -26,7 +22,7 @@
     async def _answer(self, method: str, path: str) -> http1.Response:
         """Returns the answer to one request."""
         if method != "GET" or path != self._state.settings.readiness_path:
-            return http1.Response(_NOT_FOUND, b"")
+            return http1.Response(http1.NOT_FOUND, b"")
         if self._state.is_ready and not self._state.is_leaving:
-            return http1.Response(_OK, b"")
-        return http1.Response(_UNAVAILABLE, b"")
+            return http1.Response(http1.OK, b"")
+        return http1.Response(http1.UNAVAILABLE, b"")
