--- a/packages/lab/sapphire_lab/config/keeper_test.py
+++ b/packages/lab/sapphire_lab/config/keeper_test.py
@@ -3,7 +3,6 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import contextlib
-import socket
 from typing import Any
 
 import anyio
@@ -18,6 +17,7 @@
 from sapphire_core.configuration import spreading_data
 from sapphire_data import clock
 from sapphire_data import records
+from sapphire_lab import loopback
 from sapphire_lab.config import builders
 from sapphire_lab.stand_ins import store
 from sapphire_lab.stand_ins import store_faults
@@ -36,19 +36,12 @@
 PREFIX = "/test/"
 
 
-def free_port() -> int:
-    """Returns a TCP port that was free a moment ago."""
-    with socket.create_server(("127.0.0.1", 0)) as listener:
-        port: int = listener.getsockname()[1]
-        return port
-
-
 class Host:
     """A keeper with an API port; its notices go straight to its peers."""
 
     def __init__(self, name: str, data_centre: str, base_url: str) -> None:
         self.address = records.HostAddress(
-            name, data_centre, "127.0.0.1", 1, free_port()
+            name, data_centre, "127.0.0.1", 1, loopback.free_port()
         )
         self._to_control, self.control = anyio.create_memory_object_stream[
             messages.ToControl
--- a/packages/node/sapphire_node/entry/packet_task_test.py
+++ b/packages/node/sapphire_node/entry/packet_task_test.py
@@ -1,5 +1,3 @@
-import socket
-
 import anyio
 import testtools
 
@@ -9,6 +7,7 @@
 from sapphire_data import clock as clock_lib
 from sapphire_lab.tagged_flows import builders
 from sapphire_lab.tagged_flows import hosts
+from sapphire_net import datagrams
 from sapphire_node.entry import messages
 from sapphire_node.entry import packet_task
 from sapphire_node.entry import ports
@@ -53,10 +52,8 @@
         super().setUp()
         self.clock = clock_lib.ManualClock(1_000)
         self.state = hosts.state()
-        self.upstream = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.upstream = datagrams.open_socket((LOOPBACK, 0))
         self.addCleanup(self.upstream.close)
-        self.upstream.bind((LOOPBACK, 0))
-        self.upstream.setblocking(False)
         self.changes, received = anyio.create_memory_object_stream[
             messages.ChangesLearned | messages.PeersSeen
         ](10)
@@ -141,9 +138,8 @@
         self,
     ) -> None:
         # The task does not tick while nothing is pending; that is no pause.
-        other = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        other = datagrams.open_socket((LOOPBACK, 0))
         self.addCleanup(other.close)
-        other.bind((LOOPBACK, 0))
         address = (LOOPBACK, other.getsockname()[1])
         self.learn_upstream()
         self.learn_configuration()
--- a/packages/node/sapphire_node/requests/app_test.py
+++ b/packages/node/sapphire_node/requests/app_test.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 import contextlib
 import dataclasses
-import socket
 
 import anyio
 import httpx
@@ -13,6 +12,7 @@
 from testtools import matchers
 
 from sapphire_data import clock
+from sapphire_lab import loopback
 from sapphire_lab.requests import builders
 from sapphire_lab.requests import claim_store_fake
 from sapphire_lab.stand_ins import request_upstream
@@ -23,12 +23,6 @@
 POLL_S = 0.005
 
 
-def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
-
-
 @dataclasses.dataclass
 class Bench:
     port: int
@@ -43,7 +37,9 @@
     upstream = request_upstream.RequestUpstream(service_ms=service_ms)
     store = claim_store_fake.FakeClaimStore()
     host = service.RequestService("h1", store, clock.MonotonicClock())
-    bench = Bench(free_port(), upstream, host, anyio.Event(), anyio.Event())
+    bench = Bench(
+        loopback.free_port(), upstream, host, anyio.Event(), anyio.Event()
+    )
 
     async def serve() -> None:
         app = asgi.RequestApp(host)
