--- a/packages/net/sapphire_net/bounded_output.py
+++ b/packages/net/sapphire_net/bounded_output.py
@@ -10,9 +10,7 @@
 import logging
 import os
 
-import anyio
-
-from sapphire_data import clock
+from sapphire_net import pauses
 
 # At 250 bytes a line this holds about 2,000 lines, several seconds of them.
 MAX_WAITING_BYTES = 524_288
@@ -92,7 +90,7 @@
         try:
             while True:
                 self.write_waiting()
-                await anyio.sleep(FLUSH_INTERVAL_MS / clock.MS_PER_SECOND)
+                await pauses.sleep_ms(FLUSH_INTERVAL_MS)
         finally:
             with contextlib.suppress(OSError):
                 self.write_waiting()
--- a/packages/net/sapphire_net/datagrams.py
+++ b/packages/net/sapphire_net/datagrams.py
@@ -5,7 +5,7 @@
 
 import anyio
 
-from sapphire_data import clock
+from sapphire_net import pauses
 
 # Datagrams read before other tasks get a turn.
 BURST_DATAGRAMS = 64
@@ -54,7 +54,7 @@
     while True:
         await anyio.wait_readable(opened)
         if pause_ms > 0:
-            await anyio.sleep(pause_ms / clock.MS_PER_SECOND)
+            await pauses.sleep_ms(pause_ms)
         for _ in range(BURST_DATAGRAMS):
             try:
                 datagram = opened.recv(max_bytes)
--- a/packages/net/sapphire_net/store/environment.py
+++ b/packages/net/sapphire_net/store/environment.py
@@ -4,17 +4,10 @@
 from collections.abc import Callable
 import dataclasses
 
-import anyio
-
-from sapphire_data import clock
+from sapphire_net import pauses
 from sapphire_net.store import protocol
 
 
-async def sleep_ms(duration_ms: int) -> None:
-    """Waits for a time in milliseconds."""
-    await anyio.sleep(duration_ms / clock.MS_PER_SECOND)
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Environment:
     """The store of an environment and the keys in it.
@@ -27,7 +20,7 @@
 
     store: protocol.Store
     prefix: str
-    sleep_ms: Callable[[int], Awaitable[None]] = sleep_ms
+    sleep_ms: Callable[[int], Awaitable[None]] = pauses.sleep_ms
 
     @property
     def head_key(self) -> str:
--- a/packages/net/sapphire_net/trust/rotation.py
+++ b/packages/net/sapphire_net/trust/rotation.py
@@ -3,10 +3,9 @@
 from collections.abc import Iterable
 import dataclasses
 
-import anyio
 from anyio.streams import memory
 
-from sapphire_data import clock
+from sapphire_net import pauses
 from sapphire_net.trust import failures
 from sapphire_net.trust import keys
 from sapphire_net.trust import tls
@@ -76,7 +75,7 @@
             await events.send(KeysReplaced(polled.ok))
         for context in known_contexts:
             await _poll_context(context, events)
-        await anyio.sleep(interval_ms / clock.MS_PER_SECOND)
+        await pauses.sleep_ms(interval_ms)
 
 
 async def _poll_context(
--- a/packages/node/sapphire_node/entry/announcer.py
+++ b/packages/node/sapphire_node/entry/announcer.py
@@ -2,12 +2,10 @@
 
 import logging
 
-import anyio
-
 from sapphire_core.peers import data as peer_data
 from sapphire_core.replication import data
-from sapphire_data import clock as clock_lib
 from sapphire_net import event_log
+from sapphire_net import pauses
 from sapphire_node.entry import host_state
 from sapphire_node.entry import ports
 from sapphire_wire import peer_messages
@@ -57,7 +55,7 @@
             if failure is not None:
                 self._state.counts["announce_failures"] += 1
                 event_log.log_failure(_LOG, "announce_failed", failure)
-            await anyio.sleep(pause_ms / clock_lib.MS_PER_SECOND)
+            await pauses.sleep_ms(pause_ms)
 
     async def _step(
         self, source: ports.ItemSource
--- a/packages/node/sapphire_node/entry/follower.py
+++ b/packages/node/sapphire_node/entry/follower.py
@@ -9,6 +9,7 @@
 from sapphire_core.replication import data
 from sapphire_data import clock as clock_lib
 from sapphire_net import event_log
+from sapphire_net import pauses
 from sapphire_node.entry import host_state
 from sapphire_node.entry import messages
 from sapphire_node.entry import ports
@@ -97,7 +98,7 @@
                 messages.BatchReceived(self._scope, batch, "store")
             )
             if self._scope is not data.Scope.INTENT:
-                await _sleep_ms(_PAUSE_MS_BY_SCOPE[self._scope])
+                await pauses.sleep_ms(_PAUSE_MS_BY_SCOPE[self._scope])
 
     async def _next_batch(self) -> data.Batch | data.SourceFailure:
         """Reads everything, or waits for the next change."""
@@ -136,7 +137,7 @@
             )
         pause_ms = min(RETRY_MIN_MS << self._failures_in_row, RETRY_MAX_MS)
         self._failures_in_row = min(self._failures_in_row + 1, 8)
-        await _sleep_ms(pause_ms)
+        await pauses.sleep_ms(pause_ms)
 
     def _note_contact(self) -> None:
         """Notes that the store has answered."""
@@ -161,8 +162,3 @@
         self._settings = self._state.settings
         await self._source.close()
         self._source = self._platform.source(self._settings)
-
-
-async def _sleep_ms(pause_ms: int) -> None:
-    """Sleeps for a number of milliseconds."""
-    await anyio.sleep(pause_ms / clock_lib.MS_PER_SECOND)
--- a/packages/node/sapphire_node/entry/host.py
+++ b/packages/node/sapphire_node/entry/host.py
@@ -17,6 +17,7 @@
 from sapphire_data import failures
 from sapphire_net import bounded_output
 from sapphire_net import event_log
+from sapphire_net import pauses
 from sapphire_node.entry import announcer
 from sapphire_node.entry import follower
 from sapphire_node.entry import host_state
@@ -166,7 +167,7 @@
                 waited_ms=now_ms - way_out.told_ms,
                 is_near_host_away=state.is_near_host_away,
             )
-        await anyio.sleep(POLL_MS / clock_lib.MS_PER_SECOND)
+        await pauses.sleep_ms(POLL_MS)
 
 
 async def _follow_settings(
@@ -174,7 +175,7 @@
 ) -> None:
     """Reloads settings that changed without a signal."""
     while True:
-        await anyio.sleep(SETTINGS_POLL_MS / clock_lib.MS_PER_SECOND)
+        await pauses.sleep_ms(SETTINGS_POLL_MS)
         _reload(platform, state, "poll")
 
 
--- a/packages/node/sapphire_node/entry/host_state.py
+++ b/packages/node/sapphire_node/entry/host_state.py
@@ -6,7 +6,7 @@
 import anyio
 
 from sapphire_core.replication import data as replication_data
-from sapphire_data import clock as clock_lib
+from sapphire_net import pauses
 from sapphire_node.entry import ports
 
 # The scopes without which a host cannot place flows.
@@ -120,7 +120,7 @@
         for _ in range(START_MS // START_POLL_MS):
             if self.is_ready:
                 return
-            await anyio.sleep(START_POLL_MS / clock_lib.MS_PER_SECOND)
+            await pauses.sleep_ms(START_POLL_MS)
 
     @property
     def is_following(self) -> bool:
--- a/packages/node/sapphire_node/entry/packet_task.py
+++ b/packages/node/sapphire_node/entry/packet_task.py
@@ -15,6 +15,7 @@
 from sapphire_data import clock as clock_lib
 from sapphire_net import datagrams
 from sapphire_net import event_log
+from sapphire_net import pauses
 from sapphire_node.entry import host_state
 from sapphire_node.entry import messages
 from sapphire_node.entry import ports
@@ -167,7 +168,7 @@
             self._pending = anyio.Event()
             with anyio.move_on_after(SWEEP_MS / clock_lib.MS_PER_SECOND):
                 await self._pending.wait()
-        await anyio.sleep(TICK_MS / clock_lib.MS_PER_SECOND)
+        await pauses.sleep_ms(TICK_MS)
 
     async def _learn(self) -> None:
         """Takes what this host learns."""
--- a/packages/node/sapphire_node/entry/peer_task.py
+++ b/packages/node/sapphire_node/entry/peer_task.py
@@ -21,6 +21,7 @@
 from sapphire_net import datagrams
 from sapphire_net import event_log
 from sapphire_net import http1
+from sapphire_net import pauses
 from sapphire_node.entry import follower
 from sapphire_node.entry import host_state
 from sapphire_node.entry import messages
@@ -181,7 +182,7 @@
                 self._far_beat_ms = now_ms
             self._send_beat(is_far_due=is_far_due)
             self._pass_on(now_ms)
-            await anyio.sleep(BEAT_MS / clock_lib.MS_PER_SECOND)
+            await pauses.sleep_ms(BEAT_MS)
 
     async def _tell_departure(self) -> None:
         """Tells at once that this host leaves; others may wait for it."""
@@ -320,7 +321,7 @@
                     del self._ahead_by_scope[scope]
                     self._pulled_scopes.add(scope)
                     tasks.start_soon(self._pull_scope, scope, host)
-                await anyio.sleep(PULL_POLL_MS / clock_lib.MS_PER_SECOND)
+                await pauses.sleep_ms(PULL_POLL_MS)
 
     async def _pull_scope(self, scope: data.Scope, host: str) -> None:
         """Reads a scope from one peer, alone with it meanwhile."""
@@ -347,7 +348,7 @@
         await self._state.settle()
         while scope not in self._state.as_of_by_scope:
             # What was removed says little before what is there is known.
-            await anyio.sleep(PULL_POLL_MS / clock_lib.MS_PER_SECOND)
+            await pauses.sleep_ms(PULL_POLL_MS)
         asked: set[str] = set()
         while len(asked) < REMOVED_PEERS:
             await self._has_new_peer.wait()
