Transfers are bounded by progress, and peers serve a few at a time

Cause: the timeouts of reads of the store and of pulls from peers bounded a whole response, whatever its size and the rate of the link.

Change: a response has to begin within the timeout; from then on only a pause of 1 s or an average below 256 kbit/s ends it. A host sends three large bodies at a time and refuses further ones at once; a puller asks another peer, near ones first (core.peers.pull_sources). Bodies are compressed once a change, not once a peer.

Ruled out: the store's link (23 hosts read side by side in the time of one).

--- a/packages/core/sapphire_core/peers/peer_table.py
+++ b/packages/core/sapphire_core/peers/peer_table.py
@@ -16,6 +16,8 @@
 import xxhash
 
 from sapphire_core.peers import data
+from sapphire_core.peers import pull_sources
+from sapphire_core.replication import data as replication_data
 
 # How many hosts follow the store. With two, the others get changes without
 # delay while the store rejects one follower, or its connection has stalled.
@@ -155,6 +157,24 @@
             if peer.heartbeat is not None and self._is_live(peer, now_ms)
         ]
 
+    def sources_ahead(
+        self, scope: replication_data.Scope, revision: int, now_ms: int
+    ) -> list[pull_sources.Source]:
+        """Returns the live peers that have newer changes of a scope.
+
+        Args:
+            scope: The scope.
+            revision: The revision of the newest change that this host has.
+            now_ms: The current time.
+        """
+        return [
+            pull_sources.Source(
+                heartbeat.contact, self.is_same_data_centre(heartbeat.contact)
+            )
+            for heartbeat in self.live_heartbeats(now_ms)
+            if heartbeat.revisions.get(scope, 0) > revision
+        ]
+
     def contact(self, host: str) -> data.Contact | None:
         """Returns where a peer is reached, None if it is not known."""
         peer = self._peers_by_host.get(host)
--- a/packages/net/sapphire_net/http1.py
+++ b/packages/net/sapphire_net/http1.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 import dataclasses
 import logging
+import math
 from typing import Any
 
 import anyio
@@ -23,6 +24,13 @@
 MAX_BODY_BYTES = 8_388_608
 CONNECT_TIMEOUT_MS = 1_000
 SERVER_IDLE_TIMEOUT_MS = 30_000
+# A response that has begun may pause for this long between two of its bytes.
+STALL_TIMEOUT_MS = 1_000
+# A response that arrives more slowly than this on average has failed, even if
+# it never pauses.
+MIN_TRANSFER_BYTES_PER_MS = 32
+# Smaller bodies leave a server at once and take no transfer slot.
+MIN_LARGE_BODY_BYTES = 8_192
 OK = 200
 NOT_FOUND = 404
 UNAVAILABLE = 503
@@ -55,7 +63,94 @@
 
 
 class CallTimeout(CallFailure):
-    """No complete response arrived before the timeout."""
+    """No response began before the timeout, or it stalled."""
+
+
+class _TransferDeadline:
+    """The deadline of a response, which moves on while its bytes arrive.
+
+    A response has to begin within a timeout. From then on its size and the rate
+    of the link decide how long it takes, so only a pause or an average rate
+    below `MIN_TRANSFER_BYTES_PER_MS` ends it.
+
+    Args:
+        scope: The cancel scope of the call; its deadline is moved.
+        timeout_ms: How long the first byte may take.
+    """
+
+    def __init__(self, scope: anyio.CancelScope, timeout_ms: int) -> None:
+        self._scope = scope
+        self._first_byte_due_s = anyio.current_time() + (
+            timeout_ms / clock.MS_PER_SECOND
+        )
+        self._received_bytes = 0
+
+    def record_bytes(self, count: int) -> None:
+        """Records that further bytes of the response have arrived.
+
+        Args:
+            count: How many.
+        """
+        self._received_bytes += count
+        earned_ms = self._received_bytes / MIN_TRANSFER_BYTES_PER_MS
+        rate_due_s = self._first_byte_due_s + earned_ms / clock.MS_PER_SECOND
+        stall_due_s = anyio.current_time() + (
+            STALL_TIMEOUT_MS / clock.MS_PER_SECOND
+        )
+        self._scope.deadline = min(rate_due_s, stall_due_s)
+
+    def describe_timeout(self, timeout_ms: int) -> str:
+        """Returns why the call has timed out.
+
+        Args:
+            timeout_ms: How long the first byte had.
+        """
+        if self._received_bytes == 0:
+            return f"no response within {timeout_ms} ms"
+        return f"response stalled after {self._received_bytes} bytes"
+
+
+class TransferSlots:
+    """Bounds how many large bodies a server sends at a time.
+
+    On a narrow link, transfers side by side all end late. A request above the
+    bound gets `UNAVAILABLE` at once, so that its client can ask another server.
+
+    Args:
+        limit: How many large bodies may be sent at a time.
+    """
+
+    def __init__(self, limit: float) -> None:
+        self._limit = limit
+        self._used = 0
+
+    def try_acquire(self, body_bytes: int) -> bool:
+        """Takes a slot for a body, if it needs one.
+
+        Args:
+            body_bytes: The length of the body.
+
+        Returns:
+            Whether the body may be sent; then `release` has to be called.
+        """
+        if body_bytes < MIN_LARGE_BODY_BYTES:
+            return True
+        if self._used >= self._limit:
+            return False
+        self._used += 1
+        return True
+
+    def release(self, body_bytes: int) -> None:
+        """Gives back the slot of a body that was sent, or could not be sent.
+
+        Args:
+            body_bytes: The length of the body.
+        """
+        if body_bytes >= MIN_LARGE_BODY_BYTES:
+            self._used -= 1
+
+
+UNLIMITED_TRANSFERS = TransferSlots(math.inf)
 
 
 class Client:
@@ -86,20 +181,22 @@
         Args:
             method: The HTTP method.
             target: The path and query.
-            timeout_ms: The timeout for connecting, sending and receiving the
-                whole response.
+            timeout_ms: The timeout for connecting, sending and the first byte
+                of the response. The rest may take as long as it arrives
+                steadily, see `STALL_TIMEOUT_MS`.
             body: A JSON body; None for none.
 
         Returns:
             The response, or why there is none.
         """
         is_sent = False
-        with anyio.move_on_after(timeout_ms / clock.MS_PER_SECOND):
+        with anyio.move_on_after(timeout_ms / clock.MS_PER_SECOND) as scope:
+            deadline = _TransferDeadline(scope, timeout_ms)
             try:
                 stream = await self._connect()
                 await stream.send(self._encode(method, target, body))
                 is_sent = True
-                response = await self._read_response(stream)
+                response = await self._read_response(stream, deadline)
             except (OSError, anyio.BrokenResourceError) as error:
                 return await self._close_failed(
                     CallFailure(repr(error), is_sent)
@@ -111,8 +208,8 @@
                 return await self._close_failed(CallFailure(repr(error), True))
             await self._prepare_next_call()
             return response
-        timeout = CallTimeout(f"no response within {timeout_ms} ms", is_sent)
-        return await self._close_failed(timeout)
+        problem = deadline.describe_timeout(timeout_ms)
+        return await self._close_failed(CallTimeout(problem, is_sent))
 
     async def close(self) -> None:
         """Closes the connection; the next call opens another."""
@@ -141,14 +238,18 @@
             encoded += protocol.send(h11.Data(data=body)) or b""
         return encoded + (protocol.send(h11.EndOfMessage()) or b"")
 
-    async def _read_response(self, stream: anyio.abc.ByteStream) -> Response:
+    async def _read_response(
+        self, stream: anyio.abc.ByteStream, deadline: _TransferDeadline
+    ) -> Response:
         """Reads the response to the request that was sent."""
         status = 0
         chunks: list[bytes] = []
         while True:
             event: Any = self._protocol.next_event()
             if event is h11.NEED_DATA:
-                self._protocol.receive_data(await stream.receive(_READ_BYTES))
+                received = await stream.receive(_READ_BYTES)
+                deadline.record_bytes(len(received))
+                self._protocol.receive_data(received)
                 continue
             if isinstance(event, h11.Response):
                 status = event.status_code
@@ -183,19 +284,22 @@
 
 
 async def serve(
-    listener: anyio.abc.Listener[Any], handler: RequestHandler
+    listener: anyio.abc.Listener[Any],
+    handler: RequestHandler,
+    transfer_slots: TransferSlots = UNLIMITED_TRANSFERS,
 ) -> None:
     """Serves requests until cancelled; request bodies are ignored.
 
     Args:
         listener: The bound listener.
         handler: Returns the response to a method and a path without query.
+        transfer_slots: Bounds the large bodies sent at a time.
     """
 
     async def handle(stream: anyio.abc.ByteStream) -> None:
         async with stream:
             try:
-                await _serve_connection(stream, handler)
+                await _serve_connection(stream, handler, transfer_slots)
             except anyio.EndOfStream:
                 # The client has closed the connection.
                 return
@@ -215,7 +319,9 @@
 
 
 async def listen_and_serve(
-    address: tuple[str, int], handler: RequestHandler
+    address: tuple[str, int],
+    handler: RequestHandler,
+    transfer_slots: TransferSlots = UNLIMITED_TRANSFERS,
 ) -> None:
     """Listens and serves requests until cancelled.
 
@@ -224,6 +330,7 @@
     Args:
         address: The IPv4 address and port to listen on.
         handler: Returns the response to a method and a path without query.
+        transfer_slots: Bounds the large bodies sent at a time.
 
     Raises:
         OSError: The address is not this machine's, or is in use.
@@ -232,37 +339,75 @@
         local_host=address[0], local_port=address[1]
     )
     async with listener:
-        await serve(listener, handler)
+        await serve(listener, handler, transfer_slots)
 
 
 async def _serve_connection(
-    stream: anyio.abc.ByteStream, handler: RequestHandler
+    stream: anyio.abc.ByteStream,
+    handler: RequestHandler,
+    transfer_slots: TransferSlots,
 ) -> None:
-    """Serves the requests of one connection, one after another."""
+    """Serves the requests of one connection, one after another.
+
+    A large body keeps its slot until the client has read it: until the client
+    sends its next request or closes the connection, or its time is over.
+    """
     protocol = h11.Connection(our_role=h11.SERVER)
     request: h11.Request | None = None
-    while True:
-        event: Any = protocol.next_event()
-        if event is h11.NEED_DATA:
-            with anyio.move_on_after(
-                SERVER_IDLE_TIMEOUT_MS / clock.MS_PER_SECOND
-            ):
-                protocol.receive_data(await stream.receive(_READ_BYTES))
+    held_body_bytes = 0
+    try:
+        while True:
+            event: Any = protocol.next_event()
+            if event is h11.NEED_DATA:
+                received = await _receive_next(stream, held_body_bytes)
+                transfer_slots.release(held_body_bytes)
+                held_body_bytes = 0
+                if received is None:
+                    return
+                protocol.receive_data(received)
                 continue
-            return
-        if isinstance(event, h11.Request):
-            request = event
-            continue
-        if isinstance(event, h11.EndOfMessage) and request is not None:
-            path = request.target.decode("ascii").partition("?")[0]
-            response = await handler(request.method.decode("ascii"), path)
-            await stream.send(_encode_response(protocol, response))
-            if protocol.our_state is h11.MUST_CLOSE:
+            if isinstance(event, h11.Request):
+                request = event
+                continue
+            if isinstance(event, h11.EndOfMessage) and request is not None:
+                path = request.target.decode("ascii").partition("?")[0]
+                response = await handler(request.method.decode("ascii"), path)
+                if not transfer_slots.try_acquire(len(response.body)):
+                    response = Response(UNAVAILABLE, b"")
+                held_body_bytes = len(response.body)
+                with anyio.fail_after(_transfer_timeout_s(held_body_bytes)):
+                    await stream.send(_encode_response(protocol, response))
+                if protocol.our_state is h11.MUST_CLOSE:
+                    return
+                protocol.start_next_cycle()
+                continue
+            if isinstance(event, h11.ConnectionClosed):
                 return
-            protocol.start_next_cycle()
-            continue
-        if isinstance(event, h11.ConnectionClosed):
-            return
+    finally:
+        transfer_slots.release(held_body_bytes)
+
+
+async def _receive_next(
+    stream: anyio.abc.ByteStream, held_body_bytes: int
+) -> bytes | None:
+    """Receives what a client sends next; None if it sends nothing in time.
+
+    Args:
+        stream: The connection.
+        held_body_bytes: The length of the body that the client still reads.
+    """
+    timeout_s = SERVER_IDLE_TIMEOUT_MS / clock.MS_PER_SECOND
+    if held_body_bytes >= MIN_LARGE_BODY_BYTES:
+        timeout_s = _transfer_timeout_s(held_body_bytes)
+    with anyio.move_on_after(timeout_s):
+        return await stream.receive(_READ_BYTES)
+    return None
+
+
+def _transfer_timeout_s(body_bytes: int) -> float:
+    """Returns how long a body may take, in seconds."""
+    timeout_ms = STALL_TIMEOUT_MS + body_bytes / MIN_TRANSFER_BYTES_PER_MS
+    return timeout_ms / clock.MS_PER_SECOND
 
 
 def _encode_response(protocol: h11.Connection, response: Response) -> bytes:
--- a/packages/net/sapphire_net/http1_test.py
+++ b/packages/net/sapphire_net/http1_test.py
@@ -139,6 +139,113 @@
         with_raw_server([head + bytes(size)], body)
 
 
+async def paced_server(
+    chunks: list[bytes],
+    interval_s: float,
+    *,
+    task_status: anyio.abc.TaskStatus[int],
+) -> None:
+    """Responds to each connection with chunks at an interval, then stalls."""
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    task_status.started(listener.extra(anyio.abc.SocketAttribute.local_port))
+
+    async def handle(stream: anyio.abc.ByteStream) -> None:
+        async with stream:
+            await stream.receive()
+            for chunk in chunks:
+                await stream.send(chunk)
+                await anyio.sleep(interval_s)
+            await anyio.sleep_forever()
+
+    async with listener:
+        await listener.serve(handle)
+
+
+class TransferTest(testtools.TestCase):
+    """Pattern: timeouts bound the progress of a transfer, not its length."""
+
+    def call_paced_server(
+        self, chunks: list[bytes], interval_s: float
+    ) -> http1.Response | http1.CallFailure:
+        """Calls a server whose response arrives in paced chunks."""
+
+        async def main() -> http1.Response | http1.CallFailure:
+            async with anyio.create_task_group() as tasks:
+                port = await tasks.start(paced_server, chunks, interval_s)
+                client = http1.Client(("127.0.0.1", port))
+                result = await client.call("GET", "/", TIMEOUT_MS)
+                await client.close()
+                tasks.cancel_scope.cancel()
+            return result
+
+        return anyio.run(main)
+
+    def test_a_large_body_on_a_narrow_link_outlasts_the_timeout(self) -> None:
+        # 378 KB at 5 Mbit/s take 600 ms, twice the timeout.
+        chunk = bytes(15_750)
+        body = chunk * 24
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+        response = self.call_paced_server(
+            [head.encode(), *[chunk] * 24], 15_750 * 8 / 5_000_000
+        )
+        self.assertEqual(http1.Response(200, body), response)
+
+    def test_a_response_that_stalls_is_a_timeout(self) -> None:
+        self.patch(http1, "STALL_TIMEOUT_MS", 100)
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: 90000\r\n\r\n"
+        failure = self.call_paced_server([head + bytes(60_000)], 0.0)
+        self.assertIs(http1.CallTimeout, type(failure))
+        assert isinstance(failure, http1.CallTimeout)
+        self.assertIn("stalled after", failure.problem)
+
+    def test_a_response_below_the_minimum_rate_is_a_timeout(self) -> None:
+        # One byte each 20 ms never pauses for long, and would take minutes.
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: 9000\r\n\r\n"
+        failure = self.call_paced_server([head, *[b"x"] * 9_000], 0.02)
+        self.assertIs(http1.CallTimeout, type(failure))
+
+    def test_a_large_body_above_the_limit_is_refused_at_once(self) -> None:
+        slots = http1.TransferSlots(1)
+        large = http1.MIN_LARGE_BODY_BYTES
+        self.assertTrue(slots.try_acquire(large))
+        self.assertFalse(slots.try_acquire(large))
+        self.assertTrue(slots.try_acquire(large - 1))
+        slots.release(large - 1)
+        self.assertFalse(slots.try_acquire(large))
+        slots.release(large)
+        self.assertTrue(slots.try_acquire(large))
+
+    def test_a_server_without_a_free_slot_responds_unavailable(self) -> None:
+        slots = http1.TransferSlots(1)
+
+        async def answer(method: str, path: str) -> http1.Response:
+            size = http1.MIN_LARGE_BODY_BYTES if path == "/large" else 1
+            return http1.Response(200, bytes(size))
+
+        async def main() -> list[int]:
+            statuses: list[int] = []
+            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+            port = listener.extra(anyio.abc.SocketAttribute.local_port)
+            async with listener, anyio.create_task_group() as tasks:
+                tasks.start_soon(http1.serve, listener, answer, slots)
+                client = http1.Client(("127.0.0.1", port))
+                slots.try_acquire(http1.MIN_LARGE_BODY_BYTES)
+                for path in ("/large", "/small"):
+                    response = await client.call("GET", path, TIMEOUT_MS)
+                    assert isinstance(response, http1.Response)
+                    statuses.append(response.status)
+                slots.release(http1.MIN_LARGE_BODY_BYTES)
+                for _ in range(2):
+                    response = await client.call("GET", "/large", TIMEOUT_MS)
+                    assert isinstance(response, http1.Response)
+                    statuses.append(response.status)
+                await client.close()
+                tasks.cancel_scope.cancel()
+            return statuses
+
+        self.assertEqual([503, 200, 200, 200], anyio.run(main))
+
+
 class ServerTest(testtools.TestCase):
     def test_malformed_request_closes_only_its_connection(self) -> None:
         async def main() -> None:
--- a/packages/node/sapphire_node/entry/peer_task.py
+++ b/packages/node/sapphire_node/entry/peer_task.py
@@ -16,6 +16,7 @@
 
 from sapphire_core.peers import data as peer_data
 from sapphire_core.peers import peer_table as peer_table_lib
+from sapphire_core.peers import pull_sources
 from sapphire_core.replication import data
 from sapphire_data import clock as clock_lib
 from sapphire_data import failures
@@ -40,7 +41,8 @@
 # A host that follows the store gets the same changes from there. It pulls them
 # from a peer only after it has been behind that peer for this long.
 FOLLOWER_PULL_DELAY_MS = 300
-# A small response takes a few network delays.
+# The first bytes of a response take a few network delays, and longer while the
+# peer serves others.
 PULL_TIMEOUT_MS = 1_000
 PULL_POLL_MS = 20
 # How many peers a host that has just started asks for items that left the
@@ -134,8 +136,9 @@
         self._upstream_reports: tuple[peer_data.UpstreamReport, ...] = ()
         self._listed_hosts: frozenset[str] = frozenset()
         # For each scope of which a peer has newer changes than this host: since
-        # when that is known, and the last peer whose heartbeat said so.
-        self._ahead_by_scope: dict[data.Scope, tuple[int, str]] = {}
+        # when that is known.
+        self._behind_since_ms_by_scope: dict[data.Scope, int] = {}
+        self._pull_sources = pull_sources.PullSources(rng)
         self._is_behind_event = anyio.Event()
         self._new_peers: set[str] = set()
         self._new_peer_event = anyio.Event()
@@ -345,20 +348,19 @@
         for scope, revision in heartbeat.revisions.items():
             if revision <= self._state.change_revision_by_scope.get(scope, 0):
                 continue
-            since_ms, _ = self._ahead_by_scope.get(scope, (now_ms, ""))
-            self._ahead_by_scope[scope] = (since_ms, heartbeat.contact.host)
+            self._behind_since_ms_by_scope.setdefault(scope, now_ms)
             self._is_behind_event.set()
 
     async def _pull_changes(self) -> None:
         """Pulls changes from peers that are ahead of this host."""
         async with anyio.create_task_group() as tasks:
             while True:
-                if not self._ahead_by_scope:
+                if not self._behind_since_ms_by_scope:
                     self._is_behind_event = anyio.Event()
                     await self._is_behind_event.wait()
                 now_ms = self._clock.now_ms()
-                for scope, (since_ms, host) in list(
-                    self._ahead_by_scope.items()
+                for scope, since_ms in list(
+                    self._behind_since_ms_by_scope.items()
                 ):
                     must_follow_store = self._state.must_follow_store
                     if (
@@ -368,24 +370,49 @@
                         continue
                     if scope in self._scopes_being_pulled:
                         continue
-                    del self._ahead_by_scope[scope]
+                    host = self._select_source(scope, now_ms)
+                    if host is None:
+                        continue
                     self._scopes_being_pulled.add(scope)
                     tasks.start_soon(self._pull_scope, scope, host)
                 await pauses.sleep_ms(PULL_POLL_MS)
 
+    def _select_source(self, scope: data.Scope, now_ms: int) -> str | None:
+        """Returns the peer to pull a scope from now, None for none.
+
+        A scope of which no peer is ahead any more is no longer behind.
+        """
+        revision = self._state.change_revision_by_scope.get(scope, 0)
+        sources = self._peer_table.sources_ahead(scope, revision, now_ms)
+        if not sources:
+            self._behind_since_ms_by_scope.pop(scope, None)
+            return None
+        source = self._pull_sources.select(sources, now_ms)
+        return source.contact.host if source is not None else None
+
     async def _pull_scope(self, scope: data.Scope, host: str) -> None:
         """Pulls a scope from one peer and then allows the next pull of it."""
         try:
-            await self._pull_from(scope, host)
+            outcome = await self._pull_from(scope, host)
+            self._pull_sources.record_outcome(
+                host, outcome, self._clock.now_ms()
+            )
+            if outcome is pull_sources.PullOutcome.PULLED:
+                # The next heartbeat tells whether there are still newer ones.
+                self._behind_since_ms_by_scope.pop(scope, None)
         finally:
             self._scopes_being_pulled.discard(scope)
 
-    async def _pull_from(self, scope: data.Scope, host: str) -> None:
+    async def _pull_from(
+        self, scope: data.Scope, host: str
+    ) -> pull_sources.PullOutcome:
         """Pulls the changes of a scope from one peer."""
         after = self._state.as_of_by_scope.get(scope, 0)
         batch = await self._request_batch(host, PeerRequest(scope, after))
-        if batch is not None:
-            await self._batches.send(messages.BatchReceived(scope, batch, host))
+        if isinstance(batch, pull_sources.PullOutcome):
+            return batch
+        await self._batches.send(messages.BatchReceived(scope, batch, host))
+        return pull_sources.PullOutcome.PULLED
 
     async def _pull_removed_items(self) -> None:
         """Pulls items that left the registry before the start of this host.
@@ -407,25 +434,28 @@
             for host in self._new_peers - asked_peers:
                 asked_peers.add(host)
                 batch = await self._request_batch(host, request)
-                if batch is not None:
+                if isinstance(batch, data.Batch):
                     await self._batches.send(
                         messages.RemovedItemsReceived(scope, batch, host)
                     )
 
     async def _request_batch(
         self, host: str, request: PeerRequest
-    ) -> data.Batch | None:
-        """Requests items from one peer; logs a failure and returns None."""
+    ) -> data.Batch | pull_sources.PullOutcome:
+        """Requests items from one peer; logs why it sent none."""
         contact = self._peer_table.contact(host)
         if contact is None:
-            return None
+            return pull_sources.PullOutcome.FAILED
         client = http1.Client((contact.address, contact.port))
         response = await client.call("GET", request.path, PULL_TIMEOUT_MS)
         await client.close()
         if isinstance(response, http1.CallFailure):
             self._state.counts["pull_failures"] += 1
             event_log.log_failure(_LOG, "pull_failed", response, peer=host)
-            return None
+            return pull_sources.PullOutcome.FAILED
+        if response.status == http1.UNAVAILABLE:
+            self._state.counts["pulls_deferred"] += 1
+            return pull_sources.PullOutcome.BUSY
         if response.status != http1.OK:
             self._state.counts["pull_failures"] += 1
             event_log.log(
@@ -436,10 +466,10 @@
                 scope=request.scope.name,
                 status=response.status,
             )
-            return None
+            return pull_sources.PullOutcome.FAILED
         batch = peer_messages.decode_batch(response.body)
         if isinstance(batch, failures.Failure):
             self._state.counts["pull_failures"] += 1
             event_log.log_failure(_LOG, "pull_failed", batch, peer=host)
-            return None
+            return pull_sources.PullOutcome.FAILED
         return batch
--- a/packages/node/sapphire_node/entry/peer_task_test.py
+++ b/packages/node/sapphire_node/entry/peer_task_test.py
@@ -5,6 +5,7 @@
 import testtools
 
 from sapphire_core.peers import data as peer_data
+from sapphire_core.peers import pull_sources
 from sapphire_core.replication import data as replication_data
 from sapphire_data import clock as clock_lib
 from sapphire_lab.tagged_flows import builders
@@ -117,6 +118,65 @@
         self.assertEqual(len(replication_data.Scope), len(pulled_scopes))
 
 
+class PullSourceTest(PeerTaskBench):
+    """Which peers are asked for changes, and again after a failure."""
+
+    def pull(
+        self, outcome_by_host: dict[str, pull_sources.PullOutcome], asks: int
+    ) -> list[str]:
+        """Runs the pulls of one scope until some peers were asked.
+
+        Returns:
+            The peers that were asked, in order.
+        """
+        self.state.set_must_follow_store(False)
+        asked: list[str] = []
+
+        async def pull_from(
+            scope: replication_data.Scope, host: str
+        ) -> pull_sources.PullOutcome:
+            asked.append(host)
+            await anyio.sleep(0)
+            return outcome_by_host[host]
+
+        self.patch(self.task, "_pull_from", pull_from)
+
+        async def main() -> None:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.task._pull_changes)
+                for host in outcome_by_host:
+                    heartbeat = builders.heartbeat(host)
+                    scope = replication_data.Scope.INTENT
+                    heartbeat = dataclasses.replace(
+                        heartbeat, revisions={scope: 7}
+                    )
+                    self.task._handle_datagram(
+                        peer_messages.encode_heartbeat(heartbeat)
+                    )
+                with anyio.move_on_after(2):
+                    while len(asked) < asks:
+                        await anyio.sleep(0.005)
+                        self.clock.advance(5)
+                tasks.cancel_scope.cancel()
+
+        anyio.run(main)
+        return asked
+
+    def test_another_peer_is_asked_while_one_is_busy(self) -> None:
+        busy = pull_sources.PullOutcome.BUSY
+        asked = self.pull({"edge-2": busy, "edge-3": busy}, 2)
+        self.assertEqual({"edge-2", "edge-3"}, set(asked[:2]))
+
+    def test_another_peer_is_asked_after_a_failure(self) -> None:
+        failed = pull_sources.PullOutcome.FAILED
+        asked = self.pull({"edge-2": failed, "edge-3": failed}, 2)
+        self.assertEqual({"edge-2", "edge-3"}, set(asked[:2]))
+
+    def test_a_scope_is_pulled_once(self) -> None:
+        asked = self.pull({"edge-2": pull_sources.PullOutcome.PULLED}, 2)
+        self.assertEqual(["edge-2"], asked)
+
+
 class PullRemovedItemsTest(PeerTaskBench):
     """A new host pulls the items that left the registry before its start."""
 
--- a/packages/node/sapphire_node/entry/replica_task.py
+++ b/packages/node/sapphire_node/entry/replica_task.py
@@ -30,6 +30,10 @@
 # may have lapsed because the store was unavailable, not because its upstream
 # stopped. The platform considers the store stable 4 s after a disruption.
 STORE_UNSTABLE_MS = 5_000
+# How many peers may pull a large body from this host at a time.
+MAX_LARGE_TRANSFERS = 3
+# Encoded bodies that are kept; peers that are behind ask for the same ones.
+MAX_CACHED_BODIES = 8
 
 BatchReceiver = anyio.streams.memory.MemoryObjectReceiveStream[
     messages.BatchReceived | messages.RemovedItemsReceived
@@ -75,12 +79,20 @@
         self._replicas_by_scope = {
             scope: replica.Replica() for scope in data.Scope
         }
+        # Encoded bodies by request, dropped when the scope changes.
+        self._bodies_by_request: dict[peer_task.PeerRequest, bytes] = {}
 
     async def run(self) -> None:
         """Merges batches and serves peers until cancelled."""
         address = self._state.settings.peer_address
+        transfer_slots = http1.TransferSlots(MAX_LARGE_TRANSFERS)
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(http1.listen_and_serve, address, self._serve_peer)
+            tasks.start_soon(
+                http1.listen_and_serve,
+                address,
+                self._serve_peer,
+                transfer_slots,
+            )
             async for message in self._batches:
                 if isinstance(message, messages.RemovedItemsReceived):
                     await self._send_former_upstreams(message)
@@ -98,6 +110,7 @@
         self._state.as_of_by_scope[scope] = scope_replica.as_of
         if not changed_items and was_complete:
             return
+        self._drop_cached_bodies(scope)
         self._state.change_revision_by_scope[scope] = (
             scope_replica.newest_revision
         )
@@ -196,8 +209,31 @@
         scope_replica = self._replicas_by_scope[request.scope]
         if not scope_replica.is_complete:
             return http1.Response(http1.NOT_FOUND, b"")
+        return http1.Response(http1.OK, self._encoded_body(request))
+
+    def _encoded_body(self, request: peer_task.PeerRequest) -> bytes:
+        """Returns the body that a request asks for, encoded once a change.
+
+        Compressing a large configuration takes longer than sending it, and all
+        peers that are behind ask for the same one.
+        """
+        body = self._bodies_by_request.get(request)
+        if body is not None:
+            return body
+        scope_replica = self._replicas_by_scope[request.scope]
         if request.after_revision is None:
             batch = scope_replica.removed_items()
         else:
             batch = scope_replica.changes_after(request.after_revision)
-        return http1.Response(http1.OK, peer_messages.encode_batch(batch))
+        body = peer_messages.encode_batch(batch)
+        if len(self._bodies_by_request) >= MAX_CACHED_BODIES:
+            oldest = next(iter(self._bodies_by_request))
+            del self._bodies_by_request[oldest]
+        self._bodies_by_request[request] = body
+        return body
+
+    def _drop_cached_bodies(self, scope: data.Scope) -> None:
+        """Drops the encoded bodies of a scope, which has changed."""
+        for request in list(self._bodies_by_request):
+            if request.scope is scope:
+                del self._bodies_by_request[request]
--- a/packages/node/sapphire_node/entry/replica_task_test.py
+++ b/packages/node/sapphire_node/entry/replica_task_test.py
@@ -95,3 +95,23 @@
         batch = peer_messages.decode_batch(response.body)
         assert isinstance(batch, data.Batch)
         self.assertEqual(["i-2"], [item.key for item in batch.items])
+
+    def test_a_body_is_encoded_once_for_all_peers_until_a_change(self) -> None:
+        """Pattern: all peers ask for the same large change at once."""
+        encoded: list[data.Batch] = []
+        encode = peer_messages.encode_batch
+
+        def count_and_encode(batch: data.Batch) -> bytes:
+            encoded.append(batch)
+            return encode(batch)
+
+        self.patch(peer_messages, "encode_batch", count_and_encode)
+        self.apply_full_batch("i-1", as_of=5)
+        for _ in range(20):
+            anyio.run(self.task._serve_peer, "GET", "/items/2/0")
+        self.assertEqual(1, len(encoded))
+        self.apply_full_batch("i-1", "i-2", as_of=7)
+        response = anyio.run(self.task._serve_peer, "GET", "/items/2/0")
+        batch = peer_messages.decode_batch(response.body)
+        assert isinstance(batch, data.Batch)
+        self.assertEqual(["i-1", "i-2"], [item.key for item in batch.items])
