--- a/packages/core/sapphire_core/peers/data.py
+++ b/packages/core/sapphire_core/peers/data.py
@@ -39,6 +39,19 @@
     silent_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LiveCount:
+    """How many hosts of a data centre are live.
+
+    Attributes:
+        hosts: The number, as counted by a host of that data centre.
+        age_ms: How long ago it was counted.
+    """
+
+    hosts: int
+    age_ms: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Heartbeat:
     """The regular datagram between hosts.
@@ -53,7 +66,10 @@
             as the sender knows; None if none has.
         follower_ages_ms: The store followers that the sender knows, itself
             included, and how long ago each of them confirmed that it is one.
-        upstreams: What the sender has observed of upstreams.
+        upstreams: What the sender has observed of upstreams, or passes on of
+            what its peers have reported.
+        live_counts: How many hosts of each data centre are live, as far as the
+            sender knows, by data centre.
     """
 
     contact: Contact
@@ -64,3 +80,4 @@
     store_failed_ms: int | None
     follower_ages_ms: Mapping[str, int]
     upstreams: tuple[UpstreamReport, ...]
+    live_counts: Mapping[str, LiveCount]
--- a/packages/core/sapphire_core/peers/peer_table.py
+++ b/packages/core/sapphire_core/peers/peer_table.py
@@ -9,14 +9,16 @@
 """
 
 from collections.abc import Iterable
-from collections.abc import Mapping
 import dataclasses
 import random
 
 import xxhash
 
 from sapphire_core.peers import data
+from sapphire_core.peers import heartbeat_targets
+from sapphire_core.peers import host_counts
 from sapphire_core.peers import pull_sources
+from sapphire_core.peers import upstream_reports
 from sapphire_core.replication import data as replication_data
 
 # How many hosts follow the store. With two, the others get changes without
@@ -25,9 +27,12 @@
 # Another data centre learns of a follower within 1 s, and all hosts of a large
 # fleet learn of it within three more heartbeats, one each 250 ms.
 FOLLOWER_TIMEOUT_MS = 1_800
-# A host of the same data centre that missed four heartbeats is not live.
-# Heartbeats to other data centres are sent once a second.
+HEARTBEAT_INTERVAL_MS = 250
+# A host of the same data centre that missed four heartbeats, or three of its
+# turns in a large fleet, is not live. Heartbeats to other data centres are
+# sent once a second.
 PEER_TIMEOUT_MS = 1_000
+MISSED_TURNS = 3
 REMOTE_PEER_TIMEOUT_MS = 2_500
 # A restarting host sends no heartbeats for about 1 s, its start included. One
 # that has sent none for longer than this is not expected back.
@@ -36,11 +41,9 @@
 # takes over at each interval. A store that is down for all hosts is then not
 # called by all of them.
 TAKEOVER_INTERVAL_MS = 200
-# A heartbeat is sent to all peers up to this number, else to a random sample of
-# this size.
-MAX_FANOUT = 16
-# How many hosts of other data centres a sample has at most.
-REMOTE_FANOUT = 4
+# Heartbeats name at most this many followers, those that rank first.
+MAX_REPORTED_FOLLOWERS = 4
+_RANK_COUNT = 2**64
 
 
 @dataclasses.dataclass(slots=True)
@@ -49,6 +52,7 @@
 
     Attributes:
         contact: Where it is reached.
+        first_known_ms: When it was first listed or heard.
         last_heartbeat_ms: When its last heartbeat was received; None if it is
             known from the host list only.
         heartbeat: Its last heartbeat; None if it is known from the host list
@@ -56,6 +60,7 @@
     """
 
     contact: data.Contact
+    first_known_ms: int
     last_heartbeat_ms: int | None = None
     heartbeat: data.Heartbeat | None = None
 
@@ -66,18 +71,26 @@
     Args:
         own: Where this host is reached.
         rng: Draws the targets of heartbeats.
+        contact_ms: A host that has been silent for longer is not counted.
     """
 
-    def __init__(self, own: data.Contact, rng: random.Random) -> None:
+    def __init__(
+        self, own: data.Contact, rng: random.Random, contact_ms: int
+    ) -> None:
         self._own = own
-        self._rng = rng
+        self._contact_ms = contact_ms
+        self._targets = heartbeat_targets.HeartbeatTargets(rng)
+        self._counts = host_counts.HostCounts(own.data_centre)
         self._peers_by_host: dict[str, _Peer] = {}
+        self._near_timeout_ms = PEER_TIMEOUT_MS
         # When each known store follower last confirmed that it is one.
         self._follower_confirmed_ms: dict[str, int] = {}
         # Since when too few followers rank before this host; None if enough do.
         self._too_few_since_ms: int | None = None
 
-    def set_host_list(self, contacts: Iterable[data.Contact]) -> None:
+    def set_host_list(
+        self, contacts: Iterable[data.Contact], now_ms: int
+    ) -> None:
         """Replaces the host list, as read from the store.
 
         Peers that are not listed any more and never sent a heartbeat are
@@ -85,16 +98,20 @@
 
         Args:
             contacts: The listed hosts; this one may be among them.
+            now_ms: The current time.
         """
         by_host = {contact.host: contact for contact in contacts}
         by_host.pop(self._own.host, None)
         for host, contact in by_host.items():
             peer = self._peers_by_host.get(host)
-            if peer is None or peer.last_heartbeat_ms is None:
-                self._peers_by_host[host] = _Peer(contact)
+            if peer is None:
+                self._peers_by_host[host] = _Peer(contact, now_ms)
+            elif peer.last_heartbeat_ms is None:
+                peer.contact = contact
         for host, peer in list(self._peers_by_host.items()):
             if host not in by_host and peer.last_heartbeat_ms is None:
                 del self._peers_by_host[host]
+        self._update_near_timeout()
 
     def record_heartbeat(self, heartbeat: data.Heartbeat, now_ms: int) -> bool:
         """Records a heartbeat, unless a newer one of its sender is known.
@@ -117,7 +134,13 @@
             and previous.sequence >= heartbeat.sequence
         ):
             return False
-        self._peers_by_host[host] = _Peer(heartbeat.contact, now_ms, heartbeat)
+        first_known_ms = peer.first_known_ms if peer is not None else now_ms
+        self._peers_by_host[host] = _Peer(
+            heartbeat.contact, first_known_ms, now_ms, heartbeat
+        )
+        if peer is None:
+            self._update_near_timeout()
+        self._counts.merge(heartbeat.live_counts, now_ms)
         for follower, age_ms in heartbeat.follower_ages_ms.items():
             confirmed_ms = now_ms - age_ms
             known_ms = self._follower_confirmed_ms.get(follower, confirmed_ms)
@@ -137,25 +160,93 @@
         for host, peer in list(self._peers_by_host.items()):
             if host not in listed and not self._is_live(peer, now_ms):
                 del self._peers_by_host[host]
+        self._update_near_timeout()
         for host, confirmed_ms in list(self._follower_confirmed_ms.items()):
             if now_ms - confirmed_ms > FOLLOWER_TIMEOUT_MS:
                 del self._follower_confirmed_ms[host]
 
-    def host_count(self) -> int:
-        """Returns how many hosts there may be, this one included."""
-        return len(self._peers_by_host) + 1
+    def host_count(self, now_ms: int) -> int:
+        """Returns how many hosts there may be, this one included.
+
+        Args:
+            now_ms: The current time.
+        """
+        self._counts.set_own(self.near_host_count(now_ms), now_ms)
+        remote_by_data_centre: dict[str, int] = {}
+        for peer in self._peers_by_host.values():
+            data_centre = peer.contact.data_centre
+            if data_centre == self._own.data_centre:
+                continue
+            known = remote_by_data_centre.get(data_centre, 0)
+            remote_by_data_centre[data_centre] = known + 1
+        return self._counts.total(remote_by_data_centre, now_ms)
+
+    def near_host_count(self, now_ms: int) -> int:
+        """Returns how many hosts this data centre may have, this one included.
+
+        A host counts until it has been silent for the contact time, also if
+        it is known from the host list only.
+
+        Args:
+            now_ms: The current time.
+        """
+        count = 1
+        for peer in self._peers_by_host.values():
+            if not self.is_same_data_centre(peer.contact):
+                continue
+            last_known_ms = peer.last_heartbeat_ms
+            if last_known_ms is None:
+                last_known_ms = peer.first_known_ms
+            count += now_ms - last_known_ms <= self._contact_ms
+        return count
+
+    def live_counts(self, now_ms: int) -> dict[str, data.LiveCount]:
+        """Returns how many hosts of each data centre are live.
+
+        Args:
+            now_ms: The current time.
+        """
+        self._counts.set_own(self.near_host_count(now_ms), now_ms)
+        return self._counts.reported(now_ms)
 
-    def live_heartbeats(self, now_ms: int) -> list[data.Heartbeat]:
+    @property
+    def is_large_fleet(self) -> bool:
+        """Whether heartbeats are not sent to all peers."""
+        return len(self._peers_by_host) > heartbeat_targets.MAX_FANOUT
+
+    def has_live_peer(self, now_ms: int) -> bool:
+        """Whether any peer is live.
+
+        Args:
+            now_ms: The current time.
+        """
+        for peer in self._peers_by_host.values():
+            if self._is_live(peer, now_ms):
+                return True
+        return False
+
+    def live_heartbeats(
+        self, now_ms: int
+    ) -> list[upstream_reports.ReceivedHeartbeat]:
         """Returns the last heartbeat of each live peer.
 
         Args:
             now_ms: The current time.
         """
-        return [
-            peer.heartbeat
-            for peer in self._peers_by_host.values()
-            if peer.heartbeat is not None and self._is_live(peer, now_ms)
-        ]
+        received: list[upstream_reports.ReceivedHeartbeat] = []
+        for peer in self._peers_by_host.values():
+            if peer.heartbeat is None or peer.last_heartbeat_ms is None:
+                continue
+            if not self._is_live(peer, now_ms):
+                continue
+            received.append(
+                upstream_reports.ReceivedHeartbeat(
+                    peer.heartbeat,
+                    now_ms - peer.last_heartbeat_ms,
+                    self.is_same_data_centre(peer.contact),
+                )
+            )
+        return received
 
     def sources_ahead(
         self, scope: replication_data.Scope, revision: int, now_ms: int
@@ -168,11 +259,9 @@
             now_ms: The current time.
         """
         return [
-            pull_sources.Source(
-                heartbeat.contact, self.is_same_data_centre(heartbeat.contact)
-            )
-            for heartbeat in self.live_heartbeats(now_ms)
-            if heartbeat.revisions.get(scope, 0) > revision
+            pull_sources.Source(received.heartbeat.contact, received.is_near)
+            for received in self.live_heartbeats(now_ms)
+            if received.heartbeat.revisions.get(scope, 0) > revision
         ]
 
     def contact(self, host: str) -> data.Contact | None:
@@ -196,6 +285,31 @@
             and host != self._own.host
         }
 
+    def reported_follower_ages_ms(
+        self, now_ms: int, *, is_following: bool
+    ) -> dict[str, int]:
+        """Returns the store followers that the next heartbeat names.
+
+        Those that rank first are enough: a host needs to know two before it.
+
+        Args:
+            now_ms: The current time.
+            is_following: Whether this host follows the store.
+        """
+        ages_ms = self.follower_ages_ms(now_ms)
+        if is_following:
+            ages_ms[self._own.host] = 0
+        first = sorted(ages_ms, key=_rank)[:MAX_REPORTED_FOLLOWERS]
+        if is_following and self._own.host not in first:
+            # Receivers take a sender that is not named for no follower.
+            first.append(self._own.host)
+        return {host: ages_ms[host] for host in first}
+
+    @property
+    def rank_fraction(self) -> float:
+        """The rank of this host as a number from 0, the first, to 1."""
+        return _rank(self._own.host) / _RANK_COUNT
+
     def must_follow(self, now_ms: int, *, is_leaving: bool) -> bool:
         """Whether this host must follow the store itself.
 
@@ -218,9 +332,7 @@
         candidates_before = sum(
             1
             for peer in self._peers_by_host.values()
-            if peer.heartbeat is not None
-            and self._is_live(peer, now_ms)
-            and not peer.heartbeat.is_leaving
+            if self._may_take_over(peer, now_ms)
             and peer.contact.host not in followers
             and _rank(peer.contact.host) < own_rank
         )
@@ -261,64 +373,68 @@
                 return True
         return False
 
-    def heartbeat_targets(self) -> list[data.Contact]:
-        """Returns the peers to which the next heartbeat is sent."""
-        contacts = [peer.contact for peer in self._peers_by_host.values()]
-        if len(contacts) <= MAX_FANOUT:
+    def near_targets(self) -> list[data.Contact]:
+        """Returns the near peers to which the next heartbeat is sent."""
+        return self._targets.next_near(self._contacts(is_near=True))
+
+    def remote_targets(
+        self, now_ms: int, *, is_follower: bool
+    ) -> list[data.Contact]:
+        """Returns the remote peers to which the next heartbeat is sent.
+
+        All of them in a small fleet.
+
+        Args:
+            now_ms: The current time.
+            is_follower: Whether this host follows the store.
+        """
+        contacts = self._contacts(is_near=False)
+        if not self.is_large_fleet:
             return contacts
-        local: list[data.Contact] = []
-        remote: list[data.Contact] = []
-        for contact in contacts:
-            (local if self.is_same_data_centre(contact) else remote).append(
-                contact
-            )
-        remote = self._rng.sample(remote, min(len(remote), REMOTE_FANOUT))
-        local_fanout = MAX_FANOUT - len(remote)
-        return self._rng.sample(local, min(len(local), local_fanout)) + remote
+        return self._targets.draw_remote(
+            contacts, self.near_host_count(now_ms), is_follower=is_follower
+        )
+
+    def _contacts(self, *, is_near: bool) -> list[data.Contact]:
+        """Returns where the near or the remote peers are reached."""
+        return [
+            peer.contact
+            for peer in self._peers_by_host.values()
+            if self.is_same_data_centre(peer.contact) == is_near
+        ]
+
+    def _may_take_over(self, peer: _Peer, now_ms: int) -> bool:
+        """Whether a peer may become a store follower soon.
+
+        A peer that was listed only just now may be live, though it has not
+        been heard yet.
+        """
+        if peer.heartbeat is None:
+            return now_ms - peer.first_known_ms <= FOLLOWER_TIMEOUT_MS
+        return self._is_live(peer, now_ms) and not peer.heartbeat.is_leaving
 
     def _is_live(self, peer: _Peer, now_ms: int) -> bool:
         """Whether a heartbeat of a peer was received within its timeout.
 
-        In a large fleet each heartbeat is sent to a sample of the hosts, so
-        that the timeout grows with the number of hosts.
+        In a large fleet each near peer hears this host at its turn, so that
+        the timeout covers several turns, up to the contact time.
         """
         if peer.last_heartbeat_ms is None:
             return False
-        rounds = max(1.0, len(self._peers_by_host) / MAX_FANOUT)
-        is_local = self.is_same_data_centre(peer.contact)
-        timeout_ms = PEER_TIMEOUT_MS if is_local else REMOTE_PEER_TIMEOUT_MS
-        return now_ms - peer.last_heartbeat_ms <= timeout_ms * rounds
-
-
-def aggregate_upstream_reports(
-    heartbeats: Iterable[data.Heartbeat], peer_count: int
-) -> tuple[Mapping[int, float], Mapping[int, int]]:
-    """Returns what all peers together have observed of upstreams.
-
-    Args:
-        heartbeats: The last heartbeat of each live peer.
-        peer_count: The number of all peers. For those without a heartbeat, the
-            mean of the others' in-flight requests is assumed.
-
-    Returns:
-        The in-flight requests of the peers, and the longest time for which a
-        peer still avoids the upstream; both by the tag of the upstream.
-    """
-    in_flight_by_tag: dict[int, float] = {}
-    avoid_ms_by_tag: dict[int, int] = {}
-    reporting_peers = 0
-    for heartbeat in heartbeats:
-        reporting_peers += 1
-        for report in heartbeat.upstreams:
-            in_flight = in_flight_by_tag.get(report.tag, 0.0)
-            in_flight_by_tag[report.tag] = in_flight + report.busy
-            avoid_ms = avoid_ms_by_tag.get(report.tag, 0)
-            avoid_ms_by_tag[report.tag] = max(avoid_ms, report.silent_ms)
-    if reporting_peers:
-        scale = max(1.0, peer_count / reporting_peers)
-        for tag in in_flight_by_tag:
-            in_flight_by_tag[tag] *= scale
-    return in_flight_by_tag, avoid_ms_by_tag
+        timeout_ms = REMOTE_PEER_TIMEOUT_MS
+        if self.is_same_data_centre(peer.contact):
+            timeout_ms = self._near_timeout_ms
+        return now_ms - peer.last_heartbeat_ms <= timeout_ms
+
+    def _update_near_timeout(self) -> None:
+        """Sets after which silence a near peer is not live."""
+        near_peer_count = len(self._contacts(is_near=True))
+        cycle_ms = (
+            heartbeat_targets.cycle_intervals(near_peer_count)
+            * HEARTBEAT_INTERVAL_MS
+        )
+        timeout_ms = min(MISSED_TURNS * cycle_ms, self._contact_ms)
+        self._near_timeout_ms = max(PEER_TIMEOUT_MS, timeout_ms)
 
 
 def _rank(host: str) -> int:
--- a/packages/core/sapphire_core/peers/peer_table_test.py
+++ b/packages/core/sapphire_core/peers/peer_table_test.py
@@ -2,11 +2,12 @@
 
 import testtools
 
-from sapphire_core.peers import data
+from sapphire_core.peers import heartbeat_targets
 from sapphire_core.peers import peer_table as peer_table_lib
 from sapphire_lab.tagged_flows import builders
 
 STEP_MS = 250
+CONTACT_MS = 4_000
 
 
 class Fleet:
@@ -24,7 +25,7 @@
     def __init__(self, names: list[str]) -> None:
         self.peer_tables = {
             name: peer_table_lib.PeerTable(
-                builders.heartbeat(name).contact, random.Random(1)
+                builders.heartbeat(name).contact, random.Random(1), CONTACT_MS
             )
             for name in names
         }
@@ -75,7 +76,7 @@
 
     def test_a_host_without_peers_follows_at_once(self) -> None:
         alone = peer_table_lib.PeerTable(
-            builders.heartbeat("a").contact, random.Random(1)
+            builders.heartbeat("a").contact, random.Random(1), CONTACT_MS
         )
         self.assertTrue(alone.must_follow(0, is_leaving=False))
 
@@ -128,7 +129,7 @@
 
     def test_a_leaving_host_does_not_follow(self) -> None:
         own = peer_table_lib.PeerTable(
-            builders.heartbeat("a").contact, random.Random(1)
+            builders.heartbeat("a").contact, random.Random(1), CONTACT_MS
         )
         self.assertFalse(own.must_follow(0, is_leaving=True))
 
@@ -137,23 +138,37 @@
     def setUp(self) -> None:
         super().setUp()
         own = builders.heartbeat("own").contact
-        self.peer_table = peer_table_lib.PeerTable(own, random.Random(1))
+        self.peer_table = peer_table_lib.PeerTable(
+            own, random.Random(1), CONTACT_MS
+        )
 
     def test_a_listed_host_that_sends_heartbeats_is_counted_once(self) -> None:
         listed = [
             builders.heartbeat(name).contact for name in ("own", "a", "b")
         ]
-        self.peer_table.set_host_list(listed)
+        self.peer_table.set_host_list(listed, 0)
         self.peer_table.record_heartbeat(builders.heartbeat("b"), 0)
         self.peer_table.record_heartbeat(builders.heartbeat("c"), 0)
-        self.assertEqual(4, self.peer_table.host_count())
+        self.assertEqual(4, self.peer_table.host_count(0))
 
     def test_a_peer_is_evicted_when_neither_listed_nor_live(self) -> None:
         self.peer_table.record_heartbeat(builders.heartbeat("a"), 0)
         self.peer_table.evict_expired(60_000, frozenset({"a"}))
-        self.assertEqual(2, self.peer_table.host_count())
+        self.assertIsNotNone(self.peer_table.contact("a"))
         self.peer_table.evict_expired(60_000, frozenset())
-        self.assertEqual(1, self.peer_table.host_count())
+        self.assertIsNone(self.peer_table.contact("a"))
+
+    def test_a_listed_host_that_is_silent_stops_counting(self) -> None:
+        listed = [builders.heartbeat(name).contact for name in ("a", "b")]
+        self.peer_table.set_host_list(listed, 0)
+        self.peer_table.record_heartbeat(builders.heartbeat("a"), 1_000)
+        for now_ms, expected in (
+            (CONTACT_MS, 3),
+            (CONTACT_MS + 1, 2),
+            (CONTACT_MS + 1_000, 2),
+            (CONTACT_MS + 1_001, 1),
+        ):
+            self.assertEqual(expected, self.peer_table.host_count(now_ms))
 
     def test_a_heartbeat_older_than_the_last_one_is_ignored(self) -> None:
         newer = builders.heartbeat("a", sequence=5, revision=9)
@@ -163,7 +178,8 @@
                 builders.heartbeat("a", sequence=4), 1
             )
         )
-        self.assertEqual([newer], self.peer_table.live_heartbeats(2))
+        live = [each.heartbeat for each in self.peer_table.live_heartbeats(2)]
+        self.assertEqual([newer], live)
 
     def test_a_restart_of_a_peer_is_reported(self) -> None:
         self.peer_table.record_heartbeat(
@@ -172,30 +188,32 @@
         restarted = builders.heartbeat("a", start_id=2)
         self.assertTrue(self.peer_table.record_heartbeat(restarted, 1))
 
-    def test_heartbeat_targets_are_bounded_and_mostly_local(self) -> None:
-        for number in range(100):
+    def test_all_peers_of_a_small_fleet_get_heartbeats(self) -> None:
+        for number in range(heartbeat_targets.MAX_FANOUT):
             data_centre = builders.DATA_CENTRE if number % 2 else "salem"
             heartbeat = builders.heartbeat(
                 f"h{number}", data_centre=data_centre
             )
             self.peer_table.record_heartbeat(heartbeat, 0)
-        targets = self.peer_table.heartbeat_targets()
-        self.assertEqual(peer_table_lib.MAX_FANOUT, len(targets))
-        remote = [c for c in targets if c.data_centre == "salem"]
-        self.assertEqual(peer_table_lib.REMOTE_FANOUT, len(remote))
-
-    def test_reports_are_scaled_up_to_peers_without_heartbeat(self) -> None:
-        heartbeats = [
-            builders.heartbeat(
-                f"h{n}", upstreams=(data.UpstreamReport(5, 1.0, 100 * n),)
-            )
-            for n in range(4)
-        ]
-        in_flight, avoid_ms = peer_table_lib.aggregate_upstream_reports(
-            heartbeats, 8
+        targets = self.peer_table.near_targets()
+        targets += self.peer_table.remote_targets(0, is_follower=False)
+        self.assertEqual(
+            {f"h{number}" for number in range(heartbeat_targets.MAX_FANOUT)},
+            {contact.host for contact in targets},
+        )
+
+    def test_followers_that_rank_first_are_named_and_the_sender(self) -> None:
+        names = {f"h{number}": 10 * number for number in range(20)}
+        self.peer_table.record_heartbeat(
+            builders.heartbeat("h0", followers=names), 0
+        )
+        named = self.peer_table.reported_follower_ages_ms(0, is_following=True)
+        self.assertIn("own", named)
+        self.assertLessEqual(
+            len(named), peer_table_lib.MAX_REPORTED_FOLLOWERS + 1
         )
-        self.assertEqual({5: 8.0}, in_flight)
-        self.assertEqual({5: 300}, avoid_ms)
+        by_rank = sorted(names, key=peer_table_lib._rank)
+        self.assertTrue(set(by_rank[:2]) <= set(named))
 
 
 class NearHostAwayTest(testtools.TestCase):
@@ -204,7 +222,7 @@
     def setUp(self) -> None:
         super().setUp()
         self.peer_table = peer_table_lib.PeerTable(
-            builders.heartbeat("edge-1").contact, random.Random(1)
+            builders.heartbeat("edge-1").contact, random.Random(1), CONTACT_MS
         )
 
     def test_a_live_peer_is_not_away(self) -> None:
--- a/packages/core/sapphire_core/replication/data.py
+++ b/packages/core/sapphire_core/replication/data.py
@@ -1,5 +1,6 @@
 """Immutable records of the store's items, as hosts replicate them."""
 
+from collections.abc import Mapping
 import dataclasses
 import enum
 
@@ -53,6 +54,45 @@
     is_full: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HostListing:
+    """The entry of a host in the host list.
+
+    Attributes:
+        value: The encoded contact of the host.
+        lease: The lease that the entry is attached to; 0 for none.
+    """
+
+    value: bytes
+    lease: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Snapshot:
+    """All items of the store that hosts replicate, from one read.
+
+    Attributes:
+        batches_by_scope: A full batch of each scope.
+        listings_by_host: The host list, by the name of the host.
+    """
+
+    batches_by_scope: Mapping[Scope, Batch]
+    listings_by_host: Mapping[str, HostListing]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Announcement:
+    """A host has been added to the host list.
+
+    Attributes:
+        lease: The lease that its entry is attached to.
+        revision: The revision of the store at which it was added.
+    """
+
+    lease: int
+    revision: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class SourceFailure(failures.Failure):
     """A call to a source failed.
--- a/packages/lab/sapphire_lab/tagged_flows/builders.py
+++ b/packages/lab/sapphire_lab/tagged_flows/builders.py
@@ -178,6 +178,7 @@
     store_failed_ms: int | None = None,
     followers: dict[str, int] | None = None,
     upstreams: tuple[peer_data.UpstreamReport, ...] = (),
+    live_counts: dict[str, peer_data.LiveCount] | None = None,
 ) -> peer_data.Heartbeat:
     """Returns a heartbeat of a host."""
     return peer_data.Heartbeat(
@@ -189,4 +190,5 @@
         store_failed_ms=store_failed_ms,
         follower_ages_ms=followers or {},
         upstreams=upstreams,
+        live_counts=live_counts or {},
     )
--- a/packages/lab/sapphire_lab/tagged_flows/host_builders.py
+++ b/packages/lab/sapphire_lab/tagged_flows/host_builders.py
@@ -18,8 +18,9 @@
         peer_address=ANY_PORT,
         metrics_address=ANY_PORT,
         store_address=ANY_PORT,
+        seed_addresses=(),
         limits=platform_interface.Limits(
-            shutdown_ms=6_000, flow_life_ms=60_000
+            shutdown_ms=6_000, flow_life_ms=60_000, contact_ms=4_000
         ),
     )
 
--- a/packages/lab/sapphire_lab/tagged_flows/measure.py
+++ b/packages/lab/sapphire_lab/tagged_flows/measure.py
@@ -138,13 +138,14 @@
     for _ in range(HEARTBEATS):
         peer_messages.decode_heartbeat(datagram)
     decode_us = _cpu_us(begin_s, HEARTBEATS)
-    peer_table = peer_table_lib.PeerTable(heartbeat.contact, rng)
-    peer_table.set_host_list(
+    peer_table = peer_table_lib.PeerTable(heartbeat.contact, rng, 4_000)
+    contacts = [
         builders.heartbeat(f"h{number}").contact for number in range(HOSTS)
-    )
+    ]
+    peer_table.set_host_list(contacts, 0)
     begin_s = time.process_time()
     for _ in range(HEARTBEATS // 10):
-        targets = peer_table.heartbeat_targets()
+        targets = peer_table.near_targets()
     targets_us = _cpu_us(begin_s, HEARTBEATS // 10)
     return {
         "beat_bytes": len(plain_datagram),
--- a/packages/node/sapphire_node/entry/host.py
+++ b/packages/node/sapphire_node/entry/host.py
@@ -27,6 +27,7 @@
 from sapphire_node.entry import platform_interface
 from sapphire_node.entry import readiness
 from sapphire_node.entry import replica_task
+from sapphire_node.entry import startup_reader
 from sapphire_node.entry import store_follower
 
 _LOG = logging.getLogger(__name__)
@@ -115,13 +116,15 @@
         batches=batches,
         peer_reports=changes,
     )
-    host_announcer = announcer.Announcer(contact, platform, state)
+    host_announcer = announcer.Announcer(contact, platform, state, clock)
+    reader = startup_reader.StartupReader(platform, state, clock, batches)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(handler.run)
         tasks.start_soon(forwarder.run)
         tasks.start_soon(replicator.run)
         tasks.start_soon(peer_exchange.run)
         tasks.start_soon(host_announcer.run)
+        tasks.start_soon(reader.run)
         for scope in replication_data.Scope:
             follower = store_follower.StoreFollower(
                 scope, platform, state, clock, batches
--- a/packages/node/sapphire_node/entry/host_state.py
+++ b/packages/node/sapphire_node/entry/host_state.py
@@ -33,13 +33,6 @@
     }
 
 
-def _set_event() -> anyio.Event:
-    """Returns an event that is already set."""
-    event = anyio.Event()
-    event.set()
-    return event
-
-
 @dataclasses.dataclass(slots=True)
 class HostState:
     """The state of one host process.
@@ -52,6 +45,12 @@
         is_near_host_away: Whether another host of its data centre is leaving,
             or has sent no heartbeats for a short time and may come back.
         last_packet_ms: When the last packet arrived.
+        startup_read: Set when the store has been read after the start.
+        startup_revision: The revision of the store at that read.
+        startup_listing: The entry of this host in the host list at that read;
+            None if it had none.
+        unlisted_as_of: The revision of the newest host list, if it lacks this
+            host; None if it has the host.
         last_store_failure_ms: When a call to the store last failed, here or at
             a peer; None if none has.
         store_answer_ms_by_scope: When the store last answered a call of this
@@ -70,6 +69,10 @@
     leaving: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     is_near_host_away: bool = False
     last_packet_ms: int = 0
+    startup_read: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+    startup_revision: int = 0
+    startup_listing: replication_data.HostListing | None = None
+    unlisted_as_of: int | None = None
     last_store_failure_ms: int | None = None
     store_answer_ms_by_scope: dict[replication_data.Scope, int] = (
         dataclasses.field(default_factory=dict)
@@ -91,7 +94,7 @@
     )
 
     _must_follow_store: anyio.Event = dataclasses.field(
-        default_factory=_set_event
+        default_factory=anyio.Event
     )
 
     @property
--- a/packages/node/sapphire_node/entry/peer_task.py
+++ b/packages/node/sapphire_node/entry/peer_task.py
@@ -17,6 +17,7 @@
 from sapphire_core.peers import data as peer_data
 from sapphire_core.peers import peer_table as peer_table_lib
 from sapphire_core.peers import pull_sources
+from sapphire_core.peers import upstream_reports
 from sapphire_core.replication import data
 from sapphire_data import clock as clock_lib
 from sapphire_data import failures
@@ -31,7 +32,14 @@
 
 _LOG = logging.getLogger(__name__)
 
-HEARTBEAT_INTERVAL_MS = 250
+# After the startup read, a host waits for this time for heartbeats of followers
+# before it follows the store itself, and longer by its rank: those that rank
+# first begin first.
+FOLLOW_DELAY_MIN_MS = 300
+FOLLOW_DELAY_SPREAD_MS = 2_400
+# How many new peers are answered with a heartbeat of this host in an interval,
+# in a large fleet.
+MAX_GREETINGS = 4
 # Heartbeats of many hosts arrive at any time; those that arrive within this
 # time are read together.
 HEARTBEAT_READ_DELAY_MS = 20
@@ -128,7 +136,13 @@
         self._batches = batches
         self._peer_reports = peer_reports
         rng = random.Random()
-        self._peer_table = peer_table_lib.PeerTable(contact, rng)
+        self._peer_table = peer_table_lib.PeerTable(
+            contact, rng, state.settings.limits.contact_ms
+        )
+        self._unresponsive_reports = upstream_reports.UnresponsiveReports()
+        self._greetings_left = MAX_GREETINGS
+        # From when on this host may follow the store; None before its start.
+        self._may_follow_from_ms: int | None = None
         self._start_id = rng.getrandbits(62)
         self._sequence = 0
         self._last_remote_heartbeat_ms = 0
@@ -169,16 +183,14 @@
             if isinstance(message, messages.OwnUpstreamReports):
                 self._upstream_reports = message.reports
                 if message.is_urgent:
-                    self._send_heartbeat(include_remote=False)
+                    self._send_heartbeat(self._peer_table.near_targets())
             elif isinstance(message, messages.HostListChanged):
                 self._listed_hosts = frozenset(c.host for c in message.contacts)
-                self._peer_table.set_host_list(message.contacts)
-            else:
-                # Only followers notify other data centres at once; the hosts
-                # there pass the notice on among themselves.
-                self._send_heartbeat(
-                    include_remote=self._state.is_following_store
+                self._peer_table.set_host_list(
+                    message.contacts, self._clock.now_ms()
                 )
+            else:
+                self._send_change_notice()
 
     async def _send_heartbeats(self) -> None:
         """Sends heartbeats and publishes the reports of peers at intervals."""
@@ -186,21 +198,67 @@
         while True:
             now_ms = self._clock.now_ms()
             self._peer_table.evict_expired(now_ms, self._listed_hosts)
-            self._state.set_must_follow_store(
-                self._peer_table.must_follow(
-                    now_ms, is_leaving=self._state.is_leaving
-                )
-            )
+            self._update_must_follow_store(now_ms)
             self._update_near_host_away(now_ms)
-            include_remote = (
-                now_ms - self._last_remote_heartbeat_ms
-                >= REMOTE_HEARTBEAT_INTERVAL_MS
+            self._greetings_left = MAX_GREETINGS
+            self._send_heartbeat(
+                self._peer_table.near_targets()
+                + self._due_remote_targets(now_ms)
             )
-            if include_remote:
-                self._last_remote_heartbeat_ms = now_ms
-            self._send_heartbeat(include_remote=include_remote)
+            if not self._peer_table.has_live_peer(now_ms):
+                self._send_to_seeds(now_ms)
             self._publish_peer_reports(now_ms)
-            await pauses.sleep_ms(HEARTBEAT_INTERVAL_MS)
+            await pauses.sleep_ms(peer_table_lib.HEARTBEAT_INTERVAL_MS)
+
+    def _update_must_follow_store(self, now_ms: int) -> None:
+        """Updates whether this host has to follow the store itself."""
+        if self._may_follow_from_ms is None:
+            self._may_follow_from_ms = (
+                now_ms
+                + FOLLOW_DELAY_MIN_MS
+                + int(self._peer_table.rank_fraction * FOLLOW_DELAY_SPREAD_MS)
+            )
+        must_follow = self._peer_table.must_follow(
+            now_ms, is_leaving=self._state.is_leaving
+        )
+        self._state.set_must_follow_store(
+            must_follow and now_ms >= self._may_follow_from_ms
+        )
+
+    def _due_remote_targets(self, now_ms: int) -> list[peer_data.Contact]:
+        """Returns the remote peers that get a heartbeat in this interval."""
+        if not self._peer_table.is_large_fleet:
+            elapsed_ms = now_ms - self._last_remote_heartbeat_ms
+            if elapsed_ms < REMOTE_HEARTBEAT_INTERVAL_MS:
+                return []
+            self._last_remote_heartbeat_ms = now_ms
+        return self._peer_table.remote_targets(
+            now_ms, is_follower=self._state.is_following_store
+        )
+
+    def _send_change_notice(self) -> None:
+        """Sends a heartbeat at once, since a scope has changed.
+
+        Only followers notify other data centres; the hosts there pass the
+        notice on among themselves.
+        """
+        receivers = self._peer_table.near_targets()
+        if self._state.is_following_store:
+            receivers = receivers + self._peer_table.remote_targets(
+                self._clock.now_ms(), is_follower=True
+            )
+        self._send_heartbeat(receivers)
+
+    def _send_to_seeds(self, now_ms: int) -> None:
+        """Sends a heartbeat to the seeds, while no peer is heard.
+
+        The host list may be empty, or out of reach with the store.
+        """
+        own_address = self._state.settings.peer_address
+        datagram = self._encode_next_heartbeat(now_ms)
+        for address in self._state.settings.seed_addresses:
+            if address != own_address:
+                self._send_datagram(datagram, address)
 
     async def _send_leaving_heartbeat(self) -> None:
         """Sends a heartbeat at once when this host starts to leave.
@@ -209,29 +267,24 @@
         this one is back.
         """
         await self._state.leaving.wait()
-        self._send_heartbeat(include_remote=False)
+        self._send_heartbeat(self._peer_table.near_targets())
 
     def _publish_peer_reports(self, now_ms: int) -> None:
         """Sends the aggregated reports of peers to the packet task."""
-        heartbeats = self._peer_table.live_heartbeats(now_ms)
-        host_count = self._peer_table.host_count()
-        in_flight_by_tag, avoid_ms_by_tag = (
-            peer_table_lib.aggregate_upstream_reports(
-                heartbeats, host_count - 1
-            )
+        received = self._peer_table.live_heartbeats(now_ms)
+        in_flight_by_tag = upstream_reports.total_in_flight(
+            received, self._peer_table.near_host_count(now_ms) - 1
         )
         has_membership_changed = self._has_membership_changed or any(
-            heartbeat.is_leaving
-            and self._peer_table.is_same_data_centre(heartbeat.contact)
-            for heartbeat in heartbeats
+            each.is_near and each.heartbeat.is_leaving for each in received
         )
         self._has_membership_changed = False
         # The stream is unbounded, so this never raises `WouldBlock`.
         self._peer_reports.send_nowait(
             messages.PeerReports(
                 in_flight_by_tag,
-                avoid_ms_by_tag,
-                host_count,
+                self._unresponsive_reports.avoid_ms_by_tag(now_ms),
+                self._peer_table.host_count(now_ms),
                 has_membership_changed,
             )
         )
@@ -242,26 +295,20 @@
             now_ms
         )
 
-    def _send_heartbeat(self, *, include_remote: bool) -> None:
-        """Sends one heartbeat to some peers.
-
-        Args:
-            include_remote: Whether peers in other data centres get it too.
-        """
-        receivers = [
-            contact
-            for contact in self._peer_table.heartbeat_targets()
-            if include_remote or self._peer_table.is_same_data_centre(contact)
-        ]
+    def _send_heartbeat(self, receivers: list[peer_data.Contact]) -> None:
+        """Sends one heartbeat to some peers."""
         self._send_to(
             receivers, self._encode_next_heartbeat(self._clock.now_ms())
         )
 
     def _encode_next_heartbeat(self, now_ms: int) -> bytes:
         """Returns the datagram of this host's next heartbeat."""
-        followers = self._peer_table.follower_ages_ms(now_ms)
-        if self._state.is_following_store:
-            followers[self._contact.host] = 0
+        reports = self._upstream_reports
+        if self._peer_table.is_large_fleet:
+            # In a small one, every host hears every other one itself.
+            reports = reports + self._unresponsive_reports.relayed(
+                reports, now_ms
+            )
         failure_ms = self._state.last_store_failure_ms
         self._sequence += 1
         return peer_messages.encode_heartbeat(
@@ -274,8 +321,11 @@
                 store_failed_ms=None
                 if failure_ms is None
                 else now_ms - failure_ms,
-                follower_ages_ms=followers,
-                upstreams=self._upstream_reports,
+                follower_ages_ms=self._peer_table.reported_follower_ages_ms(
+                    now_ms, is_following=self._state.is_following_store
+                ),
+                upstreams=reports,
+                live_counts=self._peer_table.live_counts(now_ms),
             )
         )
 
@@ -284,17 +334,21 @@
     ) -> None:
         """Sends a datagram to some hosts; failures are logged only."""
         for contact in receivers:
-            try:
-                self._socket.sendto(datagram, (contact.address, contact.port))
-            except OSError as error:
-                self._state.counts["beats_not_sent"] += 1
-                event_log.log(
-                    _LOG,
-                    logging.INFO,
-                    "beat_not_sent",
-                    peer=contact.host,
-                    problem=repr(error),
-                )
+            self._send_datagram(datagram, (contact.address, contact.port))
+
+    def _send_datagram(self, datagram: bytes, address: tuple[str, int]) -> None:
+        """Sends a datagram to an address; a failure is logged only."""
+        try:
+            self._socket.sendto(datagram, address)
+        except OSError as error:
+            self._state.counts["beats_not_sent"] += 1
+            event_log.log(
+                _LOG,
+                logging.INFO,
+                "beat_not_sent",
+                address=f"{address[0]}:{address[1]}",
+                problem=repr(error),
+            )
 
     def _record_socket_error(self, error: OSError) -> None:
         """Counts and logs an error of the socket.
@@ -317,25 +371,7 @@
             return
         now_ms = self._clock.now_ms()
         if self._peer_table.record_heartbeat(heartbeat, now_ms):
-            event_log.log(
-                _LOG,
-                logging.INFO,
-                "peer_started",
-                peer=heartbeat.contact.host,
-                data_centre=heartbeat.contact.data_centre,
-                start_id=heartbeat.start_id,
-            )
-            self._new_peers.add(heartbeat.contact.host)
-            self._new_peer_event.set()
-            # The fabric distributes the flows of a data centre over its hosts,
-            # so only a new host of this data centre moves flows.
-            self._has_membership_changed |= (
-                self._peer_table.is_same_data_centre(heartbeat.contact)
-            )
-            # The new host may not know any peer yet.
-            self._send_to(
-                [heartbeat.contact], self._encode_next_heartbeat(now_ms)
-            )
+            self._handle_new_peer(heartbeat, now_ms)
         if heartbeat.is_leaving or self._state.is_near_host_away:
             self._update_near_host_away(now_ms)
         if heartbeat.store_failed_ms is not None:
@@ -343,14 +379,45 @@
             known_ms = self._state.last_store_failure_ms
             if known_ms is None or failure_ms > known_ms:
                 self._state.last_store_failure_ms = failure_ms
-        if any(report.silent_ms > 0 for report in heartbeat.upstreams):
+        if self._unresponsive_reports.record(heartbeat.upstreams, now_ms):
             self._publish_peer_reports(now_ms)
+            if self._peer_table.is_large_fleet:
+                self._send_heartbeat(self._peer_table.near_targets())
         for scope, revision in heartbeat.revisions.items():
             if revision <= self._state.change_revision_by_scope.get(scope, 0):
                 continue
             self._behind_since_ms_by_scope.setdefault(scope, now_ms)
             self._is_behind_event.set()
 
+    def _handle_new_peer(
+        self, heartbeat: peer_data.Heartbeat, now_ms: int
+    ) -> None:
+        """Handles the first heartbeat of a peer, or of its new process.
+
+        The new process may not know any peer yet, so it gets a heartbeat of
+        this host, except in a large fleet, where a few others do that.
+        """
+        self._new_peers.add(heartbeat.contact.host)
+        self._new_peer_event.set()
+        is_near = self._peer_table.is_same_data_centre(heartbeat.contact)
+        if is_near:
+            # The fabric distributes the flows of a data centre over its hosts,
+            # so only a new host of this data centre moves flows.
+            self._has_membership_changed = True
+            event_log.log(
+                _LOG,
+                logging.INFO,
+                "peer_started",
+                peer=heartbeat.contact.host,
+                data_centre=heartbeat.contact.data_centre,
+                start_id=heartbeat.start_id,
+            )
+        if self._peer_table.is_large_fleet:
+            if not is_near or self._greetings_left == 0:
+                return
+            self._greetings_left -= 1
+        self._send_to([heartbeat.contact], self._encode_next_heartbeat(now_ms))
+
     async def _pull_changes(self) -> None:
         """Pulls changes from peers that are ahead of this host."""
         async with anyio.create_task_group() as tasks:
--- a/packages/node/sapphire_node/entry/peer_task_test.py
+++ b/packages/node/sapphire_node/entry/peer_task_test.py
@@ -55,7 +55,7 @@
 
 class PeerTaskTest(PeerTaskBench):
     def test_a_leaving_host_sends_a_heartbeat_at_once(self) -> None:
-        self.task._peer_table.set_host_list([self.contact()])
+        self.task._peer_table.set_host_list([self.contact()], 1_000)
         self.state.leaving.set()
 
         async def main() -> bytes:
--- a/packages/node/sapphire_node/entry/platform_interface.py
+++ b/packages/node/sapphire_node/entry/platform_interface.py
@@ -49,6 +49,18 @@
 class StoreClient(Protocol):
     """A connection to the store that hosts read and follow."""
 
+    async def read_snapshot(
+        self, timeout_ms: int
+    ) -> replication_data.Snapshot | replication_data.SourceFailure:
+        """Reads all items of all scopes with a linearizable read.
+
+        The result is at least as new as every answer that the store has given.
+
+        Args:
+            timeout_ms: How long to wait for the first byte of each part of the
+                answer.
+        """
+
     async def read_all(
         self, scope: replication_data.Scope, timeout_ms: int
     ) -> replication_data.Batch | replication_data.SourceFailure:
@@ -58,7 +70,8 @@
 
         Args:
             scope: The scope.
-            timeout_ms: How long to wait for each part of the answer.
+            timeout_ms: How long to wait for the first byte of each part of the
+                answer.
         """
 
     async def wait_for_changes(
@@ -95,7 +108,7 @@
 
     async def announce(
         self, host: str, value: bytes, ttl_ms: int, timeout_ms: int
-    ) -> int | replication_data.SourceFailure:
+    ) -> replication_data.Announcement | replication_data.SourceFailure:
         """Adds this host to the host list until its lease ends.
 
         Args:
@@ -105,7 +118,7 @@
             timeout_ms: How long to wait for each answer.
 
         Returns:
-            The lease, or why the store granted none.
+            The announcement, or why the host is not listed.
         """
 
     async def renew(
@@ -133,10 +146,14 @@
         shutdown_ms: The time from the request to stop until the platform kills
             the process.
         flow_life_ms: The age after which a flow may be dropped.
+        contact_ms: After this time without any disruption, hosts and the
+            store are expected to reach each other; what is known of a host
+            that has been silent for longer no longer counts.
     """
 
     shutdown_ms: int
     flow_life_ms: int
+    contact_ms: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -153,6 +170,7 @@
             requests (HTTP) of peers.
         metrics_address: The address that serves metrics.
         store_address: The address of the store.
+        seed_addresses: The peer addresses of a few hosts, which may be down.
         limits: The time limits that the platform sets.
     """
 
@@ -164,6 +182,7 @@
     peer_address: flow_data.Address
     metrics_address: flow_data.Address
     store_address: flow_data.Address
+    seed_addresses: tuple[flow_data.Address, ...]
     limits: Limits
 
 
--- a/packages/node/sapphire_node/entry/replica_task.py
+++ b/packages/node/sapphire_node/entry/replica_task.py
@@ -108,6 +108,8 @@
         changed_items = scope_replica.apply(message.batch, now_ms)
         scope_replica.evict_expired(now_ms)
         self._state.as_of_by_scope[scope] = scope_replica.as_of
+        if scope is data.Scope.HOSTS:
+            self._update_unlisted()
         if not changed_items and was_complete:
             return
         self._drop_cached_bodies(scope)
@@ -188,6 +190,15 @@
             return flow_data.RemovalCause.REGISTRY_UNAVAILABLE
         return flow_data.RemovalCause.UPSTREAM_STOPPED
 
+    def _update_unlisted(self) -> None:
+        """Updates whether the host list lacks this host."""
+        hosts = self._replicas_by_scope[data.Scope.HOSTS]
+        own_host = self._state.settings.host_name
+        is_listed = any(
+            contact.host == own_host for contact in self._listed_contacts()
+        )
+        self._state.unlisted_as_of = None if is_listed else hosts.as_of
+
     def _listed_contacts(self) -> tuple[peer_data.Contact, ...]:
         """Returns the contacts of the hosts in the host list."""
         contacts: list[peer_data.Contact] = []
--- a/packages/node/sapphire_node/entry/store_follower.py
+++ b/packages/node/sapphire_node/entry/store_follower.py
@@ -1,8 +1,7 @@
 """The task that follows one scope of the store.
 
-To follow a scope is to read all its items and then to wait for their changes.
-Only a few hosts follow the store permanently; the others pull changes from
-peers.
+To follow a scope is to wait for its changes after the last read. Only a few
+hosts follow the store; the others pull changes from peers.
 """
 
 import logging
@@ -15,22 +14,17 @@
 from sapphire_data import clock as clock_lib
 from sapphire_net import event_log
 from sapphire_net import pauses
+from sapphire_node.entry import call_backoff
 from sapphire_node.entry import host_state
 from sapphire_node.entry import messages
 from sapphire_node.entry import platform_interface
 
 _LOG = logging.getLogger(__name__)
 
-# A long poll without a response times out after the sum of both. The platform
-# requires that a configuration is in force 3 s after it was accepted, and the
-# next connection takes part of that time.
+# A long poll without a response times out after this and the answer timeout.
+# The platform requires that a configuration is in force 3 s after it was
+# accepted, and the next connection takes part of that time.
 WATCH_WAIT_MS = 1_000
-ANSWER_TIMEOUT_MS = 700
-# The timeout doubles with each consecutive failure up to this bound, so that
-# answers of a slow store, sixty to ninety times its usual 4 ms, still arrive.
-MAX_ANSWER_TIMEOUT_MS = 2_800
-BACKOFF_MIN_MS = 50
-BACKOFF_MAX_MS = 800
 # Changes of upstreams come in bursts; with a pause between calls, one call
 # returns several of them.
 REGISTRY_PAUSE_MS = 500
@@ -41,6 +35,10 @@
     data.Scope.REGISTRY: REGISTRY_PAUSE_MS,
     data.Scope.HOSTS: HOST_LIST_POLL_MS,
 }
+# While a batch of this size arrives over a narrow link, further versions of the
+# same items may be written. A watch returns each of them in full, a read of all
+# items only the newest.
+LARGE_BATCH_BYTES = 65_536
 
 BatchSender = anyio.streams.memory.MemoryObjectSendStream[
     messages.BatchReceived | messages.RemovedItemsReceived
@@ -48,7 +46,7 @@
 
 
 class StoreFollower:
-    """Reads a scope of the store and then follows its changes.
+    """Follows the changes of a scope of the store after the startup read.
 
     Args:
         scope: The scope.
@@ -73,21 +71,18 @@
         self._batches = batches
         self._settings = state.settings
         self._store = platform.create_store_client(state.settings)
-        self._consecutive_failures = 0
-        self._must_read_all = True
+        self._backoff = call_backoff.CallBackoff(scope.name, state, clock)
+        # How often in a row the store no longer had the changes.
+        self._consecutive_history_losses = 0
+        self._must_read_all = False
         self._last_batch_as_of = 0
+        self._newest_revision = 0
 
     async def run(self) -> None:
-        """Follows the scope until cancelled.
-
-        The first read always goes to the store, never to a peer. For the
-        routing scopes it is linearizable, so a host that has just started acts
-        on data at least as new as every answer that the store has given.
-        """
-        if self._scope not in host_state.ROUTING_SCOPES:
-            await self._state.wait_for_startup()
+        """Follows the scope until cancelled, whenever this host has to."""
+        await self._state.startup_read.wait()
         while True:
-            if not self._must_read_all and not self._state.must_follow_store:
+            if not self._state.must_follow_store:
                 self._state.followed_scopes.discard(self._scope)
                 await self._state.wait_until_must_follow_store()
                 continue
@@ -100,9 +95,7 @@
             if isinstance(batch, data.SourceFailure):
                 await self._handle_failure(batch)
                 continue
-            self._record_answer()
-            self._must_read_all = False
-            self._last_batch_as_of = batch.as_of
+            self._record_answer(batch)
             await self._batches.send(
                 messages.BatchReceived(self._scope, batch, "store")
             )
@@ -111,10 +104,7 @@
 
     async def _next_batch(self) -> data.Batch | data.SourceFailure:
         """Reads all items, or waits for the next changes."""
-        timeout_ms = min(
-            ANSWER_TIMEOUT_MS << min(self._consecutive_failures, 4),
-            MAX_ANSWER_TIMEOUT_MS,
-        )
+        timeout_ms = self._backoff.timeout_ms
         if self._scope is data.Scope.HOSTS:
             return await self._store.read_all_allow_stale(
                 self._scope, timeout_ms
@@ -123,50 +113,63 @@
             return await self._store.read_all(self._scope, timeout_ms)
         # The replica may be ahead of this follower by batches of peers, or
         # behind it while the last batch of this follower is still queued.
-        known = self._state.as_of_by_scope.get(self._scope, 0)
-        after = max(known, self._last_batch_as_of)
+        after = max(
+            self._state.as_of_by_scope.get(self._scope, 0),
+            self._state.startup_revision,
+            self._last_batch_as_of,
+        )
         # After a failure, changes may be overdue: let the store answer at once.
-        wait_ms = 1 if self._consecutive_failures else WATCH_WAIT_MS
+        wait_ms = 1 if self._backoff.consecutive_failures else WATCH_WAIT_MS
         return await self._store.wait_for_changes(
             self._scope, after, wait_ms, timeout_ms
         )
 
     async def _handle_failure(self, failure: data.SourceFailure) -> None:
-        """Records a failed call and backs off before the next one."""
+        """Records a failed call and backs off before the next one.
+
+        When the store has dropped the changes, all items are read at once. If
+        it drops them again before the next watch succeeds, there is a pause.
+        """
         if isinstance(failure, data.HistoryGone):
-            event_log.log_failure(
-                _LOG, "history_gone", failure, scope=self._scope.name
-            )
             self._must_read_all = True
+            repetitions = self._consecutive_history_losses
+            self._consecutive_history_losses += 1
+            if repetitions == 0:
+                event_log.log_failure(
+                    _LOG, "history_gone", failure, scope=self._scope.name
+                )
+                return
+            await pauses.sleep_ms(self._backoff.backoff_ms(repetitions - 1))
             return
         self._state.followed_scopes.discard(self._scope)
-        self._state.last_store_failure_ms = self._clock.now_ms()
-        self._state.counts["store_failures"] += 1
-        if self._consecutive_failures == 0:
-            event_log.log_failure(
-                _LOG, "store_lost", failure, scope=self._scope.name
-            )
-        backoff_ms = min(
-            BACKOFF_MIN_MS << self._consecutive_failures, BACKOFF_MAX_MS
-        )
-        self._consecutive_failures = min(self._consecutive_failures + 1, 8)
-        await pauses.sleep_ms(backoff_ms)
+        await pauses.sleep_ms(self._backoff.record_failure(failure))
 
-    def _record_answer(self) -> None:
-        """Records that the store has answered."""
-        self._state.counts["store_answers"] += 1
+    def _record_answer(self, batch: data.Batch) -> None:
+        """Records an answer of the store and how to get the next changes."""
+        self._backoff.record_answer()
         self._state.store_answer_ms_by_scope[self._scope] = self._clock.now_ms()
         self._state.followed_scopes.add(self._scope)
-        if self._consecutive_failures == 0:
-            return
-        event_log.log(
-            _LOG,
-            logging.INFO,
-            "store_regained",
-            scope=self._scope.name,
-            failures=self._consecutive_failures,
+        if not batch.is_full and self._consecutive_history_losses > 0:
+            event_log.log(
+                _LOG,
+                logging.INFO,
+                "history_regained",
+                scope=self._scope.name,
+                repeats=self._consecutive_history_losses,
+            )
+            self._consecutive_history_losses = 0
+        self._last_batch_as_of = batch.as_of
+        self._must_read_all = self._has_large_changes(batch)
+
+    def _has_large_changes(self, batch: data.Batch) -> bool:
+        """Whether a batch has new values that took long to arrive."""
+        newest_revision = max(
+            (item.revision for item in batch.items), default=0
         )
-        self._consecutive_failures = 0
+        has_changes = newest_revision > self._newest_revision
+        self._newest_revision = max(self._newest_revision, newest_revision)
+        size = sum(len(item.value or b"") for item in batch.items)
+        return has_changes and size >= LARGE_BATCH_BYTES
 
     async def _apply_settings(self) -> None:
         """Creates a new client if the settings have changed."""
--- a/packages/node/sapphire_node/entry/store_follower_test.py
+++ b/packages/node/sapphire_node/entry/store_follower_test.py
@@ -7,118 +7,62 @@
 from sapphire_data import clock as clock_lib
 from sapphire_lab.tagged_flows import builders
 from sapphire_lab.tagged_flows import host_builders
+from sapphire_lab.tagged_flows import scripted_store
+from sapphire_net import pauses
 from sapphire_node.entry import host_state
 from sapphire_node.entry import messages
-from sapphire_node.entry import platform_interface
 from sapphire_node.entry import store_follower
 
-Answer = data.Batch | data.SourceFailure
-
-FULL = builders.batch(builders.item("a", 5), as_of=5, is_full=True)
+READ_ALL = scripted_store.READ_ALL
+CHANGE = builders.batch(builders.item("a", 7), as_of=7)
+FULL = builders.batch(builders.item("a", 7), as_of=9, is_full=True)
 TIMEOUT = data.SourceSilent("no response")
-
-
-class FakeStore:
-    """A store that gives answers from a list and then never answers again.
-
-    Attributes:
-        calls: The revision of each wait for changes, -1 for each full read.
-        close_count: How often the connection was closed.
-    """
-
-    def __init__(self, answers: list[Answer]) -> None:
-        self._answers = answers
-        self.calls: list[int] = []
-        self.close_count = 0
-
-    async def _next(self) -> Answer:
-        await anyio.sleep(0)
-        if not self._answers:
-            await anyio.sleep_forever()
-        return self._answers.pop(0)
-
-    async def read_all(self, scope: data.Scope, timeout_ms: int) -> Answer:
-        self.calls.append(-1)
-        return await self._next()
-
-    async def read_all_allow_stale(
-        self, scope: data.Scope, timeout_ms: int
-    ) -> Answer:
-        self.calls.append(-1)
-        return await self._next()
-
-    async def wait_for_changes(
-        self,
-        scope: data.Scope,
-        after_revision: int,
-        wait_ms: int,
-        timeout_ms: int,
-    ) -> Answer:
-        self.calls.append(after_revision)
-        return await self._next()
-
-    async def announce(
-        self, host: str, value: bytes, ttl_ms: int, timeout_ms: int
-    ) -> int:
-        raise NotImplementedError
-
-    async def renew(self, lease: int, timeout_ms: int) -> None:
-        raise NotImplementedError
-
-    async def close(self) -> None:
-        self.close_count += 1
-
-
-class FakePlatform:
-    """An adapter that only creates a client of the store."""
-
-    def __init__(self, store: FakeStore) -> None:
-        self._store = store
-        self.packets: platform_interface.PacketCodec
-        self.items: platform_interface.ItemDecoder
-
-    def read_settings(self) -> platform_interface.HostSettings:
-        raise NotImplementedError
-
-    def create_store_client(
-        self, settings: platform_interface.HostSettings
-    ) -> platform_interface.StoreClient:
-        return self._store
+GONE = data.HistoryGone("gone")
+# The revision of the read at the start of the host.
+STARTUP_REVISION = 5
 
 
 class StoreFollowerTest(testtools.TestCase):
     def run_store_follower(
         self,
-        answers: list[Answer],
+        answers: list[scripted_store.Answer],
         calls: int,
         prepare: Callable[[host_state.HostState], None] | None = None,
-    ) -> tuple[FakeStore, host_state.HostState, list[data.Batch]]:
+        *,
+        limit_s: float = 20.0,
+    ) -> tuple[
+        scripted_store.ScriptedStore, host_state.HostState, list[data.Batch]
+    ]:
         """Runs a follower of the intent until it has made `calls` calls.
 
         Returns:
             The store, the state of the host, and the batches sent on.
         """
         state = host_builders.state()
-        if prepare is not None:
-            prepare(state)
-        store = FakeStore(answers)
+        state.set_must_follow_store(True)
+        store = scripted_store.ScriptedStore(answers)
         sent: list[data.Batch] = []
 
         async def main() -> None:
+            state.startup_revision = STARTUP_REVISION
+            state.startup_read.set()
+            if prepare is not None:
+                prepare(state)
             batches, received = anyio.create_memory_object_stream[
                 messages.BatchReceived | messages.RemovedItemsReceived
-            ](100)
+            ](1_000)
             task = store_follower.StoreFollower(
                 data.Scope.INTENT,
-                FakePlatform(store),
+                scripted_store.ScriptedPlatform(store),
                 state,
                 clock_lib.MonotonicClock(),
                 batches,
             )
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(task.run)
-                while len(store.calls) < calls:
-                    await anyio.sleep(0.005)
+                with anyio.move_on_after(limit_s):
+                    while len(store.calls) < calls:
+                        await anyio.sleep(0.005)
                 tasks.cancel_scope.cancel()
             batches.close()
             async for message in received:
@@ -130,38 +74,77 @@
     def test_changes_are_requested_after_the_last_batch(self) -> None:
         # `as_of_by_scope` stays unset, as when the replica applies a batch only
         # after the next call of the follower.
-        change = builders.batch(builders.item("a", 7), as_of=7)
-        store, state, sent = self.run_store_follower([FULL, change], 3)
-        self.assertEqual([-1, 5, 7], store.calls)
-        self.assertEqual([FULL, change], sent)
+        later = builders.batch(builders.item("a", 8), as_of=8)
+        store, state, sent = self.run_store_follower([CHANGE, later], 3)
+        self.assertEqual([STARTUP_REVISION, 7, 8], store.calls)
+        self.assertEqual([CHANGE, later], sent)
         self.assertIn(data.Scope.INTENT, state.followed_scopes)
 
     def test_changes_are_requested_after_newer_batches_of_peers(self) -> None:
         def apply_peer_batch(state: host_state.HostState) -> None:
             state.as_of_by_scope[data.Scope.INTENT] = 90
 
-        store, _, _ = self.run_store_follower([FULL], 2, apply_peer_batch)
-        self.assertEqual([-1, 90], store.calls)
+        store, _, _ = self.run_store_follower([], 1, apply_peer_batch)
+        self.assertEqual([90], store.calls)
 
     def test_all_items_are_read_when_the_history_is_gone(self) -> None:
-        gone = data.HistoryGone("gone")
-        store, state, _ = self.run_store_follower([FULL, gone, FULL], 4)
-        self.assertEqual([-1, 5, -1, 5], store.calls)
+        store, state, _ = self.run_store_follower([GONE, FULL], 3)
+        self.assertEqual([STARTUP_REVISION, READ_ALL, 9], store.calls)
         self.assertIsNone(state.last_store_failure_ms)
 
+    def test_a_store_that_keeps_no_history_is_not_called_in_a_loop(
+        self,
+    ) -> None:
+        """Pattern: the store drops its history faster than it is read."""
+        answers: list[scripted_store.Answer] = [GONE, FULL] * 500
+        store, _, _ = self.run_store_follower(answers, 1_000, limit_s=2.0)
+        # The first full read is made at once, the others after 50, 100, 200,
+        # 400 and 800 ms, with jitter.
+        self.assertGreaterEqual(len(store.calls), 4)
+        self.assertLessEqual(len(store.calls), 16)
+
+    def test_the_pause_starts_anew_after_a_watch_that_succeeded(self) -> None:
+        self.patch(pauses, "sleep_ms", self._never_called)
+        self.run_store_follower([GONE, FULL, CHANGE, GONE, FULL], 6)
+
+    async def _never_called(self, duration_ms: int) -> None:
+        self.fail(f"a pause of {duration_ms} ms")
+
     def test_a_host_whose_calls_fail_is_no_follower(self) -> None:
         busy = data.SourceUnavailable("status 503")
         for failure in (busy, TIMEOUT):
-            store, state, _ = self.run_store_follower([FULL, failure], 3)
-            self.assertEqual([-1, 5, 5], store.calls)
+            store, state, _ = self.run_store_follower([CHANGE, failure], 3)
+            self.assertEqual([STARTUP_REVISION, 7, 7], store.calls)
             self.assertNotIn(data.Scope.INTENT, state.followed_scopes)
             self.assertIsNotNone(state.last_store_failure_ms)
 
-    def test_the_first_read_goes_to_the_store_even_if_others_follow(
-        self,
-    ) -> None:
+    def test_a_host_that_need_not_follow_does_not_call(self) -> None:
         def do_not_follow(state: host_state.HostState) -> None:
             state.set_must_follow_store(False)
 
-        store, _, _ = self.run_store_follower([TIMEOUT, FULL], 2, do_not_follow)
-        self.assertEqual([-1, -1], store.calls)
+        store, _, _ = self.run_store_follower(
+            [CHANGE], 1, do_not_follow, limit_s=0.05
+        )
+        self.assertEqual([], store.calls)
+
+    def test_a_storm_of_large_changes_is_caught_up_by_reads_of_all(
+        self,
+    ) -> None:
+        """Pattern: a large configuration changes faster than it arrives."""
+        value = bytes(store_follower.LARGE_BATCH_BYTES)
+
+        def read(revision: int, *, is_full: bool = True) -> data.Batch:
+            large = builders.item("a", revision, value)
+            return builders.batch(large, as_of=revision, is_full=is_full)
+
+        # A watch after the first would return all versions in between.
+        answers: list[scripted_store.Answer] = [
+            read(7, is_full=False),
+            read(12),
+            read(16),
+            read(16),
+        ]
+        store, _, _ = self.run_store_follower(answers, 5)
+        self.assertEqual(
+            [STARTUP_REVISION, READ_ALL, READ_ALL, READ_ALL, 16], store.calls
+        )
--- a/packages/wire/idl/peers.thrift
+++ b/packages/wire/idl/peers.thrift
@@ -18,6 +18,10 @@
   12: required list<i64> upstream_tags,
   13: required list<i32> busy,           // Requests in progress, in hundredths.
   14: required list<i32> silent_ms,      // How much longer it is avoided.
+  // How many hosts of each data centre are live, and how old that knowledge is.
+  15: optional list<string> data_centres,
+  16: optional list<i32> live_hosts,
+  17: optional list<i32> live_host_ages_ms,
 }
 
 struct ItemRecord {
--- a/packages/wire/sapphire_wire/gen/peers/ttypes.py
+++ b/packages/wire/sapphire_wire/gen/peers/ttypes.py
@@ -33,11 +33,14 @@
      - upstream_tags
      - busy
      - silent_ms
+     - data_centres
+     - live_hosts
+     - live_host_ages_ms
 
     """
 
 
-    def __init__(self, host=None, data_centre=None, address=None, port=None, start_id=None, sequence=None, is_leaving=None, revisions=None, store_failed_ms=None, followers=None, follower_ages_ms=None, upstream_tags=None, busy=None, silent_ms=None,):
+    def __init__(self, host=None, data_centre=None, address=None, port=None, start_id=None, sequence=None, is_leaving=None, revisions=None, store_failed_ms=None, followers=None, follower_ages_ms=None, upstream_tags=None, busy=None, silent_ms=None, data_centres=None, live_hosts=None, live_host_ages_ms=None,):
         self.host = host
         self.data_centre = data_centre
         self.address = address
@@ -52,6 +55,9 @@
         self.upstream_tags = upstream_tags
         self.busy = busy
         self.silent_ms = silent_ms
+        self.data_centres = data_centres
+        self.live_hosts = live_hosts
+        self.live_host_ages_ms = live_host_ages_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -162,6 +168,36 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.LIST:
+                    self.data_centres = []
+                    (_etype39, _size36) = iprot.readListBegin()
+                    for _i40 in range(_size36):
+                        _elem41 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.data_centres.append(_elem41)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.LIST:
+                    self.live_hosts = []
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = iprot.readI32()
+                        self.live_hosts.append(_elem47)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.LIST:
+                    self.live_host_ages_ms = []
+                    (_etype51, _size48) = iprot.readListBegin()
+                    for _i52 in range(_size48):
+                        _elem53 = iprot.readI32()
+                        self.live_host_ages_ms.append(_elem53)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -203,8 +239,8 @@
         if self.revisions is not None:
             oprot.writeFieldBegin('revisions', TType.LIST, 8)
             oprot.writeListBegin(TType.I64, len(self.revisions))
-            for iter36 in self.revisions:
-                oprot.writeI64(iter36)
+            for iter54 in self.revisions:
+                oprot.writeI64(iter54)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.store_failed_ms is not None:
@@ -214,36 +250,57 @@
         if self.followers is not None:
             oprot.writeFieldBegin('followers', TType.LIST, 10)
             oprot.writeListBegin(TType.STRING, len(self.followers))
-            for iter37 in self.followers:
-                oprot.writeString(iter37.encode('utf-8') if sys.version_info[0] == 2 else iter37)
+            for iter55 in self.followers:
+                oprot.writeString(iter55.encode('utf-8') if sys.version_info[0] == 2 else iter55)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.follower_ages_ms is not None:
             oprot.writeFieldBegin('follower_ages_ms', TType.LIST, 11)
             oprot.writeListBegin(TType.I32, len(self.follower_ages_ms))
-            for iter38 in self.follower_ages_ms:
-                oprot.writeI32(iter38)
+            for iter56 in self.follower_ages_ms:
+                oprot.writeI32(iter56)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.upstream_tags is not None:
             oprot.writeFieldBegin('upstream_tags', TType.LIST, 12)
             oprot.writeListBegin(TType.I64, len(self.upstream_tags))
-            for iter39 in self.upstream_tags:
-                oprot.writeI64(iter39)
+            for iter57 in self.upstream_tags:
+                oprot.writeI64(iter57)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.busy is not None:
             oprot.writeFieldBegin('busy', TType.LIST, 13)
             oprot.writeListBegin(TType.I32, len(self.busy))
-            for iter40 in self.busy:
-                oprot.writeI32(iter40)
+            for iter58 in self.busy:
+                oprot.writeI32(iter58)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.silent_ms is not None:
             oprot.writeFieldBegin('silent_ms', TType.LIST, 14)
             oprot.writeListBegin(TType.I32, len(self.silent_ms))
-            for iter41 in self.silent_ms:
-                oprot.writeI32(iter41)
+            for iter59 in self.silent_ms:
+                oprot.writeI32(iter59)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.data_centres is not None:
+            oprot.writeFieldBegin('data_centres', TType.LIST, 15)
+            oprot.writeListBegin(TType.STRING, len(self.data_centres))
+            for iter60 in self.data_centres:
+                oprot.writeString(iter60.encode('utf-8') if sys.version_info[0] == 2 else iter60)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.live_hosts is not None:
+            oprot.writeFieldBegin('live_hosts', TType.LIST, 16)
+            oprot.writeListBegin(TType.I32, len(self.live_hosts))
+            for iter61 in self.live_hosts:
+                oprot.writeI32(iter61)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.live_host_ages_ms is not None:
+            oprot.writeFieldBegin('live_host_ages_ms', TType.LIST, 17)
+            oprot.writeListBegin(TType.I32, len(self.live_host_ages_ms))
+            for iter62 in self.live_host_ages_ms:
+                oprot.writeI32(iter62)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -402,11 +459,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.items = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = ItemRecord()
-                        _elem47.read(iprot)
-                        self.items.append(_elem47)
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = ItemRecord()
+                        _elem68.read(iprot)
+                        self.items.append(_elem68)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -433,8 +490,8 @@
         if self.items is not None:
             oprot.writeFieldBegin('items', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.items))
-            for iter48 in self.items:
-                iter48.write(oprot)
+            for iter69 in self.items:
+                iter69.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.as_of is not None:
@@ -582,6 +639,9 @@
     (12, TType.LIST, 'upstream_tags', (TType.I64, None, False), None, ),  # 12
     (13, TType.LIST, 'busy', (TType.I32, None, False), None, ),  # 13
     (14, TType.LIST, 'silent_ms', (TType.I32, None, False), None, ),  # 14
+    (15, TType.LIST, 'data_centres', (TType.STRING, 'UTF8', False), None, ),  # 15
+    (16, TType.LIST, 'live_hosts', (TType.I32, None, False), None, ),  # 16
+    (17, TType.LIST, 'live_host_ages_ms', (TType.I32, None, False), None, ),  # 17
 )
 all_structs.append(ItemRecord)
 ItemRecord.thrift_spec = (
--- a/packages/wire/sapphire_wire/peer_messages.py
+++ b/packages/wire/sapphire_wire/peer_messages.py
@@ -39,6 +39,11 @@
                 for upstream in heartbeat.upstreams
             ],
             silent_ms=[report.silent_ms for report in heartbeat.upstreams],
+            data_centres=list(heartbeat.live_counts),
+            live_hosts=[each.hosts for each in heartbeat.live_counts.values()],
+            live_host_ages_ms=[
+                each.age_ms for each in heartbeat.live_counts.values()
+            ],
         )
     )
 
@@ -74,6 +79,9 @@
         return failures.UnreadableInput(
             record.host, "the number of revisions is not that of the scopes"
         )
+    live_counts = _decode_live_counts(record)
+    if isinstance(live_counts, failures.UnreadableInput):
+        return live_counts
     failed_ms = record.store_failed_ms
     reports = zip(
         record.upstream_tags, record.busy, record.silent_ms, strict=True
@@ -93,9 +101,31 @@
             data.UpstreamReport(tag, busy / _BUSY_UNITS, silent_ms)
             for tag, busy, silent_ms in reports
         ),
+        live_counts=live_counts,
     )
 
 
+def _decode_live_counts(
+    record: ttypes.Beat,
+) -> dict[str, data.LiveCount] | failures.UnreadableInput:
+    """Returns the live hosts of each data centre.
+
+    Hosts of earlier versions do not send them.
+    """
+    data_centres = record.data_centres or []
+    live_hosts = record.live_hosts or []
+    ages_ms = record.live_host_ages_ms or []
+    if not len(data_centres) == len(live_hosts) == len(ages_ms):
+        return failures.UnreadableInput(
+            record.host, "the live hosts and their ages differ in length"
+        )
+    counts = zip(data_centres, live_hosts, ages_ms, strict=True)
+    return {
+        data_centre: data.LiveCount(max(0, hosts), max(0, age_ms))
+        for data_centre, hosts, age_ms in counts
+    }
+
+
 def encode_batch(batch: replication_data.Batch) -> bytes:
     """Returns the compressed body that carries a batch of replica items."""
     record = ttypes.ItemBatch(
