--- a/packages/lab/sapphire_lab/config/configuration_sync_test.py
+++ b/packages/lab/sapphire_lab/config/configuration_sync_test.py
@@ -287,3 +287,28 @@
                 self.assertThat(host.revisions[-1], matchers.Equals(2))
 
         run(test_body)
+
+
+class FullInboxTest(testtools.TestCase):
+    """Pattern: the inbox of the task is full while the membership changes."""
+
+    def test_a_view_that_did_not_fit_is_queued_at_the_next_tick(self) -> None:
+        async def main() -> list[propagation_data.Event]:
+            host = Host("a", "tacoma", "http://127.0.0.1:1")
+            while host.sync._try_put(propagation_data.Tick()):
+                pass
+            host.set_view([host])
+            queued: list[propagation_data.Event] = []
+            async with anyio.create_task_group() as tasks:
+                for _ in range(configuration_sync.MAX_QUEUED_EVENTS):
+                    queued.append(host.sync._events.receive_nowait().event)
+                tasks.start_soon(host.sync._tick)
+                with anyio.fail_after(5):
+                    queued.append((await host.sync._events.receive()).event)
+                tasks.cancel_scope.cancel()
+            return queued[-1:]
+
+        queued = anyio.run(main)
+        self.assertEqual(
+            [propagation_data.ViewChanged({"a": "tacoma"})], queued
+        )
--- a/packages/lab/sapphire_lab/demo/deployment_results.py
+++ b/packages/lab/sapphire_lab/demo/deployment_results.py
@@ -21,8 +21,10 @@
         false_not_run: Orders that ran although a host reported that they did
             not run.
         lost_answers: Orders whose caller got neither a response nor a stated
-            outcome, or the response to another order; the latter count
-            twice.
+            outcome, or the response to another order. Those in flight at a
+            host that the scenario killed do not count: their callers know that
+            the outcome is unknown.
+        failed_races: Concurrent changes of which not exactly one was accepted.
         unknown: Orders whose outcome is unknown to the caller.
         answered: Orders that got a successful response.
         dc_out_ms: Time from the start of the change that takes a data centre
@@ -39,6 +41,7 @@
     double_runs: int = 0
     false_not_run: int = 0
     lost_answers: int = 0
+    failed_races: int = 0
     unknown: int = 0
     answered: int = 0
     dc_out_ms: int = 0
@@ -62,6 +65,7 @@
             self.double_runs,
             self.false_not_run,
             self.lost_answers,
+            self.failed_races,
             self.late_openings,
         )
         return (
--- a/packages/lab/sapphire_lab/demo/fault_scenario.py
+++ b/packages/lab/sapphire_lab/demo/fault_scenario.py
@@ -56,6 +56,7 @@
     broken_before = testbed.feeds.counters.broken
     address = testbed.deployment.host(2).address
     testbed.hosts.kill(address)
+    testbed.orders.counters.killed_addresses.add(address)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(steps.drain_upstream, run, _second_upstream(run))
         await anyio.sleep(FABRIC_UPDATE_DELAY_S)
@@ -111,7 +112,7 @@
         tasks.start_soon(publish)
     accepted = [revision for revision in outcomes if revision is not None]
     if len(accepted) != 1:
-        run.results.lost_answers += 1
+        run.results.failed_races += 1
     for revision in accepted:
         await testbed.wait_in_force(revision, testbed.fabric.host_addresses)
     run.report(
--- a/packages/lab/sapphire_lab/demo/main.py
+++ b/packages/lab/sapphire_lab/demo/main.py
@@ -39,6 +39,7 @@
     "double_runs",
     "false_not_run",
     "lost_answers",
+    "failed_races",
 )
 _MAXIMUM_FIELDS = ("dc_out_ms", "in_force_ms")
 
--- a/packages/lab/sapphire_lab/demo/orders.py
+++ b/packages/lab/sapphire_lab/demo/orders.py
@@ -41,12 +41,30 @@
     Attributes:
         outcome_by_key: The outcome of each order by its idempotency key.
         wrong_answers: Responses that belong to another order.
+        broken_address_by_key: The host at which the connection of an order
+            broke before its response, by idempotency key.
+        killed_addresses: The hosts that the scenario has killed.
     """
 
     outcome_by_key: dict[str, OrderOutcome] = dataclasses.field(
         default_factory=dict
     )
     wrong_answers: int = 0
+    broken_address_by_key: dict[str, str] = dataclasses.field(
+        default_factory=dict
+    )
+    killed_addresses: set[str] = dataclasses.field(default_factory=set)
+
+    def count_lost_answers(self) -> int:
+        """Returns how many orders were lost at hosts that were not killed."""
+        lost = 0
+        for key, outcome in self.outcome_by_key.items():
+            if outcome is not OrderOutcome.LOST:
+                continue
+            if self.broken_address_by_key.get(key) in self.killed_addresses:
+                continue
+            lost += 1
+        return lost
 
     def count(self, outcome: OrderOutcome) -> int:
         """Returns how many orders ended in an outcome.
@@ -110,6 +128,7 @@
         except httpx.ConnectError:
             return OrderOutcome.NOT_RUN
         except httpx.HTTPError:
+            self.counters.broken_address_by_key[key] = address
             return OrderOutcome.LOST
         return self._parse_outcome(response, key)
 
--- a/packages/node/sapphire_node/configuration/configuration_sync.py
+++ b/packages/node/sapphire_node/configuration/configuration_sync.py
@@ -102,6 +102,8 @@
             time.now_ms(),
         )
         self._hosts_by_id: dict[str, records.HostAddress] = {}
+        # Whether the state machine has got, or will get, the live hosts.
+        self._is_view_queued = True
         self._store_adapter: store_adapter.StoreAdapter | None = None
         self._running_fetches = 0
         self._inbox, self._events = anyio.create_memory_object_stream[
@@ -158,10 +160,16 @@
         if live == self._hosts_by_id:
             return
         self._hosts_by_id = live
+        self._queue_view()
+
+    def _queue_view(self) -> None:
+        """Queues the live hosts; `_tick` tries again if the inbox is full."""
         data_centre_by_host = {
-            name: host.data_centre for name, host in live.items()
+            name: host.data_centre for name, host in self._hosts_by_id.items()
         }
-        self.put(propagation_data.ViewChanged(data_centre_by_host))
+        self._is_view_queued = self._try_put(
+            propagation_data.ViewChanged(data_centre_by_host)
+        )
 
     def handle_notice(self, received: messages.ControlMessageReceived) -> None:
         """Handles the notice of a peer, and answers it if asked to.
@@ -209,20 +217,31 @@
         """Queues an event, or drops it if the inbox is full.
 
         Later ticks, notices, reads and fetches make up for dropped events.
-        Only `ViewChanged` is not repeated until the live hosts change again.
 
         Args:
             event: The event.
             content: The configuration that was fetched, with `FetchDone`.
         """
+        self._try_put(event, content)
+
+    def _try_put(
+        self,
+        event: propagation_data.Event,
+        content: bundle.DecodedConfiguration | None = None,
+    ) -> bool:
+        """Queues an event; returns whether it was not dropped."""
         try:
             self._inbox.send_nowait(_QueuedEvent(event, content))
         except anyio.WouldBlock:
             self.dropped_events += 1
+            return False
+        return True
 
     async def _tick(self) -> None:
         """Queues a tick at regular intervals."""
         while True:
+            if not self._is_view_queued:
+                self._queue_view()
             self.put(propagation_data.Tick())
             await anyio.sleep(TICK_INTERVAL_MS / clock.MS_PER_SECOND)
 
