Answer timeout from measured answers; downloads are in flight until their end

The timeout of an opening packet was 40 ms for every network.

A response of more than two packets counted as ended at its first acknowledgement. It is in flight until an acknowledgement that does not end at a full packet, until the flow closes, or until nothing more has come for 500 ms. A download is never reset while it goes on: its acknowledgements are no retransmissions (test).

--- a/packages/core/sapphire_core/tagged_flows/flow_table.py
+++ b/packages/core/sapphire_core/tagged_flows/flow_table.py
@@ -21,6 +21,10 @@
 MAX_REQUEST_MS = 500
 # Callers retransmit data after 200 ms (the protocol), less the jitter of links.
 MIN_RETRANSMISSION_MS = 150
+# The data of a full packet (the protocol). Only the last packet of a response
+# carries less, so a response of which the caller has acknowledged full packets
+# only goes on.
+FULL_PACKET_BYTES = 1_200
 _SEQUENCE_MASK = 0xFFFF_FFFF
 _HALF_SEQUENCE_SPACE = 0x8000_0000
 
@@ -118,10 +122,16 @@
         if packet.payload_bytes > 0:
             self._observe_data(packet, record, now_ms)
             return
-        if self._observe_acknowledgement(packet, record, now_ms):
-            # Callers send nothing between a request and its response, so an
-            # acknowledgement without data acknowledges the response.
+        received_bytes = self._observe_acknowledgement(packet, record, now_ms)
+        if received_bytes == 0:
+            return
+        # Callers send nothing between a request and its response, so an
+        # acknowledgement without data acknowledges the response, or a part.
+        if received_bytes % FULL_PACKET_BYTES != 0:
             self._end_request(record)
+        elif record.request_data_ms is not None:
+            # The request counts as in flight while its response arrives.
+            record.request_data_ms = now_ms
 
     def discard(self, flow_id: data.FlowId) -> None:
         """Discards the record of a flow, if there is one."""
@@ -170,20 +180,26 @@
 
     def _observe_acknowledgement(
         self, packet: data.Packet, record: FlowRecord, now_ms: int
-    ) -> bool:
+    ) -> int:
         """Updates a record from the acknowledgement number of a packet.
 
         Returns:
-            Whether the caller has received data from the upstream since the
+            How many bytes the caller has received from the upstream since the
             last acknowledgement.
         """
         is_first = record.acknowledged == 0
         is_further = _is_after(packet.acknowledged, record.acknowledged)
-        if is_first or is_further:
-            record.acknowledged = packet.acknowledged
-            record.retransmissions = 0
-            record.entry.last_active_ms = now_ms
-        return is_further and not is_first
+        if not is_first and not is_further:
+            return 0
+        received_bytes = 0
+        if not is_first:
+            received_bytes = (
+                packet.acknowledged - record.acknowledged
+            ) & _SEQUENCE_MASK
+        record.acknowledged = packet.acknowledged
+        record.retransmissions = 0
+        record.entry.last_active_ms = now_ms
+        return received_bytes
 
     def _end_request(self, record: FlowRecord) -> None:
         """Records that a flow has no in-flight request any more."""
--- a/packages/core/sapphire_core/tagged_flows/flow_table_test.py
+++ b/packages/core/sapphire_core/tagged_flows/flow_table_test.py
@@ -62,6 +62,36 @@
             )
             self.assertEqual(0, self.flow_table.in_flight("i-1"))
 
+    def test_a_download_is_in_flight_until_its_last_packet(self) -> None:
+        """Pattern: a response of 20,000 bytes, acknowledged piece by piece."""
+        record = self.add_record()
+        self.observe(record, 0, payload_bytes=210)
+        full_bytes = flow_table.FULL_PACKET_BYTES
+        for piece in range(1, 9):
+            acknowledged = 100 + piece * 2 * full_bytes
+            # Each piece takes longer than a request without response may.
+            now_ms = piece * (flow_table.MAX_REQUEST_MS - 1)
+            self.observe(
+                record, now_ms, sequence=212, acknowledged=acknowledged
+            )
+            self.flow_table.evict_expired(now_ms, 60_000)
+            self.assertEqual(1, self.flow_table.in_flight("i-1"))
+            self.assertEqual(0, record.retransmissions)
+        self.observe(
+            record, now_ms + 50, sequence=212, acknowledged=100 + 20_000
+        )
+        self.assertEqual(0, self.flow_table.in_flight("i-1"))
+
+    def test_a_download_that_stops_is_no_longer_in_flight(self) -> None:
+        record = self.add_record()
+        self.observe(record, 0, payload_bytes=210)
+        acknowledged = 100 + 2 * flow_table.FULL_PACKET_BYTES
+        self.observe(record, 40, sequence=212, acknowledged=acknowledged)
+        self.flow_table.evict_expired(
+            41 + flow_table.MAX_REQUEST_MS, idle_timeout_ms=60_000
+        )
+        self.assertEqual(0, self.flow_table.in_flight("i-1"))
+
     def test_closing_a_flow_ends_its_request(self) -> None:
         record = self.add_record()
         self.observe(record, 0, payload_bytes=900)
--- a/packages/core/sapphire_core/tagged_flows/steering.py
+++ b/packages/core/sapphire_core/tagged_flows/steering.py
@@ -13,6 +13,7 @@
 
 import xxhash
 
+from sapphire_core.tagged_flows import answer_timeout
 from sapphire_core.tagged_flows import data
 from sapphire_core.tagged_flows import dead_upstreams
 from sapphire_core.tagged_flows import deferred_flows
@@ -21,10 +22,6 @@
 from sapphire_core.tagged_flows import upstream_selector
 from sapphire_core.tagged_flows import upstream_table
 
-# From the opening packet to the caller's next packet, the network is crossed
-# twice between caller, host and upstream and back: up to 15 ms on the users'
-# networks.
-ANSWER_TIMEOUT_MS = 40
 # Grace period after a membership change. The fabric may send the caller's next
 # packet to another host than its opening packet, so a missing packet is no sign
 # of an unresponsive upstream; a retransmission is. The fabric polls the
@@ -97,6 +94,7 @@
             self.flow_table,
             self._half_open_flows,
         )
+        self._answer_timeout = answer_timeout.AnswerTimeout()
         self._last_tick_ms = 0
         self._membership_grace_until_ms = 0
 
@@ -188,7 +186,7 @@
         """Fails over half-open flows whose upstream did not answer in time."""
         actions: list[data.Action] = []
         for half_open in self._half_open_flows.timed_out(
-            now_ms, ANSWER_TIMEOUT_MS
+            now_ms, self._answer_timeout.timeout_ms
         ):
             action = self._fail_over(half_open, now_ms, is_retransmission=False)
             if action is not None:
@@ -373,7 +371,8 @@
         half_open.may_continue_at_peer = (
             now_ms < self._membership_grace_until_ms
         )
-        if now_ms - half_open.last_sent_ms >= ANSWER_TIMEOUT_MS:
+        elapsed_ms = now_ms - half_open.last_sent_ms
+        if elapsed_ms >= self._answer_timeout.timeout_ms:
             action = self._fail_over(half_open, now_ms, is_retransmission=True)
             if action is not None:
                 return action
@@ -494,6 +493,10 @@
             return None
         if half_open is not None and packet.tag == entry.tag:
             self.selector.record_answered(entry, now_ms)
+            if len(half_open.tried_upstreams) == 1 and (
+                half_open.retransmissions == 0
+            ):
+                self._answer_timeout.record(now_ms - half_open.first_seen_ms)
             self._report_decision(
                 data.Verdict.ANSWERED,
                 packet,
--- a/packages/core/sapphire_core/tagged_flows/steering_test.py
+++ b/packages/core/sapphire_core/tagged_flows/steering_test.py
@@ -1,11 +1,12 @@
 import testtools
 
+from sapphire_core.tagged_flows import answer_timeout
 from sapphire_core.tagged_flows import data
 from sapphire_core.tagged_flows import steering
 from sapphire_core.tagged_flows import tags
 from sapphire_lab.tagged_flows import builders
 
-TIMEOUT_MS = steering.ANSWER_TIMEOUT_MS
+TIMEOUT_MS = answer_timeout.MIN_TIMEOUT_MS
 
 
 def target(action: data.Action | None) -> str:
--- a/packages/node/sapphire_node/entry/packet_task_test.py
+++ b/packages/node/sapphire_node/entry/packet_task_test.py
@@ -2,6 +2,7 @@
 import testtools
 
 from sapphire_core.replication import data as replication_data
+from sapphire_core.tagged_flows import answer_timeout
 from sapphire_core.tagged_flows import data
 from sapphire_core.tagged_flows import steering
 from sapphire_data import clock as clock_lib
@@ -156,7 +157,7 @@
         )
         self.clock.advance(10_000)
         self.task._handle_datagram(b"opening")
-        self.clock.advance(steering.ANSWER_TIMEOUT_MS)
+        self.clock.advance(answer_timeout.MIN_TIMEOUT_MS)
         actions = self.task._steering.tick(self.clock.now_ms())
         self.assertEqual(1, len(actions))
 
