Late flows keep to their host's own share of a service

Change: a late flow also waits while its host has its equal share of the service's slots in flight. New flows do not wait.

--- a/packages/core/sapphire_core/tagged_flows/deferred_flows_test.py
+++ b/packages/core/sapphire_core/tagged_flows/deferred_flows_test.py
@@ -19,6 +19,8 @@
             builders.upstream("i-1", slots=SLOTS)
         )
         self.steering = self.bench.steering
+        # The host has no peers.
+        self.steering.apply_peer_reports({}, {}, 1, 0)
 
     def start_request(self, number: int, now_ms: int) -> None:
         """Opens a new flow whose request occupies a slot."""
@@ -56,6 +58,27 @@
             self.bench.open(1, 0, retransmissions=2), data.Forward
         )
 
+    def test_late_flows_keep_to_the_share_of_the_host(self) -> None:
+        """All hosts have just returned, and no peer has reported its load."""
+        bench = builders.SteeringBench(
+            *[builders.upstream(f"i-{n}", slots=SLOTS) for n in range(3)]
+        )
+        for host_count, late_flows in ((1, 9), (3, 3), (9, 1), (300, 1)):
+            bench.steering.apply_peer_reports({}, {}, host_count, 0)
+            now_ms = host_count * 2_000
+            base = host_count * 100
+            opened = 0
+            for number in range(base, base + 12):
+                action = bench.open(number, now_ms, retransmissions=1)
+                opened += isinstance(action, data.Forward)
+            self.assertEqual(late_flows, opened)
+            # New flows do not wait for a share.
+            action = bench.open(base + 50, now_ms)
+            self.assertIsInstance(action, data.Forward)
+            # All of them time out before the next case.
+            for later_ms in range(now_ms, now_ms + 1_990, 10):
+                bench.steering.tick(later_ms)
+
     def defer_until_end(
         self, retransmissions: int
     ) -> tuple[int, list[data.Action]]:
--- a/packages/core/sapphire_core/tagged_flows/steering.py
+++ b/packages/core/sapphire_core/tagged_flows/steering.py
@@ -280,7 +280,7 @@
             return data.Reset(packet, data.Verdict.NO_UPSTREAM)
         if (
             deferred_flows.has_missed_objective(packet, route)
-            and not self.selector.has_free_slot(entry)
+            and not self._admits_late(entry, now_ms)
             and self._deferred_flows.has_room()
         ):
             self._deferred_flows.add(packet, service, route.priority, now_ms)
@@ -348,7 +348,7 @@
                     data.Reset(deferred.packet, data.Verdict.NO_UPSTREAM)
                 )
                 continue
-            if not is_due and not self.selector.has_free_slot(entry):
+            if not is_due and not self._admits_late(entry, now_ms):
                 full_services.add(deferred.service.name)
                 continue
             self._deferred_flows.remove(deferred)
@@ -359,6 +359,18 @@
             )
         return actions
 
+    def _admits_late(self, entry: upstream_table.Entry, now_ms: int) -> bool:
+        """Whether the best upstream for a late flow has a slot for it.
+
+        What peers report of their load is older than a request lasts, and just
+        after a common start they have reported nothing. A host therefore also
+        keeps to its own share of the slots of the service.
+        """
+        if not self.selector.has_free_slot(entry):
+            return False
+        service = entry.upstream.service
+        return self.selector.has_own_share_left(service, now_ms)
+
     def _handle_retransmission(
         self,
         half_open: half_open_flows.HalfOpenFlow,
--- a/packages/core/sapphire_core/tagged_flows/upstream_selector.py
+++ b/packages/core/sapphire_core/tagged_flows/upstream_selector.py
@@ -55,7 +55,10 @@
             rng.getrandbits(32)
         )
         self._peer_in_flight_by_tag: Mapping[int, float] = {}
+        # How many hosts share the cold rate of an upstream, at most.
         self._host_count = INITIAL_HOST_COUNT
+        # How many hosts share the slots of a service, as far as is known.
+        self._known_host_count = INITIAL_HOST_COUNT
         self.has_urgent_report = False
 
     def apply_peer_reports(
@@ -88,6 +91,7 @@
             is_partial: Whether some hosts may be missing from the count, so
                 that the number may only grow.
         """
+        self._known_host_count = host_count
         self._host_count = (
             max(host_count, self._host_count) if is_partial else host_count
         )
@@ -190,6 +194,22 @@
         """Whether an upstream is estimated to have a free slot."""
         return self.in_flight(entry) < entry.upstream.slots
 
+    def has_own_share_left(self, service: str, now_ms: int) -> bool:
+        """Whether this host uses less than its equal share of a service.
+
+        Args:
+            service: The name of the service.
+            now_ms: The current time.
+        """
+        slots = 0
+        in_flight = 0
+        for entry in self._upstream_table.eligible_upstreams(service, now_ms):
+            upstream_id = entry.upstream.upstream_id
+            slots += entry.upstream.slots
+            in_flight += self._flow_table.in_flight(upstream_id)
+            in_flight += self._half_open_flows.pending(upstream_id)
+        return in_flight < max(1.0, slots / self._known_host_count)
+
     def upstream_reports(
         self, now_ms: int
     ) -> tuple[peer_data.UpstreamReport, ...]:
