Packets read after a stall of the host are no evidence against an upstream

By reading: a host that stops just after it read data and opening packets reads the copies that callers sent meanwhile all at once. The data counted as repeated over 600 ms, and the repeated opening packets, handled before the next tick, as unanswered: both signs of a dead upstream came from the host's own stall.

The test failed before with a reset.

--- a/packages/core/sapphire_core/tagged_flows/dead_upstreams_test.py
+++ b/packages/core/sapphire_core/tagged_flows/dead_upstreams_test.py
@@ -80,6 +80,22 @@
         for _ in SEND_TIMES_MS:
             self.assertIsInstance(self.send(2_001), data.Forward)
 
+    def test_copies_read_after_a_stall_do_not_count(self) -> None:
+        """The host stops just after it has read data and openings."""
+        for now_ms in (0, 100):
+            self.steering.sweep(now_ms)
+        for number in range(7, 11):
+            self.steering.handle(builders.opening(number), 140)
+        self.send(150)
+        # All callers have sent copies meanwhile.
+        for number in range(7, 11):
+            copy = builders.opening(number, retransmissions=1)
+            self.steering.handle(copy, 760)
+        for _ in range(2):
+            self.assertIsInstance(self.send(761), data.Forward)
+        self.steering.sweep(762)
+        self.assertIsInstance(self.send(763), data.Forward)
+
     def test_progress_of_the_flow_resets_its_retransmissions(self) -> None:
         self.send(0)
         self.send(200)
--- a/packages/core/sapphire_core/tagged_flows/flow_table.py
+++ b/packages/core/sapphire_core/tagged_flows/flow_table.py
@@ -139,6 +139,17 @@
         if record is not None:
             self._end_request(record)
 
+    def extend_timeouts(self, stall_ms: int) -> None:
+        """Extends the timeouts of all flows after a stall of this process.
+
+        Args:
+            stall_ms: How long the process did not run.
+        """
+        for record in self._by_flow.values():
+            record.last_new_data_ms += stall_ms
+            if record.request_data_ms is not None:
+                record.request_data_ms += stall_ms
+
     def evict_expired(self, now_ms: int, idle_timeout_ms: int) -> None:
         """Ends overdue requests and evicts idle flows.
 
--- a/packages/core/sapphire_core/tagged_flows/steering.py
+++ b/packages/core/sapphire_core/tagged_flows/steering.py
@@ -36,6 +36,8 @@
 # A longer time between two calls of `tick` (due every 10 ms) means that this
 # process stalled; packets that arrived meanwhile are still to be read.
 STALL_THRESHOLD_MS = 60
+# `sweep` is due about every 100 ms, also while nothing is pending.
+SWEEP_STALL_THRESHOLD_MS = 250
 
 
 @dataclasses.dataclass(slots=True)
@@ -96,6 +98,8 @@
         )
         self._answer_timeout = answer_timeout.AnswerTimeout()
         self._last_tick_ms = 0
+        # When `sweep` was last called; None before the first call.
+        self._last_sweep_ms: int | None = None
         self._membership_grace_until_ms = 0
 
     @property
@@ -141,6 +145,7 @@
         Returns:
             What to send.
         """
+        self._allow_for_stall(now_ms)
         if not self.has_pending:
             # `tick` is not called while nothing is pending; without this, the
             # next tick would take that time for a stall.
@@ -154,6 +159,23 @@
         """Whether there are half-open or deferred flows, which need `tick`."""
         return len(self._half_open_flows) > 0 or len(self._deferred_flows) > 0
 
+    def _allow_for_stall(self, now_ms: int) -> None:
+        """Extends all timeouts if this process has stalled.
+
+        Packets that arrived meanwhile are read all at once. That a caller
+        repeated one of them shows nothing about an upstream, since this host
+        has forwarded none.
+        """
+        if self._last_sweep_ms is None:
+            return
+        stall_ms = now_ms - self._last_sweep_ms
+        if stall_ms < SWEEP_STALL_THRESHOLD_MS:
+            return
+        self._half_open_flows.extend_timeouts(stall_ms)
+        self.flow_table.extend_timeouts(stall_ms)
+        self._last_sweep_ms = now_ms
+        self._last_tick_ms = now_ms
+
     def tick(self, now_ms: int) -> list[data.Action]:
         """Fails over, releases and expires pending flows.
 
@@ -238,6 +260,7 @@
         Args:
             now_ms: The current time.
         """
+        self._last_sweep_ms = now_ms
         idle_timeout_ms = upstream_table.MAX_FLOW_LIFETIME_MS
         if self._configuration is not None:
             idle_timeout_ms = self._configuration.idle_timeout_ms
