sapphirectl plan names its count of flows for what it is

Cause (known red): the column 'flows given up' sums opening packets since each host started, which includes flows that have ended.

--- a/packages/ctl/sapphire_ctl/commands/change_test.py
+++ b/packages/ctl/sapphire_ctl/commands/change_test.py
@@ -85,7 +85,7 @@
             sorted(failure["path"] for failure in outcome["failures"]),
         )
 
-    def test_plan_counts_flows_given_up_and_writes_nothing(self) -> None:
+    def test_plan_counts_flows_opened_there_and_writes_nothing(self) -> None:
         self._apply_initial_document()
         self.fixture.trial_host.upstreams = tuple(
             api.UpstreamStatus(
@@ -106,7 +106,7 @@
             [
                 (
                     effect["service"],
-                    effect["flows_given_up"],
+                    effect["flows_opened"],
                     effect["upstreams_before"],
                     effect["upstreams_after"],
                 )
--- a/packages/ctl/sapphire_ctl/planning.py
+++ b/packages/ctl/sapphire_ctl/planning.py
@@ -37,9 +37,9 @@
         slots_before: The number of requests that the service handles at the
             same time before the change.
         slots_after: The same number after the change.
-        flows_given_up: The number of flows, with those that have ended, to
-            upstreams whose open flows the change ends; None where the flows
-            are not known.
+        flows_opened: How many flows the hosts have opened, since they started,
+            to upstreams whose open flows the change ends. It includes flows
+            that have ended; None where it is not known.
     """
 
     service: str
@@ -47,7 +47,7 @@
     upstreams_after: int
     slots_before: int
     slots_after: int
-    flows_given_up: int | None
+    flows_opened: int | None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -184,7 +184,7 @@
     """Computes the effect on services whose capacity or open flows change."""
     old_by_service = difference.capacity_by_service(before)
     new_by_service = difference.capacity_by_service(after)
-    given_up_by_service = _flows_given_up(before, after, flows_by_upstream)
+    opened_by_service = _flows_opened(before, after, flows_by_upstream)
     effects = []
     for name in sorted(old_by_service.keys() | new_by_service.keys()):
         old_capacity = old_by_service.get(name, _NO_CAPACITY)
@@ -195,7 +195,7 @@
             upstreams_after=new_capacity.upstreams,
             slots_before=old_capacity.slots,
             slots_after=new_capacity.slots,
-            flows_given_up=given_up_by_service.get(name, 0)
+            flows_opened=opened_by_service.get(name, 0)
             if flows_by_upstream is not None
             else None,
         )
@@ -203,23 +203,23 @@
             new_capacity.upstreams,
             new_capacity.slots,
         )
-        if has_same_capacity and name not in given_up_by_service:
+        if has_same_capacity and name not in opened_by_service:
             continue
         effects.append(effect)
     return tuple(effects)
 
 
-def _flows_given_up(
+def _flows_opened(
     before: records.Configuration,
     after: records.Configuration,
     flows_by_upstream: FlowsByUpstream | None,
 ) -> dict[str, int]:
-    """Sums by service the flows to upstreams whose open flows end."""
-    given_up = set(difference.upstreams_losing_flows(before, after))
+    """Sums by service the flows opened to upstreams whose open flows end."""
+    losing_flows = set(difference.upstreams_losing_flows(before, after))
     sums: dict[str, int] = {}
     for name, service in before.services_by_name.items():
         for upstream_name in service.upstreams_by_name:
-            if upstream_name not in given_up:
+            if upstream_name not in losing_flows:
                 continue
             flows = (flows_by_upstream or {}).get((name, upstream_name), 0)
             sums[name] = sums.get(name, 0) + flows
--- a/packages/ctl/sapphire_ctl/rendering.py
+++ b/packages/ctl/sapphire_ctl/rendering.py
@@ -61,15 +61,15 @@
         )
     if plan.effects:
         out.write_table(
-            ("service", "upstreams", "slots", "flows given up"),
+            ("service", "upstreams", "slots", "flows opened"),
             (
                 (
                     effect.service,
                     f"{effect.upstreams_before} -> {effect.upstreams_after}",
                     f"{effect.slots_before} -> {effect.slots_after}",
                     UNKNOWN
-                    if effect.flows_given_up is None
-                    else effect.flows_given_up,
+                    if effect.flows_opened is None
+                    else effect.flows_opened,
                 )
                 for effect in plan.effects
             ),
