Pulls from peers and bounds of transfers in modules of their own

peer_task held heartbeats, pulls and the paths of pull requests; http1 also the bounds of transfers. change_puller, peer_requests and transfers hold these now, with their tests beside them; the code and its checks are as before.

--- a/packages/net/sapphire_net/http1.py
+++ b/packages/net/sapphire_net/http1.py
@@ -8,7 +8,6 @@
 from collections.abc import Callable
 import dataclasses
 import logging
-import math
 from typing import Any
 
 import anyio
@@ -18,19 +17,13 @@
 from sapphire_data import clock
 from sapphire_data import failures
 from sapphire_net import event_log
+from sapphire_net import transfers
 
 _LOG = logging.getLogger(__name__)
 _READ_BYTES = 65_536
 MAX_BODY_BYTES = 8_388_608
 CONNECT_TIMEOUT_MS = 1_000
 SERVER_IDLE_TIMEOUT_MS = 30_000
-# A response that has begun may pause for this long between two of its bytes.
-STALL_TIMEOUT_MS = 1_000
-# A response that arrives more slowly than this on average has failed, even if
-# it never pauses.
-MIN_TRANSFER_BYTES_PER_MS = 32
-# Smaller bodies leave a server at once and take no transfer slot.
-MIN_LARGE_BODY_BYTES = 8_192
 OK = 200
 NOT_FOUND = 404
 UNAVAILABLE = 503
@@ -66,93 +59,6 @@
     """No response began before the timeout, or it stalled."""
 
 
-class _TransferDeadline:
-    """The deadline of a response, which moves on while its bytes arrive.
-
-    A response has to begin within a timeout. From then on its size and the rate
-    of the link decide how long it takes, so only a pause or an average rate
-    below `MIN_TRANSFER_BYTES_PER_MS` ends it.
-
-    Args:
-        scope: The cancel scope of the call; its deadline is moved.
-        timeout_ms: How long the first byte may take.
-    """
-
-    def __init__(self, scope: anyio.CancelScope, timeout_ms: int) -> None:
-        self._scope = scope
-        self._first_byte_due_s = anyio.current_time() + (
-            timeout_ms / clock.MS_PER_SECOND
-        )
-        self._received_bytes = 0
-
-    def record_bytes(self, count: int) -> None:
-        """Records that further bytes of the response have arrived.
-
-        Args:
-            count: How many.
-        """
-        self._received_bytes += count
-        earned_ms = self._received_bytes / MIN_TRANSFER_BYTES_PER_MS
-        rate_due_s = self._first_byte_due_s + earned_ms / clock.MS_PER_SECOND
-        stall_due_s = anyio.current_time() + (
-            STALL_TIMEOUT_MS / clock.MS_PER_SECOND
-        )
-        self._scope.deadline = min(rate_due_s, stall_due_s)
-
-    def describe_timeout(self, timeout_ms: int) -> str:
-        """Returns why the call has timed out.
-
-        Args:
-            timeout_ms: How long the first byte had.
-        """
-        if self._received_bytes == 0:
-            return f"no response within {timeout_ms} ms"
-        return f"response stalled after {self._received_bytes} bytes"
-
-
-class TransferSlots:
-    """Bounds how many large bodies a server sends at a time.
-
-    On a narrow link, transfers side by side all end late. A request above the
-    bound gets `UNAVAILABLE` at once, so that its client can ask another server.
-
-    Args:
-        limit: How many large bodies may be sent at a time.
-    """
-
-    def __init__(self, limit: float) -> None:
-        self._limit = limit
-        self._used = 0
-
-    def try_acquire(self, body_bytes: int) -> bool:
-        """Takes a slot for a body, if it needs one.
-
-        Args:
-            body_bytes: The length of the body.
-
-        Returns:
-            Whether the body may be sent; then `release` has to be called.
-        """
-        if body_bytes < MIN_LARGE_BODY_BYTES:
-            return True
-        if self._used >= self._limit:
-            return False
-        self._used += 1
-        return True
-
-    def release(self, body_bytes: int) -> None:
-        """Gives back the slot of a body that was sent, or could not be sent.
-
-        Args:
-            body_bytes: The length of the body.
-        """
-        if body_bytes >= MIN_LARGE_BODY_BYTES:
-            self._used -= 1
-
-
-UNLIMITED_TRANSFERS = TransferSlots(math.inf)
-
-
 class Client:
     """A client of one server, on a connection that is kept open.
 
@@ -183,7 +89,7 @@
             target: The path and query.
             timeout_ms: The timeout for connecting, sending and the first byte
                 of the response. The rest may take as long as it arrives
-                steadily, see `STALL_TIMEOUT_MS`.
+                steadily, see `transfers`.
             body: A JSON body; None for none.
 
         Returns:
@@ -191,7 +97,7 @@
         """
         is_sent = False
         with anyio.move_on_after(timeout_ms / clock.MS_PER_SECOND) as scope:
-            deadline = _TransferDeadline(scope, timeout_ms)
+            deadline = transfers.TransferDeadline(scope, timeout_ms)
             try:
                 stream = await self._connect()
                 await stream.send(self._encode(method, target, body))
@@ -239,7 +145,7 @@
         return encoded + (protocol.send(h11.EndOfMessage()) or b"")
 
     async def _read_response(
-        self, stream: anyio.abc.ByteStream, deadline: _TransferDeadline
+        self, stream: anyio.abc.ByteStream, deadline: transfers.TransferDeadline
     ) -> Response:
         """Reads the response to the request that was sent."""
         status = 0
@@ -286,7 +192,7 @@
 async def serve(
     listener: anyio.abc.Listener[Any],
     handler: RequestHandler,
-    transfer_slots: TransferSlots = UNLIMITED_TRANSFERS,
+    transfer_slots: transfers.TransferSlots = transfers.UNLIMITED_TRANSFERS,
 ) -> None:
     """Serves requests until cancelled; request bodies are ignored.
 
@@ -321,7 +227,7 @@
 async def listen_and_serve(
     address: tuple[str, int],
     handler: RequestHandler,
-    transfer_slots: TransferSlots = UNLIMITED_TRANSFERS,
+    transfer_slots: transfers.TransferSlots = transfers.UNLIMITED_TRANSFERS,
 ) -> None:
     """Listens and serves requests until cancelled.
 
@@ -345,7 +251,7 @@
 async def _serve_connection(
     stream: anyio.abc.ByteStream,
     handler: RequestHandler,
-    transfer_slots: TransferSlots,
+    transfer_slots: transfers.TransferSlots,
 ) -> None:
     """Serves the requests of one connection, one after another.
 
@@ -375,7 +281,7 @@
                 if not transfer_slots.try_acquire(len(response.body)):
                     response = Response(UNAVAILABLE, b"")
                 held_body_bytes = len(response.body)
-                with anyio.fail_after(_transfer_timeout_s(held_body_bytes)):
+                with anyio.fail_after(transfers.timeout_s(held_body_bytes)):
                     await stream.send(_encode_response(protocol, response))
                 if protocol.our_state is h11.MUST_CLOSE:
                     return
@@ -397,19 +303,13 @@
         held_body_bytes: The length of the body that the client still reads.
     """
     timeout_s = SERVER_IDLE_TIMEOUT_MS / clock.MS_PER_SECOND
-    if held_body_bytes >= MIN_LARGE_BODY_BYTES:
-        timeout_s = _transfer_timeout_s(held_body_bytes)
+    if held_body_bytes >= transfers.MIN_LARGE_BODY_BYTES:
+        timeout_s = transfers.timeout_s(held_body_bytes)
     with anyio.move_on_after(timeout_s):
         return await stream.receive(_READ_BYTES)
     return None
 
 
-def _transfer_timeout_s(body_bytes: int) -> float:
-    """Returns how long a body may take, in seconds."""
-    timeout_ms = STALL_TIMEOUT_MS + body_bytes / MIN_TRANSFER_BYTES_PER_MS
-    return timeout_ms / clock.MS_PER_SECOND
-
-
 def _encode_response(protocol: h11.Connection, response: Response) -> bytes:
     """Encodes a response."""
     headers = [("Content-Length", str(len(response.body)))]
--- a/packages/net/sapphire_net/http1_test.py
+++ b/packages/net/sapphire_net/http1_test.py
@@ -6,6 +6,7 @@
 import testtools
 
 from sapphire_net import http1
+from sapphire_net import transfers
 
 TIMEOUT_MS = 300
 
@@ -191,7 +192,7 @@
         self.assertEqual(http1.Response(200, body), response)
 
     def test_a_response_that_stalls_is_a_timeout(self) -> None:
-        self.patch(http1, "STALL_TIMEOUT_MS", 100)
+        self.patch(transfers, "STALL_TIMEOUT_MS", 100)
         head = b"HTTP/1.1 200 OK\r\nContent-Length: 90000\r\n\r\n"
         failure = self.call_paced_server([head + bytes(60_000)], 0.0)
         self.assertIs(http1.CallTimeout, type(failure))
@@ -204,22 +205,11 @@
         failure = self.call_paced_server([head, *[b"x"] * 9_000], 0.02)
         self.assertIs(http1.CallTimeout, type(failure))
 
-    def test_a_large_body_above_the_limit_is_refused_at_once(self) -> None:
-        slots = http1.TransferSlots(1)
-        large = http1.MIN_LARGE_BODY_BYTES
-        self.assertTrue(slots.try_acquire(large))
-        self.assertFalse(slots.try_acquire(large))
-        self.assertTrue(slots.try_acquire(large - 1))
-        slots.release(large - 1)
-        self.assertFalse(slots.try_acquire(large))
-        slots.release(large)
-        self.assertTrue(slots.try_acquire(large))
-
     def test_a_server_without_a_free_slot_responds_unavailable(self) -> None:
-        slots = http1.TransferSlots(1)
+        slots = transfers.TransferSlots(1)
 
         async def answer(method: str, path: str) -> http1.Response:
-            size = http1.MIN_LARGE_BODY_BYTES if path == "/large" else 1
+            size = transfers.MIN_LARGE_BODY_BYTES if path == "/large" else 1
             return http1.Response(200, bytes(size))
 
         async def main() -> list[int]:
@@ -229,12 +219,12 @@
             async with listener, anyio.create_task_group() as tasks:
                 tasks.start_soon(http1.serve, listener, answer, slots)
                 client = http1.Client(("127.0.0.1", port))
-                slots.try_acquire(http1.MIN_LARGE_BODY_BYTES)
+                slots.try_acquire(transfers.MIN_LARGE_BODY_BYTES)
                 for path in ("/large", "/small"):
                     response = await client.call("GET", path, TIMEOUT_MS)
                     assert isinstance(response, http1.Response)
                     statuses.append(response.status)
-                slots.release(http1.MIN_LARGE_BODY_BYTES)
+                slots.release(transfers.MIN_LARGE_BODY_BYTES)
                 for _ in range(2):
                     response = await client.call("GET", "/large", TIMEOUT_MS)
                     assert isinstance(response, http1.Response)
--- /dev/null
+++ b/packages/node/sapphire_node/entry/change_puller_test.py
@@ -0,0 +1,175 @@
+import dataclasses
+import random
+
+import anyio
+import anyio.abc
+import testtools
+
+from sapphire_core.peers import peer_table as peer_table_lib
+from sapphire_core.peers import pull_sources
+from sapphire_core.replication import data as replication_data
+from sapphire_data import clock as clock_lib
+from sapphire_lab.tagged_flows import builders
+from sapphire_lab.tagged_flows import host_builders
+from sapphire_net import http1
+from sapphire_node.entry import change_puller
+from sapphire_node.entry import messages
+from sapphire_wire import peer_messages
+
+LOOPBACK = "127.0.0.1"
+CONTACT_MS = 4_000
+
+
+class ChangePullerFixture(testtools.TestCase):
+    """A puller and the table of the peers whose heartbeats it gets."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.clock = clock_lib.ManualClock(1_000)
+        self.state = host_builders.state()
+        self.table = peer_table_lib.PeerTable(
+            builders.heartbeat("edge-1").contact, random.Random(1), CONTACT_MS
+        )
+        batches, self.batches = anyio.create_memory_object_stream[
+            messages.BatchReceived | messages.RemovedItemsReceived
+        ](10)
+        self.puller = change_puller.ChangePuller(
+            self.state,
+            self.clock,
+            peer_table=self.table,
+            batches=batches,
+            sources=pull_sources.PullSources(random.Random(1)),
+        )
+
+    def hear(
+        self,
+        host: str,
+        revisions: dict[replication_data.Scope, int] | None = None,
+        port: int = 0,
+    ) -> None:
+        """Records a heartbeat of a peer, as the peer task does."""
+        heartbeat = builders.heartbeat(host)
+        heartbeat = dataclasses.replace(
+            heartbeat,
+            contact=dataclasses.replace(heartbeat.contact, port=port),
+            revisions=revisions or {},
+        )
+        if self.table.record_heartbeat(heartbeat, self.clock.now_ms()):
+            self.puller.record_new_peer(host)
+        self.puller.record_revisions(heartbeat.revisions, self.clock.now_ms())
+
+
+class PullSourceTest(ChangePullerFixture):
+    """Which peers are asked for changes, and again after a failure."""
+
+    def pull(
+        self, outcome_by_host: dict[str, pull_sources.PullOutcome], asks: int
+    ) -> list[str]:
+        """Runs the pulls of one scope until some peers were asked.
+
+        Returns:
+            The peers that were asked, in order.
+        """
+        self.state.set_must_follow_store(False)
+        asked: list[str] = []
+
+        async def pull_from(
+            scope: replication_data.Scope, host: str
+        ) -> pull_sources.PullOutcome:
+            asked.append(host)
+            await anyio.sleep(0)
+            return outcome_by_host[host]
+
+        self.patch(self.puller, "_pull_from", pull_from)
+
+        async def main() -> None:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.puller.pull_changes)
+                for host in outcome_by_host:
+                    self.hear(host, {replication_data.Scope.INTENT: 7})
+                with anyio.move_on_after(2):
+                    while len(asked) < asks:
+                        await anyio.sleep(0.005)
+                        self.clock.advance(5)
+                tasks.cancel_scope.cancel()
+
+        anyio.run(main)
+        return asked
+
+    def test_another_peer_is_asked_while_one_is_busy(self) -> None:
+        busy = pull_sources.PullOutcome.BUSY
+        asked = self.pull({"edge-2": busy, "edge-3": busy}, 2)
+        self.assertEqual({"edge-2", "edge-3"}, set(asked[:2]))
+
+    def test_another_peer_is_asked_after_a_failure(self) -> None:
+        failed = pull_sources.PullOutcome.FAILED
+        asked = self.pull({"edge-2": failed, "edge-3": failed}, 2)
+        self.assertEqual({"edge-2", "edge-3"}, set(asked[:2]))
+
+    def test_a_scope_is_pulled_once(self) -> None:
+        asked = self.pull({"edge-2": pull_sources.PullOutcome.PULLED}, 2)
+        self.assertEqual(["edge-2"], asked)
+
+    def test_a_peer_without_response_delays_only_the_scope_pulled_from_it(
+        self,
+    ) -> None:
+        self.state.set_must_follow_store(False)
+        pulled_scopes: list[replication_data.Scope] = []
+
+        async def pull_from(scope: replication_data.Scope, host: str) -> None:
+            pulled_scopes.append(scope)
+            await anyio.sleep_forever()
+
+        self.patch(self.puller, "_pull_from", pull_from)
+
+        async def main() -> None:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.puller.pull_changes)
+                self.hear("edge-2", dict.fromkeys(replication_data.Scope, 7))
+                for _ in range(100):
+                    await anyio.sleep(0)
+                self.hear("edge-3", dict.fromkeys(replication_data.Scope, 8))
+                for _ in range(100):
+                    await anyio.sleep(0)
+                tasks.cancel_scope.cancel()
+
+        anyio.run(main)
+        self.assertEqual(set(replication_data.Scope), set(pulled_scopes))
+        self.assertEqual(len(replication_data.Scope), len(pulled_scopes))
+
+
+class PullRemovedItemsTest(ChangePullerFixture):
+    """A new host pulls the items that left the registry before its start."""
+
+    def run_with_peer(self, answer: http1.RequestHandler) -> list[str]:
+        """Runs the pull beside a peer that serves HTTP.
+
+        Returns:
+            The keys of the removed items that the host received.
+        """
+        self.state.as_of_by_scope[replication_data.Scope.REGISTRY] = 9
+
+        async def main() -> list[str]:
+            async with anyio.create_task_group() as tasks:
+                listener = await anyio.create_tcp_listener(local_host=LOOPBACK)
+                port = listener.extra(anyio.abc.SocketAttribute.local_port)
+                tasks.start_soon(http1.serve, listener, answer)
+                tasks.start_soon(self.puller.pull_removed_items)
+                self.hear("edge-2", port=port)
+                message = await self.batches.receive()
+                tasks.cancel_scope.cancel()
+            assert isinstance(message, messages.RemovedItemsReceived)
+            return [item.key for item in message.batch.items]
+
+        return anyio.run(main)
+
+    def test_a_new_peer_is_asked_for_removed_items(self) -> None:
+        paths: list[str] = []
+
+        async def answer(method: str, path: str) -> http1.Response:
+            paths.append(path)
+            batch = builders.batch(builders.item("a", 4), as_of=9)
+            return http1.Response(200, peer_messages.encode_batch(batch))
+
+        self.assertEqual(["a"], self.run_with_peer(answer))
+        self.assertEqual(["/removed/2"], paths)
--- /dev/null
+++ b/packages/node/sapphire_node/entry/peer_requests.py
@@ -0,0 +1,46 @@
+"""The requests by which hosts pull items from each other over HTTP."""
+
+import dataclasses
+
+from sapphire_core.replication import data
+
+# The first segments of the paths of pull requests.
+_ITEMS = "items"
+_REMOVED = "removed"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerRequest:
+    """A pull request to a peer.
+
+    Attributes:
+        scope: The scope.
+        after_revision: The revision after which changes are requested; None to
+            request the removed items.
+    """
+
+    scope: data.Scope
+    after_revision: int | None
+
+    @property
+    def path(self) -> str:
+        """The path, such as `/items/1/530` or `/removed/2`."""
+        if self.after_revision is None:
+            return f"/{_REMOVED}/{self.scope.value}"
+        return f"/{_ITEMS}/{self.scope.value}/{self.after_revision}"
+
+
+def parse_request_path(path: str) -> PeerRequest | None:
+    """Parses the path of a pull request; None if it is invalid.
+
+    Args:
+        path: The path, in the format of `PeerRequest.path`.
+    """
+    scopes = {str(scope.value): scope for scope in data.Scope}
+    match path.split("/"):
+        case ["", kind, scope, after] if kind == _ITEMS and scope in scopes:
+            if after.isdecimal():
+                return PeerRequest(scopes[scope], int(after))
+        case ["", kind, scope] if kind == _REMOVED and scope in scopes:
+            return PeerRequest(scopes[scope], None)
+    return None
--- a/packages/node/sapphire_node/entry/peer_task.py
+++ b/packages/node/sapphire_node/entry/peer_task.py
@@ -3,10 +3,9 @@
 Hosts send each other heartbeats in datagrams. A heartbeat holds the revision of
 the newest change that its sender knows in each scope, the hosts that follow the
 store, and the sender's reports of upstreams. A host that lacks changes pulls
-them from a peer over HTTP.
+them from a peer, see `change_puller`.
 """
 
-import dataclasses
 import logging
 import random
 
@@ -18,13 +17,12 @@
 from sapphire_core.peers import peer_table as peer_table_lib
 from sapphire_core.peers import pull_sources
 from sapphire_core.peers import upstream_reports
-from sapphire_core.replication import data
 from sapphire_data import clock as clock_lib
 from sapphire_data import failures
 from sapphire_net import datagrams
 from sapphire_net import event_log
-from sapphire_net import http1
 from sapphire_net import pauses
+from sapphire_node.entry import change_puller
 from sapphire_node.entry import host_state
 from sapphire_node.entry import messages
 from sapphire_node.entry import store_follower
@@ -46,19 +44,6 @@
 # The interval of heartbeats to other data centres while nothing changes;
 # traffic between data centres is paid for by the byte.
 REMOTE_HEARTBEAT_INTERVAL_MS = 1_000
-# A host that follows the store gets the same changes from there. It pulls them
-# from a peer only after it has been behind that peer for this long.
-FOLLOWER_PULL_DELAY_MS = 300
-# The first bytes of a response take a few network delays, and longer while the
-# peer serves others.
-PULL_TIMEOUT_MS = 1_000
-PULL_POLL_MS = 20
-# How many peers a host that has just started asks for items that left the
-# registry before its start.
-REMOVED_ITEMS_PEER_COUNT = 2
-# The first segments of the paths of pull requests.
-_ITEMS = "items"
-_REMOVED = "removed"
 
 Inbox = anyio.streams.memory.MemoryObjectReceiveStream[
     messages.HostListChanged
@@ -70,43 +55,6 @@
 ]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class PeerRequest:
-    """A pull request to a peer.
-
-    Attributes:
-        scope: The scope.
-        after_revision: The revision after which changes are requested; None to
-            request the removed items.
-    """
-
-    scope: data.Scope
-    after_revision: int | None
-
-    @property
-    def path(self) -> str:
-        """The path, such as `/items/1/530` or `/removed/2`."""
-        if self.after_revision is None:
-            return f"/{_REMOVED}/{self.scope.value}"
-        return f"/{_ITEMS}/{self.scope.value}/{self.after_revision}"
-
-
-def parse_request_path(path: str) -> PeerRequest | None:
-    """Parses the path of a pull request; None if it is invalid.
-
-    Args:
-        path: The path, in the format of `PeerRequest.path`.
-    """
-    scopes = {str(scope.value): scope for scope in data.Scope}
-    match path.split("/"):
-        case ["", kind, scope, after] if kind == _ITEMS and scope in scopes:
-            if after.isdecimal():
-                return PeerRequest(scopes[scope], int(after))
-        case ["", kind, scope] if kind == _REMOVED and scope in scopes:
-            return PeerRequest(scopes[scope], None)
-    return None
-
-
 class PeerTask:
     """Exchanges heartbeats with peers and pulls changes from them.
 
@@ -133,7 +81,6 @@
         self._state = state
         self._clock = clock
         self._inbox = inbox
-        self._batches = batches
         self._peer_reports = peer_reports
         rng = random.Random()
         self._peer_table = peer_table_lib.PeerTable(
@@ -149,15 +96,13 @@
         self._has_membership_changed = False
         self._upstream_reports: tuple[peer_data.UpstreamReport, ...] = ()
         self._listed_hosts: frozenset[str] = frozenset()
-        # For each scope of which a peer has newer changes than this host: since
-        # when that is known.
-        self._behind_since_ms_by_scope: dict[data.Scope, int] = {}
-        self._pull_sources = pull_sources.PullSources(rng)
-        self._is_behind_event = anyio.Event()
-        self._new_peers: set[str] = set()
-        self._new_peer_event = anyio.Event()
-        # The scopes that are being pulled from a peer.
-        self._scopes_being_pulled: set[data.Scope] = set()
+        self._puller = change_puller.ChangePuller(
+            state,
+            clock,
+            peer_table=self._peer_table,
+            batches=batches,
+            sources=pull_sources.PullSources(rng),
+        )
         self._socket = datagrams.open_socket((contact.address, contact.port))
 
     async def run(self) -> None:
@@ -165,10 +110,10 @@
         with self._socket:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._send_heartbeats)
-                tasks.start_soon(self._pull_changes)
+                tasks.start_soon(self._puller.pull_changes)
                 tasks.start_soon(self._handle_messages)
                 tasks.start_soon(self._send_leaving_heartbeat)
-                tasks.start_soon(self._pull_removed_items)
+                tasks.start_soon(self._puller.pull_removed_items)
                 await datagrams.receive_all(
                     self._socket,
                     peer_messages.MAX_HEARTBEAT_BYTES,
@@ -383,11 +328,7 @@
             self._publish_peer_reports(now_ms)
             if self._peer_table.is_large_fleet:
                 self._send_heartbeat(self._peer_table.near_targets())
-        for scope, revision in heartbeat.revisions.items():
-            if revision <= self._state.change_revision_by_scope.get(scope, 0):
-                continue
-            self._behind_since_ms_by_scope.setdefault(scope, now_ms)
-            self._is_behind_event.set()
+        self._puller.record_revisions(heartbeat.revisions, now_ms)
 
     def _handle_new_peer(
         self, heartbeat: peer_data.Heartbeat, now_ms: int
@@ -397,8 +338,7 @@
         The new process may not know any peer yet, so it gets a heartbeat of
         this host, except in a large fleet, where a few others do that.
         """
-        self._new_peers.add(heartbeat.contact.host)
-        self._new_peer_event.set()
+        self._puller.record_new_peer(heartbeat.contact.host)
         is_near = self._peer_table.is_same_data_centre(heartbeat.contact)
         if is_near:
             # The fabric distributes the flows of a data centre over its hosts,
@@ -417,126 +357,3 @@
                 return
             self._greetings_left -= 1
         self._send_to([heartbeat.contact], self._encode_next_heartbeat(now_ms))
-
-    async def _pull_changes(self) -> None:
-        """Pulls changes from peers that are ahead of this host."""
-        async with anyio.create_task_group() as tasks:
-            while True:
-                if not self._behind_since_ms_by_scope:
-                    self._is_behind_event = anyio.Event()
-                    await self._is_behind_event.wait()
-                now_ms = self._clock.now_ms()
-                for scope, since_ms in list(
-                    self._behind_since_ms_by_scope.items()
-                ):
-                    must_follow_store = self._state.must_follow_store
-                    if (
-                        must_follow_store
-                        and now_ms - since_ms < FOLLOWER_PULL_DELAY_MS
-                    ):
-                        continue
-                    if scope in self._scopes_being_pulled:
-                        continue
-                    host = self._select_source(scope, now_ms)
-                    if host is None:
-                        continue
-                    self._scopes_being_pulled.add(scope)
-                    tasks.start_soon(self._pull_scope, scope, host)
-                await pauses.sleep_ms(PULL_POLL_MS)
-
-    def _select_source(self, scope: data.Scope, now_ms: int) -> str | None:
-        """Returns the peer to pull a scope from now, None for none.
-
-        A scope of which no peer is ahead any more is no longer behind.
-        """
-        revision = self._state.change_revision_by_scope.get(scope, 0)
-        sources = self._peer_table.sources_ahead(scope, revision, now_ms)
-        if not sources:
-            self._behind_since_ms_by_scope.pop(scope, None)
-            return None
-        source = self._pull_sources.select(sources, now_ms)
-        return source.contact.host if source is not None else None
-
-    async def _pull_scope(self, scope: data.Scope, host: str) -> None:
-        """Pulls a scope from one peer and then allows the next pull of it."""
-        try:
-            outcome = await self._pull_from(scope, host)
-            self._pull_sources.record_outcome(
-                host, outcome, self._clock.now_ms()
-            )
-            if outcome is pull_sources.PullOutcome.PULLED:
-                # The next heartbeat tells whether there are still newer ones.
-                self._behind_since_ms_by_scope.pop(scope, None)
-        finally:
-            self._scopes_being_pulled.discard(scope)
-
-    async def _pull_from(
-        self, scope: data.Scope, host: str
-    ) -> pull_sources.PullOutcome:
-        """Pulls the changes of a scope from one peer."""
-        after = self._state.as_of_by_scope.get(scope, 0)
-        batch = await self._request_batch(host, PeerRequest(scope, after))
-        if isinstance(batch, pull_sources.PullOutcome):
-            return batch
-        await self._batches.send(messages.BatchReceived(scope, batch, host))
-        return pull_sources.PullOutcome.PULLED
-
-    async def _pull_removed_items(self) -> None:
-        """Pulls items that left the registry before the start of this host.
-
-        A peer that has just started itself has no such items, so more than one
-        peer is asked.
-        """
-        scope = data.Scope.REGISTRY
-        request = PeerRequest(scope, None)
-        await self._state.wait_for_startup()
-        while scope not in self._state.as_of_by_scope:
-            # Removed items can be told from present ones only once the registry
-            # is known.
-            await pauses.sleep_ms(PULL_POLL_MS)
-        asked_peers: set[str] = set()
-        while len(asked_peers) < REMOVED_ITEMS_PEER_COUNT:
-            await self._new_peer_event.wait()
-            self._new_peer_event = anyio.Event()
-            for host in self._new_peers - asked_peers:
-                asked_peers.add(host)
-                batch = await self._request_batch(host, request)
-                if isinstance(batch, data.Batch):
-                    await self._batches.send(
-                        messages.RemovedItemsReceived(scope, batch, host)
-                    )
-
-    async def _request_batch(
-        self, host: str, request: PeerRequest
-    ) -> data.Batch | pull_sources.PullOutcome:
-        """Requests items from one peer; logs why it sent none."""
-        contact = self._peer_table.contact(host)
-        if contact is None:
-            return pull_sources.PullOutcome.FAILED
-        client = http1.Client((contact.address, contact.port))
-        response = await client.call("GET", request.path, PULL_TIMEOUT_MS)
-        await client.close()
-        if isinstance(response, http1.CallFailure):
-            self._state.counts["pull_failures"] += 1
-            event_log.log_failure(_LOG, "pull_failed", response, peer=host)
-            return pull_sources.PullOutcome.FAILED
-        if response.status == http1.UNAVAILABLE:
-            self._state.counts["pulls_deferred"] += 1
-            return pull_sources.PullOutcome.BUSY
-        if response.status != http1.OK:
-            self._state.counts["pull_failures"] += 1
-            event_log.log(
-                _LOG,
-                logging.WARNING,
-                "pull_refused",
-                peer=host,
-                scope=request.scope.name,
-                status=response.status,
-            )
-            return pull_sources.PullOutcome.FAILED
-        batch = peer_messages.decode_batch(response.body)
-        if isinstance(batch, failures.Failure):
-            self._state.counts["pull_failures"] += 1
-            event_log.log_failure(_LOG, "pull_failed", batch, peer=host)
-            return pull_sources.PullOutcome.FAILED
-        return batch
--- a/packages/node/sapphire_node/entry/replica_task.py
+++ b/packages/node/sapphire_node/entry/replica_task.py
@@ -18,9 +18,10 @@
 from sapphire_data import failures
 from sapphire_net import event_log
 from sapphire_net import http1
+from sapphire_net import transfers
 from sapphire_node.entry import host_state
 from sapphire_node.entry import messages
-from sapphire_node.entry import peer_task
+from sapphire_node.entry import peer_requests
 from sapphire_node.entry import platform_interface
 from sapphire_wire import peer_messages
 
@@ -80,12 +81,12 @@
             scope: replica.Replica() for scope in data.Scope
         }
         # Encoded bodies by request, dropped when the scope changes.
-        self._bodies_by_request: dict[peer_task.PeerRequest, bytes] = {}
+        self._bodies_by_request: dict[peer_requests.PeerRequest, bytes] = {}
 
     async def run(self) -> None:
         """Merges batches and serves peers until cancelled."""
         address = self._state.settings.peer_address
-        transfer_slots = http1.TransferSlots(MAX_LARGE_TRANSFERS)
+        transfer_slots = transfers.TransferSlots(MAX_LARGE_TRANSFERS)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(
                 http1.listen_and_serve,
@@ -214,7 +215,7 @@
 
     async def _serve_peer(self, method: str, path: str) -> http1.Response:
         """Serves the changes or the removed items of a scope to a peer."""
-        request = peer_task.parse_request_path(path)
+        request = peer_requests.parse_request_path(path)
         if method != "GET" or request is None:
             return http1.Response(http1.NOT_FOUND, b"")
         scope_replica = self._replicas_by_scope[request.scope]
@@ -222,7 +223,7 @@
             return http1.Response(http1.NOT_FOUND, b"")
         return http1.Response(http1.OK, self._encoded_body(request))
 
-    def _encoded_body(self, request: peer_task.PeerRequest) -> bytes:
+    def _encoded_body(self, request: peer_requests.PeerRequest) -> bytes:
         """Returns the body that a request asks for, encoded once a change.
 
         Compressing a large configuration takes longer than sending it, and all
