--- a/packages/core/sapphire_core/peers/heartbeat_targets_test.py
+++ b/packages/core/sapphire_core/peers/heartbeat_targets_test.py
@@ -3,7 +3,7 @@
 import testtools
 
 from sapphire_core.peers import heartbeat_targets
-from sapphire_core.peers import peer_table
+from sapphire_core.peers import store_followers
 from sapphire_lab.tagged_flows import builders
 from sapphire_lab.tagged_flows import heartbeat_simulation as simulation_lib
 
@@ -89,7 +89,7 @@
             fleet = simulation_lib.HeartbeatSimulation(size, SEED)
             fleet.run(4_000)
             self.assertEqual(
-                peer_table.TARGET_FOLLOWERS, fleet.follower_count()
+                store_followers.TARGET_FOLLOWERS, fleet.follower_count()
             )
 
     def test_a_thousand_hosts_send_no_more_each(self) -> None:
--- a/packages/core/sapphire_core/peers/peer_table.py
+++ b/packages/core/sapphire_core/peers/peer_table.py
@@ -1,32 +1,17 @@
-"""The peers that this host knows, and which hosts follow the store.
-
-Each call to the store costs money, and the store's rate limits do not grow with
-the fleet. Two hosts therefore follow the store and pass its changes on to the
-others. They are chosen without a vote: each host ranks all hosts by a hash of
-their names and follows the store itself unless it knows two followers that rank
-before it. If the hosts' views differ, there are more followers for a while, but
-never fewer than one in each part of a partition.
-"""
+"""The peers that this host knows, from heartbeats and the host list."""
 
 from collections.abc import Iterable
 import dataclasses
 import random
 
-import xxhash
-
 from sapphire_core.peers import data
 from sapphire_core.peers import heartbeat_targets
 from sapphire_core.peers import host_counts
 from sapphire_core.peers import pull_sources
+from sapphire_core.peers import store_followers
 from sapphire_core.peers import upstream_reports
 from sapphire_core.replication import data as replication_data
 
-# How many hosts follow the store. With two, the others get changes without
-# delay while the store rejects one follower, or its connection has stalled.
-TARGET_FOLLOWERS = 2
-# Another data centre learns of a follower within 1 s, and all hosts of a large
-# fleet learn of it within three more heartbeats, one each 250 ms.
-FOLLOWER_TIMEOUT_MS = 1_800
 HEARTBEAT_INTERVAL_MS = 250
 # A host of the same data centre that missed four heartbeats, or three of its
 # turns in a large fleet, is not live. Heartbeats to other data centres are
@@ -37,13 +22,6 @@
 # A restarting host sends no heartbeats for about 1 s, its start included. One
 # that has sent none for longer than this is not expected back.
 RESTART_GRACE_MS = 4_000
-# While there are too few followers, one more host, in the order of the ranking,
-# takes over at each interval. A store that is down for all hosts is then not
-# called by all of them.
-TAKEOVER_INTERVAL_MS = 200
-# Heartbeats name at most this many followers, those that rank first.
-MAX_REPORTED_FOLLOWERS = 4
-_RANK_COUNT = 2**64
 
 
 @dataclasses.dataclass(slots=True)
@@ -66,7 +44,10 @@
 
 
 class PeerTable:
-    """The peers of this host, from heartbeats and the store's host list.
+    """The peers of this host.
+
+    Attributes:
+        followers: The store followers among all hosts.
 
     Args:
         own: Where this host is reached.
@@ -81,12 +62,9 @@
         self._contact_ms = contact_ms
         self._targets = heartbeat_targets.HeartbeatTargets(rng)
         self._counts = host_counts.HostCounts(own.data_centre)
+        self.followers = store_followers.StoreFollowers(own.host)
         self._peers_by_host: dict[str, _Peer] = {}
         self._near_timeout_ms = PEER_TIMEOUT_MS
-        # When each known store follower last confirmed that it is one.
-        self._follower_confirmed_ms: dict[str, int] = {}
-        # Since when too few followers rank before this host; None if enough do.
-        self._too_few_since_ms: int | None = None
 
     def set_host_list(
         self, contacts: Iterable[data.Contact], now_ms: int
@@ -141,13 +119,7 @@
         if peer is None:
             self._update_near_timeout()
         self._counts.merge(heartbeat.live_counts, now_ms)
-        for follower, age_ms in heartbeat.follower_ages_ms.items():
-            confirmed_ms = now_ms - age_ms
-            known_ms = self._follower_confirmed_ms.get(follower, confirmed_ms)
-            self._follower_confirmed_ms[follower] = max(known_ms, confirmed_ms)
-        if host not in heartbeat.follower_ages_ms:
-            # The sender itself no longer follows the store.
-            self._follower_confirmed_ms.pop(host, None)
+        self.followers.merge(host, heartbeat.follower_ages_ms, now_ms)
         return previous is None or previous.start_id != heartbeat.start_id
 
     def evict_expired(self, now_ms: int, listed: frozenset[str]) -> None:
@@ -161,9 +133,7 @@
             if host not in listed and not self._is_live(peer, now_ms):
                 del self._peers_by_host[host]
         self._update_near_timeout()
-        for host, confirmed_ms in list(self._follower_confirmed_ms.items()):
-            if now_ms - confirmed_ms > FOLLOWER_TIMEOUT_MS:
-                del self._follower_confirmed_ms[host]
+        self.followers.evict_expired(now_ms)
 
     def host_count(self, now_ms: int) -> int:
         """Returns how many hosts there may be, this one included.
@@ -269,47 +239,6 @@
         peer = self._peers_by_host.get(host)
         return peer.contact if peer is not None else None
 
-    def follower_ages_ms(self, now_ms: int) -> dict[str, int]:
-        """Returns which peers follow the store, by name.
-
-        Args:
-            now_ms: The current time.
-
-        Returns:
-            How long ago each of them confirmed that it follows the store.
-        """
-        return {
-            host: now_ms - confirmed_ms
-            for host, confirmed_ms in self._follower_confirmed_ms.items()
-            if now_ms - confirmed_ms <= FOLLOWER_TIMEOUT_MS
-            and host != self._own.host
-        }
-
-    def reported_follower_ages_ms(
-        self, now_ms: int, *, is_following: bool
-    ) -> dict[str, int]:
-        """Returns the store followers that the next heartbeat names.
-
-        Those that rank first are enough: a host needs to know two before it.
-
-        Args:
-            now_ms: The current time.
-            is_following: Whether this host follows the store.
-        """
-        ages_ms = self.follower_ages_ms(now_ms)
-        if is_following:
-            ages_ms[self._own.host] = 0
-        first = sorted(ages_ms, key=_rank)[:MAX_REPORTED_FOLLOWERS]
-        if is_following and self._own.host not in first:
-            # Receivers take a sender that is not named for no follower.
-            first.append(self._own.host)
-        return {host: ages_ms[host] for host in first}
-
-    @property
-    def rank_fraction(self) -> float:
-        """The rank of this host as a number from 0, the first, to 1."""
-        return _rank(self._own.host) / _RANK_COUNT
-
     def must_follow(self, now_ms: int, *, is_leaving: bool) -> bool:
         """Whether this host must follow the store itself.
 
@@ -317,32 +246,14 @@
             now_ms: The current time.
             is_leaving: Whether this host is leaving.
         """
-        followers = self.follower_ages_ms(now_ms)
         if is_leaving:
             return False
-        own_rank = _rank(self._own.host)
-        followers_before = sum(
-            1 for host in followers if _rank(host) < own_rank
-        )
-        if followers_before >= TARGET_FOLLOWERS:
-            self._too_few_since_ms = None
-            return False
-        if self._too_few_since_ms is None:
-            self._too_few_since_ms = now_ms
-        candidates_before = sum(
-            1
-            for peer in self._peers_by_host.values()
+        candidates = [
+            host
+            for host, peer in self._peers_by_host.items()
             if self._may_take_over(peer, now_ms)
-            and peer.contact.host not in followers
-            and _rank(peer.contact.host) < own_rank
-        )
-        # Hosts that rank before this one and do not follow the store yet get
-        # time to take over first.
-        wait_ms = (
-            max(0, followers_before + candidates_before + 1 - TARGET_FOLLOWERS)
-            * TAKEOVER_INTERVAL_MS
-        )
-        return now_ms - self._too_few_since_ms >= wait_ms
+        ]
+        return self.followers.must_follow(candidates, now_ms)
 
     def is_same_data_centre(self, contact: data.Contact) -> bool:
         """Whether a host is in the same data centre as this one.
@@ -410,7 +321,10 @@
         been heard yet.
         """
         if peer.heartbeat is None:
-            return now_ms - peer.first_known_ms <= FOLLOWER_TIMEOUT_MS
+            return (
+                now_ms - peer.first_known_ms
+                <= store_followers.FOLLOWER_TIMEOUT_MS
+            )
         return self._is_live(peer, now_ms) and not peer.heartbeat.is_leaving
 
     def _is_live(self, peer: _Peer, now_ms: int) -> bool:
@@ -435,8 +349,3 @@
         )
         timeout_ms = min(MISSED_TURNS * cycle_ms, self._contact_ms)
         self._near_timeout_ms = max(PEER_TIMEOUT_MS, timeout_ms)
-
-
-def _rank(host: str) -> int:
-    """Returns the rank of a host by its name; the lowest ranks first."""
-    return xxhash.xxh64_intdigest(host.encode())
--- a/packages/core/sapphire_core/peers/peer_table_test.py
+++ b/packages/core/sapphire_core/peers/peer_table_test.py
@@ -4,6 +4,7 @@
 
 from sapphire_core.peers import heartbeat_targets
 from sapphire_core.peers import peer_table as peer_table_lib
+from sapphire_core.peers import store_followers
 from sapphire_lab.tagged_flows import builders
 
 STEP_MS = 250
@@ -48,7 +49,7 @@
         for name, own in self.peer_tables.items():
             if name in self.crashed:
                 continue
-            ages_ms = own.follower_ages_ms(self.now_ms)
+            ages_ms = own.followers.ages_ms(self.now_ms)
             if name in self.following:
                 ages_ms[name] = 0
             heartbeat = builders.heartbeat(
@@ -207,12 +208,12 @@
         self.peer_table.record_heartbeat(
             builders.heartbeat("h0", followers=names), 0
         )
-        named = self.peer_table.reported_follower_ages_ms(0, is_following=True)
+        named = self.peer_table.followers.reported_ages_ms(0, is_following=True)
         self.assertIn("own", named)
         self.assertLessEqual(
-            len(named), peer_table_lib.MAX_REPORTED_FOLLOWERS + 1
+            len(named), store_followers.MAX_REPORTED_FOLLOWERS + 1
         )
-        by_rank = sorted(names, key=peer_table_lib._rank)
+        by_rank = sorted(names, key=store_followers.rank)
         self.assertTrue(set(by_rank[:2]) <= set(named))
 
 
--- a/packages/lab/sapphire_lab/tagged_flows/heartbeat_simulation.py
+++ b/packages/lab/sapphire_lab/tagged_flows/heartbeat_simulation.py
@@ -131,7 +131,7 @@
             host.contact.host,
             data_centre=host.contact.data_centre,
             sequence=host.sequence,
-            followers=host.table.reported_follower_ages_ms(
+            followers=host.table.followers.reported_ages_ms(
                 self.now_ms, is_following=host.is_following
             ),
             upstreams=reports,
--- a/packages/node/sapphire_node/entry/peer_task.py
+++ b/packages/node/sapphire_node/entry/peer_task.py
@@ -161,7 +161,10 @@
             self._may_follow_from_ms = (
                 now_ms
                 + FOLLOW_DELAY_MIN_MS
-                + int(self._peer_table.rank_fraction * FOLLOW_DELAY_SPREAD_MS)
+                + int(
+                    self._peer_table.followers.rank_fraction
+                    * FOLLOW_DELAY_SPREAD_MS
+                )
             )
         must_follow = self._peer_table.must_follow(
             now_ms, is_leaving=self._state.is_leaving
@@ -266,7 +269,7 @@
                 store_failed_ms=None
                 if failure_ms is None
                 else now_ms - failure_ms,
-                follower_ages_ms=self._peer_table.reported_follower_ages_ms(
+                follower_ages_ms=self._peer_table.followers.reported_ages_ms(
                     now_ms, is_following=self._state.is_following_store
                 ),
                 upstreams=reports,
