A silent near host counts for two of its turns at least

Cause, by reading: above 192 near hosts the turns of a peer take longer than half of the contact time, so that live hosts went missing from the number by which the rate of cold upstreams is shared.

--- a/packages/core/sapphire_core/peers/heartbeat_targets_test.py
+++ b/packages/core/sapphire_core/peers/heartbeat_targets_test.py
@@ -3,6 +3,7 @@
 import testtools
 
 from sapphire_core.peers import heartbeat_targets
+from sapphire_core.peers import peer_table
 from sapphire_core.peers import store_followers
 from sapphire_lab.tagged_flows import builders
 from sapphire_lab.tagged_flows import heartbeat_simulation as simulation_lib
@@ -103,3 +104,24 @@
         # A host that does not know two followers yet follows the store, and
         # sends to each data centre; all others together send a few.
         self.assertLess(fleet.remote_datagrams - before, 2 * THOUSAND)
+
+    def test_live_hosts_of_a_large_data_centre_keep_counting(self) -> None:
+        """Pattern: the turns of all near peers take longer than the contact
+        time."""
+        own = builders.heartbeat("own").contact
+        table = peer_table.PeerTable(own, random.Random(1), contact_ms=4_000)
+        near = 700
+        contacts = [builders.heartbeat(f"h{n}").contact for n in range(near)]
+        table.set_host_list(contacts, 0)
+        turn_ms = (
+            heartbeat_targets.cycle_intervals(near)
+            * peer_table.HEARTBEAT_INTERVAL_MS
+        )
+        for sequence in range(1, 4):
+            for number in range(near):
+                heartbeat = builders.heartbeat(f"h{number}", sequence=sequence)
+                heard_ms = sequence * turn_ms + number * turn_ms // near
+                table.record_heartbeat(heartbeat, heard_ms)
+            now_ms = (sequence + 1) * turn_ms
+            self.assertEqual(near + 1, table.near_host_count(now_ms))
+            self.assertEqual(near, len(table.live_heartbeats(now_ms)))
--- a/packages/core/sapphire_core/peers/peer_table.py
+++ b/packages/core/sapphire_core/peers/peer_table.py
@@ -18,6 +18,8 @@
 # sent once a second.
 PEER_TIMEOUT_MS = 1_000
 MISSED_TURNS = 3
+# The least number of turns, where three take longer than the contact time.
+MIN_MISSED_TURNS = 2
 REMOTE_PEER_TIMEOUT_MS = 2_500
 # A restarting host sends no heartbeats for about 1 s, its start included. One
 # that has sent none for longer than this is not expected back.
@@ -65,6 +67,8 @@
         self.followers = store_followers.StoreFollowers(own.host)
         self._peers_by_host: dict[str, _Peer] = {}
         self._near_timeout_ms = PEER_TIMEOUT_MS
+        # For how long a silent near peer is counted.
+        self._count_timeout_ms = contact_ms
 
     def set_host_list(
         self, contacts: Iterable[data.Contact], now_ms: int
@@ -154,8 +158,9 @@
     def near_host_count(self, now_ms: int) -> int:
         """Returns how many hosts this data centre may have, this one included.
 
-        A host counts until it has been silent for the contact time, also if
-        it is known from the host list only.
+        A host counts until it has been silent for the contact time, or for two
+        of its turns if they take longer, also if it is known from the host list
+        only.
 
         Args:
             now_ms: The current time.
@@ -167,7 +172,7 @@
             last_known_ms = peer.last_heartbeat_ms
             if last_known_ms is None:
                 last_known_ms = peer.first_known_ms
-            count += now_ms - last_known_ms <= self._contact_ms
+            count += now_ms - last_known_ms <= self._count_timeout_ms
         return count
 
     def live_counts(self, now_ms: int) -> dict[str, data.LiveCount]:
@@ -348,4 +353,6 @@
             * HEARTBEAT_INTERVAL_MS
         )
         timeout_ms = min(MISSED_TURNS * cycle_ms, self._contact_ms)
-        self._near_timeout_ms = max(PEER_TIMEOUT_MS, timeout_ms)
+        least_ms = MIN_MISSED_TURNS * cycle_ms
+        self._near_timeout_ms = max(PEER_TIMEOUT_MS, timeout_ms, least_ms)
+        self._count_timeout_ms = max(self._contact_ms, least_ms)
