A peer that names revisions it does not have is asked once

A pull whose batch lacks the revision that the heartbeat named leaves the peer alone for a minute; nonsense, as before, for a second (tests). Left: heartbeats of hosts that are not listed are believed, since a fleet starts without a list.

--- a/packages/core/sapphire_core/peers/peer_table.py
+++ b/packages/core/sapphire_core/peers/peer_table.py
@@ -234,7 +234,11 @@
             now_ms: The current time.
         """
         return [
-            pull_sources.Source(received.heartbeat.contact, received.is_near)
+            pull_sources.Source(
+                received.heartbeat.contact,
+                received.is_near,
+                received.heartbeat.revisions.get(scope, 0),
+            )
             for received in self.live_heartbeats(now_ms)
             if received.heartbeat.revisions.get(scope, 0) > revision
         ]
--- a/packages/core/sapphire_core/peers/pull_sources.py
+++ b/packages/core/sapphire_core/peers/pull_sources.py
@@ -18,6 +18,9 @@
 BUSY_BACKOFF_MIN_MS = 100
 BUSY_BACKOFF_MAX_MS = 300
 FAILURE_BACKOFF_MS = 1_000
+# A host that names revisions which it does not have is left alone for longer
+# than a change takes to arrive from any other.
+CONTRADICTION_BACKOFF_MS = 60_000
 
 
 class PullOutcome(enum.Enum):
@@ -27,11 +30,14 @@
         PULLED: The peer sent the changes.
         BUSY: The peer serves as many others as it can.
         FAILED: The peer sent no valid response.
+        CONTRADICTED: The peer's replica does not have the revision that its
+            heartbeat named, so the heartbeat was wrong or forged.
     """
 
     PULLED = "pulled"
     BUSY = "busy"
     FAILED = "failed"
+    CONTRADICTED = "contradicted"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -41,10 +47,12 @@
     Attributes:
         contact: Where the peer is reached.
         is_near: Whether it is in the same data centre as this host.
+        revision: The newest revision that it names.
     """
 
     contact: data.Contact
     is_near: bool
+    revision: int
 
 
 class PullSources:
@@ -95,6 +103,8 @@
             self._retry_ms_by_host.pop(host, None)
             return
         backoff_ms = FAILURE_BACKOFF_MS
+        if outcome is PullOutcome.CONTRADICTED:
+            backoff_ms = CONTRADICTION_BACKOFF_MS
         if outcome is PullOutcome.BUSY:
             backoff_ms = self._rng.randint(
                 BUSY_BACKOFF_MIN_MS, BUSY_BACKOFF_MAX_MS
--- a/packages/core/sapphire_core/peers/pull_sources_test.py
+++ b/packages/core/sapphire_core/peers/pull_sources_test.py
@@ -13,7 +13,7 @@
 
 def source(host: str, *, is_near: bool = True) -> pull_sources.Source:
     """Returns a peer that has changes."""
-    return pull_sources.Source(builders.heartbeat(host).contact, is_near)
+    return pull_sources.Source(builders.heartbeat(host).contact, is_near, 7)
 
 
 class PullSourcesTest(testtools.TestCase):
@@ -44,6 +44,10 @@
                 pull_sources.PullOutcome.FAILED,
                 pull_sources.FAILURE_BACKOFF_MS,
             ),
+            (
+                pull_sources.PullOutcome.CONTRADICTED,
+                pull_sources.CONTRADICTION_BACKOFF_MS,
+            ),
         ):
             self.sources.record_outcome("a", outcome, 0)
             self.assertEqual("", self.selected(source("a"), now_ms=50))
--- a/packages/lab/sapphire_lab/tagged_flows/transfer_simulation.py
+++ b/packages/lab/sapphire_lab/tagged_flows/transfer_simulation.py
@@ -88,7 +88,7 @@
                     receiver.contact.data_centre == host.contact.data_centre
                 )
                 receiver.known[host.contact.host] = pull_sources.Source(
-                    host.contact, is_near
+                    host.contact, is_near, revision=1
                 )
 
     def _finish_pulls(self) -> None:
--- a/packages/node/sapphire_node/entry/change_puller.py
+++ b/packages/node/sapphire_node/entry/change_puller.py
@@ -114,14 +114,16 @@
                         continue
                     if scope in self._scopes_being_pulled:
                         continue
-                    host = self._select_source(scope, now_ms)
-                    if host is None:
+                    source = self._select_source(scope, now_ms)
+                    if source is None:
                         continue
                     self._scopes_being_pulled.add(scope)
-                    tasks.start_soon(self._pull_scope, scope, host)
+                    tasks.start_soon(self._pull_scope, scope, source)
                 await pauses.sleep_ms(PULL_POLL_MS)
 
-    def _select_source(self, scope: data.Scope, now_ms: int) -> str | None:
+    def _select_source(
+        self, scope: data.Scope, now_ms: int
+    ) -> pull_sources.Source | None:
         """Returns the peer to pull a scope from now, None for none.
 
         A scope of which no peer is ahead any more is no longer behind.
@@ -131,14 +133,17 @@
         if not sources:
             self._behind_since_ms_by_scope.pop(scope, None)
             return None
-        source = self._sources.select(sources, now_ms)
-        return source.contact.host if source is not None else None
+        return self._sources.select(sources, now_ms)
 
-    async def _pull_scope(self, scope: data.Scope, host: str) -> None:
+    async def _pull_scope(
+        self, scope: data.Scope, source: pull_sources.Source
+    ) -> None:
         """Pulls a scope from one peer and then allows the next pull of it."""
         try:
-            outcome = await self._pull_from(scope, host)
-            self._sources.record_outcome(host, outcome, self._clock.now_ms())
+            outcome = await self._pull_from(scope, source)
+            self._sources.record_outcome(
+                source.contact.host, outcome, self._clock.now_ms()
+            )
             if outcome is pull_sources.PullOutcome.PULLED:
                 # The next heartbeat tells whether there are still newer ones.
                 self._behind_since_ms_by_scope.pop(scope, None)
@@ -146,16 +151,29 @@
             self._scopes_being_pulled.discard(scope)
 
     async def _pull_from(
-        self, scope: data.Scope, host: str
+        self, scope: data.Scope, source: pull_sources.Source
     ) -> pull_sources.PullOutcome:
         """Pulls the changes of a scope from one peer."""
         after = self._state.as_of_by_scope.get(scope, 0)
-        batch = await self._request_batch(
-            host, peer_requests.PeerRequest(scope, after)
-        )
+        request = peer_requests.PeerRequest(scope, after)
+        host = source.contact.host
+        batch = await self._request_batch(host, request)
         if isinstance(batch, pull_sources.PullOutcome):
             return batch
         await self._batches.send(messages.BatchReceived(scope, batch, host))
+        # Items read page by page may be newer than the first page.
+        newest = max((item.revision for item in batch.items), default=0)
+        if max(newest, batch.as_of) < source.revision:
+            event_log.log(
+                _LOG,
+                logging.WARNING,
+                "pull_contradicted",
+                peer=host,
+                scope=scope.name,
+                named_revision=source.revision,
+                as_of=batch.as_of,
+            )
+            return pull_sources.PullOutcome.CONTRADICTED
         return pull_sources.PullOutcome.PULLED
 
     async def pull_removed_items(self) -> None:
--- a/packages/node/sapphire_node/entry/change_puller_test.py
+++ b/packages/node/sapphire_node/entry/change_puller_test.py
@@ -27,6 +27,7 @@
         super().setUp()
         self.clock = clock_lib.ManualClock(1_000)
         self.state = host_builders.state()
+        self.sequence = 1
         self.table = peer_table_lib.PeerTable(
             builders.heartbeat("edge-1").contact, random.Random(1), CONTACT_MS
         )
@@ -48,7 +49,7 @@
         port: int = 0,
     ) -> None:
         """Records a heartbeat of a peer, as the peer task does."""
-        heartbeat = builders.heartbeat(host)
+        heartbeat = builders.heartbeat(host, sequence=self.sequence)
         heartbeat = dataclasses.replace(
             heartbeat,
             contact=dataclasses.replace(heartbeat.contact, port=port),
@@ -74,11 +75,11 @@
         asked: list[str] = []
 
         async def pull_from(
-            scope: replication_data.Scope, host: str
+            scope: replication_data.Scope, source: pull_sources.Source
         ) -> pull_sources.PullOutcome:
-            asked.append(host)
+            asked.append(source.contact.host)
             await anyio.sleep(0)
-            return outcome_by_host[host]
+            return outcome_by_host[source.contact.host]
 
         self.patch(self.puller, "_pull_from", pull_from)
 
@@ -116,7 +117,9 @@
         self.state.set_must_follow_store(False)
         pulled_scopes: list[replication_data.Scope] = []
 
-        async def pull_from(scope: replication_data.Scope, host: str) -> None:
+        async def pull_from(
+            scope: replication_data.Scope, source: pull_sources.Source
+        ) -> None:
             pulled_scopes.append(scope)
             await anyio.sleep_forever()
 
@@ -138,6 +141,69 @@
         self.assertEqual(len(replication_data.Scope), len(pulled_scopes))
 
 
+class ForgedHeartbeatTest(ChangePullerFixture):
+    """What attacks by heartbeats, which need no key, can make a host do."""
+
+    def requests_within(
+        self, duration_ms: int, answer: http1.RequestHandler
+    ) -> int:
+        """Lets a peer repeat a heartbeat that names a newer revision.
+
+        Returns:
+            How often the peer was asked.
+        """
+        self.state.set_must_follow_store(False)
+        asked = 0
+
+        async def count_and_answer(method: str, path: str) -> http1.Response:
+            nonlocal asked
+            asked += 1
+            return await answer(method, path)
+
+        async def main() -> None:
+            async with anyio.create_task_group() as tasks:
+                listener = await anyio.create_tcp_listener(local_host=LOOPBACK)
+                port = listener.extra(anyio.abc.SocketAttribute.local_port)
+                tasks.start_soon(http1.serve, listener, count_and_answer)
+                tasks.start_soon(self.puller.pull_changes)
+                for _ in range(duration_ms // 250):
+                    self.sequence += 1
+                    self.hear(
+                        "edge-2", {replication_data.Scope.INTENT: 900}, port
+                    )
+                    await anyio.sleep(0.05)
+                    self.clock.advance(250)
+                tasks.cancel_scope.cancel()
+
+        anyio.run(main)
+        return asked
+
+    def test_a_revision_that_the_peer_does_not_have_is_asked_for_once(
+        self,
+    ) -> None:
+        async def answer(method: str, path: str) -> http1.Response:
+            batch = builders.batch(builders.item("a", 4), as_of=9)
+            return http1.Response(200, peer_messages.encode_batch(batch))
+
+        self.assertEqual(1, self.requests_within(5_000, answer))
+
+    def test_items_newer_than_the_first_page_are_no_contradiction(
+        self,
+    ) -> None:
+        async def answer(method: str, path: str) -> http1.Response:
+            batch = builders.batch(builders.item("a", 900), as_of=9)
+            return http1.Response(200, peer_messages.encode_batch(batch))
+
+        # No replica task applies the batch here, so the host stays behind.
+        self.assertGreater(self.requests_within(5_000, answer), 5)
+
+    def test_a_peer_that_answers_nonsense_is_asked_rarely(self) -> None:
+        async def answer(method: str, path: str) -> http1.Response:
+            return http1.Response(200, b"nonsense")
+
+        self.assertLessEqual(self.requests_within(5_000, answer), 6)
+
+
 class PullRemovedItemsTest(ChangePullerFixture):
     """A new host pulls the items that left the registry before its start."""
 
