--- a/packages/node/sapphire_node/entry/peer_task.py
+++ b/packages/node/sapphire_node/entry/peer_task.py
@@ -37,7 +37,7 @@
 FOLLOW_DELAY_SPREAD_MS = 2_400
 # How many new peers are answered with a heartbeat of this host in an interval,
 # in a large fleet.
-MAX_GREETINGS = 4
+MAX_REPLIES_TO_NEW_PEERS = 4
 # Heartbeats of many hosts arrive at any time; those that arrive within this
 # time are read together.
 HEARTBEAT_READ_DELAY_MS = 20
@@ -87,7 +87,7 @@
             contact, rng, state.settings.limits.contact_ms
         )
         self._unresponsive_reports = upstream_reports.UnresponsiveReports()
-        self._greetings_left = MAX_GREETINGS
+        self._replies_left = MAX_REPLIES_TO_NEW_PEERS
         # From when on this host may follow the store; None before its start.
         self._may_follow_from_ms: int | None = None
         self._start_id = rng.getrandbits(62)
@@ -145,7 +145,7 @@
             self._peer_table.evict_expired(now_ms, self._listed_hosts)
             self._update_must_follow_store(now_ms)
             self._update_near_host_away(now_ms)
-            self._greetings_left = MAX_GREETINGS
+            self._replies_left = MAX_REPLIES_TO_NEW_PEERS
             self._send_heartbeat(
                 self._peer_table.near_targets()
                 + self._due_remote_targets(now_ms)
@@ -356,7 +356,7 @@
                 start_id=heartbeat.start_id,
             )
         if self._peer_table.is_large_fleet:
-            if not is_near or self._greetings_left == 0:
+            if not is_near or self._replies_left == 0:
                 return
-            self._greetings_left -= 1
+            self._replies_left -= 1
         self._send_to([heartbeat.contact], self._encode_next_heartbeat(now_ms))
--- a/packages/node/sapphire_node/entry/peer_task_test.py
+++ b/packages/node/sapphire_node/entry/peer_task_test.py
@@ -1,3 +1,5 @@
+import dataclasses
+
 import anyio
 import anyio.abc
 import testtools
@@ -12,6 +14,7 @@
 from sapphire_wire import peer_messages
 
 ANY_ADDRESS = ("127.0.0.1", 0)
+DATA_CENTRE = builders.DATA_CENTRE
 
 
 class PeerTaskBench(testtools.TestCase):
@@ -78,3 +81,58 @@
     def test_unreadable_heartbeats_are_counted(self) -> None:
         self.task._handle_datagram(b"noise")
         self.assertEqual(1, self.state.counts["unreadable_beats"])
+
+    def received(self) -> list[peer_data.Heartbeat]:
+        """Returns the heartbeats that the peer has received so far."""
+        found: list[peer_data.Heartbeat] = []
+        while True:
+            try:
+                datagram = self.peer.recv(peer_messages.MAX_HEARTBEAT_BYTES)
+            except BlockingIOError:
+                return found
+            heartbeat = peer_messages.decode_heartbeat(datagram)
+            assert isinstance(heartbeat, peer_data.Heartbeat)
+            found.append(heartbeat)
+
+    def test_a_host_that_hears_no_peer_sends_to_the_seeds(self) -> None:
+        """Pattern: a new process while the store is out of reach."""
+        address = self.peer.getsockname()
+        own_address = self.state.settings.peer_address
+        self.state.settings = dataclasses.replace(
+            self.state.settings, seed_addresses=(own_address, address)
+        )
+        self.task._send_to_seeds(self.clock.now_ms())
+        self.assertEqual(
+            ["edge-1"], [each.contact.host for each in self.received()]
+        )
+
+    def new_peer(self, number: int, data_centre: str) -> None:
+        """Delivers the first heartbeat of a peer at the peer's socket."""
+        heartbeat = builders.heartbeat(f"new-{number}", data_centre=data_centre)
+        address, port = self.peer.getsockname()
+        contact = dataclasses.replace(
+            heartbeat.contact, address=address, port=port
+        )
+        heartbeat = dataclasses.replace(heartbeat, contact=contact)
+        self.task._handle_datagram(peer_messages.encode_heartbeat(heartbeat))
+
+    def test_every_new_peer_of_a_small_fleet_gets_a_heartbeat(self) -> None:
+        for number in range(10):
+            self.new_peer(number, "remote" if number % 2 else DATA_CENTRE)
+        self.assertEqual(10, len(self.received()))
+
+    def test_few_new_peers_of_a_large_fleet_get_a_heartbeat(self) -> None:
+        """Pattern: hundreds of hosts start at once and hear each other."""
+        listed = [
+            builders.heartbeat(f"listed-{number}").contact
+            for number in range(200)
+        ]
+        self.task._peer_table.set_host_list(listed, self.clock.now_ms())
+        for number in range(100):
+            self.new_peer(number, "remote")
+        self.assertEqual(0, len(self.received()))
+        for number in range(100, 200):
+            self.new_peer(number, DATA_CENTRE)
+        self.assertEqual(
+            peer_task.MAX_REPLIES_TO_NEW_PEERS, len(self.received())
+        )
