Log what tells a dead upstream from a fault of the host's own path

A stalled flow, whose caller has sent its data three times, is logged once and counted, whether it is reset or not. No decision changes.

--- a/packages/core/sapphire_core/tagged_flows/data.py
+++ b/packages/core/sapphire_core/tagged_flows/data.py
@@ -265,6 +265,8 @@
         NO_UPSTREAM: No upstream is eligible; the caller gets a reset.
         UPSTREAM_GONE: The upstream of an open flow is dead or its address is
             reused; the caller gets a reset.
+        STALLED: The caller repeats its data on an open flow; the packet is
+            forwarded.
         UNKNOWN_TAG: No known upstream has the tag; the packet is dropped.
         UNANSWERED: No upstream answered before the caller timed out.
     """
@@ -277,6 +279,7 @@
     NO_ROUTE = "no_route"
     NO_UPSTREAM = "no_upstream"
     UPSTREAM_GONE = "upstream_gone"
+    STALLED = "stalled"
     UNKNOWN_TAG = "unknown_tag"
     UNANSWERED = "unanswered"
 
--- a/packages/core/sapphire_core/tagged_flows/dead_upstreams.py
+++ b/packages/core/sapphire_core/tagged_flows/dead_upstreams.py
@@ -18,6 +18,8 @@
 cannot continue there either.
 """
 
+import enum
+
 from sapphire_core.tagged_flows import data
 from sapphire_core.tagged_flows import flow_table
 from sapphire_core.tagged_flows import upstream_table
@@ -32,29 +34,57 @@
 REMOVED_MS = 500
 
 
-def is_upstream_dead(
+class Evidence(enum.StrEnum):
+    """Why an open flow is ended; the value is a field of logs.
+
+    Attributes:
+        REPLACED: Another upstream has the address.
+        UNRESPONSIVE: The upstream left data and an opening packet unanswered.
+        REMOVED: The upstream left data unanswered and has left the registry.
+    """
+
+    REPLACED = "replaced"
+    UNRESPONSIVE = "unresponsive"
+    REMOVED = "removed"
+
+
+def evidence_against(
     record: flow_table.FlowRecord, now_ms: int, *, is_unresponsive: bool
-) -> bool:
-    """Whether the upstream of a flow is dead.
+) -> Evidence | None:
+    """Returns why the upstream of a flow counts as dead.
 
     Args:
         record: The record of the flow.
         now_ms: The current time.
         is_unresponsive: Whether the upstream leaves opening packets unanswered.
+
+    Returns:
+        The evidence, None if the flow goes on.
     """
     entry = record.entry
-    if (
-        entry.last_active_ms is not None
-        and entry.last_active_ms > record.last_new_data_ms
-    ):
-        return False
+    if entry.is_replaced:
+        return Evidence.REPLACED
+    if record.retransmissions == 0 or _has_shown_life(record):
+        return None
     if is_unresponsive:
-        return (
+        if (
             record.retransmissions >= UNRESPONSIVE_RETRANSMISSIONS
             and now_ms - record.last_new_data_ms >= UNRESPONSIVE_MS
-        )
-    return record.retransmissions >= REMOVED_RETRANSMISSIONS and _has_stopped(
+        ):
+            return Evidence.UNRESPONSIVE
+        return None
+    if record.retransmissions >= REMOVED_RETRANSMISSIONS and _has_stopped(
         entry, now_ms
+    ):
+        return Evidence.REMOVED
+    return None
+
+
+def _has_shown_life(record: flow_table.FlowRecord) -> bool:
+    """Whether an upstream has sent a packet since the flow's last new data."""
+    last_active_ms = record.entry.last_active_ms
+    return last_active_ms is not None and (
+        last_active_ms > record.last_new_data_ms
     )
 
 
--- a/packages/core/sapphire_core/tagged_flows/dead_upstreams_test.py
+++ b/packages/core/sapphire_core/tagged_flows/dead_upstreams_test.py
@@ -140,3 +140,64 @@
         self.steering.upstream_table.put(draining, 9, 0)
         for now_ms in SEND_TIMES_MS:
             self.assertIsInstance(self.send(now_ms), data.Forward)
+
+
+class StalledFlowTest(testtools.TestCase):
+    """What a host reports of open flows whose callers repeat their data."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.bench = builders.SteeringBench(
+            builders.upstream("i-1"), builders.upstream("i-2")
+        )
+
+    def repeat_data(self, upstream_id: str, number: int) -> None:
+        for now_ms in SEND_TIMES_MS:
+            packet = builders.packet(number, tag=tags.tag_of(upstream_id))
+            self.bench.steering.handle(packet, now_ms)
+
+    def stalled(self) -> list[dict[str, str | int | float]]:
+        return [
+            decision.detail
+            for decision in self.bench.decisions
+            if decision.verdict is data.Verdict.STALLED
+        ]
+
+    def test_a_stalled_flow_is_reported_once(self) -> None:
+        self.repeat_data("i-1", 1)
+        self.assertEqual(
+            [
+                {
+                    "repeats": 2,
+                    "waited_ms": 600,
+                    "removed_ms": -1,
+                    "silent_openings": 0,
+                    "observer": "none",
+                    "stalled_elsewhere": False,
+                }
+            ],
+            self.stalled(),
+        )
+
+    def test_flows_stalled_at_two_upstreams_point_to_the_host(self) -> None:
+        self.repeat_data("i-1", 1)
+        self.repeat_data("i-2", 2)
+        self.assertEqual(
+            [False, True],
+            [detail["stalled_elsewhere"] for detail in self.stalled()],
+        )
+
+    def test_another_flow_of_the_same_upstream_is_not_elsewhere(self) -> None:
+        self.repeat_data("i-1", 1)
+        self.repeat_data("i-1", 2)
+        self.assertEqual(
+            [False, False],
+            [detail["stalled_elsewhere"] for detail in self.stalled()],
+        )
+
+    def test_new_data_may_stall_again(self) -> None:
+        self.repeat_data("i-1", 1)
+        for now_ms in (2_000, 2_200, 2_600):
+            packet = builders.packet(1, tag=tags.tag_of("i-1"), sequence=302)
+            self.bench.steering.handle(packet, now_ms)
+        self.assertEqual(2, len(self.stalled()))
--- a/packages/core/sapphire_core/tagged_flows/flow_table.py
+++ b/packages/core/sapphire_core/tagged_flows/flow_table.py
@@ -21,6 +21,12 @@
 MAX_REQUEST_MS = 500
 # Callers retransmit data after 200 ms (the protocol), less the jitter of links.
 MIN_RETRANSMISSION_MS = 150
+# How often a caller repeats its data until its flow counts as stalled: after
+# 200 and 600 ms (the protocol). A request may take longer than the first.
+STALLED_RETRANSMISSIONS = 2
+# A stalled flow counts for this long after its last packet: longer than callers
+# wait for their third retransmission (800 ms, the protocol).
+STALLED_FLOW_TTL_MS = 1_000
 # The data of a full packet (the protocol). Only the last packet of a response
 # carries less, so a response of which the caller has acknowledged full packets
 # only goes on.
@@ -45,6 +51,8 @@
             without any progress.
         last_new_data_ms: When the last new data arrived.
         is_closed: Whether the caller has closed or reset the flow.
+        is_stall_reported: Whether it is logged that the flow is stalled, since
+            its last new data.
     """
 
     entry: upstream_table.Entry
@@ -56,6 +64,15 @@
     retransmissions: int = 0
     last_new_data_ms: int = 0
     is_closed: bool = False
+    is_stall_reported: bool = False
+
+    @property
+    def is_stalled(self) -> bool:
+        """Whether the caller repeats its data and the upstream is silent."""
+        return (
+            not self.is_closed
+            and self.retransmissions >= STALLED_RETRANSMISSIONS
+        )
 
 
 class FlowTable:
@@ -133,6 +150,27 @@
             # The request counts as in flight while its response arrives.
             record.request_data_ms = now_ms
 
+    def has_stalled_elsewhere(
+        self, entry: upstream_table.Entry, now_ms: int
+    ) -> bool:
+        """Whether flows to another registered upstream are stalled.
+
+        Stalled flows to several upstreams at a time point to the network path
+        of this host rather than to the upstreams.
+
+        Args:
+            entry: The upstream whose own flows do not count.
+            now_ms: The current time.
+        """
+        for record in reversed(self._by_flow.values()):
+            if now_ms - record.last_packet_ms > STALLED_FLOW_TTL_MS:
+                return False
+            if record.entry is entry or record.entry.removed_ms is not None:
+                continue
+            if record.is_stalled:
+                return True
+        return False
+
     def discard(self, flow_id: data.FlowId) -> None:
         """Discards the record of a flow, if there is one."""
         record = self._by_flow.pop(flow_id, None)
@@ -183,6 +221,7 @@
             return
         record.next_sequence = end
         record.retransmissions = 0
+        record.is_stall_reported = False
         record.last_new_data_ms = now_ms
         self._observe_acknowledgement(packet, record, now_ms)
         if record.request_data_ms is None:
--- a/packages/core/sapphire_core/tagged_flows/steering.py
+++ b/packages/core/sapphire_core/tagged_flows/steering.py
@@ -491,22 +491,52 @@
             )
         if packet.is_reset or packet.is_closing:
             return data.Forward(packet, entry.upstream, entry.tag)
-        if entry.is_replaced or self._is_upstream_dead(record, now_ms):
-            self._report_decision(
+        evidence = self._evidence_against_upstream(record, now_ms)
+        if evidence is not None:
+            self._report_stalled(
                 data.Verdict.UPSTREAM_GONE,
                 packet,
-                entry,
-                is_replaced=entry.is_replaced,
-                repeats=record.retransmissions,
-                waited_ms=now_ms - record.last_new_data_ms,
-                silent_openings=self.selector.unanswered_openings(
-                    entry, now_ms
-                ),
+                record,
+                now_ms,
+                evidence=evidence.value,
             )
             self.flow_table.discard(packet.flow_id)
             return data.Reset(packet, data.Verdict.UPSTREAM_GONE)
+        if record.is_stalled and not record.is_stall_reported:
+            record.is_stall_reported = True
+            self._report_stalled(data.Verdict.STALLED, packet, record, now_ms)
         return data.Forward(packet, entry.upstream, entry.tag)
 
+    def _report_stalled(
+        self,
+        verdict: data.Verdict,
+        packet: data.Packet,
+        record: flow_table.FlowRecord,
+        now_ms: int,
+        **detail: str,
+    ) -> None:
+        """Reports a flow that is stalled or reset, with what points to whom.
+
+        `observer` names who left an opening packet unanswered: this host or
+        only a peer. `stalled_elsewhere` points to the path of this host.
+        """
+        entry = record.entry
+        removed_ms = entry.removed_ms
+        self._report_decision(
+            verdict,
+            packet,
+            entry,
+            **detail,
+            repeats=record.retransmissions,
+            waited_ms=now_ms - record.last_new_data_ms,
+            removed_ms=-1 if removed_ms is None else now_ms - removed_ms,
+            silent_openings=self.selector.unanswered_openings(entry, now_ms),
+            observer=self.selector.unresponsive_observer(entry, now_ms),
+            stalled_elsewhere=self.flow_table.has_stalled_elsewhere(
+                entry, now_ms
+            ),
+        )
+
     def _record_flow(
         self, packet: data.Packet, now_ms: int
     ) -> flow_table.FlowRecord | None:
@@ -541,16 +571,15 @@
             )
         return self.flow_table.add(packet.flow_id, entry, now_ms)
 
-    def _is_upstream_dead(
+    def _evidence_against_upstream(
         self, record: flow_table.FlowRecord, now_ms: int
-    ) -> bool:
-        """Whether the upstream of an open flow has crashed or is cut off."""
-        if record.retransmissions == 0:
-            return False
+    ) -> dead_upstreams.Evidence | None:
+        """Returns why the upstream of an open flow counts as dead, if so."""
         is_unresponsive = (
-            self.selector.unanswered_openings(record.entry, now_ms) > 0
+            record.retransmissions > 0
+            and self.selector.unanswered_openings(record.entry, now_ms) > 0
         )
-        return dead_upstreams.is_upstream_dead(
+        return dead_upstreams.evidence_against(
             record, now_ms, is_unresponsive=is_unresponsive
         )
 
--- a/packages/core/sapphire_core/tagged_flows/upstream_selector.py
+++ b/packages/core/sapphire_core/tagged_flows/upstream_selector.py
@@ -138,6 +138,25 @@
             return 0
         return self._passive_health.consecutive_unanswered(upstream_id)
 
+    def unresponsive_observer(
+        self, entry: upstream_table_lib.Entry, now_ms: int
+    ) -> str:
+        """Returns who found an upstream unresponsive, as a field of logs.
+
+        Args:
+            entry: The upstream.
+            now_ms: The current time.
+
+        Returns:
+            `own` for this host, `peer` for a peer only, `none` for nobody.
+        """
+        upstream_id = entry.upstream.upstream_id
+        if self._passive_health.own_avoid_ms(upstream_id, now_ms) > 0:
+            return "own"
+        if self._passive_health.is_avoided(upstream_id, now_ms):
+            return "peer"
+        return "none"
+
     def select(
         self, service: data.Service, excluded_ids: Collection[str], now_ms: int
     ) -> upstream_table_lib.Entry | None:
