An open flow is reset only if the registry says that its upstream has gone

Cause: a host took data that a caller had sent three times, together with one opening packet unanswered for 40 ms, for a dead upstream. The two signs are not independent: both come from the host's own link when it is full or loses packets. Class: an action that cannot be taken back, on signs that share a cause.

Change: an open flow is ended only if two independent sources agree. A removed entry is not enough while flows to other registered upstreams are stalled. Packets that a caller repeats together count as one retransmission: an upload had counted each.

Why it works: a fault of the path gives one of the signs, a registry that is wrong for a moment, an entry of another writer or a step of a clock the other.

Upstreams that lose power keep callers waiting until their entries lapse.

--- a/packages/core/sapphire_core/tagged_flows/flow_table.py
+++ b/packages/core/sapphire_core/tagged_flows/flow_table.py
@@ -50,6 +50,7 @@
         retransmissions: How often the caller has retransmitted the last data
             without any progress.
         last_new_data_ms: When the last new data arrived.
+        last_retransmission_ms: When the caller last retransmitted data.
         is_closed: Whether the caller has closed or reset the flow.
         is_stall_reported: Whether it is logged that the flow is stalled, since
             its last new data.
@@ -63,6 +64,7 @@
     request_data_ms: int | None = None
     retransmissions: int = 0
     last_new_data_ms: int = 0
+    last_retransmission_ms: int = 0
     is_closed: bool = False
     is_stall_reported: bool = False
 
@@ -185,6 +187,7 @@
         """
         for record in self._by_flow.values():
             record.last_new_data_ms += stall_ms
+            record.last_retransmission_ms += stall_ms
             if record.request_data_ms is not None:
                 record.request_data_ms += stall_ms
 
@@ -215,9 +218,14 @@
         end = (packet.sequence + packet.payload_bytes) & _SEQUENCE_MASK
         if record.next_sequence and not _is_after(end, record.next_sequence):
             # Packets of one upload may be reordered within milliseconds; only
-            # data that arrives later is a retransmission.
-            if now_ms - record.last_new_data_ms >= MIN_RETRANSMISSION_MS:
+            # data that arrives later is a retransmission. A caller repeats all
+            # packets in flight together, which counts once.
+            last_sent_ms = max(
+                record.last_new_data_ms, record.last_retransmission_ms
+            )
+            if now_ms - last_sent_ms >= MIN_RETRANSMISSION_MS:
                 record.retransmissions += 1
+                record.last_retransmission_ms = now_ms
             return
         record.next_sequence = end
         record.retransmissions = 0
--- a/packages/core/sapphire_core/tagged_flows/steering.py
+++ b/packages/core/sapphire_core/tagged_flows/steering.py
@@ -574,13 +574,15 @@
     def _evidence_against_upstream(
         self, record: flow_table.FlowRecord, now_ms: int
     ) -> dead_upstreams.Evidence | None:
-        """Returns why the upstream of an open flow counts as dead, if so."""
-        is_unresponsive = (
-            record.retransmissions > 0
-            and self.selector.unanswered_openings(record.entry, now_ms) > 0
-        )
+        """Returns why the upstream of an open flow counts as gone, if so."""
+        if record.retransmissions == 0:
+            return None
         return dead_upstreams.evidence_against(
-            record, now_ms, is_unresponsive=is_unresponsive
+            record,
+            now_ms,
+            is_path_suspect=self.flow_table.has_stalled_elsewhere(
+                record.entry, now_ms
+            ),
         )
 
     def _route_for(self, packet: data.Packet) -> data.Route | None:
