The default owner is tried first though it is the newest owner too

Callers saw: a retransmitted opening packet went to another upstream within the second after an activation in which the default owner is tried first, although its own served, so the open flow moved. Pools of b, c, e and b again: the flow was open at b, its retransmission was sent to c.

Cause: the owners were collected from the newest generation on, each once, and then reversed. An upstream that owns the bucket in the oldest and the newest generation stood first in that list, so last in the reversed one. Ruled out: the record of the flow (none is needed, since all hosts prefer b).

The owners are now collected from the end that is preferred. The test fails before ('a' != 'c') and passes after; the order of owners without such an upstream has a test that passes before and after.

--- a/packages/core/sapphire_core/flows/upstream_selection.py
+++ b/packages/core/sapphire_core/flows/upstream_selection.py
@@ -32,9 +32,7 @@
     if not routes.ambiguous_everywhere[bucket]:
         # Other hosts may treat the bucket as settled at its default owner.
         return select_default_owner(routes, bucket, try_admit)
-    owners = _owners(routes, bucket)
-    if is_default_preferred:
-        owners.reverse()
+    owners = _owners(routes, bucket, is_oldest_first=is_default_preferred)
     for owner in owners:
         if owner in routes.eligible and try_admit(owner):
             return owner
@@ -70,10 +68,19 @@
     return owner
 
 
-def _owners(routes: routes_lib.Routes, bucket: int) -> list[str]:
-    """Returns the owners of a bucket, the newest generation first."""
-    owners = []
-    for generation in reversed(routes.generations):
+def _owners(
+    routes: routes_lib.Routes, bucket: int, *, is_oldest_first: bool
+) -> list[str]:
+    """Returns the owners of a bucket in the order of their generations.
+
+    An upstream that owns the bucket in several generations counts for the first
+    one in that order.
+    """
+    owners: list[str] = []
+    generations = routes.generations
+    if not is_oldest_first:
+        generations = generations[::-1]
+    for generation in generations:
         owner = generation.owner(bucket)
         if owner is not None and owner not in owners:
             owners.append(owner)
