A retransmitted opening packet finds its flow at an upstream that leaves

Callers saw: the opening packet of an open or half-open flow was retransmitted after a change of the pool and went to another upstream, although its own served. The flow moved. Three hosts join, d leaves the pool, flow 44 opens at d before any host has prepared that, and its opening packet is retransmitted 2.1 s later: it was sent to a.

Cause: a flow that is opened in a settled bucket has no record. Once the change is active, the primary replica host knows nothing of the flow and takes the retransmission for a new one. An upstream with the intent to drain was not eligible even then, nor one in slow start, and a recorded flow left its upstream once that drained.

Change: the host that forwards an opening packet knows that an upstream got it. It remembers that for 4 s, the first two retransmissions of RFC 6298 and a second for delays. When a change lets other hosts select another upstream, it tells the replica hosts, and new ones after a change of membership, in handover pages that nobody requested, within the byte rate of the handover. A replica host that knows of the opening can tell a retransmission from a new flow. So the retransmission may go to a draining upstream, as it is no new work, and new flows still may not. Two attempts were corrected on the way. Told flows as flow records would hold back the truncation for over an hour.

Left: a retransmission later than 4 s after the opening; a lost page; a host that crashes before it has told of its openings.

--- a/packages/core/sapphire_core/flows/ambiguous_bucket_router.py
+++ b/packages/core/sapphire_core/flows/ambiguous_bucket_router.py
@@ -136,7 +136,7 @@
         state = self.replica_state(routes.name, now_ms)
         if packet.is_opening:
             return self._route_opening(routes, state, packet, is_fresh, now_ms)
-        recorded = state.flows.get(packet.flow_hash)
+        recorded = self._find_record(state.flows, packet)
         if recorded is not None:
             return self._route_recorded(routes, state, packet, recorded)
         return self._route_unrecorded(routes, state, packet, now_ms)
@@ -164,7 +164,7 @@
         if decision is None:
             return data.Drop(failures.ForeignUpstream(upstream))
         flows = self.replica_state(routes.name, now_ms).flows
-        recorded = flows.get(packet.flow_hash)
+        recorded = self._find_record(flows, packet)
         if recorded == upstream:
             if packet.is_closing:
                 flows.close(packet.flow_hash)
@@ -185,6 +185,24 @@
             )
         return self._relay(packet.visited[-1], packet, recorded)
 
+    def hosts_to_inform(self, service: str, bucket: int) -> list[str]:
+        """Returns the other hosts that have to record the upstream of a flow.
+
+        They are the other replica hosts. After a change of membership they are
+        all hosts of the rendezvous order, since those that were replica hosts
+        before may not know of the change yet.
+        """
+        replica_hosts = self._orders.replica_hosts(service, bucket)
+        hosts = list(replica_hosts)
+        if self.is_view_recent:
+            for host_id in self._orders.order(service, bucket):
+                if host_id in replica_hosts or host_id in self.suspects:
+                    continue
+                # A leaving host decides nothing alone and may have stopped.
+                if not self._orders.is_leaving(host_id):
+                    hosts.append(host_id)
+        return [host_id for host_id in hosts if host_id != self._host_id]
+
     def _relay_to_replica_hosts(
         self,
         routes: routes_lib.Routes,
@@ -207,7 +225,7 @@
                 return decision
             return self._relay(packet.visited[index - 1], packet, upstream)
         bucket = packet.flow_hash % routes.bucket_count
-        for host_id in self._hosts_to_inform(routes.name, bucket):
+        for host_id in self.hosts_to_inform(routes.name, bucket):
             if self._may_visit(host_id, packet):
                 return self._relay(host_id, packet, upstream)
         return decision
@@ -246,7 +264,7 @@
             # packet comes back.
             return self._relay(primary, packet, None)
         flows = state.flows
-        recorded = flows.get(packet.flow_hash)
+        recorded = self._find_record(flows, packet)
         is_new = recorded is None or not self._is_reusable(
             routes, flows, packet, recorded
         )
@@ -283,7 +301,7 @@
         )
         if is_unrecorded and is_default:
             return routes.decision_by_upstream[upstream]
-        hosts_to_inform = self._hosts_to_inform(routes.name, bucket)
+        hosts_to_inform = self.hosts_to_inform(routes.name, bucket)
         if not hosts_to_inform:
             return routes.decision_by_upstream[upstream]
         # The hosts that were visited so far do not know the upstream yet.
@@ -408,6 +426,23 @@
             return data.Reset(failures.UpstreamGone(owner))
         return decision
 
+    def _find_record(
+        self, flows: flow_table.FlowTable, packet: bucket_replica_state.Packet
+    ) -> str | None:
+        """Returns the recorded upstream of a packet's flow, None without one.
+
+        A flow that was opened lately without a record is recorded once its
+        opening packet is retransmitted, as another host may select the upstream
+        of the next retransmission, and once it is closed, so that the other
+        replica host gets to know that too.
+        """
+        recorded = flows.get(packet.flow_hash)
+        if recorded is not None:
+            return recorded
+        if not packet.is_opening and not packet.is_closing:
+            return None
+        return flows.record_opened(packet.flow_hash)
+
     def _is_reusable(
         self,
         routes: routes_lib.Routes,
@@ -421,34 +456,20 @@
             routes: The routes of the service.
             flows: The recorded flows.
             packet: The packet. If it opens the flow anew, the record must be
-                of an open flow and of an upstream that may get new flows.
+                of an open flow and of an upstream that may get new flows. An
+                upstream that leaves still gets retransmissions.
             recorded: The recorded upstream.
         """
         if packet.is_opening and flows.is_closing(packet.flow_hash):
             return False
         if packet.is_opening and recorded not in routes.eligible:
-            return False
+            if recorded not in routes.answering:
+                return False
+            if flows.opened_upstream(packet.flow_hash) is None:
+                return False
         decision = routes.decision_by_upstream.get(recorded)
         return isinstance(decision, data.Forward)
 
-    def _hosts_to_inform(self, service: str, bucket: int) -> list[str]:
-        """Returns the other hosts that have to record the upstream of a flow.
-
-        They are the other replica hosts. After a change of membership they are
-        all hosts of the rendezvous order, since those that were replica hosts
-        before may not know of the change yet.
-        """
-        replica_hosts = self._orders.replica_hosts(service, bucket)
-        hosts = list(replica_hosts)
-        if self.is_view_recent:
-            for host_id in self._orders.order(service, bucket):
-                if host_id in replica_hosts or host_id in self.suspects:
-                    continue
-                # A leaving host decides nothing alone and may have stopped.
-                if not self._orders.is_leaving(host_id):
-                    hosts.append(host_id)
-        return [host_id for host_id in hosts if host_id != self._host_id]
-
     def _other_replica_host(self, service: str, bucket: int) -> str | None:
         """Returns a replica host of a bucket other than this host."""
         for host_id in self._orders.replica_hosts(service, bucket):
--- a/packages/core/sapphire_core/flows/data.py
+++ b/packages/core/sapphire_core/flows/data.py
@@ -164,7 +164,8 @@
 
     Attributes:
         service: The name of the service.
-        buckets: The buckets of the request.
+        buckets: The buckets of the request; empty in a page of flows that the
+            sender opened lately, which no host requested.
         kept_buckets: The buckets for which the sender knows the requesting
             host as a replica host. Only for these is the page a valid answer:
             new flow records of the others would not reach that host.
@@ -199,6 +200,19 @@
     request: HandoverRequest
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendHandoverPage:
+    """Send flow records that the receiver did not request.
+
+    Attributes:
+        host_id: The receiver of the page.
+        page: The page; it has no buckets.
+    """
+
+    host_id: str
+    page: HandoverPage
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RevisionActivated:
     """This host now routes new flows by another configuration.
@@ -210,4 +224,4 @@
     revision: int
 
 
-Action = SendHandoverRequest | RevisionActivated
+Action = SendHandoverRequest | SendHandoverPage | RevisionActivated
--- a/packages/core/sapphire_core/flows/flow_table.py
+++ b/packages/core/sapphire_core/flows/flow_table.py
@@ -4,12 +4,19 @@
 upstream, above all if its upstream is not the default owner of its bucket.
 Three dictionaries of increasing age expire idle flows without a time stamp for
 each flow: a record lives for two to three periods after its last refresh.
+
+Besides, the table knows for some seconds where flows were opened, so that their
+retransmitted opening packets can be told from those of new flows.
 """
 
 from collections.abc import Iterator
+from collections.abc import Set as AbstractSet
 
 IDLE_PERIOD_MS = 1_800_000
 CLOSING_PERIOD_MS = 30_000
+# A caller that gets no answer retransmits its opening packet 1 s and 3 s after
+# the first transmission (RFC 6298); one more second allows for delays.
+OPENING_PERIOD_MS = 4_000
 
 
 class FlowTable:
@@ -25,8 +32,11 @@
         self._old: dict[int, str] = {}
         self._closing: dict[int, str] = {}
         self._closed: dict[int, str] = {}
+        self._opened: dict[int, str] = {}
+        self._opened_before: dict[int, str] = {}
         self._rotated_ms = now_ms
         self._closing_rotated_ms = now_ms
+        self._opened_rotated_ms = now_ms
 
     def __len__(self) -> int:
         tables = (self._young, self._middle, self._old)
@@ -44,6 +54,59 @@
         """Returns whether a closing packet of a recorded flow was seen."""
         return flow_hash in self._closing or flow_hash in self._closed
 
+    def opened_upstream(self, flow_hash: int) -> str | None:
+        """Returns the upstream that got the opening packet of a flow lately.
+
+        It is known for one to two periods of `OPENING_PERIOD_MS`, unless a
+        closing packet is seen. Until then a further opening packet is a
+        retransmission. A record alone does not show that, because a flow is
+        recorded before its opening packet is forwarded.
+        """
+        upstream = self._opened.get(flow_hash)
+        return upstream or self._opened_before.get(flow_hash)
+
+    def note_opened(self, flow_hash: int, upstream: str) -> None:
+        """Notes which upstream got the opening packet of a flow.
+
+        It is not noted of a flow that is recorded at another upstream or as
+        closing, since that is of a later time.
+
+        Args:
+            flow_hash: The flow.
+            upstream: The upstream.
+        """
+        if self.is_closing(flow_hash):
+            return
+        if self.get(flow_hash) not in {None, upstream}:
+            return
+        if self.opened_upstream(flow_hash) is None:
+            self._opened[flow_hash] = upstream
+
+    def record_opened(self, flow_hash: int) -> str | None:
+        """Records a flow that has no record at the upstream that was noted.
+
+        Args:
+            flow_hash: The flow.
+
+        Returns:
+            The upstream, None if none was noted.
+        """
+        upstream = self.opened_upstream(flow_hash)
+        if upstream is not None:
+            self._young[flow_hash] = upstream
+        return upstream
+
+    def forget_opened(self, upstreams: AbstractSet[str]) -> None:
+        """Forgets which flows were opened lately at some upstreams.
+
+        Args:
+            upstreams: Their names.
+        """
+        for table in (self._opened, self._opened_before):
+            for flow_hash, upstream in list(table.items()):
+                if upstream in upstreams:
+                    del table[flow_hash]
+
     def refresh(self, flow_hash: int) -> bool:
         """Extends the life of a recorded flow that is not closing.
 
@@ -85,6 +148,8 @@
         """Removes the record of a flow, if there is one."""
         for table in self.parts():
             table.pop(flow_hash, None)
+        self._opened.pop(flow_hash, None)
+        self._opened_before.pop(flow_hash, None)
 
     def items(self) -> Iterator[tuple[int, str]]:
         """Yields the recorded flows and their upstreams."""
@@ -106,6 +171,10 @@
             self._closed = self._closing
             self._closing = {}
             self._closing_rotated_ms += CLOSING_PERIOD_MS
+        while now_ms - self._opened_rotated_ms >= OPENING_PERIOD_MS:
+            self._opened_before = self._opened
+            self._opened = {}
+            self._opened_rotated_ms += OPENING_PERIOD_MS
 
     def parts(self) -> tuple[dict[int, str], ...]:
         """Returns the dictionaries by flow hash, the youngest first."""
--- a/packages/core/sapphire_core/flows/handover_client.py
+++ b/packages/core/sapphire_core/flows/handover_client.py
@@ -176,11 +176,16 @@
     ) -> None:
         """Records the flows of a page and requests the next page, if any.
 
+        A page without buckets was not requested: its flows were opened lately.
+
         Args:
             host_id: The host that sent it.
             page: The page.
             now_ms: The current time.
         """
+        if not page.buckets:
+            self._note_openings(page, now_ms)
+            return
         pending = self._pending
         if pending is None or pending.host_id != host_id:
             return
@@ -209,6 +214,22 @@
             return
         self._finish(pending, state)
 
+    def _note_openings(self, page: data.HandoverPage, now_ms: int) -> None:
+        """Notes flows whose opening packets another host forwarded lately."""
+        routes = self._tables.by_name(page.service)
+        if routes is None:
+            return
+        flows = self._router.replica_state(page.service, now_ms).flows
+        for flow_hash, index in zip(
+            page.flow_hashes, page.upstream_indices, strict=False
+        ):
+            if index >= len(page.upstreams):
+                continue
+            upstream = page.upstreams[index]
+            if upstream not in routes.answering:
+                continue
+            flows.note_opened(flow_hash, upstream)
+
     def _finish(
         self,
         pending: _PendingRequest,
@@ -260,6 +281,7 @@
         if not restored:
             return
         flows = self._router.replica_state(routes.name, now_ms).flows
+        flows.forget_opened(restored)
         for flow_hash, upstream in list(flows.items()):
             if upstream in restored:
                 flows.discard(flow_hash)
--- a/packages/core/sapphire_core/flows/handover_source.py
+++ b/packages/core/sapphire_core/flows/handover_source.py
@@ -65,16 +65,29 @@
             A page; None if the byte rate does not allow it now.
         """
         self._last_request_ms = now_ms
+        page = self._page(host_id, request, now_ms)
+        if not self.take_bytes(page_bytes(page), now_ms):
+            return None
+        return page
+
+    def take_bytes(self, size: int, now_ms: int) -> bool:
+        """Takes bytes from the rate of all pages of this host.
+
+        Args:
+            size: The bytes of a page.
+            now_ms: The current time.
+
+        Returns:
+            Whether the page may be sent now.
+        """
         elapsed_ms = now_ms - self._refilled_ms
         self._refilled_ms = now_ms
         refill = elapsed_ms * BYTES_PER_SECOND / clock.MS_PER_SECOND
         self._tokens_bytes = min(BURST_BYTES, self._tokens_bytes + refill)
-        page = self._page(host_id, request, now_ms)
-        size = page_bytes(page)
         if size > self._tokens_bytes:
-            return None
+            return False
         self._tokens_bytes -= size
-        return page
+        return True
 
     def is_handover_complete(self, now_ms: int) -> bool:
         """Returns whether this host is leaving and its handover is complete.
--- a/packages/core/sapphire_core/flows/router.py
+++ b/packages/core/sapphire_core/flows/router.py
@@ -13,6 +13,7 @@
 from sapphire_core.flows import handover_client
 from sapphire_core.flows import handover_source
 from sapphire_core.flows import history_usage_report
+from sapphire_core.flows import recent_openings
 from sapphire_core.flows import rendezvous
 from sapphire_core.flows import revisions as revisions_lib
 from sapphire_core.flows import route_tables
@@ -63,6 +64,9 @@
         self._handover_source = handover_source.HandoverSource(
             self._orders, self._tables, self._bucket_router
         )
+        self._recent_openings = recent_openings.RecentOpenings(
+            self._tables, self._bucket_router, self._handover_source
+        )
         self._host_id = host_id
         self._fresh_until_ms = -1
         self._newer_since_ms: int | None = None
@@ -176,7 +180,8 @@
                 suspects.add(host_id)
         self._bucket_router.suspects = frozenset(suspects)
         self._prepared_everywhere = view.prepared_everywhere
-        if self._orders.set_members(view.members_by_id):
+        has_changed = self._orders.set_members(view.members_by_id)
+        if has_changed:
             own = view.members_by_id.get(self._host_id)
             is_leaving = (
                 own is not None and own.state is records.MemberState.LEAVING
@@ -190,6 +195,8 @@
         self._bucket_router.is_view_recent = (
             age_ms < handover_client.VIEWS_AGREE_MS
         )
+        if has_changed:
+            self._recent_openings.inform_replica_hosts(now_ms)
         self._advance(now_ms, view.is_fresh, is_forced=False)
 
     def apply_observation(
@@ -236,14 +243,23 @@
             if settled is not None:
                 decision = settled[0][flow_hash % settled[1]]
                 if decision is not None:
+                    if is_opening:
+                        self._recent_openings.remember(
+                            service_key, flow_hash, decision, now_ms
+                        )
                     return decision
-        return self._route_uncached(
+        decision = self._route_uncached(
             service_key,
             bucket_replica_state.Packet(
                 flow_hash, is_opening, is_closing, (), 0
             ),
             now_ms,
         )
+        if is_opening:
+            self._recent_openings.remember(
+                service_key, flow_hash, decision, now_ms
+            )
+        return decision
 
     def route_relayed(  # noqa: PLR0917 - one argument per field of a packet.
         self,
@@ -271,18 +287,14 @@
         packet = bucket_replica_state.Packet(
             flow_hash, is_opening, is_closing, relay.visited, relay.revision
         )
-        routes = self._tables.find(service_key)
-        if routes is None:
-            return self._tables.decide_without_routes(service_key, is_opening)
-        if relay.upstream is not None:
-            return self._bucket_router.apply_relayed_upstream(
-                routes, packet, relay.upstream, now_ms
-            )
-        if not routes.inputs.is_active:
-            return data.Drop(failures.BarrierPending(routes.name))
-        return self._bucket_router.route_as_replica_host(
-            routes, packet, self._is_fresh(now_ms), now_ms
+        decision = self._decide_relayed(
+            service_key, packet, relay.upstream, now_ms
         )
+        if is_opening:
+            self._recent_openings.remember(
+                service_key, flow_hash, decision, now_ms
+            )
+        return decision
 
     def answer_handover_request(
         self, host_id: str, request: data.HandoverRequest, now_ms: int
@@ -363,6 +375,7 @@
             self._rebuild(now_ms, self._is_fresh(now_ms))
         actions = self._pending_actions
         self._pending_actions = []
+        actions.extend(self._recent_openings.tick(now_ms))
         actions.extend(self._handover_client.tick(now_ms))
         return actions
 
@@ -392,6 +405,36 @@
             routes, packet, self._is_fresh(now_ms), now_ms
         )
 
+    def _decide_relayed(
+        self,
+        service_key: bytes,
+        packet: bucket_replica_state.Packet,
+        upstream: str | None,
+        now_ms: int,
+    ) -> data.Decision:
+        """Decides about a relayed packet.
+
+        Args:
+            service_key: The service key.
+            packet: The packet.
+            upstream: The upstream that the other host sent along, if any.
+            now_ms: The current time.
+        """
+        routes = self._tables.find(service_key)
+        if routes is None:
+            return self._tables.decide_without_routes(
+                service_key, packet.is_opening
+            )
+        if upstream is not None:
+            return self._bucket_router.apply_relayed_upstream(
+                routes, packet, upstream, now_ms
+            )
+        if not routes.inputs.is_active:
+            return data.Drop(failures.BarrierPending(routes.name))
+        return self._bucket_router.route_as_replica_host(
+            routes, packet, self._is_fresh(now_ms), now_ms
+        )
+
     def _is_fresh(self, now_ms: int) -> bool:
         """Returns whether peers confirmed this host recently."""
         return now_ms <= self._fresh_until_ms
@@ -434,6 +477,7 @@
         """
         self._tables.rebuild(self._slow_start.limiter.cold_upstreams(), now_ms)
         self._handover_client.update_routes(now_ms, is_timely)
+        self._recent_openings.update_routes(now_ms)
         for routes in self._tables.routes_by_key.values():
             self._bucket_router.history.start(routes.name, now_ms)
         self._settled_by_key = {
--- a/packages/core/sapphire_core/flows/router_state_test.py
+++ b/packages/core/sapphire_core/flows/router_state_test.py
@@ -10,6 +10,7 @@
 import testtools
 
 from sapphire_core.flows import data
+from sapphire_core.flows import flow_table
 from sapphire_core.flows import router as router_lib
 from sapphire_data import records
 from sapphire_lab.flows import builders
@@ -49,7 +50,12 @@
         self.generations.append(tuple(sorted(self.pool)))
         self.revision += 1
         upstreams = [
-            builders.upstream(name, CENTRES[POOL.index(name) % 3], warm_up_ms=1)
+            builders.upstream(
+                name,
+                CENTRES[POOL.index(name) % 3],
+                intent=self.intent(name),
+                warm_up_ms=1,
+            )
             for name in POOL
         ]
         service = builders.service(
@@ -57,6 +63,11 @@
         )
         self.newest = builders.configuration(self.revision, [service], CENTRES)
 
+    def intent(self, name: str) -> records.UpstreamIntent:
+        """Returns the intent of an upstream; one may leave without a drain."""
+        del name
+        return records.UpstreamIntent.SERVE
+
     def member(self, host: str) -> records.Member:
         """Returns the member record of a host as it announces it."""
         state = records.MemberState.ALIVE
@@ -235,6 +246,39 @@
                 assert outcome.upstream.name == name, (flow, name, outcome)
 
 
+class DrainingFlowsMachine(FlowsMachine):
+    """The same with upstreams that drain once they leave the pool.
+
+    A draining upstream gets no new flows. So an opening packet that comes later
+    than a retransmission does may go elsewhere, and is not sent here.
+    """
+
+    def __init__(self) -> None:
+        self.opened_ms_by_flow: dict[int, int] = {}
+        super().__init__()
+
+    def send(
+        self, entry: int, flow: int, is_opening: bool
+    ) -> fake_fabric.Outcome:
+        """Sends a packet unless it is a retransmission that comes too late."""
+        opened_ms = self.opened_ms_by_flow.get(flow, self.now_ms)
+        if (
+            is_opening
+            and self.now_ms - opened_ms > flow_table.OPENING_PERIOD_MS
+        ):
+            return None
+        outcome = super().send(entry, flow, is_opening)
+        if is_opening and isinstance(outcome, data.Forward):
+            self.opened_ms_by_flow.setdefault(flow, self.now_ms)
+        return outcome
+
+    def intent(self, name: str) -> records.UpstreamIntent:
+        """Returns the intent of an upstream."""
+        if name in self.pool:
+            return records.UpstreamIntent.SERVE
+        return records.UpstreamIntent.DRAIN
+
+
 class FixedExampleTest(testtools.TestCase):
     def test_a_retransmitted_opening_packet_gets_its_upstream_after_a_change(
         self,
@@ -252,8 +296,14 @@
 
 class FlowsTest(testtools.TestCase):
     def test_flows_are_kept_whatever_interleaves(self) -> None:
+        self.run_machine(FlowsMachine)
+
+    def test_flows_are_kept_though_leaving_upstreams_drain(self) -> None:
+        self.run_machine(DrainingFlowsMachine)
+
+    def run_machine(self, machine: type[FlowsMachine]) -> None:
         stateful.run_state_machine_as_test(
-            FlowsMachine,
+            machine,
             settings=hypothesis.settings(
                 derandomize=True,
                 deadline=None,
--- a/packages/core/sapphire_core/flows/routes.py
+++ b/packages/core/sapphire_core/flows/routes.py
@@ -99,6 +99,8 @@
             new flows.
         decision_by_upstream: What is done with a packet of an open flow.
         eligible: Upstreams that may get new flows.
+        answering: Upstreams that may get retransmitted opening packets of their
+            flows: the eligible ones and those that leave.
         service: The active version of the service.
     """
 
@@ -112,6 +114,7 @@
     ambiguous_everywhere: bytearray
     decision_by_upstream: Mapping[str, data.Decision]
     eligible: AbstractSet[str]
+    answering: AbstractSet[str]
     service: records.Service
 
     def default_owner(self, bucket: int) -> str | None:
@@ -143,6 +146,30 @@
                 return False
         return True
 
+    def is_selected_everywhere(self, bucket: int, upstream: str) -> bool:
+        """Returns whether every host selects an upstream for new flows.
+
+        Only then a flow of the bucket needs no record.
+        """
+        return (
+            upstream in self.eligible
+            and upstream not in self.inputs.unsettled
+            and self.is_default_owner_in_all(bucket, upstream)
+            and self.is_newest_owner_in_all(bucket, upstream)
+        )
+
+    def serves_in_all(self, upstream: str) -> bool:
+        """Returns whether an upstream may get new flows in all versions."""
+        if upstream not in self.eligible:
+            return False
+        for version in self.inputs.versions:
+            found = version.upstreams_by_name.get(upstream)
+            if found is None:
+                return False
+            if found.intent is not records.UpstreamIntent.SERVE:
+                return False
+        return True
+
 
 def build(inputs: RouteInputs) -> Routes:
     """Computes the routes of a service address.
@@ -169,6 +196,7 @@
         ambiguous_everywhere=bytearray(service.bucket_count),
         decision_by_upstream=_decisions(inputs),
         eligible=_eligible(service, inputs),
+        answering=_answering(inputs),
         service=service,
     )
     if not inputs.is_active:
@@ -210,6 +238,18 @@
     return eligible
 
 
+def _answering(inputs: RouteInputs) -> AbstractSet[str]:
+    """Returns the upstreams that answer packets of their open flows."""
+    answering = set()
+    for version in inputs.versions:
+        for name, upstream in version.upstreams_by_name.items():
+            if upstream.data_centre in inputs.data_centres_out_in_any:
+                continue
+            if name not in inputs.failed and name not in inputs.reassigned:
+                answering.add(name)
+    return answering
+
+
 def _is_serving(
     upstream: records.Upstream, data_centres_out: frozenset[str]
 ) -> bool:
--- a/packages/lab/sapphire_lab/flows/fake_fabric.py
+++ b/packages/lab/sapphire_lab/flows/fake_fabric.py
@@ -85,6 +85,11 @@
         second = now_ms // clock.MS_PER_SECOND
         for host_id, router in list(self.routers_by_id.items()):
             for action in router.tick(now_ms):
+                if isinstance(action, data.SendHandoverPage):
+                    self._deliver_page(
+                        host_id, action, now_ms, delivers_handovers
+                    )
+                    continue
                 if not isinstance(action, data.SendHandoverRequest):
                     continue
                 source_id = action.host_id
@@ -104,6 +109,23 @@
                 self.handover_bytes[host_id, second] += size
                 router.apply_handover_page(source_id, page, now_ms)
 
+    def _deliver_page(
+        self,
+        sender_id: str,
+        action: data.SendHandoverPage,
+        now_ms: int,
+        delivers_handovers: bool,
+    ) -> None:
+        """Delivers a page that its receiver did not request."""
+        second = now_ms // clock.MS_PER_SECOND
+        size = handover_source.page_bytes(action.page)
+        self.handover_bytes[sender_id, second] += size
+        receiver = self.routers_by_id.get(action.host_id)
+        if receiver is None or not delivers_handovers:
+            return
+        self.handover_bytes[action.host_id, second] += size
+        receiver.apply_handover_page(sender_id, action.page, now_ms)
+
     def peak_handover_bytes_per_second(self) -> float:
         """Returns the highest rate of handover bytes of a host, over 10 s."""
         windows: collections.Counter[tuple[str, int]] = collections.Counter()
--- a/packages/node/sapphire_node/forwarder.py
+++ b/packages/node/sapphire_node/forwarder.py
@@ -358,6 +358,13 @@
                     flow_messages.encode_handover_request(action.request),
                 )
                 continue
+            if isinstance(action, flow_data.SendHandoverPage):
+                await self._send_to(
+                    action.host_id,
+                    _Kind.HANDOVER_PAGE,
+                    flow_messages.encode_handover_page(action.page),
+                )
+                continue
             if isinstance(action, flow_data.RevisionActivated):
                 self.statistics.record_activated(action.revision)
 
