A packet with an unknown tag is not sent to the upstream tried last

What callers saw: a reset by an upstream that is not the flow's.

Cause: a host that had sent the opening packet to one upstream took that upstream for the flow's when the caller's next packet carried a tag unknown to it, and kept it there. A peer with a newer registry may have opened the flow at an upstream that this host did not know yet. Change: only a packet without any tag, by which a caller gives up before an answer, goes there; others are dropped until the tag is known. The test failed before.

--- a/packages/core/sapphire_core/tagged_flows/steering.py
+++ b/packages/core/sapphire_core/tagged_flows/steering.py
@@ -552,7 +552,12 @@
         """
         half_open = self._half_open_flows.pop(packet.flow_id)
         entry = self.upstream_table.by_tag(packet.tag)
-        if entry is None and half_open is not None:
+        if (
+            entry is None
+            and half_open is not None
+            and packet.tag == data.NO_TAG
+        ):
+            # The caller gives the flow up before any answer has reached it.
             entry = half_open.tried_upstreams[-1]
         if entry is None:
             return None
--- a/packages/core/sapphire_core/tagged_flows/steering_test.py
+++ b/packages/core/sapphire_core/tagged_flows/steering_test.py
@@ -306,6 +306,56 @@
         )
 
     def test_a_flow_stays_with_the_first_of_two_upstreams_that_answer(
+    # Guards against packets of an open flow at an upstream that is not its own:
+    # a peer has opened the flow at an upstream that this host does not know.
+    def test_an_unknown_tag_is_dropped_at_a_host_that_tried_another(
+        self,
+    ) -> None:
+        self.bench.open(1, 1_000)
+        self.steering.record_membership_change(1_010)
+        packet = builders.packet(1, tag=tags.tag_of("i-9"))
+        self.assertIsInstance(self.steering.handle(packet, 1_300), data.Drop)
+        self.steering.upstream_table.put(builders.upstream("i-9"), 9, 1_400)
+        self.assertEqual("i-9", self.handle(packet.tag, 1_500))
+
+    def test_a_reset_before_any_answer_reaches_the_upstream_that_was_tried(
+        self,
+    ) -> None:
+        first = self.bench.open(1, 1_000)
+        reset = builders.packet(1, tag=data.NO_TAG, is_reset=True)
+        self.assertEqual(
+            target(first), target(self.steering.handle(reset, 1_010))
+        )
+
+    # Guards against packets of an open flow at an upstream that is not its own:
+    # the opening was sent to two upstreams, the second answered later, and its
+    # tag reaches a host without a record of the flow.
+    def test_a_second_answer_does_not_move_the_flow_at_another_host(
+        self,
+    ) -> None:
+        first = self.bench.open(1, 0)
+        assert isinstance(first, data.Forward)
+        second = self.steering.tick(TIMEOUT_MS)[0]
+        assert isinstance(second, data.Forward)
+        self.assertEqual(target(first), self.handle(first.tag, TIMEOUT_MS + 5))
+        other_host = builders.SteeringBench(
+            builders.upstream("i-1"), builders.upstream("i-2")
+        )
+        packet = builders.packet(1, tag=second.tag, sequence=302)
+        self.assertEqual(
+            target(first), target(other_host.steering.handle(packet, 3_000))
+        )
+
+    # As before, at the host that opened the flow, if a peer has forwarded the
+    # packets that came first.
+    def test_a_second_answer_does_not_move_the_flow_at_its_first_host(
+        self,
+    ) -> None:
+        first = self.bench.open(1, 0)
+        second = self.steering.tick(TIMEOUT_MS)[0]
+        assert isinstance(second, data.Forward)
+        self.assertEqual(target(first), self.handle(second.tag, 300))
+
         self,
     ) -> None:
         # Both answer. The second answer reaches the caller after it has
