A deferred flow that a peer has opened is neither opened again nor reset

What callers saw: an opening packet at a second upstream, or a reset, while their flow was open at the one that a peer had selected.

Cause: an opening packet that was held for a free slot was released later whatever had happened to the flow. Change: a packet of the open flow ends the deferral, and after a change of membership, when packets may pass peers only, a flow without any upstream left is dropped instead of reset.

--- a/packages/core/sapphire_core/tagged_flows/deferred_flows.py
+++ b/packages/core/sapphire_core/tagged_flows/deferred_flows.py
@@ -33,12 +33,15 @@
         service: The service of the flow.
         priority: The priority of its route; 0 is the most urgent.
         deadline_ms: When the deferral ends even without a free slot.
+        may_be_open_at_peer: Whether the membership has changed since, so that a
+            peer may have forwarded another copy of the opening packet.
     """
 
     packet: data.Packet
     service: data.Service
     priority: int
     deadline_ms: int
+    may_be_open_at_peer: bool = False
 
     @property
     def is_last_retransmission(self) -> bool:
@@ -101,6 +104,11 @@
             packet, service, priority, deadline_ms
         )
 
+    def record_membership_change(self) -> None:
+        """Marks all flows, which peers may have opened or may open."""
+        for deferred in self._by_flow.values():
+            deferred.may_be_open_at_peer = True
+
     def by_urgency(self) -> list[DeferredFlow]:
         """Returns the flows by priority, then the earliest deadline first."""
         return sorted(
--- a/packages/core/sapphire_core/tagged_flows/deferred_flows_test.py
+++ b/packages/core/sapphire_core/tagged_flows/deferred_flows_test.py
@@ -53,6 +53,31 @@
         sent = self.steering.tick(30)
         self.assertEqual([50], [flow_number(action) for action in sent])
 
+    # Guards against an opening packet, and a reset, of a flow that is open at
+    # an upstream that a peer has selected.
+    def test_a_flow_that_a_peer_has_opened_is_not_opened_again(self) -> None:
+        for number in range(SLOTS):
+            self.start_request(number, 0)
+        late = self.bench.open(50, 1, retransmissions=1)
+        self.assertIsInstance(late, data.Defer)
+        tag = self.steering.upstream_table.by_id["i-1"].tag
+        packet = builders.packet(50, tag=tag)
+        self.assertIsInstance(self.steering.handle(packet, 5), data.Forward)
+        for number in range(SLOTS):
+            self.finish_request(number, 20)
+        self.assertEqual([], self.steering.tick(30))
+
+    # Guards against the same if the packets of the flow pass the peer only.
+    def test_a_flow_that_a_peer_may_have_opened_is_not_reset(self) -> None:
+        for number in range(SLOTS):
+            self.start_request(number, 0)
+        self.bench.open(50, 1, retransmissions=1)
+        self.steering.record_membership_change(5)
+        draining = builders.upstream("i-1", state=data.UpstreamState.DRAINING)
+        self.steering.upstream_table.put(draining, 9, 10)
+        self.assertEqual([], self.steering.tick(30))
+        self.assertEqual(0, self.steering.deferred_count)
+
     def test_late_flows_are_not_deferred_with_free_slots(self) -> None:
         self.assertIsInstance(
             self.bench.open(1, 0, retransmissions=2), data.Forward
--- a/packages/core/sapphire_core/tagged_flows/steering.py
+++ b/packages/core/sapphire_core/tagged_flows/steering.py
@@ -248,6 +248,7 @@
         """
         self._membership_grace_until_ms = now_ms + MEMBERSHIP_GRACE_MS
         self._half_open_flows.record_membership_change()
+        self._deferred_flows.record_membership_change()
 
     @property
     def deferred_count(self) -> int:
@@ -359,6 +360,9 @@
             if deferred.service.name in full_services and not is_due:
                 continue
             entry = self.selector.select(deferred.service, (), now_ms)
+            if entry is None and deferred.may_be_open_at_peer:
+                self._deferred_flows.remove(deferred)
+                continue
             if entry is None:
                 self._deferred_flows.remove(deferred)
                 self._report_decision(
@@ -469,6 +473,10 @@
         self, packet: data.Packet, now_ms: int
     ) -> data.Action:
         """Decides about a packet after the opening packet of its flow."""
+        deferred = self._deferred_flows.get(packet.flow_id)
+        if deferred is not None:
+            # A peer has forwarded another copy of its opening packet.
+            self._deferred_flows.remove(deferred)
         record = self.flow_table.get(packet.flow_id)
         if record is None:
             record = self._record_flow(packet, now_ms)
