An upstream that has left the registry does not replace a registered one

What callers would see: a reset of an open flow after 200 ms of waiting, for as long as a minute.

Cause: of two upstreams at one address the later start by their own clocks counted as the holder, also if it had left the registry; a clock that was ahead made the live one look replaced. Of two former upstreams the one received first counted. Change: a removed upstream never wins against a registered one; among former ones the later start wins.

--- a/packages/core/sapphire_core/tagged_flows/upstream_table.py
+++ b/packages/core/sapphire_core/tagged_flows/upstream_table.py
@@ -157,6 +157,13 @@
         self.by_id[upstream.upstream_id] = entry
         self._by_tag.setdefault(entry.tag, entry)
         owner = self._by_address.setdefault(upstream.address, entry)
+        if (
+            owner.removed_ms is not None
+            and owner.upstream.started_ms < upstream.started_ms
+        ):
+            self._by_address[upstream.address] = entry
+            owner.is_replaced = True
+            owner = entry
         entry.is_replaced = owner is not entry
         return entry
 
@@ -245,7 +252,8 @@
     def _claim_address(self, entry: Entry) -> None:
         """Gives an address to an upstream and marks its former owner replaced.
 
-        The upstream with the later start owns the address.
+        The upstream with the later start owns the address, unless it has left
+        the registry: clocks differ between machines.
         """
         address = entry.upstream.address
         former = self._by_address.get(address)
@@ -254,7 +262,10 @@
             return
         if former.upstream.address != address:
             return
-        if former.upstream.started_ms > entry.upstream.started_ms:
+        if (
+            former.removed_ms is None
+            and former.upstream.started_ms > entry.upstream.started_ms
+        ):
             # A delayed report of an upstream that had the address before.
             self._by_address[address] = former
             entry.is_replaced = True
--- a/packages/core/sapphire_core/tagged_flows/upstream_table_test.py
+++ b/packages/core/sapphire_core/tagged_flows/upstream_table_test.py
@@ -123,6 +123,41 @@
         self.assertFalse(entry.is_cold(2_100))
 
 
+class ReusedAddressTest(testtools.TestCase):
+    """Upstreams take the address of one that has left; clocks differ."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.table = upstream_table.UpstreamTable()
+
+    # Guards against a registered upstream that counts as replaced by one that
+    # has left, since the clock of the latter was ahead.
+    def test_an_upstream_that_left_does_not_replace_a_registered_one(
+        self,
+    ) -> None:
+        address = ("10.1.9.9", 6080)
+        left = builders.upstream("i-1", address=address, started_ms=9_000)
+        self.table.put(left, 1, 0)
+        self.table.remove("i-1", 1_000, data.RemovalCause.UPSTREAM_STOPPED)
+        live = builders.upstream("i-2", address=address, started_ms=8_000)
+        self.table.put(live, 5, 4_000)
+        self.assertFalse(self.table.by_id["i-2"].is_replaced)
+        self.assertTrue(self.table.by_id["i-1"].is_replaced)
+
+    def test_of_two_former_upstreams_the_later_start_has_the_address(
+        self,
+    ) -> None:
+        address = ("10.1.9.9", 6080)
+        earlier = builders.upstream("i-1", address=address, started_ms=1)
+        later = builders.upstream("i-2", address=address, started_ms=5_000)
+        for order in ((earlier, later), (later, earlier)):
+            table = upstream_table.UpstreamTable()
+            for upstream in order:
+                table.put_former(upstream, 1, 0)
+            self.assertTrue(table.by_id["i-1"].is_replaced)
+            self.assertFalse(table.by_id["i-2"].is_replaced)
+
+
 class FormerUpstreamTest(testtools.TestCase):
     def setUp(self) -> None:
         super().setUp()
