--- a/packages/core/sapphire_core/tagged_flows/dead_upstreams.py
+++ b/packages/core/sapphire_core/tagged_flows/dead_upstreams.py
@@ -6,13 +6,15 @@
 
 - The registry: another upstream has the address, or the entry was removed, and
   not because the registry failed.
-- The flow: its caller repeats its data, and nothing shows that the upstream has
-  sent a packet since that data was first seen.
+- The flow: its caller has sent its data three times, and nothing shows that the
+  upstream has sent a packet since that data was first seen.
 
 Silence alone is no sign. Packets that wait or are lost on this host's own link,
 on the caller's, or on the upstream's look like a dead upstream, and so do
 unanswered opening packets, since they take the same way. Therefore flows that
-are stalled at another, registered upstream also cast doubt on the second sign.
+are stalled at another, registered upstream also cast doubt on the second sign,
+unless the address has another holder. A partition gives both signs; the caller
+cannot continue there either.
 """
 
 import enum
@@ -21,11 +23,10 @@
 from sapphire_core.tagged_flows import flow_table
 from sapphire_core.tagged_flows import upstream_table
 
-# A request may take longer than the caller's first retransmission (200 ms, the
-# protocol), so that one alone does not mean silence unless the address has
-# another holder, which rejects the packets.
-REPLACED_RETRANSMISSIONS = 1
-REMOVED_RETRANSMISSIONS = 2
+# Callers repeat their data after 200 ms and 400 ms later (the protocol); a
+# request may take longer than the first.
+MIN_RETRANSMISSIONS = 2
+MIN_SILENCE_MS = 500
 # An upstream ends its flows before it leaves the registry.
 REMOVED_MS = 500
 
@@ -43,28 +44,32 @@
 
 
 def evidence_against(
-    record: flow_table.FlowRecord, now_ms: int, *, is_path_suspect: bool
+    record: flow_table.FlowRecord,
+    flows: flow_table.FlowTable,
+    now_ms: int,
 ) -> Evidence | None:
     """Returns why the upstream of a flow counts as gone.
 
     Args:
         record: The record of the flow.
+        flows: All records of this host.
         now_ms: The current time.
-        is_path_suspect: Whether flows to other upstreams are stalled as well.
 
     Returns:
         The evidence, None if the flow goes on.
     """
     entry = record.entry
-    if _has_shown_life(record):
+    if record.retransmissions < MIN_RETRANSMISSIONS or _has_shown_life(record):
+        return None
+    if now_ms - record.last_new_data_ms < MIN_SILENCE_MS:
         return None
     if entry.is_replaced:
-        if record.retransmissions >= REPLACED_RETRANSMISSIONS:
-            return Evidence.REPLACED
+        return Evidence.REPLACED
+    if not _has_stopped(entry, now_ms):
         return None
-    if is_path_suspect or record.retransmissions < REMOVED_RETRANSMISSIONS:
+    if flows.has_stalled_elsewhere(entry, now_ms):
         return None
-    return Evidence.REMOVED if _has_stopped(entry, now_ms) else None
+    return Evidence.REMOVED
 
 
 def _has_shown_life(record: flow_table.FlowRecord) -> bool:
--- a/packages/core/sapphire_core/tagged_flows/flow_table.py
+++ b/packages/core/sapphire_core/tagged_flows/flow_table.py
@@ -24,9 +24,9 @@
 # How often a caller repeats its data until its flow counts as stalled: after
 # 200 and 600 ms (the protocol). A request may take longer than the first.
 STALLED_RETRANSMISSIONS = 2
-# A stalled flow counts for this long after its last packet: longer than callers
-# wait for their third retransmission (800 ms, the protocol).
-STALLED_FLOW_TTL_MS = 1_000
+# A stalled flow counts for this long after its last packet: longer than the
+# longest time between two retransmissions (1,600 ms, the protocol).
+STALLED_FLOW_TTL_MS = 2_000
 # The data of a full packet (the protocol). Only the last packet of a response
 # carries less, so a response of which the caller has acknowledged full packets
 # only goes on.
@@ -187,7 +187,9 @@
         """
         for record in self._by_flow.values():
             record.last_new_data_ms += stall_ms
-            record.last_retransmission_ms += stall_ms
+            # What the upstream has sent since may be among the packets that
+            # are still to be read.
+            record.retransmissions = 0
             if record.request_data_ms is not None:
                 record.request_data_ms += stall_ms
 
@@ -217,6 +219,11 @@
         """
         end = (packet.sequence + packet.payload_bytes) & _SEQUENCE_MASK
         if record.next_sequence and not _is_after(end, record.next_sequence):
+            acknowledged = record.acknowledged
+            self._observe_acknowledgement(packet, record, now_ms)
+            if record.acknowledged != acknowledged:
+                # The upstream goes on sending.
+                return
             # Packets of one upload may be reordered within milliseconds; only
             # data that arrives later is a retransmission. A caller repeats all
             # packets in flight together, which counts once.
--- a/packages/core/sapphire_core/tagged_flows/narrow_link_test.py
+++ b/packages/core/sapphire_core/tagged_flows/narrow_link_test.py
@@ -1,5 +1,7 @@
 """Open flows of live upstreams behind a host whose own link is at fault."""
 
+import dataclasses
+
 import testtools
 
 from sapphire_lab.tagged_flows import narrow_link_simulation
@@ -43,3 +45,11 @@
     # Guards against resets of open flows by a host whose link loses packets.
     def test_flows_survive_a_link_that_loses_packets(self) -> None:
         self.assert_no_reset(narrow_link_simulation.Load(uploads=0, loss=0.4))
+
+
+class LapsedEntryTest(NarrowLinkTest):
+    """As before, while the registry lacks one upstream though it is alive."""
+
+    def assert_no_reset(self, load: narrow_link_simulation.Load) -> None:
+        """Runs the load with the entry of one upstream removed after 5 s."""
+        super().assert_no_reset(dataclasses.replace(load, lapse_ms=5_000))
--- a/packages/core/sapphire_core/tagged_flows/steering.py
+++ b/packages/core/sapphire_core/tagged_flows/steering.py
@@ -499,7 +499,9 @@
             )
         if packet.is_reset or packet.is_closing:
             return data.Forward(packet, entry.upstream, entry.tag)
-        evidence = self._evidence_against_upstream(record, now_ms)
+        evidence = dead_upstreams.evidence_against(
+            record, self.flow_table, now_ms
+        )
         if evidence is not None:
             self._report_stalled(
                 data.Verdict.UPSTREAM_GONE,
@@ -584,20 +586,6 @@
             )
         return self.flow_table.add(packet.flow_id, entry, now_ms)
 
-    def _evidence_against_upstream(
-        self, record: flow_table.FlowRecord, now_ms: int
-    ) -> dead_upstreams.Evidence | None:
-        """Returns why the upstream of an open flow counts as gone, if so."""
-        if record.retransmissions == 0:
-            return None
-        return dead_upstreams.evidence_against(
-            record,
-            now_ms,
-            is_path_suspect=self.flow_table.has_stalled_elsewhere(
-                record.entry, now_ms
-            ),
-        )
-
     def _route_for(self, packet: data.Packet) -> data.Route | None:
         """Returns the route of a new flow, None if there is none."""
         if self._configuration is None:
--- a/packages/lab/sapphire_lab/tagged_flows/narrow_link_simulation.py
+++ b/packages/lab/sapphire_lab/tagged_flows/narrow_link_simulation.py
@@ -51,6 +51,8 @@
         upload_pause_ms: The time between the starts of two groups of uploads.
         upload_packets: The full packets of one upload.
         openings_per_s: How many flows for one request are opened each second.
+        lapse_ms: When the entry of one live upstream is removed from the
+            registry as if it had stopped; None for never.
     """
 
     bytes_per_ms: float = 250.0
@@ -62,6 +64,7 @@
     upload_pause_ms: int = 3_000
     upload_packets: int = 60
     openings_per_s: int = 6
+    lapse_ms: int | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -130,6 +133,7 @@
         self._event_count = 0
         self._events: list[tuple[int, int, Callable[[], None]]] = []
         self._received_by_flow: dict[int, set[int]] = {}
+        self._flows_by_number: dict[int, _Flow] = {}
 
     def run(self, seconds: int) -> None:
         """Runs the callers for a time.
@@ -150,9 +154,17 @@
             self._schedule(
                 delay_ms, functools.partial(self._start, is_feed=False)
             )
+        if self._load.lapse_ms is not None:
+            self._schedule(self._load.lapse_ms, self._remove_entry)
         while self._now_ms < seconds * 1_000:
             self._step()
 
+    def _remove_entry(self) -> None:
+        """Removes the entry of one upstream from the registry."""
+        self._steering.upstream_table.remove(
+            "i-0", self._now_ms, data.RemovalCause.UPSTREAM_STOPPED
+        )
+
     def _record_decision(self, decision: steering_lib.Decision) -> None:
         """Records a decision by which the host resets an open flow."""
         if decision.verdict is data.Verdict.UPSTREAM_GONE:
@@ -164,6 +176,7 @@
         """Starts a flow by scheduling its opening packets."""
         self._flow_count += 1
         flow = _Flow(self._flow_count, port, is_feed)
+        self._flows_by_number[flow.number] = flow
         for retransmissions, delay_ms in enumerate(OPENING_TIMES_MS):
             self._schedule(
                 delay_ms,
@@ -335,7 +348,10 @@
             heapq.heappop(self._events)[2]()
         if self._now_ms % TICK_MS == 0 and self._steering.has_pending:
             for action in self._steering.tick(self._now_ms):
-                if isinstance(action, data.Forward):
-                    self._pass_link(HEADER_BYTES)
+                number = (
+                    action.packet.flow_id.caller_port
+                    - builders.flow(0).caller_port
+                )
+                self._apply(self._flows_by_number[number], action)
         if self._now_ms % SWEEP_MS == 0:
             self._steering.sweep(self._now_ms)
