Steering is divided into openings, open flows, routing and decisions

Cause: one file of 653 lines held all decisions about packets, and further decisions under load are to come. Change: each kind of decision has a module of its own; Steering is left as the table of who is asked when. No behaviour changes.

--- a/packages/core/sapphire_core/tagged_flows/steering_test.py
+++ b/packages/core/sapphire_core/tagged_flows/steering_test.py
@@ -2,7 +2,7 @@
 
 from sapphire_core.tagged_flows import answer_timeout
 from sapphire_core.tagged_flows import data
-from sapphire_core.tagged_flows import steering
+from sapphire_core.tagged_flows import openings
 from sapphire_core.tagged_flows import tags
 from sapphire_lab.tagged_flows import builders
 
@@ -85,7 +85,7 @@
             for now_ms in range(10, 1_400, 10)
             for action in bench.steering.tick(now_ms)
         ]
-        self.assertEqual(steering.MAX_ATTEMPTS - 1, len(sent))
+        self.assertEqual(openings.MAX_ATTEMPTS - 1, len(sent))
         self.assertIsInstance(
             bench.open(1, 1_400, retransmissions=1), data.Forward
         )
@@ -191,7 +191,7 @@
             builders.upstream("i-1"), builders.upstream("i-2")
         )
         bench.steering.record_membership_change(0)
-        now_ms = steering.MEMBERSHIP_GRACE_MS
+        now_ms = openings.MEMBERSHIP_GRACE_MS
         bench.steering.tick(now_ms)
         bench.open(1, now_ms)
         self.assertEqual(1, len(bench.steering.tick(now_ms + TIMEOUT_MS)))
@@ -218,7 +218,7 @@
         )
         bench.steering.record_membership_change(0)
         if host_count:
-            after_ms = steering.MEMBERSHIP_GRACE_MS
+            after_ms = openings.MEMBERSHIP_GRACE_MS
             bench.steering.apply_peer_reports({}, {}, host_count, after_ms)
         started_ms = 2_000
         return sum(
--- a/packages/lab/sapphire_lab/tagged_flows/builders.py
+++ b/packages/lab/sapphire_lab/tagged_flows/builders.py
@@ -5,6 +5,7 @@
 from sapphire_core.peers import data as peer_data
 from sapphire_core.replication import data as replication_data
 from sapphire_core.tagged_flows import data
+from sapphire_core.tagged_flows import decisions
 from sapphire_core.tagged_flows import steering as steering_lib
 
 SERVICE_ADDRESS = 0xC6120001  # 198.18.0.1
@@ -127,7 +128,7 @@
     """
 
     def __init__(self, *upstreams: data.Upstream) -> None:
-        self.decisions: list[steering_lib.Decision] = []
+        self.decisions: list[decisions.Decision] = []
         self.steering = steering_lib.Steering(
             DATA_CENTRE, random.Random(SEED), self.decisions.append
         )
--- a/packages/lab/sapphire_lab/tagged_flows/narrow_link_simulation.py
+++ b/packages/lab/sapphire_lab/tagged_flows/narrow_link_simulation.py
@@ -14,6 +14,7 @@
 import random
 
 from sapphire_core.tagged_flows import data
+from sapphire_core.tagged_flows import decisions
 from sapphire_core.tagged_flows import steering as steering_lib
 from sapphire_lab.tagged_flows import builders
 
@@ -111,7 +112,7 @@
     """
 
     def __init__(self, load: Load, seed: int) -> None:
-        self.resets: list[steering_lib.Decision] = []
+        self.resets: list[decisions.Decision] = []
         self.retransmissions = 0
         self.responses = 0
         self.lost_packets = 0
@@ -165,7 +166,7 @@
             "i-0", self._now_ms, data.RemovalCause.UPSTREAM_STOPPED
         )
 
-    def _record_decision(self, decision: steering_lib.Decision) -> None:
+    def _record_decision(self, decision: decisions.Decision) -> None:
         """Records a decision by which the host resets an open flow."""
         if decision.verdict is data.Verdict.UPSTREAM_GONE:
             self.resets.append(decision)
--- a/packages/node/sapphire_node/entry/packet_task.py
+++ b/packages/node/sapphire_node/entry/packet_task.py
@@ -10,6 +10,7 @@
 
 from sapphire_core.replication import data as replication_data
 from sapphire_core.tagged_flows import data
+from sapphire_core.tagged_flows import decisions
 from sapphire_core.tagged_flows import steering as steering_lib
 from sapphire_core.tagged_flows import upstream_table
 from sapphire_data import clock as clock_lib
@@ -338,7 +339,7 @@
             if now_ms - held_ms <= MAX_HOLD_MS:
                 self._handle_packet(packet, now_ms)
 
-    def _record_decision(self, decision: steering_lib.Decision) -> None:
+    def _record_decision(self, decision: decisions.Decision) -> None:
         """Counts and logs a decision that `Steering` reports."""
         self._state.counts[f"verdict_{decision.verdict.value}"] += 1
         if decision.verdict is data.Verdict.ANSWERED:
--- a/packages/node/sapphire_node/entry/packet_task_test.py
+++ b/packages/node/sapphire_node/entry/packet_task_test.py
@@ -4,7 +4,7 @@
 from sapphire_core.replication import data as replication_data
 from sapphire_core.tagged_flows import answer_timeout
 from sapphire_core.tagged_flows import data
-from sapphire_core.tagged_flows import steering
+from sapphire_core.tagged_flows import openings
 from sapphire_data import clock as clock_lib
 from sapphire_lab.tagged_flows import builders
 from sapphire_lab.tagged_flows import host_builders
@@ -153,7 +153,7 @@
             replication_data.Scope.REGISTRY, data.UpstreamChange(upstream)
         )
         self.task._steering.record_membership_change(
-            -steering.MEMBERSHIP_GRACE_MS
+            -openings.MEMBERSHIP_GRACE_MS
         )
         self.clock.advance(10_000)
         self.task._handle_datagram(b"opening")
