--- /dev/null
+++ b/packages/lab/sapphire_lab/known_red/__init__.py
@@ -0,0 +1,1 @@
+"""Passes over the tests that are known to fail, and over no others."""
