Repeated data of many flows holds back resets

Seen: with one lapsed entry the loads of narrow_link_test gave 2, 2 and 12 resets of open flows of an upstream that was alive, by a host whose link was full or lost 0.4 of its packets. Cause: only a flow that is stalled at that very moment at another registered upstream cast doubt on the host's own path. Change: a removed entry ends a flow only while callers have repeated data in at most a tenth of the flows to other registered upstreams within 5 s. At each of the 16 resets that share was 0.29 to 1.00. Ruled out: a longer time since the removal (the entry of the load never comes back). An upstream that has gone is still reset with one repeating flow in twenty; above a tenth its callers wait for their deadlines.

--- a/packages/core/sapphire_core/tagged_flows/dead_upstreams.py
+++ b/packages/core/sapphire_core/tagged_flows/dead_upstreams.py
@@ -13,8 +13,10 @@
 on the caller's, or on the upstream's look like a dead upstream, and so do
 unanswered opening packets, since they take the same way. Therefore flows that
 are stalled at another, registered upstream also cast doubt on the second sign,
-unless the address has another holder. A partition gives both signs; the caller
-cannot continue there either.
+unless the address has another holder. So does data that callers have had to
+repeat in many of the flows to other registered upstreams: a path that loses
+packets seldom stalls another flow at the very moment, but shows over seconds. A
+partition gives both signs; the caller cannot continue there either.
 """
 
 import enum
@@ -29,6 +31,10 @@
 MIN_SILENCE_MS = 500
 # An upstream ends its flows before it leaves the registry.
 REMOVED_MS = 500
+# The share of flows with repeated data above which the path of this host is in
+# doubt. A path that loses less loses the same data three times in fewer than
+# one of a thousand requests.
+MAX_REPEATED_SHARE = 0.1
 
 
 class Evidence(enum.StrEnum):
@@ -67,11 +73,27 @@
         return Evidence.REPLACED
     if not _has_stopped(entry, now_ms):
         return None
-    if flows.has_stalled_elsewhere(entry, now_ms):
+    if is_own_path_in_doubt(entry, flows, now_ms):
         return None
     return Evidence.REMOVED
 
 
+def is_own_path_in_doubt(
+    entry: upstream_table.Entry, flows: flow_table.FlowTable, now_ms: int
+) -> bool:
+    """Whether other upstreams seem silent too, so that silence shows nothing.
+
+    Args:
+        entry: The upstream whose own flows do not count.
+        flows: All records of this host.
+        now_ms: The current time.
+    """
+    if flows.has_stalled_elsewhere(entry, now_ms):
+        return True
+    repeated_share = flows.repeated_share_elsewhere(entry, now_ms)
+    return repeated_share > MAX_REPEATED_SHARE
+
+
 def _has_shown_life(record: flow_table.FlowRecord) -> bool:
     """Whether an upstream has sent a packet since the flow's last new data."""
     last_active_ms = record.entry.last_active_ms
--- a/packages/core/sapphire_core/tagged_flows/dead_upstreams_test.py
+++ b/packages/core/sapphire_core/tagged_flows/dead_upstreams_test.py
@@ -106,6 +106,30 @@
             self.steering.handle(builders.packet(5, tag=tag), 990 + now_ms)
             self.assertIsInstance(self.send(1_000 + now_ms), data.Forward)
 
+    # As before, by a host whose path loses packets: no other flow is stalled at
+    # that moment, but callers have had to repeat their data.
+    def test_repeated_data_of_many_flows_casts_doubt_on_silence(self) -> None:
+        self.repeat_data_elsewhere(flows=8, repeated=1)
+        self.remove_upstream(0)
+        for now_ms in SEND_TIMES_MS:
+            self.assertIsInstance(self.send(1_300 + now_ms), data.Forward)
+
+    def test_repeated_data_of_few_flows_casts_no_doubt_on_silence(self) -> None:
+        self.repeat_data_elsewhere(flows=20, repeated=1)
+        self.remove_upstream(0)
+        for now_ms in (1_300, 1_500):
+            self.assertIsInstance(self.send(now_ms), data.Forward)
+        self.assertIsInstance(self.send(1_900), data.Reset)
+
+    def repeat_data_elsewhere(self, flows: int, repeated: int) -> None:
+        """Callers of another upstream send data, and some send it twice."""
+        tag = tags.tag_of("i-2")
+        for number in range(10, 10 + flows):
+            packet = builders.packet(number, tag=tag)
+            self.steering.handle(packet, 1_000)
+            if number < 10 + repeated:
+                self.steering.handle(packet, 1_200)
+
     # Guards against resets of open flows of live upstreams when an entry of
     # another writer, or a step of a clock, makes their address look reused.
     def test_an_address_that_looks_reused_does_not_end_a_flow(self) -> None:
@@ -284,6 +308,7 @@
                     "silent_openings": 0,
                     "observer": "none",
                     "stalled_elsewhere": False,
+                    "repeated_elsewhere": 0.0,
                 }
             ],
             self.stalled(),
--- a/packages/core/sapphire_core/tagged_flows/flow_table.py
+++ b/packages/core/sapphire_core/tagged_flows/flow_table.py
@@ -27,6 +27,9 @@
 # A stalled flow counts for this long after its last packet: longer than the
 # longest time between two retransmissions (1,600 ms, the protocol).
 STALLED_FLOW_TTL_MS = 2_000
+# The time over which repeated data is counted: a host sees some four requests a
+# second, and one in ten of them is to be noticed.
+REPEATED_DATA_WINDOW_MS = 5_000
 # The data of a full packet (the protocol). Only the last packet of a response
 # carries less, so a response of which the caller has acknowledged full packets
 # only goes on.
@@ -173,6 +176,33 @@
                 return True
         return False
 
+    def repeated_share_elsewhere(
+        self, entry: upstream_table.Entry, now_ms: int
+    ) -> float:
+        """Returns in how many recent flows callers had to repeat data.
+
+        Args:
+            entry: The upstream whose own flows do not count.
+            now_ms: The current time.
+
+        Returns:
+            The share of the flows to other registered upstreams that had a
+            packet within `REPEATED_DATA_WINDOW_MS`; 0 if there is none.
+        """
+        flows = 0
+        repeated = 0
+        for record in reversed(self._by_flow.values()):
+            if now_ms - record.last_packet_ms > REPEATED_DATA_WINDOW_MS:
+                break
+            if record.entry is entry or record.entry.removed_ms is not None:
+                continue
+            flows += 1
+            if record.last_retransmission_ms == 0:
+                continue
+            repeated_ms = now_ms - record.last_retransmission_ms
+            repeated += repeated_ms <= REPEATED_DATA_WINDOW_MS
+        return repeated / flows if flows else 0.0
+
     def discard(self, flow_id: data.FlowId) -> None:
         """Discards the record of a flow, if there is one."""
         record = self._by_flow.pop(flow_id, None)
--- a/packages/core/sapphire_core/tagged_flows/open_flows.py
+++ b/packages/core/sapphire_core/tagged_flows/open_flows.py
@@ -129,6 +129,9 @@
             stalled_elsewhere=self._flow_table.has_stalled_elsewhere(
                 entry, now_ms
             ),
+            repeated_elsewhere=round(
+                self._flow_table.repeated_share_elsewhere(entry, now_ms), 2
+            ),
         )
 
     def _record_flow(
