Daemons catch their signals before they load anything else

Cause: the handlers were installed once all modules had been imported and all tasks created. Until then, 0.2 to 0.8 s after the start, SIGTERM ended the process with -15 and SIGHUP with -1; in sapphirearchd SIGHUP ended it at any time.

Change: both programs first import process_signals, which imports os and signal alone. A caught signal is a byte in a pipe, which the event loop reads later, so that none is lost. A stop during the imports ends the process with status 0 before any port is bound; the stop of a host that has bound its ports is as before. SIGHUP of sapphirearchd is logged and changes nothing.

--- a/packages/node/sapphire_node/daemon.py
+++ b/packages/node/sapphire_node/daemon.py
@@ -19,9 +19,11 @@
 from sapphire_node import host_list_task
 from sapphire_node import lifecycle
 from sapphire_node import messages
+from sapphire_node import process_signals
 from sapphire_node import request_timing
 from sapphire_node import rotation_task
 from sapphire_node import settings_loader
+from sapphire_node import signal_stream
 from sapphire_node import udp_sockets
 from sapphire_node.housekeeping import truncation_task
 from sapphire_node.requests import asgi
@@ -47,17 +49,33 @@
     FAILED = "failed"
 
 
-async def run(loaded: settings_loader.LoadedSettings) -> Outcome:
+async def run(
+    loaded: settings_loader.LoadedSettings,
+    signals: process_signals.ProcessSignals,
+) -> Outcome:
     """Runs one host until a signal and the graceful shutdown that follows.
 
     Args:
         loaded: The settings with the files that they name.
+        signals: The signals of this process.
 
     Returns:
         How it ended.
     """
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        return await run_until(loaded, signals)
+    return await run_until(loaded, _iterate_stops(signals))
+
+
+async def _iterate_stops(
+    signals: process_signals.ProcessSignals,
+) -> AsyncIterator[signal.Signals]:
+    """Yields each signal to stop; SIGHUP is logged only."""
+    async for number in signal_stream.iterate(signals):
+        if number in process_signals.STOP_NUMBERS:
+            yield number
+            continue
+        event_log.log(
+            _LOGGER, logging.INFO, "signal_ignored", signal=int(number)
+        )
 
 
 async def run_until(
--- a/packages/node/sapphire_node/entry/host.py
+++ b/packages/node/sapphire_node/entry/host.py
@@ -18,6 +18,8 @@
 from sapphire_net import bounded_log_handler
 from sapphire_net import event_log
 from sapphire_net import pauses
+from sapphire_node import process_signals
+from sapphire_node import signal_stream
 from sapphire_node.entry import announcer
 from sapphire_node.entry import host_state
 from sapphire_node.entry import messages
@@ -46,12 +48,14 @@
 def run(
     settings: platform_interface.HostSettings | failures.Failure,
     make_platform: PlatformFactory,
+    signals: process_signals.ProcessSignals,
 ) -> int:
     """Runs the host until a signal asks it to stop.
 
     Args:
         settings: The settings at the start, or why they are invalid.
         make_platform: Creates the adapter for the platform.
+        signals: The signals of this process.
 
     Returns:
         The exit status of the process.
@@ -62,7 +66,11 @@
         event_log.log_failure(_LOG, "settings_invalid", settings)
         handler.write_buffered()
         return EXIT_INVALID_SETTINGS
-    anyio.run(_main, settings, make_platform, handler)
+    if signals.is_stop_requested():
+        event_log.log(_LOG, logging.INFO, "stopped_before_start")
+        handler.write_buffered()
+        return EXIT_OK
+    anyio.run(_main, settings, make_platform, handler, signals)
     return EXIT_OK
 
 
@@ -70,6 +78,7 @@
     settings: platform_interface.HostSettings,
     make_platform: PlatformFactory,
     handler: bounded_log_handler.BoundedLogHandler,
+    signals: process_signals.ProcessSignals,
 ) -> None:
     """Runs all tasks until the host has stopped."""
     clock = clock_lib.MonotonicClock()
@@ -133,13 +142,10 @@
         tasks.start_soon(readiness.ReadinessServer(state).run)
         tasks.start_soon(metrics_task.MetricsTask(state, clock).run)
         tasks.start_soon(_poll_settings, platform, state)
-        with anyio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-        ) as signals:
-            await _wait_for_stop(signals, platform, state)
-            # Further signals are ignored: the host already stops as soon as
-            # the fabric allows.
-            await _shut_down_gracefully(state, clock)
+        await _wait_for_stop(signal_stream.iterate(signals), platform, state)
+        # Further signals are caught and not read: the host already stops as
+        # soon as the fabric allows.
+        await _shut_down_gracefully(state, clock)
         event_log.log(_LOG, logging.INFO, "stopped", **state.counts)
         tasks.cancel_scope.cancel()
 
--- a/packages/node/sapphire_node/main.py
+++ b/packages/node/sapphire_node/main.py
@@ -2,6 +2,7 @@
 
 import enum
 import json
+import logging
 import pathlib
 from typing import Annotated
 
@@ -11,9 +12,12 @@
 from sapphire_data import failures
 from sapphire_net import event_log
 from sapphire_node import daemon
+from sapphire_node import process_signals
 from sapphire_node import settings_loader
 from sapphire_wire import validation
 
+_LOGGER = logging.getLogger(__name__)
+
 app = typer.Typer(
     help="Runs one entry host of the sapphirearch load balancer.",
     no_args_is_help=True,
@@ -68,12 +72,12 @@
 
 
 @app.command()
-def run(path: SettingsArgument) -> None:
+def run(context: typer.Context, path: SettingsArgument) -> None:
     """Runs the host until SIGTERM.
 
     On the first SIGTERM or SIGINT, the host leaves the fleet, hands over its
     flow records and finishes open requests. On a second one, it no longer waits
-    for the fabric, but still finishes requests.
+    for the fabric, but still finishes requests. SIGHUP changes nothing.
 
     Example: sapphirearchd run host.json
 
@@ -86,9 +90,14 @@
             typer.echo(line, err=True)
         raise typer.Exit(ExitStatus.INVALID)
     event_log.configure(loaded.settings.log_level)
+    signals: process_signals.ProcessSignals = context.obj
+    if signals.is_stop_requested():
+        event_log.log(_LOGGER, logging.INFO, "stopped_before_start")
+        raise typer.Exit(ExitStatus.OK)
     outcome = anyio.run(
         daemon.run,
         loaded,
+        signals,
         backend="asyncio",
         backend_options={"use_uvloop": True},
     )
@@ -109,7 +118,3 @@
         for name in getattr(failure, "__slots__", ())
     }
     return {"type": failure.code, **fields}
-
-
-if __name__ == "__main__":
-    app()
--- a/packages/node/sapphire_node/main_test.py
+++ b/packages/node/sapphire_node/main_test.py
@@ -10,6 +10,7 @@
 
 from sapphire_lab.daemon import daemon_fixture
 from sapphire_node import main
+from sapphire_node import process_signals
 
 
 class MainTest(testtools.TestCase):
@@ -25,10 +26,14 @@
         root = logging.getLogger()
         self.addCleanup(setattr, root, "handlers", root.handlers)
         self.addCleanup(root.setLevel, root.level)
+        self.signals = process_signals.ProcessSignals()
+        self.addCleanup(self.signals.close)
 
     def _invoke(self, *arguments: str) -> tuple[int, str]:
         path = str(self.files.settings_file)
-        result = testing.CliRunner().invoke(main.app, [*arguments, path])
+        result = testing.CliRunner().invoke(
+            main.app, [*arguments, path], obj=self.signals
+        )
         return result.exit_code, result.output
 
     def test_check_of_valid_settings(self) -> None:
