Heartbeats carry ages of any length and contacts that are addresses

(1) A heartbeat gives the time since the store last failed in 32 bits; after 2**31 ms, 24.8 days without a failure, encoding raised OverflowError in the task that sends heartbeats, which ended the process. As hosts pass the time on, all hosts of a fleet would have ended within a second of each other, and again when they came back and learned the time of a peer that was still running. The same held for the other numbers of 32 bits. (2) The address and port of a contact were not checked; an address with a null byte or a port above 65,535 raised TypeError or OverflowError at the next sendto, and ended the process.

Change: numbers above 2**31 - 1 are sent as that number, which says 'long ago' as well. A heartbeat or host list entry whose address is not IPv4, or whose port is none, is unreadable.

--- a/packages/wire/sapphire_wire/peer_messages.py
+++ b/packages/wire/sapphire_wire/peer_messages.py
@@ -1,5 +1,6 @@
 """Encodes and decodes the messages between entry hosts as thrift records."""
 
+import socket
 import zlib
 
 from sapphire_core.peers import data
@@ -14,6 +15,10 @@
 # In-flight requests are sent as a number of hundredths.
 _BUSY_UNITS = 100
 _NEVER_FAILED = -1
+# A greater number is sent as this one. Ages grow without bound, and an age of
+# 25 days in ms has more than 32 bits.
+_MAX_I32 = 2**31 - 1
+_MAX_PORT = 65_535
 
 
 def encode_heartbeat(heartbeat: data.Heartbeat) -> bytes:
@@ -30,24 +35,52 @@
             sequence=heartbeat.sequence,
             is_leaving=heartbeat.is_leaving,
             revisions=[heartbeat.revisions.get(scope, 0) for scope in _SCOPES],
-            store_failed_ms=_NEVER_FAILED if failed_ms is None else failed_ms,
+            store_failed_ms=(
+                _NEVER_FAILED if failed_ms is None else _limit(failed_ms)
+            ),
             followers=list(heartbeat.follower_ages_ms),
-            follower_ages_ms=list(heartbeat.follower_ages_ms.values()),
+            follower_ages_ms=[
+                _limit(age_ms) for age_ms in heartbeat.follower_ages_ms.values()
+            ],
             upstream_tags=[report.tag for report in heartbeat.upstreams],
             busy=[
-                int(upstream.busy * _BUSY_UNITS)
+                _limit(int(upstream.busy * _BUSY_UNITS))
                 for upstream in heartbeat.upstreams
             ],
-            silent_ms=[report.silent_ms for report in heartbeat.upstreams],
+            silent_ms=[
+                _limit(report.silent_ms) for report in heartbeat.upstreams
+            ],
             data_centres=list(heartbeat.live_counts),
-            live_hosts=[each.hosts for each in heartbeat.live_counts.values()],
+            live_hosts=[
+                _limit(each.hosts) for each in heartbeat.live_counts.values()
+            ],
             live_host_ages_ms=[
-                each.age_ms for each in heartbeat.live_counts.values()
+                _limit(each.age_ms) for each in heartbeat.live_counts.values()
             ],
         )
     )
 
 
+def _limit(number: int) -> int:
+    """Returns a number that fits into a field of 32 bits."""
+    return min(number, _MAX_I32)
+
+
+def _to_contact(
+    record: ttypes.Beat | ttypes.Contact,
+) -> data.Contact | failures.UnreadableInput:
+    """Returns the contact of a record, whose address is checked."""
+    try:
+        socket.inet_pton(socket.AF_INET, record.address)
+    except (OSError, ValueError):
+        return failures.UnreadableInput(record.host, "not an IPv4 address")
+    if not 0 <= record.port <= _MAX_PORT:
+        return failures.UnreadableInput(record.host, "not a port")
+    return data.Contact(
+        record.host, record.data_centre, record.address, record.port
+    )
+
+
 def decode_heartbeat(
     datagram: bytes,
 ) -> data.Heartbeat | failures.UnreadableInput:
@@ -82,15 +115,16 @@
     live_counts = _decode_live_counts(record)
     if isinstance(live_counts, failures.UnreadableInput):
         return live_counts
+    contact = _to_contact(record)
+    if isinstance(contact, failures.UnreadableInput):
+        return contact
     failed_ms = record.store_failed_ms
     reports = zip(
         record.upstream_tags, record.busy, record.silent_ms, strict=True
     )
     ages = zip(record.followers, record.follower_ages_ms, strict=True)
     return data.Heartbeat(
-        contact=data.Contact(
-            record.host, record.data_centre, record.address, record.port
-        ),
+        contact=contact,
         start_id=record.start_id,
         sequence=record.sequence,
         is_leaving=bool(record.is_leaving),
@@ -194,6 +228,4 @@
     record = thrift_codec.decode_or_failure(ttypes.Contact, value)
     if isinstance(record, failures.UnreadableInput):
         return record
-    return data.Contact(
-        record.host, record.data_centre, record.address, record.port
-    )
+    return _to_contact(record)
--- a/packages/wire/sapphire_wire/peer_messages_test.py
+++ b/packages/wire/sapphire_wire/peer_messages_test.py
@@ -1,3 +1,4 @@
+import dataclasses
 import zlib
 
 import testtools
@@ -63,6 +64,44 @@
             )
             self.assertIsInstance(decoded, failures.UnreadableInput)
 
+    def test_contact_without_an_address_is_a_typed_failure(self) -> None:
+        for address, port in (
+            ("", 1),
+            ("edge-1", 1),
+            ("10.0.0.1\0", 1),
+            ("\u00e9" * 100, 1),
+            ("::1", 1),
+            ("10.0.0.1", -1),
+            ("10.0.0.1", 70_000),
+        ):
+            contact = data.Contact("edge-1", "pnw", address, port)
+            value = peer_messages.encode_contact(contact)
+            self.assertIsInstance(
+                peer_messages.decode_contact(value), failures.UnreadableInput
+            )
+            heartbeat = dataclasses.replace(HEARTBEAT, contact=contact)
+            datagram = peer_messages.encode_heartbeat(heartbeat)
+            self.assertIsInstance(
+                peer_messages.decode_heartbeat(datagram),
+                failures.UnreadableInput,
+            )
+
+    def test_ages_of_more_than_24_days_are_sent_as_the_largest(self) -> None:
+        too_large = 2**31
+        heartbeat = builders.heartbeat(
+            "edge-1",
+            store_failed_ms=too_large,
+            followers={"edge-2": too_large},
+            upstreams=(data.UpstreamReport(1, float(too_large), too_large),),
+        )
+        decoded = peer_messages.decode_heartbeat(
+            peer_messages.encode_heartbeat(heartbeat)
+        )
+        assert isinstance(decoded, data.Heartbeat)
+        self.assertEqual(too_large - 1, decoded.store_failed_ms)
+        self.assertEqual({"edge-2": too_large - 1}, decoded.follower_ages_ms)
+        self.assertEqual(too_large - 1, decoded.upstreams[0].silent_ms)
+
     def test_batch_survives_the_round_trip(self) -> None:
         batch = builders.batch(
             builders.item("a", 1, b"\x00\xff"),
