An HTTP connection with bytes that nobody asked for is not used again

Cause: operators of a similar system told of a server that sent a second copy of a response, late, on a connection in use again. The small client kept such a connection: the copy was in its buffer or its socket when the next call was made, and was returned as the response to it.

Change: before a call, the client closes a connection whose server has sent more than the response, or has closed it, and opens another. What remains: a copy that arrives after the next request was sent cannot be told from its response by HTTP/1.1 without an ID, which the platform's store does not return. Each client asks for one thing alone; a range, a watch and a write have different fields, so that only a copy of the same kind is taken, with an older revision.

--- a/packages/net/sapphire_net/http1.py
+++ b/packages/net/sapphire_net/http1.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 import dataclasses
 import logging
+import select
 from typing import Any
 
 import anyio
@@ -64,7 +65,9 @@
 
     Only one task may use it at a time. After a failure, the connection is
     closed and the next call opens another: a late response to the failed
-    request would be taken for the response to the next one.
+    request would be taken for the response to the next one. So would a second
+    copy of a response, so a connection with bytes that nobody asked for is not
+    used again.
 
     Args:
         address: The IP address and port of the server.
@@ -126,11 +129,34 @@
 
     async def _connect(self) -> anyio.abc.ByteStream:
         """Returns the open connection, or opens one."""
+        if self._has_surplus_bytes():
+            event_log.log(
+                _LOG,
+                logging.INFO,
+                "connection_not_reused",
+                address=f"{self._address[0]}:{self._address[1]}",
+            )
+            await self.close()
         if self._stream is None:
             with anyio.fail_after(CONNECT_TIMEOUT_MS / clock.MS_PER_SECOND):
                 self._stream = await anyio.connect_tcp(*self._address)
         return self._stream
 
+    def _has_surplus_bytes(self) -> bool:
+        """Returns whether the idle connection was closed or has received bytes.
+
+        The stream does not read while no call waits for a response.
+        """
+        if self._stream is None:
+            return False
+        surplus, is_ended = self._protocol.trailing_data
+        if surplus or is_ended:
+            return True
+        poller = select.poll()
+        raw_socket = self._stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        poller.register(raw_socket.fileno(), select.POLLIN)
+        return bool(poller.poll(0))
+
     def _encode(self, method: str, target: str, body: bytes | None) -> bytes:
         """Encodes a request."""
         headers = [("Host", f"{self._address[0]}:{self._address[1]}")]
--- a/packages/net/sapphire_net/http1_test.py
+++ b/packages/net/sapphire_net/http1_test.py
@@ -120,6 +120,35 @@
         late = OK.replace(b"ok", b"no") + OK.replace(b"ok", b"xx")
         with_raw_server([b"", OK, late], body)
 
+    def test_second_copy_is_not_returned_for_the_next_request(self) -> None:
+        first, copy = OK, OK.replace(b"ok", b"xx")
+
+        async def body(client: http1.Client, pause_s: float) -> None:
+            for _ in range(2):
+                again = await client.call("GET", "/", TIMEOUT_MS)
+                self.assertEqual(http1.Response(200, b"ok"), again)
+                await anyio.sleep(pause_s)
+            await client.close()
+
+        async def call_copying_server(pause_s: float) -> None:
+            async def handle(stream: anyio.abc.ByteStream) -> None:
+                async with stream:
+                    await stream.receive()
+                    await stream.send(first)
+                    await anyio.sleep(pause_s / 2)
+                    await stream.send(copy)
+                    await anyio.sleep_forever()
+
+            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+            port = listener.extra(anyio.abc.SocketAttribute.local_port)
+            async with listener, anyio.create_task_group() as tasks:
+                tasks.start_soon(listener.serve, handle)
+                await body(http1.Client(("127.0.0.1", port)), pause_s)
+                tasks.cancel_scope.cancel()
+
+        for pause_s in (0.0, 0.2):
+            anyio.run(call_copying_server, pause_s)
+
     def test_refused_connection_is_reported_as_not_run(self) -> None:
         async def main() -> None:
             client = http1.Client(("127.0.0.1", 1))
