An error over one message ends that message only

Cause: an exception of a handler ended its task and so the whole process: over a datagram of the fabric or of a peer, a request for readiness, metrics or changes, an item of the store, a pull, or the settings on SIGHUP. An accept without a free descriptor did so too, so that many connections at any port were enough.

Change: each border logs an unforeseen error (datagram_failed, request_failed, item_failed, pull_failed, settings_invalid, with type, text and place), drops the message and goes on; accepting is tried again after 100 ms, and open connections go on. Known malformed input stays a typed failure.

--- a/packages/net/sapphire_net/datagrams.py
+++ b/packages/net/sapphire_net/datagrams.py
@@ -1,15 +1,22 @@
 """Opens UDP sockets and reads their datagrams."""
 
 from collections.abc import Callable
+import logging
 import socket
 
 import anyio
 
+from sapphire_net import event_log
 from sapphire_net import pauses
 
+_LOG = logging.getLogger(__name__)
+
 # Datagrams read in a row before other tasks get a turn.
 MAX_BURST_DATAGRAMS = 64
 
+# What `sendto` raises, also for an address from outside that is none.
+SEND_ERRORS = (OSError, OverflowError, TypeError, ValueError)
+
 DatagramHandler = Callable[[bytes], None]
 ErrorHandler = Callable[[OSError], None]
 
@@ -42,6 +49,9 @@
 ) -> None:
     """Reads datagrams until cancelled.
 
+    A datagram whose handling raises an error is logged and dropped: whoever can
+    send one would otherwise end the process.
+
     Args:
         udp_socket: The socket; it must be non-blocking.
         max_bytes: The bytes read of a datagram; longer ones are truncated.
@@ -63,4 +73,7 @@
             except OSError as error:
                 handle_error(error)
                 continue
-            handle_datagram(datagram)
+            try:
+                handle_datagram(datagram)
+            except Exception as error:
+                event_log.log_unexpected(_LOG, "datagram_failed", error)
--- a/packages/net/sapphire_net/event_log.py
+++ b/packages/net/sapphire_net/event_log.py
@@ -4,6 +4,7 @@
 import logging
 import re
 import sys
+import traceback
 from typing import Any
 from typing import TextIO
 
@@ -11,6 +12,8 @@
 from sapphire_data import failures
 
 _FIELDS = "event_fields"
+# Texts of errors may quote whole messages.
+_MAX_DETAIL_CHARACTERS = 500
 _PLAIN_VALUE = re.compile(r"[A-Za-z0-9_.:/@%+,\-\[\]]+")
 _KEY_CHARACTER = re.compile(r"[^A-Za-z0-9_.]")
 
@@ -98,6 +101,30 @@
     )
 
 
+def log_unexpected(
+    logger: logging.Logger, event: str, error: Exception, **fields: Any
+) -> None:
+    """Logs an error that the code at the border of a task did not foresee.
+
+    Args:
+        logger: The logger of the calling module.
+        event: The name of the event.
+        error: The error; its type, text and place become fields.
+        **fields: Further fields of the event.
+    """
+    frames = traceback.extract_tb(error.__traceback__)
+    place = f"{frames[-1].filename}:{frames[-1].lineno}" if frames else ""
+    log(
+        logger,
+        logging.ERROR,
+        event,
+        failure=type(error).__name__,
+        detail=str(error)[:_MAX_DETAIL_CHARACTERS],
+        place=place,
+        **fields,
+    )
+
+
 def configure(level: str, stream: TextIO | None = None) -> None:
     """Writes all logs of the process to a stream as key=value lines.
 
--- a/packages/net/sapphire_net/http1.py
+++ b/packages/net/sapphire_net/http1.py
@@ -18,6 +18,7 @@
 from sapphire_data import clock
 from sapphire_data import failures
 from sapphire_net import event_log
+from sapphire_net import pauses
 from sapphire_net import transfers
 
 _LOG = logging.getLogger(__name__)
@@ -25,6 +26,8 @@
 MAX_BODY_BYTES = 8_388_608
 CONNECT_TIMEOUT_MS = 1_000
 SERVER_IDLE_TIMEOUT_MS = 30_000
+# Descriptors that ran out are free again once some connections have closed.
+ACCEPT_RETRY_MS = 100
 OK = 200
 NOT_FOUND = 404
 UNAVAILABLE = 503
@@ -222,6 +225,9 @@
 ) -> None:
     """Serves requests until cancelled; request bodies are ignored.
 
+    An error of one connection ends this connection only. If no connection can
+    be accepted, such as without a free descriptor, that is tried again.
+
     Args:
         listener: The bound listener.
         handler: Returns the response to a method and a path without query.
@@ -246,8 +252,21 @@
                 event_log.log(
                     _LOG, logging.WARNING, "bad_request", problem=str(error)
                 )
+            except Exception as error:
+                event_log.log_unexpected(_LOG, "request_failed", error)
 
-    await listener.serve(handle)
+    async with anyio.create_task_group() as connections:
+        while True:
+            try:
+                await listener.serve(handle, connections)
+            except* OSError as group:
+                event_log.log(
+                    _LOG,
+                    logging.WARNING,
+                    "accept_failed",
+                    problem=repr(group.exceptions[0]),
+                )
+            await pauses.sleep_ms(ACCEPT_RETRY_MS)
 
 
 async def listen_and_serve(
--- a/packages/net/sapphire_net/http1_test.py
+++ b/packages/net/sapphire_net/http1_test.py
@@ -1,5 +1,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
+import errno
+from typing import Any
 
 import anyio
 import anyio.abc
@@ -282,3 +284,44 @@
                 tasks.cancel_scope.cancel()
 
         anyio.run(main)
+
+
+class FailingListener:
+    """A listener that first fails to accept, as without a descriptor."""
+
+    def __init__(self, listener: Any) -> None:
+        self._listener = listener
+        self._errors = [OSError(errno.EMFILE, "x"), OSError(errno.ENFILE, "x")]
+
+    async def serve(self, handler: Any, task_group: Any = None) -> None:
+        if self._errors:
+            raise ExceptionGroup("accept", [self._errors.pop()])
+        await self._listener.serve(handler, task_group)
+
+
+class ServerErrorTest(testtools.TestCase):
+    """Pattern: an error of one connection ends this connection only."""
+
+    def test_errors_of_a_handler_and_of_accepting_do_not_end_the_server(
+        self,
+    ) -> None:
+        async def fail(method: str, path: str) -> http1.Response:
+            if path == "/fails":
+                raise KeyError(path)
+            return await echo(method, path)
+
+        async def main() -> None:
+            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+            port = listener.extra(anyio.abc.SocketAttribute.local_port)
+            async with listener, anyio.create_task_group() as tasks:
+                failing: Any = FailingListener(listener)
+                tasks.start_soon(http1.serve, failing, fail)
+                client = http1.Client(("127.0.0.1", port))
+                failure = await client.call("GET", "/fails", 5_000)
+                self.assertIsInstance(failure, http1.CallFailure)
+                again = await client.call("GET", "/", 5_000)
+                self.assertEqual(http1.Response(200, b"GET /"), again)
+                await client.close()
+                tasks.cancel_scope.cancel()
+
+        anyio.run(main)
--- a/packages/node/sapphire_node/entry/change_puller.py
+++ b/packages/node/sapphire_node/entry/change_puller.py
@@ -140,7 +140,12 @@
     ) -> None:
         """Pulls a scope from one peer and then allows the next pull of it."""
         try:
-            outcome = await self._pull_from(scope, source)
+            try:
+                outcome = await self._pull_from(scope, source)
+            except Exception as error:
+                host = source.contact.host
+                event_log.log_unexpected(_LOG, "pull_failed", error, peer=host)
+                outcome = pull_sources.PullOutcome.FAILED
             self._sources.record_outcome(
                 source.contact.host, outcome, self._clock.now_ms()
             )
--- a/packages/node/sapphire_node/entry/host.py
+++ b/packages/node/sapphire_node/entry/host.py
@@ -211,7 +211,11 @@
     cause: str,
 ) -> None:
     """Applies changed settings; invalid ones leave the former in force."""
-    settings = platform.read_settings()
+    try:
+        settings = platform.read_settings()
+    except Exception as error:
+        event_log.log_unexpected(_LOG, "settings_invalid", error, cause=cause)
+        return
     if isinstance(settings, failures.Failure):
         event_log.log_failure(_LOG, "settings_invalid", settings, cause=cause)
         return
--- a/packages/node/sapphire_node/entry/packet_task.py
+++ b/packages/node/sapphire_node/entry/packet_task.py
@@ -143,7 +143,7 @@
         """
         try:
             self._socket.sendto(datagram, address)
-        except OSError as error:
+        except datagrams.SEND_ERRORS as error:
             self._state.counts["packets_not_sent"] += 1
             event_log.log(
                 _LOG,
--- a/packages/node/sapphire_node/entry/peer_task.py
+++ b/packages/node/sapphire_node/entry/peer_task.py
@@ -288,7 +288,7 @@
         """Sends a datagram to an address; a failure is logged only."""
         try:
             self._socket.sendto(datagram, address)
-        except OSError as error:
+        except datagrams.SEND_ERRORS as error:
             self._state.counts["beats_not_sent"] += 1
             event_log.log(
                 _LOG,
--- a/packages/node/sapphire_node/entry/replica_task.py
+++ b/packages/node/sapphire_node/entry/replica_task.py
@@ -171,10 +171,21 @@
     def _decode(
         self, items: list[data.Item]
     ) -> list[messages.ChangeAtRevision]:
-        """Decodes items; those that are invalid are logged and left out."""
+        """Decodes items; those that are invalid are logged and left out.
+
+        All hosts get the same items, so that an error that one of them raised
+        would end every process, and each new one again.
+        """
         decoded: list[messages.ChangeAtRevision] = []
         for item in items:
-            change = self._items.decode(item)
+            try:
+                change = self._items.decode(item)
+            except Exception as error:
+                self._state.counts["items_ignored"] += 1
+                event_log.log_unexpected(
+                    _LOG, "item_failed", error, key=item.key
+                )
+                continue
             if isinstance(change, failures.Failure):
                 self._state.counts["items_ignored"] += 1
                 event_log.log_failure(
