Load simulation: many hosts that hear of each other late

Cause: that many hosts choose the same upstreams from reports older than a request cannot be seen with one host. Callers have addresses of their own and may keep a flow for many requests.

--- a/packages/lab/sapphire_lab/tagged_flows/load_simulation.py
+++ b/packages/lab/sapphire_lab/tagged_flows/load_simulation.py
@@ -1,10 +1,11 @@
-"""A simulation of load on one service behind one host, without a network.
+"""A simulation of load on one service behind its hosts, without a network.
 
 Callers open a flow for each request and retransmit an unanswered opening packet
 after 200 and 600 ms, as the platform's callers do. When a flow is reset, or was
 not opened after 1.4 s, they try again with another flow, twice at most and
-until their deadline. Upstreams answer opening packets at once, process as many
-requests at a time as they have slots, queue a few more and reject the rest.
+until their deadline. Some keep a flow open for many requests instead. Upstreams
+answer opening packets at once, process as many requests at a time as they have
+slots, queue a few more and reject the rest.
 """
 
 from collections.abc import Callable
@@ -14,12 +15,10 @@
 import random
 
 from sapphire_core.tagged_flows import data
-from sapphire_core.tagged_flows import steering as steering_lib
 from sapphire_lab.tagged_flows import builders
+from sapphire_lab.tagged_flows import load_fleet
 
 STEP_MS = 5
-TICK_MS = 10
-SWEEP_MS = 100
 # The delay from caller through host to upstream, and from upstream to caller.
 ONE_WAY_DELAY_MS = 5
 # When a caller sends the opening packet and its retransmissions, from the
@@ -28,8 +27,10 @@
 # When a caller gives up a flow that was not opened.
 OPENING_TIMEOUT_MS = 1_400
 MAX_RETRIES = 2
+CALLERS = 400
 DEADLINE_MS = 3_000
 REQUEST_BYTES = 300
+RESPONSE_BYTES = 800
 
 IsAlive = Callable[[int], bool]
 
@@ -50,6 +51,7 @@
         slots: How many requests it processes at a time.
         queue: How many further requests it accepts.
         is_alive: Whether it responds to packets at a given time.
+        data_centre: Its data centre.
         free_at_ms: A heap of the times when the slots used so far become free.
         requests: How many requests it has received.
     """
@@ -59,6 +61,7 @@
     slots: int = 2
     queue: int = 12
     is_alive: IsAlive = always_alive
+    data_centre: str = builders.DATA_CENTRE
     free_at_ms: list[int] = dataclasses.field(default_factory=list)
     requests: int = 0
 
@@ -93,47 +96,81 @@
 
     Attributes:
         started_ms: When its first attempt began.
+        gap_ms: The mean time after which the caller sends another request on
+            the same flow; None if it closes the flow.
         retries: How many attempts followed the first one.
     """
 
     started_ms: int
+    gap_ms: float | None = None
     retries: int = 0
 
 
+@dataclasses.dataclass(slots=True)
+class _OpenFlow:
+    """A flow that an upstream has answered.
+
+    Attributes:
+        number: The number of the flow.
+        upstream: The upstream.
+        tag: The tag of the upstream.
+        requests: How many requests the caller has sent on it.
+    """
+
+    number: int
+    upstream: SimulatedUpstream
+    tag: int
+    requests: int = 0
+
+
 class LoadSimulation:
-    """Simulates callers, one host and the upstreams of one service.
+    """Simulates callers, the hosts and the upstreams of one service.
 
     Attributes:
         latencies_ms: The latency of each request that got a response, from its
             first opening packet on.
         unanswered: How many requests got no response; set by `finish`.
-        resets: How many flows were reset by the host.
+        resets: How many flows were reset by a host.
         rejections: How many requests an upstream has rejected.
+        openings: How many opening packets were sent to upstreams.
+        crossings: How many of them went to another data centre.
 
     Args:
         upstreams: The upstreams of the service.
-        seed: Seeds the arrivals of requests and the host's random choices.
+        seed: Seeds the arrivals of requests and the hosts' random choices.
+        plan: The hosts; one if not given.
     """
 
-    def __init__(self, upstreams: list[SimulatedUpstream], seed: int) -> None:
+    def __init__(
+        self,
+        upstreams: list[SimulatedUpstream],
+        seed: int,
+        plan: load_fleet.FleetPlan | None = None,
+    ) -> None:
         self.latencies_ms: list[int] = []
         self.unanswered = 0
         self._rng = random.Random(seed)
         self._upstreams_by_id = {
             upstream.upstream_id: upstream for upstream in upstreams
         }
-        self._steering = steering_lib.Steering(
-            builders.DATA_CENTRE, self._rng, lambda decision: None
+        self._fleet = load_fleet.LoadFleet(
+            plan or load_fleet.FleetPlan(),
+            [
+                builders.upstream(
+                    upstream.upstream_id,
+                    data_centre=upstream.data_centre,
+                    slots=upstream.slots,
+                )
+                for upstream in upstreams
+            ],
+            self._rng,
+            self._deliver,
         )
-        self._steering.configure(builders.configuration())
-        for number, upstream in enumerate(upstreams):
-            registered = builders.upstream(
-                upstream.upstream_id, slots=upstream.slots
-            )
-            self._steering.upstream_table.put(registered, number + 1, 0)
         self._now_ms = 0
         self.resets = 0
         self.rejections = 0
+        self.openings = 0
+        self.crossings = 0
         self._flow_count = 0
         self._event_count = 0
         self._events: list[tuple[int, int, Callable[[], None]]] = []
@@ -141,6 +178,7 @@
         self._waiting_by_flow: dict[int, _Request] = {}
         self._failed_requests = 0
         self._answered: set[int] = set()
+        self._is_finishing = False
 
     def run(self, seconds: float, per_second: float) -> None:
         """Starts requests at random times; some are still open at the end.
@@ -157,8 +195,19 @@
                 next_arrival_ms += self._arrival_gap_ms(per_second)
             self._step()
 
+    def open_long_flows(self, count: int, gap_ms: float) -> None:
+        """Opens flows on which requests follow each other until the end.
+
+        Args:
+            count: How many flows.
+            gap_ms: The mean time from a response to the next request.
+        """
+        for _ in range(count):
+            self._open_flow(_Request(self._now_ms, gap_ms))
+
     def finish(self) -> None:
         """Runs without new requests until no event is left."""
+        self._is_finishing = True
         while self._events:
             self._step()
         self.unanswered = self._failed_requests + len(self._waiting_by_flow)
@@ -215,10 +264,16 @@
         if number in self._answered or number not in self._waiting_by_flow:
             return
         packet = builders.opening(number, retransmissions=retransmissions)
-        self._deliver(self._steering.handle(packet, self._now_ms))
+        action, data_centre = self._send(packet)
+        self._deliver(action, data_centre)
+
+    def _deliver(self, action: data.Action, data_centre: str) -> None:
+        """Delivers a forwarded opening packet, or a reset.
 
-    def _deliver(self, action: data.Action) -> None:
-        """Delivers a forwarded opening packet, or a reset."""
+        Args:
+            action: What a host does.
+            data_centre: The data centre of the host.
+        """
         if not isinstance(action, data.Forward | data.Reset):
             return
         number = (
@@ -229,6 +284,8 @@
             self._schedule(ONE_WAY_DELAY_MS, lambda: self._give_up_flow(number))
             return
         upstream = self._upstreams_by_id[action.upstream.upstream_id]
+        self.openings += 1
+        self.crossings += upstream.data_centre != data_centre
         if upstream.is_alive(self._now_ms):
             self._schedule(
                 2 * ONE_WAY_DELAY_MS,
@@ -245,46 +302,77 @@
         if number in self._answered or number not in self._waiting_by_flow:
             return
         self._answered.add(number)
-        request = builders.packet(number, tag=tag, payload_bytes=REQUEST_BYTES)
-        self._steering.handle(request, self._now_ms)
-        if not upstream.is_alive(self._now_ms):
+        self._send_request(_OpenFlow(number, upstream, tag))
+
+    def _send_request(self, flow: _OpenFlow) -> None:
+        """Sends a request on a flow."""
+        request = builders.packet(
+            flow.number,
+            tag=flow.tag,
+            sequence=2 + flow.requests * REQUEST_BYTES,
+            acknowledged=100 + flow.requests * RESPONSE_BYTES,
+            payload_bytes=REQUEST_BYTES,
+        )
+        flow.requests += 1
+        self._send(request)
+        if not flow.upstream.is_alive(self._now_ms):
             return
-        ready_ms = upstream.enqueue(self._now_ms + ONE_WAY_DELAY_MS)
+        ready_ms = flow.upstream.enqueue(self._now_ms + ONE_WAY_DELAY_MS)
         if ready_ms is None:
             self._schedule(
-                2 * ONE_WAY_DELAY_MS,
-                lambda: self._handle_rejection(number, tag),
+                2 * ONE_WAY_DELAY_MS, lambda: self._handle_rejection(flow)
             )
             return
         self._schedule(
             ready_ms + ONE_WAY_DELAY_MS - self._now_ms,
-            lambda: self._handle_response(number, tag),
+            lambda: self._handle_response(flow),
         )
 
-    def _handle_rejection(self, number: int, tag: int) -> None:
+    def _handle_rejection(self, flow: _OpenFlow) -> None:
         """Lets the caller close a flow whose request was not run."""
         self.rejections += 1
-        self._close_flow(number, tag)
-        self._answered.discard(number)
-        self._give_up_flow(number)
+        self._acknowledge(flow, is_closing=True)
+        self._answered.discard(flow.number)
+        self._give_up_flow(flow.number)
 
-    def _handle_response(self, number: int, tag: int) -> None:
-        """Records a response at the caller, which closes the flow."""
-        request = self._waiting_by_flow.pop(number)
+    def _handle_response(self, flow: _OpenFlow) -> None:
+        """Records a response at the caller, which may close the flow."""
+        request = self._waiting_by_flow.pop(flow.number)
         self.latencies_ms.append(self._now_ms - request.started_ms)
-        self._close_flow(number, tag)
-
-    def _close_flow(self, number: int, tag: int) -> None:
-        """Sends the packet by which a caller closes its flow."""
-        closing = builders.packet(
-            number,
-            tag=tag,
-            sequence=2 + REQUEST_BYTES,
-            acknowledged=900,
+        if request.gap_ms is None or self._is_finishing:
+            self._acknowledge(flow, is_closing=True)
+            return
+        self._acknowledge(flow, is_closing=False)
+        pause_ms = int(self._rng.expovariate(1 / request.gap_ms))
+        self._schedule(pause_ms, lambda: self._send_next(flow, request.gap_ms))
+
+    def _send_next(self, flow: _OpenFlow, gap_ms: float | None) -> None:
+        """Sends the next request of a long flow, unless the run has ended."""
+        if self._is_finishing:
+            return
+        self._waiting_by_flow[flow.number] = _Request(self._now_ms, gap_ms)
+        self._send_request(flow)
+
+    def _acknowledge(self, flow: _OpenFlow, *, is_closing: bool) -> None:
+        """Sends the caller's acknowledgement of a response."""
+        packet = builders.packet(
+            flow.number,
+            tag=flow.tag,
+            sequence=2 + flow.requests * REQUEST_BYTES,
+            acknowledged=100 + flow.requests * RESPONSE_BYTES,
             payload_bytes=0,
-            is_closing=True,
+            is_closing=is_closing,
+        )
+        self._send(packet)
+
+    def _send(self, packet: data.Packet) -> tuple[data.Action, str]:
+        """Sends a packet of one of the callers, which take turns."""
+        flow_id = packet.flow_id._replace(
+            caller_address=builders.CALLER_ADDRESS
+            + packet.flow_id.caller_port % CALLERS,
         )
-        self._steering.handle(closing, self._now_ms)
+        packet = dataclasses.replace(packet, flow_id=flow_id)
+        return self._fleet.handle(packet, self._now_ms)
 
     def _schedule(self, delay_ms: int, action: Callable[[], None]) -> None:
         """Schedules an action."""
@@ -297,8 +385,4 @@
         self._now_ms += STEP_MS
         while self._events and self._events[0][0] <= self._now_ms:
             heapq.heappop(self._events)[2]()
-        if self._now_ms % TICK_MS == 0:
-            for action in self._steering.tick(self._now_ms):
-                self._deliver(action)
-        if self._now_ms % SWEEP_MS == 0:
-            self._steering.sweep(self._now_ms)
+        self._fleet.step(self._now_ms)
