Load under late reports: averages instead of samples, drawn from their range

Cause: hosts added the requests that peers had in flight when they sent their reports, 125 to 500 ms ago, to their own and took the least loaded upstream. Requests last 30 to 50 ms, so the reports were noise, and all hosts agreed on it: they sent their flows to the same few upstreams, whose queues rejected them while other slots were idle. Change: a host reports its requests in flight averaged over about a second, in units of 0.1 rounded at random; the wire is as before. What peers report is drawn from the range in which it varies. Reports are at most 350 a heartbeat. Ruled out, with figures in design/0015: averages alone (worse: all agree on the lowest for longer), two choices at random, subsets by rendezvous, own recent flows.

--- a/packages/core/sapphire_core/peers/data.py
+++ b/packages/core/sapphire_core/peers/data.py
@@ -29,7 +29,8 @@
 
     Attributes:
         tag: The tag of the upstream.
-        busy: The in-flight requests at the upstream that the host knows of.
+        busy: The in-flight requests of the host at the upstream, on average
+            over about the last second.
         silent_ms: How much longer the host avoids the upstream as
             unresponsive; 0 if it does not avoid it.
     """
--- a/packages/core/sapphire_core/peers/upstream_reports.py
+++ b/packages/core/sapphire_core/peers/upstream_reports.py
@@ -38,7 +38,7 @@
 def total_in_flight(
     received: Iterable[ReceivedHeartbeat], near_peer_count: int
 ) -> Mapping[int, float]:
-    """Returns the in-flight requests of all peers at each upstream, by tag.
+    """Returns the average in-flight requests of all peers, by upstream tag.
 
     Old reports count less. For near peers without a recent report, the mean of
     the others is assumed; they get as many flows from the fabric.
--- a/packages/core/sapphire_core/tagged_flows/flow_table.py
+++ b/packages/core/sapphire_core/tagged_flows/flow_table.py
@@ -11,6 +11,7 @@
 import dataclasses
 
 from sapphire_core.tagged_flows import data
+from sapphire_core.tagged_flows import smoothed_load
 from sapphire_core.tagged_flows import upstream_table
 
 # A record takes about 200 bytes, so the table takes 4 MB at most.
@@ -81,13 +82,17 @@
 
 
 class FlowTable:
-    """The records of open flows, least recently seen first."""
+    """The records of open flows, least recently seen first.
+
+    Attributes:
+        load: The requests in flight at each upstream.
+    """
 
     def __init__(self) -> None:
         self._by_flow: collections.OrderedDict[data.FlowId, FlowRecord] = (
             collections.OrderedDict()
         )
-        self._in_flight_by_id: collections.Counter[str] = collections.Counter()
+        self.load = smoothed_load.SmoothedLoad()
 
     def __len__(self) -> int:
         """Returns the number of records."""
@@ -99,7 +104,7 @@
 
     def in_flight(self, upstream_id: str) -> int:
         """Returns the number of in-flight requests at an upstream."""
-        return self._in_flight_by_id[upstream_id]
+        return self.load.current(upstream_id)
 
     def add(
         self,
@@ -139,7 +144,7 @@
         record.last_packet_ms = now_ms
         self._by_flow.move_to_end(packet.flow_id)
         if packet.is_reset or packet.is_closing:
-            self._end_request(record)
+            self._end_request(record, now_ms)
             return
         if packet.payload_bytes > 0:
             self._observe_data(packet, record, now_ms)
@@ -150,7 +155,7 @@
         # Callers send nothing between a request and its response, so an
         # acknowledgement without data acknowledges the response, or a part.
         if received_bytes % FULL_PACKET_BYTES != 0:
-            self._end_request(record)
+            self._end_request(record, now_ms)
         elif record.request_data_ms is not None:
             # The request counts as in flight while its response arrives.
             record.request_data_ms = now_ms
@@ -204,10 +209,13 @@
         return repeated / flows if flows else 0.0
 
     def discard(self, flow_id: data.FlowId) -> None:
-        """Discards the record of a flow, if there is one."""
+        """Discards the record of a flow, if there is one.
+
+        A request in flight counts until the last packet of the flow.
+        """
         record = self._by_flow.pop(flow_id, None)
         if record is not None:
-            self._end_request(record)
+            self._end_request(record, record.last_packet_ms)
 
     def extend_timeouts(self, stall_ms: int) -> None:
         """Extends the timeouts of all flows after a stall of this process.
@@ -236,9 +244,10 @@
                 request_data_ms is not None
                 and now_ms - request_data_ms > MAX_REQUEST_MS
             ):
-                self._end_request(record)
+                self._end_request(record, now_ms)
             if now_ms - record.last_packet_ms > idle_timeout_ms:
                 self.discard(flow_id)
+        self.load.evict_faded(now_ms)
 
     def _observe_data(
         self, packet: data.Packet, record: FlowRecord, now_ms: int
@@ -270,7 +279,7 @@
         record.last_new_data_ms = now_ms
         self._observe_acknowledgement(packet, record, now_ms)
         if record.request_data_ms is None:
-            self._in_flight_by_id[record.entry.upstream.upstream_id] += 1
+            self.load.begin(record.entry.upstream.upstream_id, now_ms)
         record.request_data_ms = now_ms
 
     def _observe_acknowledgement(
@@ -296,15 +305,12 @@
         record.entry.last_active_ms = now_ms
         return received_bytes
 
-    def _end_request(self, record: FlowRecord) -> None:
+    def _end_request(self, record: FlowRecord, now_ms: int) -> None:
         """Records that a flow has no in-flight request any more."""
         if record.request_data_ms is None:
             return
         record.request_data_ms = None
-        upstream_id = record.entry.upstream.upstream_id
-        self._in_flight_by_id[upstream_id] -= 1
-        if self._in_flight_by_id[upstream_id] <= 0:
-            del self._in_flight_by_id[upstream_id]
+        self.load.end(record.entry.upstream.upstream_id, now_ms)
 
 
 def _is_after(number: int, other: int) -> bool:
--- a/packages/core/sapphire_core/tagged_flows/upstream_selector.py
+++ b/packages/core/sapphire_core/tagged_flows/upstream_selector.py
@@ -14,11 +14,15 @@
 from sapphire_core.tagged_flows import passive_health
 from sapphire_core.tagged_flows import selection_policy
 from sapphire_core.tagged_flows import slow_start_pacer
+from sapphire_core.tagged_flows import smoothed_load
 from sapphire_core.tagged_flows import upstream_table as upstream_table_lib
 
 # How many hosts are assumed to share the cold rate of an upstream until this
 # host knows their number: the largest fleet that the platform measures.
 INITIAL_HOST_COUNT = 300
+# How many upstreams a heartbeat reports at most. A report takes 7 to 11 bytes,
+# so that they fill less than half of the largest heartbeat (8 KB).
+MAX_REPORTS = 350
 
 
 class UpstreamSelector:
@@ -71,7 +75,7 @@
 
         Args:
             in_flight_by_tag: The requests that peers have in flight at each
-                upstream; they replace the former ones.
+                upstream on average; they replace the former ones.
             avoid_ms_by_tag: How much longer some peer avoids each upstream.
             now_ms: The current time.
         """
@@ -182,7 +186,10 @@
             unanswered_openings = self.unanswered_openings(entry, now_ms)
             candidates.append(
                 selection_policy.Candidate(
-                    entry, self.in_flight(entry), unanswered_openings, is_cold
+                    entry,
+                    self._draw_in_flight(entry, now_ms),
+                    unanswered_openings,
+                    is_cold,
                 )
             )
         selected = selection_policy.select(
@@ -203,11 +210,31 @@
         Attempts of this host that the upstream has not answered yet count as
         requests.
         """
-        upstream_id = entry.upstream.upstream_id
-        own = self._flow_table.in_flight(
+        own = self._own_in_flight(entry.upstream.upstream_id)
+        return own + self._peer_in_flight_by_tag.get(entry.tag, 0.0)
+
+    def _own_in_flight(self, upstream_id: str) -> int:
+        """Returns the requests and unanswered attempts of this host."""
+        return self._flow_table.in_flight(
             upstream_id
         ) + self._half_open_flows.pending(upstream_id)
-        return own + self._peer_in_flight_by_tag.get(entry.tag, 0.0)
+
+    def _draw_in_flight(
+        self, entry: upstream_table_lib.Entry, now_ms: int
+    ) -> float:
+        """Draws the in-flight requests of all hosts at an upstream.
+
+        Open flows of this host whose callers pause between requests count with
+        what they bring on average.
+        """
+        upstream_id = entry.upstream.upstream_id
+        own = max(
+            self._own_in_flight(upstream_id),
+            self._flow_table.load.average(upstream_id, now_ms),
+        )
+        return own + smoothed_load.draw_in_flight(
+            self._peer_in_flight_by_tag, entry.tag, self._rng
+        )
 
     def has_free_slot(self, entry: upstream_table_lib.Entry) -> bool:
         """Whether an upstream is estimated to have a free slot."""
@@ -223,10 +250,8 @@
         slots = 0
         in_flight = 0
         for entry in self._upstream_table.eligible_upstreams(service, now_ms):
-            upstream_id = entry.upstream.upstream_id
             slots += entry.upstream.slots
-            in_flight += self._flow_table.in_flight(upstream_id)
-            in_flight += self._half_open_flows.pending(upstream_id)
+            in_flight += self._own_in_flight(entry.upstream.upstream_id)
         return in_flight < max(1.0, slots / self._known_host_count)
 
     def upstream_reports(
@@ -234,18 +259,25 @@
     ) -> tuple[peer_data.UpstreamReport, ...]:
         """Returns this host's observations of upstreams, for its peers.
 
+        Where there are too many, upstreams that this host avoids come first,
+        then those with the highest load.
+
         Args:
             now_ms: The current time.
         """
         reports: list[peer_data.UpstreamReport] = []
         for upstream_id, entry in self._upstream_table.by_id.items():
-            in_flight = self._flow_table.in_flight(upstream_id)
+            in_flight = smoothed_load.reported(
+                self._flow_table.load.average(upstream_id, now_ms), self._rng
+            )
             avoid_ms = self._passive_health.own_avoid_ms(upstream_id, now_ms)
             if in_flight or avoid_ms:
                 reports.append(
                     peer_data.UpstreamReport(entry.tag, in_flight, avoid_ms)
                 )
-        return tuple(reports)
+        if len(reports) > MAX_REPORTS:
+            reports.sort(key=lambda each: (each.silent_ms, each.busy))
+        return tuple(reports[-MAX_REPORTS:])
 
     def discard(self, upstream_id: str) -> None:
         """Discards the health and the pacing of an upstream that has gone."""
