Load simulation: callers of one data centre who ask for more than its slots

Cause: whether flows that spill over to other data centres swing could not be seen. Change: a share of the flows comes from callers of the first data centre. Test: with 1.08 of its own slots asked for, the share that crosses settles.

--- a/packages/core/sapphire_core/tagged_flows/late_reports_test.py
+++ b/packages/core/sapphire_core/tagged_flows/late_reports_test.py
@@ -95,3 +95,34 @@
         busiest = max(each.requests for each in upstreams)
         mean = sum(each.requests for each in upstreams) / UPSTREAMS
         self.assertLess(busiest / mean, 1.4)
+
+
+class SpillOverTest(testtools.TestCase):
+    """Pattern: one data centre has more callers than its slots bear."""
+
+    DATA_CENTRES = ("a", "b", "c")
+    WINDOW_S = 0.5
+    # Until the averages have followed and the first queues are empty.
+    SETTLING_WINDOWS = 6
+    WINDOWS = 8
+
+    def test_the_share_that_crosses_settles(self) -> None:
+        upstreams = service()
+        for number, each in enumerate(upstreams):
+            each.data_centre = self.DATA_CENTRES[number % 3]
+        # The callers of the first data centre ask for 1.08 of its own slots.
+        plan = load_fleet.FleetPlan(18, self.DATA_CENTRES, first_share=0.4)
+        uneven = load_simulation.LoadSimulation(upstreams, SEED, plan)
+        shares: list[float] = []
+        for _ in range(self.SETTLING_WINDOWS + self.WINDOWS):
+            crossings, openings = uneven.crossings, uneven.openings
+            uneven.run(self.WINDOW_S, 0.6 * CAPACITY_PER_S)
+            shares.append(
+                (uneven.crossings - crossings) / (uneven.openings - openings)
+            )
+        settled = shares[self.SETTLING_WINDOWS :]
+        mean = sum(settled) / len(settled)
+        self.assertGreater(mean, 0.0)
+        self.assertLess(max(settled), 2 * mean)
+        self.assertGreater(min(settled), mean / 2)
+        self.assertLess(uneven.rejections / uneven.openings, MAX_REJECTED_SHARE)
--- a/packages/lab/sapphire_lab/tagged_flows/load_fleet.py
+++ b/packages/lab/sapphire_lab/tagged_flows/load_fleet.py
@@ -23,6 +23,7 @@
 # In a small fleet, heartbeats go to other data centres once a second.
 REMOTE_INTERVAL_MS = 1_000
 CONTACT_MS = 6_000
+_HASHES = 2**32
 
 Deliver = Callable[[data.Action, str], None]
 
@@ -36,11 +37,14 @@
         data_centres: Their data centres, with equal numbers of hosts.
         heartbeat_delay_ms: How long after it was sent a heartbeat is read; a
             host reads up to 20 ms after the arrival.
+        first_share: The share of the flows that come from callers of the first
+            data centre; the others are spread over all hosts alike.
     """
 
     hosts: int = 1
     data_centres: tuple[str, ...] = (builders.DATA_CENTRE,)
     heartbeat_delay_ms: int = 22
+    first_share: float = 0.0
 
 
 class _Host:
@@ -107,8 +111,11 @@
         Returns:
             What the host does, and its data centre.
         """
-        number = packet.flow_id.caller_port
-        host = self._hosts[zlib.crc32(b"%d" % number) % len(self._hosts)]
+        flow_hash = zlib.crc32(b"%d" % packet.flow_id.caller_port)
+        hosts = self._hosts
+        if flow_hash / _HASHES < self._plan.first_share:
+            hosts = hosts[:: len(self._plan.data_centres)]
+        host = hosts[flow_hash % len(hosts)]
         return host.steering.handle(packet, now_ms), host.data_centre
 
     def step(self, now_ms: int) -> None:
--- a/packages/lab/sapphire_lab/tagged_flows/load_simulation.py
+++ b/packages/lab/sapphire_lab/tagged_flows/load_simulation.py
@@ -285,7 +285,8 @@
             return
         upstream = self._upstreams_by_id[action.upstream.upstream_id]
         self.openings += 1
-        self.crossings += upstream.data_centre != data_centre
+        if upstream.data_centre != data_centre:
+            self.crossings += 1
         if upstream.is_alive(self._now_ms):
             self._schedule(
                 2 * ONE_WAY_DELAY_MS,
