Outcomes of requests, and the counts that hosts report of them

A host knew of an upstream only which opening packets it left unanswered. It forwards the callers' half of each flow, which also shows how a request ended: what was acknowledged, after which time, and closes without a response.

Hosts report these counts with their heartbeats in five optional lists, for upstreams with bad signs only; 8 upstreams take less than 100 bytes. Lists that do not fit are left out, and the rest of the heartbeat holds.

Nothing acts on the counts yet.

--- a/packages/core/sapphire_core/peers/data.py
+++ b/packages/core/sapphire_core/peers/data.py
@@ -40,6 +40,26 @@
     silent_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class OutcomeReport:
+    """What became of a host's last requests at one upstream.
+
+    Attributes:
+        tag: The tag of the upstream.
+        well: How many requests ended well.
+        badly: How many ended badly, or hang.
+        answered: How many had a response whose time is known.
+        time_ratio: The mean of these times, each relative to the mean of its
+            route; 1 if there are none.
+    """
+
+    tag: int
+    well: int
+    badly: int
+    answered: int
+    time_ratio: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LiveCount:
     """How many hosts of a data centre are live.
@@ -71,6 +91,10 @@
             what its peers have reported.
         live_counts: How many hosts of each data centre are live, as far as the
             sender knows, by data centre.
+        outcomes: What became of the sender's own requests at upstreams that
+            may do badly; empty while all do well.
+        left_out: What was wrong with a part that was left out when the
+            heartbeat was decoded; empty if nothing was.
     """
 
     contact: Contact
@@ -82,3 +106,5 @@
     follower_ages_ms: Mapping[str, int]
     upstreams: tuple[UpstreamReport, ...]
     live_counts: Mapping[str, LiveCount]
+    outcomes: tuple[OutcomeReport, ...] = ()
+    left_out: str = ""
--- a/packages/lab/sapphire_lab/tagged_flows/builders.py
+++ b/packages/lab/sapphire_lab/tagged_flows/builders.py
@@ -191,6 +191,7 @@
     followers: dict[str, int] | None = None,
     upstreams: tuple[peer_data.UpstreamReport, ...] = (),
     live_counts: dict[str, peer_data.LiveCount] | None = None,
+    outcomes: tuple[peer_data.OutcomeReport, ...] = (),
 ) -> peer_data.Heartbeat:
     """Returns a heartbeat of a host."""
     return peer_data.Heartbeat(
@@ -203,4 +204,5 @@
         follower_ages_ms=followers or {},
         upstreams=upstreams,
         live_counts=live_counts or {},
+        outcomes=outcomes,
     )
--- a/packages/wire/idl/peers.thrift
+++ b/packages/wire/idl/peers.thrift
@@ -22,6 +22,12 @@
   15: optional list<string> data_centres,
   16: optional list<i32> live_hosts,
   17: optional list<i32> live_host_ages_ms,
+  // What became of the sender's requests at upstreams that may do badly.
+  20: optional list<i64> outcome_tags,
+  21: optional list<i32> ended_well,
+  22: optional list<i32> ended_badly,    // Those that hang included.
+  23: optional list<i32> answered,       // Those whose response time is known.
+  24: optional list<i32> time_percents,  // Mean time, of what is usual.
 }
 
 struct ItemRecord {
--- a/packages/wire/sapphire_wire/gen/peers/ttypes.py
+++ b/packages/wire/sapphire_wire/gen/peers/ttypes.py
@@ -36,11 +36,16 @@
      - data_centres
      - live_hosts
      - live_host_ages_ms
+     - outcome_tags
+     - ended_well
+     - ended_badly
+     - answered
+     - time_percents
 
     """
 
 
-    def __init__(self, host=None, data_centre=None, address=None, port=None, start_id=None, sequence=None, is_leaving=None, revisions=None, store_failed_ms=None, followers=None, follower_ages_ms=None, upstream_tags=None, busy=None, silent_ms=None, data_centres=None, live_hosts=None, live_host_ages_ms=None,):
+    def __init__(self, host=None, data_centre=None, address=None, port=None, start_id=None, sequence=None, is_leaving=None, revisions=None, store_failed_ms=None, followers=None, follower_ages_ms=None, upstream_tags=None, busy=None, silent_ms=None, data_centres=None, live_hosts=None, live_host_ages_ms=None, outcome_tags=None, ended_well=None, ended_badly=None, answered=None, time_percents=None,):
         self.host = host
         self.data_centre = data_centre
         self.address = address
@@ -58,6 +63,11 @@
         self.data_centres = data_centres
         self.live_hosts = live_hosts
         self.live_host_ages_ms = live_host_ages_ms
+        self.outcome_tags = outcome_tags
+        self.ended_well = ended_well
+        self.ended_badly = ended_badly
+        self.answered = answered
+        self.time_percents = time_percents
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -198,6 +208,56 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.LIST:
+                    self.outcome_tags = []
+                    (_etype57, _size54) = iprot.readListBegin()
+                    for _i58 in range(_size54):
+                        _elem59 = iprot.readI64()
+                        self.outcome_tags.append(_elem59)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 21:
+                if ftype == TType.LIST:
+                    self.ended_well = []
+                    (_etype63, _size60) = iprot.readListBegin()
+                    for _i64 in range(_size60):
+                        _elem65 = iprot.readI32()
+                        self.ended_well.append(_elem65)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 22:
+                if ftype == TType.LIST:
+                    self.ended_badly = []
+                    (_etype69, _size66) = iprot.readListBegin()
+                    for _i70 in range(_size66):
+                        _elem71 = iprot.readI32()
+                        self.ended_badly.append(_elem71)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 23:
+                if ftype == TType.LIST:
+                    self.answered = []
+                    (_etype75, _size72) = iprot.readListBegin()
+                    for _i76 in range(_size72):
+                        _elem77 = iprot.readI32()
+                        self.answered.append(_elem77)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 24:
+                if ftype == TType.LIST:
+                    self.time_percents = []
+                    (_etype81, _size78) = iprot.readListBegin()
+                    for _i82 in range(_size78):
+                        _elem83 = iprot.readI32()
+                        self.time_percents.append(_elem83)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -239,8 +299,8 @@
         if self.revisions is not None:
             oprot.writeFieldBegin('revisions', TType.LIST, 8)
             oprot.writeListBegin(TType.I64, len(self.revisions))
-            for iter54 in self.revisions:
-                oprot.writeI64(iter54)
+            for iter84 in self.revisions:
+                oprot.writeI64(iter84)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.store_failed_ms is not None:
@@ -250,57 +310,92 @@
         if self.followers is not None:
             oprot.writeFieldBegin('followers', TType.LIST, 10)
             oprot.writeListBegin(TType.STRING, len(self.followers))
-            for iter55 in self.followers:
-                oprot.writeString(iter55.encode('utf-8') if sys.version_info[0] == 2 else iter55)
+            for iter85 in self.followers:
+                oprot.writeString(iter85.encode('utf-8') if sys.version_info[0] == 2 else iter85)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.follower_ages_ms is not None:
             oprot.writeFieldBegin('follower_ages_ms', TType.LIST, 11)
             oprot.writeListBegin(TType.I32, len(self.follower_ages_ms))
-            for iter56 in self.follower_ages_ms:
-                oprot.writeI32(iter56)
+            for iter86 in self.follower_ages_ms:
+                oprot.writeI32(iter86)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.upstream_tags is not None:
             oprot.writeFieldBegin('upstream_tags', TType.LIST, 12)
             oprot.writeListBegin(TType.I64, len(self.upstream_tags))
-            for iter57 in self.upstream_tags:
-                oprot.writeI64(iter57)
+            for iter87 in self.upstream_tags:
+                oprot.writeI64(iter87)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.busy is not None:
             oprot.writeFieldBegin('busy', TType.LIST, 13)
             oprot.writeListBegin(TType.I32, len(self.busy))
-            for iter58 in self.busy:
-                oprot.writeI32(iter58)
+            for iter88 in self.busy:
+                oprot.writeI32(iter88)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.silent_ms is not None:
             oprot.writeFieldBegin('silent_ms', TType.LIST, 14)
             oprot.writeListBegin(TType.I32, len(self.silent_ms))
-            for iter59 in self.silent_ms:
-                oprot.writeI32(iter59)
+            for iter89 in self.silent_ms:
+                oprot.writeI32(iter89)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.data_centres is not None:
             oprot.writeFieldBegin('data_centres', TType.LIST, 15)
             oprot.writeListBegin(TType.STRING, len(self.data_centres))
-            for iter60 in self.data_centres:
-                oprot.writeString(iter60.encode('utf-8') if sys.version_info[0] == 2 else iter60)
+            for iter90 in self.data_centres:
+                oprot.writeString(iter90.encode('utf-8') if sys.version_info[0] == 2 else iter90)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.live_hosts is not None:
             oprot.writeFieldBegin('live_hosts', TType.LIST, 16)
             oprot.writeListBegin(TType.I32, len(self.live_hosts))
-            for iter61 in self.live_hosts:
-                oprot.writeI32(iter61)
+            for iter91 in self.live_hosts:
+                oprot.writeI32(iter91)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.live_host_ages_ms is not None:
             oprot.writeFieldBegin('live_host_ages_ms', TType.LIST, 17)
             oprot.writeListBegin(TType.I32, len(self.live_host_ages_ms))
-            for iter62 in self.live_host_ages_ms:
-                oprot.writeI32(iter62)
+            for iter92 in self.live_host_ages_ms:
+                oprot.writeI32(iter92)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.outcome_tags is not None:
+            oprot.writeFieldBegin('outcome_tags', TType.LIST, 20)
+            oprot.writeListBegin(TType.I64, len(self.outcome_tags))
+            for iter93 in self.outcome_tags:
+                oprot.writeI64(iter93)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.ended_well is not None:
+            oprot.writeFieldBegin('ended_well', TType.LIST, 21)
+            oprot.writeListBegin(TType.I32, len(self.ended_well))
+            for iter94 in self.ended_well:
+                oprot.writeI32(iter94)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.ended_badly is not None:
+            oprot.writeFieldBegin('ended_badly', TType.LIST, 22)
+            oprot.writeListBegin(TType.I32, len(self.ended_badly))
+            for iter95 in self.ended_badly:
+                oprot.writeI32(iter95)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.answered is not None:
+            oprot.writeFieldBegin('answered', TType.LIST, 23)
+            oprot.writeListBegin(TType.I32, len(self.answered))
+            for iter96 in self.answered:
+                oprot.writeI32(iter96)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.time_percents is not None:
+            oprot.writeFieldBegin('time_percents', TType.LIST, 24)
+            oprot.writeListBegin(TType.I32, len(self.time_percents))
+            for iter97 in self.time_percents:
+                oprot.writeI32(iter97)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -459,11 +554,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.items = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = ItemRecord()
-                        _elem68.read(iprot)
-                        self.items.append(_elem68)
+                    (_etype101, _size98) = iprot.readListBegin()
+                    for _i102 in range(_size98):
+                        _elem103 = ItemRecord()
+                        _elem103.read(iprot)
+                        self.items.append(_elem103)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -490,8 +585,8 @@
         if self.items is not None:
             oprot.writeFieldBegin('items', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.items))
-            for iter69 in self.items:
-                iter69.write(oprot)
+            for iter104 in self.items:
+                iter104.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.as_of is not None:
@@ -642,6 +737,13 @@
     (15, TType.LIST, 'data_centres', (TType.STRING, 'UTF8', False), None, ),  # 15
     (16, TType.LIST, 'live_hosts', (TType.I32, None, False), None, ),  # 16
     (17, TType.LIST, 'live_host_ages_ms', (TType.I32, None, False), None, ),  # 17
+    None,  # 18
+    None,  # 19
+    (20, TType.LIST, 'outcome_tags', (TType.I64, None, False), None, ),  # 20
+    (21, TType.LIST, 'ended_well', (TType.I32, None, False), None, ),  # 21
+    (22, TType.LIST, 'ended_badly', (TType.I32, None, False), None, ),  # 22
+    (23, TType.LIST, 'answered', (TType.I32, None, False), None, ),  # 23
+    (24, TType.LIST, 'time_percents', (TType.I32, None, False), None, ),  # 24
 )
 all_structs.append(ItemRecord)
 ItemRecord.thrift_spec = (
--- a/packages/wire/sapphire_wire/peer_messages.py
+++ b/packages/wire/sapphire_wire/peer_messages.py
@@ -1,11 +1,13 @@
 """Encodes and decodes the messages between entry hosts as thrift records."""
 
+import dataclasses
 import socket
 import zlib
 
 from sapphire_core.peers import data
 from sapphire_core.replication import data as replication_data
 from sapphire_data import failures
+from sapphire_wire import outcome_lists
 from sapphire_wire import thrift_codec
 from sapphire_wire.gen.peers import ttypes
 
@@ -25,6 +27,7 @@
     """Returns the datagram that carries a heartbeat."""
     contact = heartbeat.contact
     failed_ms = heartbeat.store_failed_ms
+    outcomes = outcome_lists.encode(heartbeat.outcomes)
     return thrift_codec.encode(
         ttypes.Beat(
             host=contact.host,
@@ -57,6 +60,7 @@
             live_host_ages_ms=[
                 _limit(each.age_ms) for each in heartbeat.live_counts.values()
             ],
+            **({} if outcomes is None else dataclasses.asdict(outcomes)),
         )
     )
 
@@ -118,6 +122,11 @@
     contact = _to_contact(record)
     if isinstance(contact, failures.UnreadableInput):
         return contact
+    outcomes = outcome_lists.decode(record)
+    left_out = ""
+    if isinstance(outcomes, failures.UnreadableInput):
+        left_out = outcomes.problem
+        outcomes = ()
     failed_ms = record.store_failed_ms
     reports = zip(
         record.upstream_tags, record.busy, record.silent_ms, strict=True
@@ -136,6 +145,8 @@
             for tag, busy, silent_ms in reports
         ),
         live_counts=live_counts,
+        outcomes=outcomes,
+        left_out=left_out,
     )
 
 
--- a/packages/wire/sapphire_wire/peer_messages_test.py
+++ b/packages/wire/sapphire_wire/peer_messages_test.py
@@ -7,6 +7,7 @@
 from sapphire_core.replication import data as replication_data
 from sapphire_data import failures
 from sapphire_lab.tagged_flows import builders
+from sapphire_lab.tagged_flows import outcome_builders
 from sapphire_wire import peer_messages
 from sapphire_wire import thrift_codec
 from sapphire_wire.gen.peers import ttypes
@@ -18,6 +19,10 @@
     store_failed_ms=1_200,
     followers={"edge-1": 0, "edge-2": 340},
     upstreams=(data.UpstreamReport(4_294_967_295, 2.25, 300),),
+    outcomes=(
+        outcome_builders.report(4_294_967_295, 2, 3, time_ratio=4.25),
+        outcome_builders.report(17, 0, 1),
+    ),
 )
 
 
