Outlier ejection: fewer new flows where requests end badly

Upstreams that answer and then fail, reject, hang, reset, fall mute or are slow got as much work as sound ones, and one that rejects at once looked idle. Each host now judges upstreams by the counts of its data centre: an outlier has a share of bad ends 0.15 above the median of its service, less a standard error and without the peer that reports most against it, or takes twice the usual time. It counts as having up to 16 requests more in flight for 4 s, then a fifth of the new flows tries it for 2 s; 8, 16 and 32 s if it fails again. At most half of a service, nothing where most do badly, and only while the rest has slots for what is in flight. Open flows are left alone.

Ruled out: reports of other data centres (an upstream may fail one only), and forgetting requests in flight while a host leaves (no hang would ever count).

--- a/packages/core/sapphire_core/tagged_flows/open_flows.py
+++ b/packages/core/sapphire_core/tagged_flows/open_flows.py
@@ -11,6 +11,7 @@
 from sapphire_core.tagged_flows import deferred_flows
 from sapphire_core.tagged_flows import flow_table as flow_table_lib
 from sapphire_core.tagged_flows import half_open_flows
+from sapphire_core.tagged_flows import request_outcomes
 from sapphire_core.tagged_flows import upstream_selector
 from sapphire_core.tagged_flows import upstream_table as upstream_table_lib
 
@@ -25,6 +26,7 @@
         deferred: The flows held until an upstream has a free slot.
         selector: Learns from answers that upstreams respond.
         answer_timeout: Learns how long upstreams take to answer.
+        outcomes: Learns what became of requests.
         decisions: Gets each decision that changes the state of a flow.
     """
 
@@ -37,6 +39,7 @@
         deferred: deferred_flows.DeferredFlows,
         selector: upstream_selector.UpstreamSelector,
         answer_timeout: answer_timeout_lib.AnswerTimeout,
+        outcomes: request_outcomes.RequestOutcomes,
         decisions: decisions_lib.DecisionReporter,
     ) -> None:
         self._upstream_table = upstream_table
@@ -45,6 +48,7 @@
         self._deferred = deferred
         self._selector = selector
         self._answer_timeout = answer_timeout
+        self._outcomes = outcomes
         self._decisions = decisions
 
     def handle(self, packet: data.Packet, now_ms: int) -> data.Action:
@@ -70,6 +74,7 @@
             )
             return data.Drop(packet, data.Verdict.UNKNOWN_TAG)
         self._flow_table.observe(packet, record, now_ms)
+        self._outcomes.observe(packet, record.entry, now_ms)
         entry = record.entry
         if packet.is_reset or (packet.is_closing and not record.is_closed):
             record.is_closed = True
--- a/packages/core/sapphire_core/tagged_flows/selection_policy.py
+++ b/packages/core/sapphire_core/tagged_flows/selection_policy.py
@@ -22,12 +22,15 @@
         consecutive_unanswered: How many opening packets in a row it left
             unanswered; 0 if it is not avoided for that.
         is_cold: Whether it is in slow start; its cold rate allows the flow.
+        penalty: By how many in-flight requests it does worse than the others
+            of its service.
     """
 
     entry: upstream_table.Entry
     in_flight: float
     consecutive_unanswered: int
     is_cold: bool
+    penalty: float = 0.0
 
 
 def select(
@@ -87,7 +90,8 @@
     best_cost = float("inf")
     for candidate in group:
         upstream = candidate.entry.upstream
-        cost = (candidate.in_flight + 1) / max(upstream.slots, 1)
+        load = candidate.in_flight + 1 + candidate.penalty
+        cost = load / max(upstream.slots, 1)
         if upstream.data_centre != data_centre:
             cost += REMOTE_COST
         cost += rng.random() * 0.01
--- a/packages/core/sapphire_core/tagged_flows/selection_policy_test.py
+++ b/packages/core/sapphire_core/tagged_flows/selection_policy_test.py
@@ -18,11 +18,12 @@
     consecutive_unanswered: int = 0,
     is_cold: bool = False,
     slots: int = 3,
+    penalty: float = 0.0,
 ) -> selection_policy.Candidate:
     upstream = builders.upstream(name, data_centre=data_centre, slots=slots)
     entry = upstream_table.Entry(upstream, 5, 1, 0)
     return selection_policy.Candidate(
-        entry, in_flight, consecutive_unanswered, is_cold
+        entry, in_flight, consecutive_unanswered, is_cold, penalty
     )
 
 
@@ -70,6 +71,12 @@
         local = candidate("i-1", in_flight=3)
         self.assertEqual("i-2", self.select(local, remote))
 
+    def test_a_penalty_counts_like_requests_in_flight(self) -> None:
+        ejected = candidate("i-1", penalty=6.0)
+        self.assertEqual("i-2", self.select(ejected, candidate("i-2")))
+        full = candidate("i-2", in_flight=7)
+        self.assertEqual("i-1", self.select(ejected, full))
+
     def test_equally_loaded_upstreams_share_the_flows(self) -> None:
         names = [f"i-{number}" for number in range(4)]
         selected = collections.Counter(
--- a/packages/core/sapphire_core/tagged_flows/steering.py
+++ b/packages/core/sapphire_core/tagged_flows/steering.py
@@ -12,6 +12,7 @@
 from sapphire_core.tagged_flows import answer_timeout as answer_timeout_lib
 from sapphire_core.tagged_flows import data
 from sapphire_core.tagged_flows import decisions as decisions_lib
+from sapphire_core.tagged_flows import ejection_control
 from sapphire_core.tagged_flows import flow_table
 from sapphire_core.tagged_flows import half_open_flows
 from sapphire_core.tagged_flows import open_flows
@@ -31,6 +32,7 @@
         upstream_table: The upstreams known to this host.
         flow_table: The records of open flows.
         selector: Selects upstreams, from their load and health.
+        ejection_control: Ejects upstreams by what became of requests there.
 
     Args:
         data_centre: The data centre of this host.
@@ -54,6 +56,9 @@
         self.selector = upstream_selector.UpstreamSelector(
             data_centre, rng, self.upstream_table, self.flow_table, half_open
         )
+        self.ejection_control = ejection_control.EjectionControl(
+            self.upstream_table, self.selector.ejection, self.selector.in_flight
+        )
         self._openings = openings.Openings(
             routing=self._routing,
             flow_table=self.flow_table,
@@ -69,6 +74,7 @@
             deferred=self._openings.deferred,
             selector=self.selector,
             answer_timeout=answer_timeout,
+            outcomes=self.ejection_control.outcomes,
             decisions=decisions,
         )
         # When `sweep` was last called; None before the first call.
@@ -139,6 +145,7 @@
             return
         self._openings.half_open.extend_timeouts(stall_ms)
         self.flow_table.extend_timeouts(stall_ms)
+        self.ejection_control.outcomes.forget_requests()
         self._last_sweep_ms = now_ms
         self._openings.record_running(now_ms)
 
@@ -204,5 +211,6 @@
         if self.configuration is not None:
             idle_timeout_ms = self.configuration.idle_timeout_ms
         self.flow_table.evict_expired(now_ms, idle_timeout_ms)
+        self.ejection_control.outcomes.sweep(now_ms)
         for upstream_id in self.upstream_table.evict_expired(now_ms):
             self.selector.discard(upstream_id)
--- a/packages/core/sapphire_core/tagged_flows/upstream_selector.py
+++ b/packages/core/sapphire_core/tagged_flows/upstream_selector.py
@@ -11,6 +11,7 @@
 from sapphire_core.tagged_flows import data
 from sapphire_core.tagged_flows import flow_table as flow_table_lib
 from sapphire_core.tagged_flows import half_open_flows as half_open_flows_lib
+from sapphire_core.tagged_flows import outlier_ejection
 from sapphire_core.tagged_flows import passive_health
 from sapphire_core.tagged_flows import selection_policy
 from sapphire_core.tagged_flows import slow_start_pacer
@@ -29,6 +30,7 @@
     """Selects upstreams for new flows.
 
     Attributes:
+        ejection: Which upstreams do worse than others of their service.
         has_urgent_report: Whether peers are to get the upstream reports at
             once, since this host has begun to avoid an upstream; the code that
             sends the reports resets it.
@@ -63,6 +65,7 @@
         self._host_count = INITIAL_HOST_COUNT
         # How many hosts share the slots of a service, as far as is known.
         self._known_host_count = INITIAL_HOST_COUNT
+        self.ejection = outlier_ejection.OutlierEjection()
         self.has_urgent_report = False
 
     def apply_peer_reports(
@@ -190,6 +193,9 @@
                     self._draw_in_flight(entry, now_ms),
                     unanswered_openings,
                     is_cold,
+                    self.ejection.penalty(
+                        entry.upstream.upstream_id, self._rng, now_ms
+                    ),
                 )
             )
         selected = selection_policy.select(
@@ -280,6 +286,7 @@
         return tuple(reports[-MAX_REPORTS:])
 
     def discard(self, upstream_id: str) -> None:
-        """Discards the health and the pacing of an upstream that has gone."""
+        """Discards what is kept of an upstream that has gone."""
+        self.ejection.discard(upstream_id)
         self._passive_health.discard(upstream_id)
         self._slow_start_pacer.discard(upstream_id)
--- a/packages/node/sapphire_node/entry/messages.py
+++ b/packages/node/sapphire_node/entry/messages.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from sapphire_core.peers import data as peer_data
+from sapphire_core.peers import outcome_reports
 from sapphire_core.replication import data as replication_data
 from sapphire_core.tagged_flows import data as flow_data
 
@@ -97,10 +98,12 @@
     Attributes:
         reports: A report of each upstream that has in-flight requests of this
             host or that it avoids as unresponsive.
+        outcomes: What became of requests at upstreams that may do badly.
         is_urgent: Whether an upstream has just become unresponsive.
     """
 
     reports: tuple[peer_data.UpstreamReport, ...]
+    outcomes: tuple[peer_data.OutcomeReport, ...]
     is_urgent: bool
 
 
@@ -117,9 +120,12 @@
         host_count: How many hosts there may be, this one included.
         has_membership_changed: Whether a host of this data centre has joined
             or is leaving, so that the fabric moves flows between hosts.
+        evidence_by_tag: What became of requests at upstreams that may do
+            badly, as the peers of this data centre report it, by tag.
     """
 
     in_flight_by_tag: Mapping[int, float]
     avoid_ms_by_tag: Mapping[int, int]
     host_count: int
     has_membership_changed: bool
+    evidence_by_tag: Mapping[int, outcome_reports.Evidence]
--- a/packages/node/sapphire_node/entry/packet_task.py
+++ b/packages/node/sapphire_node/entry/packet_task.py
@@ -163,10 +163,7 @@
                 self._send_action(action)
             if self._steering.selector.has_urgent_report:
                 self._steering.selector.has_urgent_report = False
-                reports = self._steering.selector.upstream_reports(now_ms)
-                await self._reports.send(
-                    messages.OwnUpstreamReports(reports, is_urgent=True)
-                )
+                await self._send_own_reports(now_ms, is_urgent=True)
             if now_ms - last_sweep_ms >= SWEEP_INTERVAL_MS:
                 last_sweep_ms = now_ms
                 self._steering.sweep(now_ms)
@@ -195,16 +192,51 @@
                 )
                 if message.has_membership_changed:
                     self._steering.record_membership_change(now_ms)
-                reports = self._steering.selector.upstream_reports(now_ms)
-                await self._reports.send(
-                    messages.OwnUpstreamReports(reports, is_urgent=False)
-                )
+                self._judge_upstreams(message, now_ms)
+                await self._send_own_reports(now_ms, is_urgent=False)
                 continue
             for versioned_change in message.changes:
                 self._apply_change(versioned_change, message, now_ms)
             self._known_scopes.add(message.scope)
             self._update_readiness(now_ms)
 
+    async def _send_own_reports(self, now_ms: int, *, is_urgent: bool) -> None:
+        """Sends what this host has observed of upstreams to its peer task."""
+        await self._reports.send(
+            messages.OwnUpstreamReports(
+                self._steering.selector.upstream_reports(now_ms),
+                self._steering.ejection_control.own_reports,
+                is_urgent,
+            )
+        )
+
+    def _judge_upstreams(
+        self, message: messages.PeerReports, now_ms: int
+    ) -> None:
+        """Ejects upstreams that do badly, and logs and counts what changed."""
+        for change in self._steering.ejection_control.update(
+            message.evidence_by_tag, now_ms
+        ):
+            event = "upstream_ejected" if change.is_ejected else "upstream_back"
+            self._state.counts[event] += 1
+            assessment = change.assessment
+            event_log.log(
+                _LOG,
+                logging.INFO,
+                event,
+                upstream=change.upstream_id,
+                service=change.service,
+                well=assessment.well,
+                badly=assessment.badly,
+                hosts=assessment.hosts,
+                failing_share=round(assessment.failing_share, 2),
+                slowness=round(assessment.slowness, 1),
+                penalty=round(assessment.penalty, 1),
+                oldest_ms=assessment.oldest_ms,
+                ejected_ms=change.ejected_ms,
+                repeats=change.repeats,
+            )
+
     def _apply_change(
         self,
         versioned_change: messages.ChangeAtRevision,
--- a/packages/node/sapphire_node/entry/packet_task_test.py
+++ b/packages/node/sapphire_node/entry/packet_task_test.py
@@ -5,9 +5,12 @@
 from sapphire_core.tagged_flows import answer_timeout
 from sapphire_core.tagged_flows import data
 from sapphire_core.tagged_flows import openings
+from sapphire_core.tagged_flows import outlier_ejection
+from sapphire_core.tagged_flows import tags
 from sapphire_data import clock as clock_lib
 from sapphire_lab.tagged_flows import builders
 from sapphire_lab.tagged_flows import host_builders
+from sapphire_lab.tagged_flows import outcome_builders
 from sapphire_net import datagrams
 from sapphire_node.entry import messages
 from sapphire_node.entry import packet_task
@@ -161,6 +164,29 @@
         actions = self.task._steering.tick(self.clock.now_ms())
         self.assertEqual(1, len(actions))
 
+    def test_an_upstream_that_fails_elsewhere_is_ejected(self) -> None:
+        self.apply_upstream()
+        self.apply_configuration()
+        for name in ("i-2", "i-3"):
+            self.apply_changes(
+                replication_data.Scope.REGISTRY,
+                data.UpstreamChange(builders.upstream(name)),
+            )
+        failing = outcome_builders.evidence(*[(0, 2)] * 4)
+        reports = messages.PeerReports(
+            {}, {}, 5, False, {tags.tag_of("i-1"): failing}
+        )
+
+        async def judge() -> None:
+            await self.changes.send(reports)
+            with anyio.move_on_after(0.05):
+                await self.task._apply_messages()
+
+        for expected in (0, 1):
+            anyio.run(judge)
+            self.assertEqual(expected, self.state.counts["upstream_ejected"])
+            self.clock.advance(outlier_ejection.SETTLING_MS)
+
     def test_unreadable_packets_are_counted(self) -> None:
         self.task._handle_datagram(b"noise")
         self.assertEqual(1, self.state.counts["unreadable_packets"])
--- a/packages/node/sapphire_node/entry/peer_task.py
+++ b/packages/node/sapphire_node/entry/peer_task.py
@@ -14,6 +14,7 @@
 import anyio.streams.memory
 
 from sapphire_core.peers import data as peer_data
+from sapphire_core.peers import outcome_reports
 from sapphire_core.peers import peer_table as peer_table_lib
 from sapphire_core.peers import pull_sources
 from sapphire_core.peers import upstream_reports
@@ -95,6 +96,7 @@
         self._last_remote_heartbeat_ms = 0
         self._has_membership_changed = False
         self._upstream_reports: tuple[peer_data.UpstreamReport, ...] = ()
+        self._outcomes: tuple[peer_data.OutcomeReport, ...] = ()
         self._listed_hosts: frozenset[str] = frozenset()
         self._puller = change_puller.ChangePuller(
             state,
@@ -127,6 +129,7 @@
         async for message in self._inbox:
             if isinstance(message, messages.OwnUpstreamReports):
                 self._upstream_reports = message.reports
+                self._outcomes = message.outcomes
                 if message.is_urgent:
                     self._send_heartbeat(self._peer_table.near_targets())
             elif isinstance(message, messages.HostListChanged):
@@ -234,6 +237,7 @@
                 self._unresponsive_reports.avoid_ms_by_tag(now_ms),
                 self._peer_table.host_count(now_ms),
                 has_membership_changed,
+                outcome_reports.evidence_of_peers(received),
             )
         )
 
@@ -274,6 +278,7 @@
                 ),
                 upstreams=reports,
                 live_counts=self._peer_table.live_counts(now_ms),
+                outcomes=self._outcomes,
             )
         )
 
@@ -317,6 +322,15 @@
             self._state.counts["unreadable_beats"] += 1
             event_log.log_failure(_LOG, "beat_ignored", heartbeat)
             return
+        if heartbeat.left_out:
+            self._state.counts["beat_parts_left_out"] += 1
+            event_log.log(
+                _LOG,
+                logging.INFO,
+                "beat_part_left_out",
+                peer=heartbeat.contact.host,
+                problem=heartbeat.left_out,
+            )
         now_ms = self._clock.now_ms()
         if self._peer_table.record_heartbeat(heartbeat, now_ms):
             self._handle_new_peer(heartbeat, now_ms)
--- a/packages/node/sapphire_node/entry/peer_task_test.py
+++ b/packages/node/sapphire_node/entry/peer_task_test.py
@@ -8,6 +8,7 @@
 from sapphire_data import clock as clock_lib
 from sapphire_lab.tagged_flows import builders
 from sapphire_lab.tagged_flows import host_builders
+from sapphire_lab.tagged_flows import outcome_builders
 from sapphire_net import datagrams
 from sapphire_node.entry import messages
 from sapphire_node.entry import peer_task
@@ -82,6 +83,16 @@
         self.task._handle_datagram(b"noise")
         self.assertEqual(1, self.state.counts["unreadable_beats"])
 
+    def test_malformed_outcomes_take_nothing_else_with_them(self) -> None:
+        heartbeat = builders.heartbeat(
+            "edge-2",
+            is_leaving=True,
+            outcomes=(outcome_builders.report(5, -1, 2),),
+        )
+        self.task._handle_datagram(peer_messages.encode_heartbeat(heartbeat))
+        self.assertEqual(1, self.state.counts["beat_parts_left_out"])
+        self.assertTrue(self.state.is_near_host_away)
+
     def received(self) -> list[peer_data.Heartbeat]:
         """Returns the heartbeats that the peer has received so far."""
         found: list[peer_data.Heartbeat] = []
