A peer's report of load counts for four times the median at most

Cause: a host that reports load without end, or below zero, moved all new flows of its data centre. Change: what a peer reports of all upstreams together is scaled down to four times the median of all peers; negative load counts as none.

--- a/packages/core/sapphire_core/peers/upstream_reports.py
+++ b/packages/core/sapphire_core/peers/upstream_reports.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from collections.abc import Mapping
+from collections.abc import Sequence
 import dataclasses
 
 from sapphire_core.peers import data
@@ -9,6 +10,12 @@
 # A report of load counts in full up to this age, then less and less.
 FULL_WEIGHT_AGE_MS = 1_000
 MAX_REPORT_AGE_MS = 2_500
+# A peer counts for at most this number of times the median of all peers. The
+# fabric spreads flows over hosts by a hash, so a sound host has seldom twice
+# the median; one that reports without limit has the share of a few hosts.
+MAX_TIMES_MEDIAN = 4
+# The load that a peer may always report, where the median is near zero.
+MIN_LOAD_LIMIT = 1.0
 # How long an upstream is avoided on one report; the host that observes it
 # renews its report with each heartbeat.
 MAX_AVOID_MS = 600
@@ -41,24 +48,27 @@
     """Returns the average in-flight requests of all peers, by upstream tag.
 
     Old reports count less. For near peers without a recent report, the mean of
-    the others is assumed; they get as many flows from the fabric.
+    the others is assumed; they get as many flows from the fabric. What a peer
+    reports of all upstreams together is bounded by what the others report.
 
     Args:
         received: The last heartbeat of each live peer.
         near_peer_count: The number of peers in the same data centre.
     """
+    fresh = [each for each in received if _weight(each.age_ms) > 0.0]
+    loads = [_reported_load(each.heartbeat) for each in fresh]
+    limit = _load_limit(loads)
     near_by_tag: dict[int, float] = {}
     remote_by_tag: dict[int, float] = {}
     reporting_near_peers = 0
-    for each in received:
-        weight = _weight(each.age_ms)
-        if weight == 0.0:
-            continue
+    for each, load in zip(fresh, loads, strict=True):
         reporting_near_peers += each.is_near
+        weight = _weight(each.age_ms) * limit / max(load, limit)
         by_tag = near_by_tag if each.is_near else remote_by_tag
         for report in each.heartbeat.upstreams:
-            known = by_tag.get(report.tag, 0.0)
-            by_tag[report.tag] = known + report.busy * weight
+            if report.busy > 0.0:
+                known = by_tag.get(report.tag, 0.0)
+                by_tag[report.tag] = known + report.busy * weight
     scale = max(1.0, near_peer_count / max(reporting_near_peers, 1))
     total_by_tag = remote_by_tag
     for tag, in_flight in near_by_tag.items():
@@ -67,6 +77,24 @@
     return total_by_tag
 
 
+def _load_limit(loads: Sequence[float]) -> float:
+    """Returns the load of all upstreams for which one peer counts at most.
+
+    Args:
+        loads: What each peer reports.
+    """
+    if not loads:
+        return MIN_LOAD_LIMIT
+    # Of two peers the one with less load, so that it bounds the other.
+    median = sorted(loads)[(len(loads) - 1) // 2]
+    return max(MIN_LOAD_LIMIT, MAX_TIMES_MEDIAN * median)
+
+
+def _reported_load(heartbeat: data.Heartbeat) -> float:
+    """Returns what a peer reports of all upstreams together."""
+    return sum([each.busy for each in heartbeat.upstreams if each.busy > 0.0])
+
+
 def _weight(age_ms: int) -> float:
     """Returns how much a report of load counts, from 1 to 0."""
     if age_ms <= FULL_WEIGHT_AGE_MS:
--- a/packages/core/sapphire_core/peers/upstream_reports_test.py
+++ b/packages/core/sapphire_core/peers/upstream_reports_test.py
@@ -48,6 +48,21 @@
                 expected, upstream_reports.total_in_flight(reports, 1)
             )
 
+    def test_endless_load_counts_as_that_of_a_few_peers(self) -> None:
+        """A peer that reports load without limit, and one that claims none."""
+        reports = [
+            received(f"h{n}", data.UpstreamReport(TAG, 2.0, 0), near=True)
+            for n in range(9)
+        ]
+        forged = [
+            received("h9", data.UpstreamReport(8, 1e6, 0), near=True),
+            received("h10", data.UpstreamReport(TAG, -1e6, 0), near=True),
+        ]
+        total = upstream_reports.total_in_flight([*reports, *forged], 11)
+        self.assertEqual(
+            {TAG: 18.0, 8: 2.0 * upstream_reports.MAX_TIMES_MEDIAN}, total
+        )
+
 
 class UnresponsiveReportsTest(testtools.TestCase):
     def setUp(self) -> None:
