Requests: odd targets and copies of answers reach no other request

Cause: (1) a target that is no path ('OPTIONS *', a whole URL) made httpx raise InvalidURL in the task of the attempt, which ended all tasks: one request of any caller ended the daemon. (2) On a connection of an upstream that does not name the attempt in its answers, a second copy of an answer that came late, when the connection was in use again, was returned to the next caller.

Change: such targets are refused with 400. An unforeseen error of an attempt or of a call to the claim store ends that attempt or call, is logged, and counts as 'may have run'. Connections are kept open only to upstreams whose last answer named its attempt; an answer there that names none is a mismatch. Others get 'Connection: close': one connection more for the first request to an upstream, and one a request to upstreams that never name it.

Result: on the code of before, the test of copies fails with another caller's answer, the test of targets hangs, and a daemon that gets 'OPTIONS *' ends; all pass now, as does a table of eight odd requests at both HTTP ports of a daemon.

--- a/packages/lab/sapphire_lab/stand_ins/request_upstream.py
+++ b/packages/lab/sapphire_lab/stand_ins/request_upstream.py
@@ -30,6 +30,9 @@
     NO_LENGTH: The response has no header fields but the one that says that
         the connection closes.
     DUPLICATE: The response is sent twice.
+    LATE_DUPLICATE: The response is sent again once the next request on the
+        connection has arrived, before the response to that.
+    LATE_DUPLICATE_NO_REQUEST_ID: The same, and it names no attempt.
     NO_RESPONSE: The run lasts for an hour.
     PLAIN_503: The request runs, and the response has status 503 without the
         field `retry-after`.
@@ -44,10 +47,15 @@
     NO_REQUEST_ID = "no-echo"
     NO_LENGTH = "no-length"
     DUPLICATE = "duplicate"
+    LATE_DUPLICATE = "late-duplicate"
+    LATE_DUPLICATE_NO_REQUEST_ID = "late-duplicate-no-echo"
     NO_RESPONSE = "silent"
     PLAIN_503 = "plain-503"
 
 
+LATE_COPIES = (Fault.LATE_DUPLICATE, Fault.LATE_DUPLICATE_NO_REQUEST_ID)
+
+
 @dataclasses.dataclass(slots=True)
 class FakeRequestUpstream:
     """A fake upstream with its settings and counters.
@@ -68,6 +76,8 @@
         port: The TCP port; 0 for a free one, which `serve` stores here.
         address: The IP address to listen on.
         received_headers: The header fields of each request.
+        late_copies_by_stream: The responses that are still to be sent again, by
+            the stream of their connection.
     """
 
     slots: int = 3
@@ -89,6 +99,9 @@
     received_headers: list[dict[str, str]] = dataclasses.field(
         default_factory=list
     )
+    late_copies_by_stream: dict[anyio.abc.SocketStream, bytes] = (
+        dataclasses.field(default_factory=dict)
+    )
 
     async def serve(
         self,
@@ -141,6 +154,9 @@
             await self._send_health(connection, stream)
             return connection.our_state is h11.DONE
         self.received_headers.append(headers)
+        late_copy = self.late_copies_by_stream.pop(stream, None)
+        if late_copy is not None:
+            await stream.send(late_copy)
         fault = self.faults.popleft() if self.faults else Fault.NONE
         if fault is Fault.CLOSE_BEFORE_RUN:
             return False
@@ -237,7 +253,7 @@
     ) -> None:
         if fault is Fault.WRONG_REQUEST_ID:
             id_fields = [("x-request-id", "another-1"), id_fields[1]]
-        if fault is Fault.NO_REQUEST_ID:
+        if fault in (Fault.NO_REQUEST_ID, Fault.LATE_DUPLICATE_NO_REQUEST_ID):
             id_fields = id_fields[1:]
         if fault is Fault.NO_LENGTH:
             head = b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n"
@@ -257,6 +273,8 @@
         )
         if fault is Fault.DUPLICATE:
             await stream.send(sent)
+        if fault in LATE_COPIES:
+            self.late_copies_by_stream[stream] = sent
 
     async def _send(
         self,
--- a/packages/node/sapphire_node/daemon_test.py
+++ b/packages/node/sapphire_node/daemon_test.py
@@ -256,6 +256,49 @@
         run_with_daemon(body)
 
 
+REQUESTS = (
+    b"OPTIONS * HTTP/1.1\r\nhost: rota\r\n\r\n",
+    b"GET http://rota/ HTTP/1.1\r\nhost: rota\r\n\r\n",
+    b"CONNECT rota:80 HTTP/1.1\r\nhost: rota\r\n\r\n",
+    b"GET /" + b"a" * 70_000 + b" HTTP/1.1\r\nhost: rota\r\n\r\n",
+    b"GET / HTTP/1.1\r\nhost: rota\r\nx: \xff\xfe\r\n\r\n",
+    b"POST / HTTP/1.1\r\nhost: rota\r\ncontent-length: "
+    + b"9" * 5_000
+    + b"\r\n\r\n",
+    b"GET / HTTP/1.1\r\nhost: rota\r\nconnection: upgrade\r\n"
+    b"upgrade: websocket\r\nsec-websocket-version: 13\r\n"
+    b"sec-websocket-key: AAAAAAAAAAAAAAAAAAAAAA==\r\n\r\n",
+    b"GET / HTTP/1.1\r\nhost: rota\r\nx-request-deadline-ms: "
+    + b"9" * 5_000
+    + b"\r\nx-retry-attempts-left: -1\r\n\r\n",
+)
+
+
+class OddRequestTest(testtools.TestCase):
+    def test_requests_that_are_odd_end_no_task(self) -> None:
+        async def body(fixture: DaemonFixture) -> None:
+            await daemon_fixture.publish_configuration(fixture.store_url)
+            await fixture.start()
+            await fixture.wait_ready()
+            files = fixture.host.files
+            for name in ("requests", "api"):
+                for request in REQUESTS:
+                    stream = await anyio.connect_tcp(ADDRESS, files.ports[name])
+                    async with stream:
+                        await stream.send(request)
+                        with anyio.move_on_after(1):
+                            with contextlib.suppress(
+                                anyio.EndOfStream, anyio.BrokenResourceError
+                            ):
+                                await stream.receive()
+                    self.assertEqual(
+                        200, (await fixture.get(READY)).status_code
+                    )
+                    self.assertIsNone(fixture.host.outcome)
+
+        run_with_daemon(body)
+
+
 class OtherIpVersionTest(testtools.TestCase):
     def test_upstream_of_the_other_ip_version_fails_no_task(self) -> None:
         async def body(fixture: DaemonFixture) -> None:
--- a/packages/node/sapphire_node/requests/asgi.py
+++ b/packages/node/sapphire_node/requests/asgi.py
@@ -180,6 +180,10 @@
     now_ms: int,
     requests: request_service.RequestService,
 ) -> expression.Result[core_data.Request, failures.InvalidRequest]:
+    if not _raw_target(scope).startswith(b"/"):
+        # `*` and whole URLs are for proxies; neither names an object here.
+        problem = "expected a path"
+        return expression.Error(failures.InvalidRequest("target", problem))
     deadline = header_fields.parse_whole_number(
         headers,
         header_fields.DEADLINE,
--- a/packages/node/sapphire_node/requests/header_fields.py
+++ b/packages/node/sapphire_node/requests/header_fields.py
@@ -6,6 +6,7 @@
 from sapphire_node.requests import data
 
 HOST = b"host"
+CONNECTION = b"connection"
 CONTENT_LENGTH = b"content-length"
 IDEMPOTENCY_KEY = b"idempotency-key"
 DEADLINE = b"x-request-deadline-ms"
--- a/packages/node/sapphire_node/requests/service.py
+++ b/packages/node/sapphire_node/requests/service.py
@@ -278,9 +278,23 @@
         service = submitted.request.service
         try:
             with self._scopes_by_attempt[send.attempt_id]:
-                event = await client.attempt(
-                    send, service, upstream, submitted.http
-                )
+                try:
+                    event = await client.attempt(
+                        send, service, upstream, submitted.http
+                    )
+                except Exception as error:
+                    # Whatever a caller or an upstream sends ends this attempt
+                    # only. How far it got is not known.
+                    event_log.log_unexpected(
+                        logger,
+                        "attempt_failed",
+                        error,
+                        attempt=send.attempt_id,
+                        upstream=upstream.name,
+                    )
+                    event = core_data.AttemptFailed(
+                        send.attempt_id, core_data.AttemptFault.CONNECTION_LOST
+                    )
                 self.post(messages.AttemptEnded(service, event))
         finally:
             del self._scopes_by_attempt[send.attempt_id]
@@ -288,10 +302,14 @@
     async def _apply_claims(self, batch: core_data.ClaimBatch) -> None:
         timeout_s = CLAIM_TIMEOUT_MS / clock.MS_PER_SECOND
         with anyio.move_on_after(timeout_s):
-            result = await self._claim_store.apply(batch)
-            if result.is_ok():
-                self.post(result.ok)
-                return
+            try:
+                result = await self._claim_store.apply(batch)
+            except Exception as error:
+                event_log.log_unexpected(logger, "claims_not_applied", error)
+            else:
+                if result.is_ok():
+                    self.post(result.ok)
+                    return
         event_log.log(
             logger, logging.WARNING, "claims_failed", batch=batch.batch_id
         )
--- a/packages/node/sapphire_node/requests/service_test.py
+++ b/packages/node/sapphire_node/requests/service_test.py
@@ -1,8 +1,11 @@
 from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import MutableMapping
 import contextlib
 import dataclasses
+from typing import Any
+from unittest import mock
 
 import anyio
 import httpx
@@ -16,6 +19,7 @@
 from sapphire_lab.stand_ins import request_upstream
 from sapphire_node.requests import asgi
 from sapphire_node.requests import service
+from sapphire_node.requests import upstream_client
 
 Fault = request_upstream.Fault
 OK = 200
@@ -173,6 +177,84 @@
 
             run_with_fixture(test)
 
+    def test_second_copy_of_an_answer_reaches_no_other_caller(self) -> None:
+        copies = (Fault.DUPLICATE, Fault.LATE_DUPLICATE)
+        unnamed = (Fault.NO_REQUEST_ID, Fault.LATE_DUPLICATE_NO_REQUEST_ID)
+        for faults in (
+            copies,
+            (Fault.NONE, *copies),
+            unnamed[1:] * 3,
+            (Fault.NONE, *unnamed),
+            (unnamed[0], Fault.NONE, unnamed[1]),
+        ):
+
+            async def test(
+                fixture: RequestFixture, faults: tuple[Fault, ...] = faults
+            ) -> None:
+                fixture.upstream.faults.extend(faults)
+                for number in range(8):
+                    key = f"k{number}"
+                    answer = await fixture.send("PUT", key)
+                    # A PUT may be retried, so that each gets an answer.
+                    self.assertEqual(OK, answer.status_code)
+                    self.assertEqual(
+                        (key, faults), (answer.json()["run"], faults)
+                    )
+
+            run_with_fixture(test)
+
+    def test_targets_that_are_no_paths_end_no_other_request(self) -> None:
+        async def test(fixture: RequestFixture) -> None:
+            for raw_path in (b"*", b"http://a/", b"a:1", b""):
+                statuses: list[int] = []
+
+                async def receive() -> MutableMapping[str, Any]:
+                    return {"type": "http.request", "body": b""}
+
+                async def send(
+                    event: MutableMapping[str, Any],
+                    statuses: list[int] = statuses,
+                ) -> None:
+                    statuses.append(event.get("status", 0))
+
+                scope = {
+                    "type": "http",
+                    "method": "OPTIONS",
+                    "headers": [(b"host", builders.SERVICE.encode())],
+                    "raw_path": raw_path,
+                    "path": "",
+                }
+                await fixture.app(scope, receive, send)
+                self.assertEqual([400, 0], statuses)
+            self.assertEqual(OK, (await fixture.send()).status_code)
+
+        run_with_fixture(test)
+
+    def test_an_unforeseen_error_ends_one_attempt_only(self) -> None:
+        async def test(fixture: RequestFixture) -> None:
+            name = "_receive_answer"
+            for error in (KeyError("x"), RecursionError("x")):
+                with mock.patch.object(
+                    upstream_client.UpstreamClient, name, side_effect=error
+                ):
+                    answer = await fixture.send(key=repr(error))
+                outcome = answer.headers["sapphire-outcome"]
+                self.assertEqual(
+                    (502, "unknown"), (answer.status_code, outcome)
+                )
+            with mock.patch.object(
+                claim_store_fake.FakeClaimStore,
+                "apply",
+                side_effect=KeyError("x"),
+            ):
+                refused = await fixture.send(key="k3")
+                self.assertEqual(503, refused.status_code)
+            # The claim store counts as lost for a while; a GET needs no claim.
+            read = await fixture.send("GET")
+            self.assertEqual(OK, read.status_code)
+
+        run_with_fixture(test)
+
     def test_request_to_unreachable_upstream_gets_not_run(self) -> None:
         async def test(fixture: RequestFixture) -> None:
             target = builders.upstream(port=1, slots=3)
--- a/packages/node/sapphire_node/requests/upstream_client.py
+++ b/packages/node/sapphire_node/requests/upstream_client.py
@@ -42,13 +42,20 @@
 
 
 class UpstreamClient:
-    """Sends attempts and reports how each ended, in exactly one event."""
+    """Sends attempts and reports how each ended, in exactly one event.
+
+    A connection is used again only if its upstream names the attempt in its
+    answers: on another one, a second copy of an answer that arrives late would
+    be taken for the answer to the next request.
+    """
 
     def __init__(
         self, client: httpx.AsyncClient, memory: answer_memory.AnswerMemory
     ) -> None:
         self._client = client
         self._memory = memory
+        # The addresses whose last answer named its attempt.
+        self._naming_addresses: set[tuple[str, int]] = set()
 
     async def attempt(
         self,
@@ -68,7 +75,11 @@
         Returns:
             The whole answer, or how the attempt failed.
         """
-        http_request = self._build_request(send, upstream, request)
+        address = (upstream.address, upstream.request_port)
+        must_name_attempt = address in self._naming_addresses
+        http_request = self._build_request(
+            send, upstream, request, is_kept_open=must_name_attempt
+        )
         attempt_id = send.attempt_id
         try:
             response = await self._client.send(http_request, stream=True)
@@ -88,6 +99,13 @@
             fault = core_data.AttemptFault.CONNECTION_LOST
             return core_data.AttemptFailed(attempt_id, fault)
         try:
+            if self._names_attempt(response):
+                self._naming_addresses.add(address)
+            else:
+                self._naming_addresses.discard(address)
+                if must_name_attempt:
+                    fault = core_data.AttemptFault.MISMATCHED
+                    return core_data.AttemptFailed(attempt_id, fault)
             return await self._receive_answer(
                 attempt_id, service, request, response
             )
@@ -97,11 +115,21 @@
             with anyio.CancelScope(shield=True):
                 await response.aclose()
 
+    def _names_attempt(self, response: httpx.Response) -> bool:
+        """Returns whether an answer names any attempt."""
+        raw_headers = response.headers.raw
+        return (
+            header_fields.find(raw_headers, header_fields.REQUEST_ID)
+            is not None
+        )
+
     def _build_request(
         self,
         send: core_data.SendAttempt,
         upstream: records.Upstream,
         request: data.HttpRequest,
+        *,
+        is_kept_open: bool,
     ) -> httpx.Request:
         headers = [
             (name, value)
@@ -118,6 +146,8 @@
         headers.append(
             (header_fields.RETRIES_LEFT, str(send.retries_left).encode())
         )
+        if not is_kept_open:
+            headers.append((header_fields.CONNECTION, b"close"))
         caller_length = header_fields.find(
             request.headers, header_fields.CONTENT_LENGTH
         )
