sapphirearchd: an error over one message or answer ends no task

Cause: a packet, a control message of a peer, the answer to a probe or to a fetch whose handling raised an error that was not foreseen ended its task, and with it the daemon.

Change: these borders count (MessageFailed) and log it and go on; a fetch or a probe counts as failed. An error of the daemon's own messages still ends it: a host without one of its tasks cannot do its work.

--- a/packages/node/sapphire_node/configuration/configuration_sync.py
+++ b/packages/node/sapphire_node/configuration/configuration_sync.py
@@ -14,11 +14,13 @@
 import anyio
 from anyio import abc
 from anyio.streams import memory
+import expression
 import httpx
 
 from sapphire_core.configuration import propagation
 from sapphire_core.configuration import propagation_data
 from sapphire_data import clock
+from sapphire_data import failures
 from sapphire_data import records
 from sapphire_net import event_log
 from sapphire_net.store import client as store_client
@@ -329,20 +331,15 @@
             self.put(propagation_data.FetchFailed(action))
             return
         self._running_fetches += 1
-        known = self._bundle_encoder.newest
         try:
-            if host is None:
-                fetched = await configuration_fetch.fetch_from_store(
-                    adapter.environment, known
-                )
-                adapter.is_reachable = fetched.is_ok()
-            else:
-                fetched = await configuration_fetch.fetch_from_peer(
-                    peer_http,
-                    host,
-                    known,
-                    is_encrypted=self._peer_context is not None,
-                )
+            fetched = await self._fetch_from(host, adapter, peer_http)
+        except Exception as error:
+            # A peer or the store may send anything.
+            event_log.log_unexpected(
+                _LOGGER, "fetch_failed", error, source=action.host_id or "store"
+            )
+            self.put(propagation_data.FetchFailed(action))
+            return
         finally:
             self._running_fetches -= 1
         if fetched.is_error():
@@ -357,3 +354,24 @@
             return
         version = fetched.ok.version
         self.put(propagation_data.FetchDone(version, action), fetched.ok)
+
+    async def _fetch_from(
+        self,
+        host: records.HostAddress | None,
+        adapter: store_adapter.StoreAdapter,
+        peer_http: httpx.AsyncClient,
+    ) -> expression.Result[bundle.DecodedConfiguration, failures.Failure]:
+        """Fetches a configuration from a peer, or from the store if None."""
+        known = self._bundle_encoder.newest
+        if host is None:
+            fetched = await configuration_fetch.fetch_from_store(
+                adapter.environment, known
+            )
+            adapter.is_reachable = fetched.is_ok()
+            return fetched
+        return await configuration_fetch.fetch_from_peer(
+            peer_http,
+            host,
+            known,
+            is_encrypted=self._peer_context is not None,
+        )
--- a/packages/node/sapphire_node/control.py
+++ b/packages/node/sapphire_node/control.py
@@ -123,14 +123,35 @@
                 self.counters.count_drop(opened)
                 continue
             self.counters.received += 1
-            if opened.kind is not _Kind.GOSSIP:
-                await self._dispatcher.dispatch_message(
-                    messages.ControlMessageReceived(
-                        opened.sender, opened.kind, opened.body
-                    )
-                )
-                continue
+            try:
+                await self._handle_opened(opened)
+            except Exception as error:
+                # A message of one host must not end all others.
+                self._count_unforeseen(opened, error)
+
+    async def _handle_opened(self, opened: sealing.OpenedDatagram) -> None:
+        """Handles the content of one control message."""
+        if opened.kind is _Kind.GOSSIP:
             await self._receive_gossip(opened)
+            return
+        await self._dispatcher.dispatch_message(
+            messages.ControlMessageReceived(
+                opened.sender, opened.kind, opened.body
+            )
+        )
+
+    def _count_unforeseen(
+        self, opened: sealing.OpenedDatagram, error: Exception
+    ) -> None:
+        """Counts and logs an error that handling a message raised."""
+        self.counters.count_drop(node_failures.MessageFailed(opened.sender))
+        event_log.log_unexpected(
+            _LOGGER,
+            "message_failed",
+            error,
+            sender=opened.sender,
+            kind=opened.kind.name,
+        )
 
     async def serve_outgoing(self) -> None:
         """Sends the queued datagrams until cancelled.
--- a/packages/node/sapphire_node/failures.py
+++ b/packages/node/sapphire_node/failures.py
@@ -32,3 +32,14 @@
     """
 
     address: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MessageFailed(failures.Failure):
+    """Handling a message raised an error that was not foreseen.
+
+    Attributes:
+        sender: The identity of the host that sent it, or `fabric`.
+    """
+
+    sender: str
--- a/packages/node/sapphire_node/forwarder.py
+++ b/packages/node/sapphire_node/forwarder.py
@@ -121,7 +121,13 @@
                 continue
             key, flow_hash, is_opening, is_closing = fields
             self.last_packet_ms = time_ms = now_ms()
-            decision = route(key, flow_hash, is_opening, is_closing, time_ms)
+            try:
+                decision = route(
+                    key, flow_hash, is_opening, is_closing, time_ms
+                )
+            except Exception as error:
+                self._count_unforeseen("fabric", error)
+                continue
             if type(decision) is flow_data.Forward:
                 counters.forwarded += 1
                 upstream = decision.upstream
@@ -138,6 +144,13 @@
                 continue
             await self._execute_decision(decision, packet, source, self._fabric)
 
+    def _count_unforeseen(self, sender: str, error: Exception) -> None:
+        """Counts and logs an error over one message, which is dropped."""
+        self.counters.count_drop(node_failures.MessageFailed(sender))
+        event_log.log_unexpected(
+            _LOGGER, "message_failed", error, sender=sender
+        )
+
     async def serve_inbox(
         self, inbox: memory.MemoryObjectReceiveStream[messages.ToForwarder]
     ) -> None:
@@ -165,7 +178,10 @@
         """
         now_ms = self._time.now_ms()
         if isinstance(message, messages.ControlMessageReceived):
-            await self._handle_control_message(message, now_ms)
+            try:
+                await self._handle_control_message(message, now_ms)
+            except Exception as error:
+                self._count_unforeseen(message.sender, error)
             return
         if isinstance(message, messages.ViewChanged):
             self._hosts_by_id = {
--- a/packages/node/sapphire_node/prober.py
+++ b/packages/node/sapphire_node/prober.py
@@ -121,6 +121,11 @@
                     upstream=upstream.name,
                     failure=type(error).__name__,
                 )
+            except Exception as error:
+                # An upstream may answer anything.
+                event_log.log_unexpected(
+                    _LOGGER, "probe_failed", error, upstream=upstream.name
+                )
         await self._to_forwarder.send(
             messages.UpstreamProbed(upstream.name, is_reachable, boot_id)
         )
