A host that has paused sends nothing for callers that have gone

Seen: after a pause of five seconds the first tick opened a held flow whose caller had timed out three seconds and more before. Cause: a deferral's deadline was taken for due, however long ago it was. Change: held flows expire when their callers give up, before anything is released, and the first tick after a pause of more than a second sends nothing: what peers and the registry said is old, and newer news wait to be read. Half-open flows already expired in time; a test keeps that.

--- a/packages/core/sapphire_core/tagged_flows/data.py
+++ b/packages/core/sapphire_core/tagged_flows/data.py
@@ -269,6 +269,7 @@
             forwarded.
         UNKNOWN_TAG: No known upstream has the tag; the packet is dropped.
         UNANSWERED: No upstream answered before the caller timed out.
+        GIVEN_UP: The caller timed out while its opening packet was held.
     """
 
     OPENED = "opened"
@@ -282,6 +283,7 @@
     STALLED = "stalled"
     UNKNOWN_TAG = "unknown_tag"
     UNANSWERED = "unanswered"
+    GIVEN_UP = "given_up"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/sapphire_core/tagged_flows/deferred_flows.py
+++ b/packages/core/sapphire_core/tagged_flows/deferred_flows.py
@@ -21,6 +21,8 @@
 # retransmission, which may reach another host; for the last retransmission,
 # 150 ms before the caller times out at 1,400 ms.
 DEADLINE_AGES_MS = (150, 550, 1_250)
+# The age at which a caller gives up (the protocol).
+CALLER_TIMEOUT_MS = 1_400
 MAX_DEFERRED_FLOWS = 2_000
 
 
@@ -33,6 +35,7 @@
         service: The service of the flow.
         priority: The priority of its route; 0 is the most urgent.
         deadline_ms: When the deferral ends even without a free slot.
+        expires_ms: When the caller has given up.
         may_be_open_at_peer: Whether the membership has changed since, so that a
             peer may have forwarded another copy of the opening packet.
     """
@@ -41,6 +44,7 @@
     service: data.Service
     priority: int
     deadline_ms: int
+    expires_ms: int
     may_be_open_at_peer: bool = False
 
     @property
@@ -97,11 +101,14 @@
             priority: The priority of its route.
             now_ms: The current time.
         """
-        deadline_ms = (
-            now_ms + DEADLINE_AGES_MS[_retransmissions(packet)] - age_ms(packet)
-        )
+        started_ms = now_ms - age_ms(packet)
+        deadline_ms = started_ms + DEADLINE_AGES_MS[_retransmissions(packet)]
         self._by_flow[packet.flow_id] = DeferredFlow(
-            packet, service, priority, deadline_ms
+            packet,
+            service,
+            priority,
+            deadline_ms,
+            started_ms + CALLER_TIMEOUT_MS,
         )
 
     def record_membership_change(self) -> None:
@@ -116,6 +123,23 @@
             key=lambda deferred: (deferred.priority, deferred.deadline_ms),
         )
 
+    def pop_expired(self, now_ms: int) -> list[DeferredFlow]:
+        """Removes and returns the flows whose callers have given up.
+
+        A deferral ends before that, unless this process has paused.
+
+        Args:
+            now_ms: The current time.
+        """
+        expired = [
+            deferred
+            for deferred in self._by_flow.values()
+            if now_ms >= deferred.expires_ms
+        ]
+        for deferred in expired:
+            self.remove(deferred)
+        return expired
+
     def remove(self, deferred: DeferredFlow) -> None:
         """Removes a flow from the queue."""
         self._by_flow.pop(deferred.packet.flow_id, None)
--- a/packages/core/sapphire_core/tagged_flows/openings.py
+++ b/packages/core/sapphire_core/tagged_flows/openings.py
@@ -29,6 +29,9 @@
 # A longer time between two calls of `tick` (due every 10 ms) means that this
 # process stalled; packets that arrived meanwhile are still to be read.
 STALL_THRESHOLD_MS = 60
+# After a longer pause, what peers have reported is too old to act on (their
+# counts hold in full for a second), and their news are still to be read.
+PAUSE_THRESHOLD_MS = 1_000
 
 
 class Openings:
@@ -117,9 +120,17 @@
         self._last_tick_ms = now_ms
         if stall_ms > STALL_THRESHOLD_MS:
             self.half_open.extend_timeouts(stall_ms)
+        self._expire(now_ms)
+        if stall_ms > PAUSE_THRESHOLD_MS:
+            # Upstreams may have left, and callers may have gone on at a peer.
+            return actions
         actions.extend(self._fail_over_timed_out(now_ms))
         if len(self.deferred) > 0:
             actions.extend(self._release_deferred(now_ms))
+        return actions
+
+    def _expire(self, now_ms: int) -> None:
+        """Discards the flows whose callers have timed out."""
         for half_open in self.half_open.pop_expired(now_ms):
             self._decisions.report(
                 data.Verdict.UNANSWERED,
@@ -127,7 +138,13 @@
                 half_open.tried_upstreams[-1],
                 tries=len(half_open.tried_upstreams),
             )
-        return actions
+        for deferred in self.deferred.pop_expired(now_ms):
+            self._decisions.report(
+                data.Verdict.GIVEN_UP,
+                deferred.packet,
+                None,
+                wanted=deferred.service.name,
+            )
 
     def handle(self, packet: data.Packet, now_ms: int) -> data.Action:
         """Decides about an opening packet, first or retransmitted.
