Second tries have a budget, and spare upstreams that answer others

Cause: an opening packet went to a second upstream after 40 ms whatever else was known. Where the first is alive both answer, and a host without a record of the flow follows the later answer; where all upstreams are slow, openings double. Change: without a retransmission by the caller there is no second try while the first upstream has answered others since, while most upstreams that got an opening within 500 ms are silent, or beyond ten and a fifth of the openings of the service. not_opened_again says which; second_answer counts flows at which two answered.

--- a/packages/core/sapphire_core/tagged_flows/data.py
+++ b/packages/core/sapphire_core/tagged_flows/data.py
@@ -269,6 +269,10 @@
             forwarded.
         UNKNOWN_TAG: No known upstream has the tag; the packet is dropped.
         UNANSWERED: No upstream answered before the caller timed out.
+        SPARED: The upstream did not answer in time, but the opening packet is
+            not sent to another one until the caller retransmits.
+        SECOND_ANSWER: The caller's packets name another upstream than the one
+            that opened the flow; they are forwarded to the latter.
         GIVEN_UP: The caller timed out while its opening packet was held.
     """
 
@@ -283,6 +287,8 @@
     STALLED = "stalled"
     UNKNOWN_TAG = "unknown_tag"
     UNANSWERED = "unanswered"
+    SPARED = "not_opened_again"
+    SECOND_ANSWER = "second_answer"
     GIVEN_UP = "given_up"
 
 
--- a/packages/core/sapphire_core/tagged_flows/flow_table.py
+++ b/packages/core/sapphire_core/tagged_flows/flow_table.py
@@ -58,6 +58,8 @@
         is_closed: Whether the caller has closed or reset the flow.
         is_stall_reported: Whether it is logged that the flow is stalled, since
             its last new data.
+        is_second_answer_reported: Whether it is logged that another upstream
+            has answered the opening packet too.
     """
 
     entry: upstream_table.Entry
@@ -71,6 +73,7 @@
     last_retransmission_ms: int = 0
     is_closed: bool = False
     is_stall_reported: bool = False
+    is_second_answer_reported: bool = False
 
     @property
     def is_stalled(self) -> bool:
--- a/packages/core/sapphire_core/tagged_flows/open_flows.py
+++ b/packages/core/sapphire_core/tagged_flows/open_flows.py
@@ -9,6 +9,7 @@
 from sapphire_core.tagged_flows import dead_upstreams
 from sapphire_core.tagged_flows import decisions as decisions_lib
 from sapphire_core.tagged_flows import deferred_flows
+from sapphire_core.tagged_flows import failover_budget as failover_budget_lib
 from sapphire_core.tagged_flows import flow_table as flow_table_lib
 from sapphire_core.tagged_flows import half_open_flows
 from sapphire_core.tagged_flows import request_outcomes
@@ -27,6 +28,7 @@
         selector: Learns from answers that upstreams respond.
         answer_timeout: Learns how long upstreams take to answer.
         outcomes: Learns what became of requests.
+        failover_budget: Learns which upstreams answer.
         decisions: Gets each decision that changes the state of a flow.
     """
 
@@ -40,6 +42,7 @@
         selector: upstream_selector.UpstreamSelector,
         answer_timeout: answer_timeout_lib.AnswerTimeout,
         outcomes: request_outcomes.RequestOutcomes,
+        failover_budget: failover_budget_lib.FailoverBudget,
         decisions: decisions_lib.DecisionReporter,
     ) -> None:
         self._upstream_table = upstream_table
@@ -49,6 +52,7 @@
         self._selector = selector
         self._answer_timeout = answer_timeout
         self._outcomes = outcomes
+        self._failover_budget = failover_budget
         self._decisions = decisions
 
     def handle(self, packet: data.Packet, now_ms: int) -> data.Action:
@@ -76,6 +80,18 @@
         self._flow_table.observe(packet, record, now_ms)
         self._outcomes.observe(packet, record.entry, now_ms)
         entry = record.entry
+        if (
+            packet.tag not in (entry.tag, data.NO_TAG)
+            and not record.is_second_answer_reported
+        ):
+            record.is_second_answer_reported = True
+            self._decisions.report(
+                data.Verdict.SECOND_ANSWER,
+                packet,
+                entry,
+                tag=packet.tag,
+                age_ms=now_ms - record.first_seen_ms,
+            )
         if packet.is_reset or (packet.is_closing and not record.is_closed):
             record.is_closed = True
             self._decisions.report(
@@ -165,6 +181,9 @@
             return None
         if half_open is not None and packet.tag == entry.tag:
             self._selector.record_answered(entry, now_ms)
+            self._failover_budget.record_outcome(
+                entry.upstream.upstream_id, now_ms, is_silent=False
+            )
             if len(half_open.tried_upstreams) == 1 and (
                 half_open.retransmissions == 0
             ):
--- a/packages/core/sapphire_core/tagged_flows/openings.py
+++ b/packages/core/sapphire_core/tagged_flows/openings.py
@@ -9,6 +9,7 @@
 from sapphire_core.tagged_flows import data
 from sapphire_core.tagged_flows import decisions as decisions_lib
 from sapphire_core.tagged_flows import deferred_flows
+from sapphire_core.tagged_flows import failover_budget as failover_budget_lib
 from sapphire_core.tagged_flows import flow_table as flow_table_lib
 from sapphire_core.tagged_flows import half_open_flows
 from sapphire_core.tagged_flows import service_routing
@@ -47,6 +48,7 @@
         half_open: The half-open flows of this host.
         selector: Selects upstreams, from their load and health.
         answer_timeout: How long an upstream has to answer.
+        failover_budget: Limits the tries that no caller has asked for.
         decisions: Gets each decision.
     """
 
@@ -58,6 +60,7 @@
         half_open: half_open_flows.HalfOpenFlows,
         selector: upstream_selector.UpstreamSelector,
         answer_timeout: answer_timeout_lib.AnswerTimeout,
+        failover_budget: failover_budget_lib.FailoverBudget,
         decisions: decisions_lib.DecisionReporter,
     ) -> None:
         self._routing = routing
@@ -66,6 +69,7 @@
         self.deferred = deferred_flows.DeferredFlows()
         self._selector = selector
         self._answer_timeout = answer_timeout
+        self._failover_budget = failover_budget
         self._decisions = decisions
         self._last_tick_ms = 0
         self._membership_grace_until_ms = 0
@@ -215,6 +219,7 @@
         )
         half_open.may_continue_at_peer = self.is_membership_changing(now_ms)
         self.half_open.add(half_open)
+        self._failover_budget.record_opening(service.name)
         self._decisions.report(
             data.Verdict.OPENED,
             packet,
@@ -324,6 +329,9 @@
             self._selector.record_unanswered(
                 last, half_open.last_sent_ms, now_ms
             )
+            self._failover_budget.record_outcome(
+                last.upstream.upstream_id, now_ms, is_silent=True
+            )
         self.half_open.mark_timed_out(half_open)
         if (
             len(half_open.tried_upstreams)
@@ -338,6 +346,8 @@
         )
         if entry is None:
             return None
+        if not is_retransmission and self._is_spared(half_open, now_ms):
+            return None
         self.half_open.record_attempt(half_open, entry, now_ms)
         self._decisions.report(
             data.Verdict.FAILED_OVER,
@@ -348,6 +358,28 @@
         )
         return data.Forward(half_open.packet, entry.upstream, entry.tag)
 
+    def _is_spared(
+        self, half_open: half_open_flows.HalfOpenFlow, now_ms: int
+    ) -> bool:
+        """Whether a flow gets no second try until its caller retransmits."""
+        last = half_open.tried_upstreams[-1]
+        last_active_ms = last.last_active_ms
+        if last_active_ms is not None and (
+            last_active_ms > half_open.last_sent_ms
+        ):
+            # The upstream is alive. It has probably answered, and would be the
+            # first of two that do.
+            reason = "upstream_active"
+        else:
+            refusal = self._failover_budget.take(half_open.service, now_ms)
+            if refusal is None:
+                return False
+            reason = refusal.value
+        self._decisions.report(
+            data.Verdict.SPARED, half_open.packet, last, reason=reason
+        )
+        return True
+
     def _fail_over_timed_out(self, now_ms: int) -> list[data.Action]:
         """Fails over half-open flows whose upstream did not answer in time."""
         actions: list[data.Action] = []
--- a/packages/core/sapphire_core/tagged_flows/steering.py
+++ b/packages/core/sapphire_core/tagged_flows/steering.py
@@ -13,6 +13,7 @@
 from sapphire_core.tagged_flows import data
 from sapphire_core.tagged_flows import decisions as decisions_lib
 from sapphire_core.tagged_flows import ejection_control
+from sapphire_core.tagged_flows import failover_budget as failover_budget_lib
 from sapphire_core.tagged_flows import flow_table
 from sapphire_core.tagged_flows import half_open_flows
 from sapphire_core.tagged_flows import open_flows
@@ -50,6 +51,7 @@
         decisions = decisions_lib.DecisionReporter(on_decision)
         half_open = half_open_flows.HalfOpenFlows()
         answer_timeout = answer_timeout_lib.AnswerTimeout()
+        failover_budget = failover_budget_lib.FailoverBudget()
         self._routing = service_routing.ServiceRouting()
         self.upstream_table = upstream_table.UpstreamTable()
         self.flow_table = flow_table.FlowTable()
@@ -65,6 +67,7 @@
             half_open=half_open,
             selector=self.selector,
             answer_timeout=answer_timeout,
+            failover_budget=failover_budget,
             decisions=decisions,
         )
         self._open_flows = open_flows.OpenFlows(
@@ -75,6 +78,7 @@
             selector=self.selector,
             answer_timeout=answer_timeout,
             outcomes=self.ejection_control.outcomes,
+            failover_budget=failover_budget,
             decisions=decisions,
         )
         # When `sweep` was last called; None before the first call.
