A planned stop answers the requests that arrive last

Cause: when the graceful shutdown had ended, all tasks were cancelled at once and the HTTP server was asked to stop beside them. A request that arrived in that moment waited for a service that no longer ran, until the server's grace of 30 s ended it without an answer or with status 500, and the exit waited too.

Change: the server stops first; the other tasks go on until it has ended, and its grace is 2 s. Every request read gets an answer, which is a refusal by then.

Such a request has not run.

--- a/packages/node/sapphire_node/daemon.py
+++ b/packages/node/sapphire_node/daemon.py
@@ -32,6 +32,10 @@
 
 _BIND_ERRORS = frozenset((errno.EACCES, errno.EADDRINUSE, errno.EADDRNOTAVAIL))
 
+# A request that arrives at the very end is refused, which needs no upstream;
+# only callers that send or receive slowly take longer than this.
+REQUESTS_GRACE_MS = 2_000
+
 Signals = AsyncIterator[signal.Signals]
 
 
@@ -118,11 +122,16 @@
         address=components.own_address.address,
     )
     stop_serving_requests = anyio.Event()
+    requests_ended = anyio.Event()
     try:
         async with anyio.create_task_group() as tasks:
-            _start_tasks(components, tasks, stop_serving_requests)
+            _start_tasks(
+                components, tasks, stop_serving_requests, requests_ended
+            )
             result = await _graceful_shutdown(components).run(signals)
+            # The other tasks go on until the last request has its answer.
             stop_serving_requests.set()
+            await requests_ended.wait()
             tasks.cancel_scope.cancel()
     finally:
         components.metrics.close()
@@ -136,6 +145,7 @@
     components: components_lib.Components,
     tasks: abc.TaskGroup,
     stop_serving_requests: anyio.Event,
+    requests_ended: anyio.Event,
 ) -> None:
     """Starts all tasks."""
     tasks.start_soon(components.forwarder.serve_fabric)
@@ -163,7 +173,9 @@
         tasks.start_soon(host_list.run)
     tasks.start_soon(_distribute_configurations, components)
     tasks.start_soon(_serve_api, components)
-    tasks.start_soon(_serve_requests, components, stop_serving_requests)
+    tasks.start_soon(
+        _serve_requests, components, stop_serving_requests, requests_ended
+    )
 
 
 async def _distribute_configurations(
@@ -203,9 +215,11 @@
 
 
 async def _serve_requests(
-    components: components_lib.Components, stop: anyio.Event
+    components: components_lib.Components,
+    stop: anyio.Event,
+    ended: anyio.Event,
 ) -> None:
-    """Serves requests of callers until the event is set."""
+    """Serves requests of callers until an event is set, then sets another."""
     await http_server.serve(
         request_timing.RequestTimingMiddleware(
             asgi.RequestApp(components.requests), components.metrics.meter
@@ -213,7 +227,9 @@
         components.own_address.address,
         components.loaded.settings.ports.requests,
         stop.wait,
+        grace_ms=REQUESTS_GRACE_MS,
     )
+    ended.set()
 
 
 def _graceful_shutdown(
--- a/packages/node/sapphire_node/daemon_test.py
+++ b/packages/node/sapphire_node/daemon_test.py
@@ -23,6 +23,7 @@
 from sapphire_lab.stand_ins import store_faults
 from sapphire_node import daemon
 from sapphire_node import forwarder
+from sapphire_node import graceful_shutdown
 from sapphire_wire import packet_builders
 
 ADDRESS = "127.71.2.1"
@@ -325,6 +326,41 @@
         run_with_daemon(body)
 
 
+class LastRequestTest(testtools.TestCase):
+    """Pattern: a request arrives while the last step of a stop is taken."""
+
+    def test_a_request_at_the_end_of_a_stop_gets_an_answer(self) -> None:
+        async def end_at_once(
+            _: object, signals: daemon.Signals
+        ) -> graceful_shutdown.Result:
+            await anext(signals)
+            return graceful_shutdown.Result.FINISHED
+
+        async def body(fixture: DaemonFixture) -> None:
+            await daemon_fixture.publish_configuration(fixture.store_url)
+            await fixture.start()
+            await fixture.wait_ready()
+            port = fixture.host.files.ports["requests"]
+            async with await anyio.connect_tcp(ADDRESS, port) as stream:
+                head = b"PUT / HTTP/1.1\r\nhost: rota\r\ncontent-length: 2\r\n"
+                await stream.send(head + b"\r\n1")
+                # The head has been read once the exchange is open.
+                await anyio.sleep(0.3)
+                fixture.host.terminate()
+                await anyio.sleep(0.3)
+                await stream.send(b"2")
+                answer = await stream.receive()
+                self.assertThat(answer, matchers.StartsWith(b"HTTP/1.1 503"))
+                self.assertThat(answer, matchers.Contains(b"sapphire-outcome"))
+            outcome = await fixture.host.wait_ended()
+            self.assertEqual(daemon.Outcome.LEFT, outcome)
+
+        with mock.patch.object(
+            graceful_shutdown.GracefulShutdown, "run", end_at_once
+        ):
+            run_with_daemon(body)
+
+
 class FailedTaskTest(testtools.TestCase):
     def test_open_request_does_not_delay_the_end_of_a_failed_daemon(
         self,
