A lent slot counts from when it was lent, also after a pause

A loan of a slot carried a duration, which the borrower counted from when it read the message. A host that was paused, or whose datagram came late, used a slot that its lender used again: one request too many at the upstream.

Change: the age of a control message is estimated against the fastest one of its sender, so that clocks need not agree, and a loan is shortened by it.

--- a/packages/core/sapphire_core/requests/engine_test.py
+++ b/packages/core/sapphire_core/requests/engine_test.py
@@ -216,6 +216,27 @@
         sent = find_sends(host.handle(self.apply_all(batch), 5))
         self.assertThat(len(sent), matchers.Equals(1))
 
+    def test_claim_held_after_a_pause_past_the_deadline_sends_nothing(
+        self,
+    ) -> None:
+        host = make_engine()
+        batch = self.request_claim(host)
+        paused_ms = 3_700_000
+        actions = host.handle(self.apply_all(batch), paused_ms)
+        self.assertEqual([], find_sends(actions))
+        self.assertEqual(1, len(find_finishes(actions)))
+        self.assertEqual([], find_sends(host.handle(data.Tick(), paused_ms)))
+
+    def test_queued_request_is_not_sent_after_a_pause_past_its_deadline(
+        self,
+    ) -> None:
+        host = make_engine()
+        first = find_sends(arrive(host, builders.request(1)))[0]
+        arrive(host, builders.request(2))
+        event = data.AnswerArrived(first.attempt_id, None, None, "w")
+        actions = host.handle(event, 3_700_000)
+        self.assertEqual([], find_sends(actions))
+
     def test_draining_host_claims_before_it_refuses_as_not_run(self) -> None:
         host = make_engine()
         host.begin_drain()
--- a/packages/node/sapphire_node/control.py
+++ b/packages/node/sapphire_node/control.py
@@ -18,6 +18,7 @@
 from sapphire_data import records
 from sapphire_net import event_log
 from sapphire_net.trust import keys
+from sapphire_net.trust import message_ages
 from sapphire_net.trust import sealing
 from sapphire_node import control_dispatcher
 from sapphire_node import drop_counts
@@ -98,6 +99,7 @@
         self._outgoing_send, self._outgoing_receive = (
             anyio.create_memory_object_stream[_Outgoing](MAX_QUEUED_DATAGRAMS)
         )
+        self._ages = message_ages.MessageAges()
         self._sealer = sealing.Sealer(own_address.host_id, ring)
         self._opener = sealing.Opener(
             sealing.recipient_name(
@@ -131,12 +133,15 @@
 
     async def _handle_opened(self, opened: sealing.OpenedDatagram) -> None:
         """Handles the content of one control message."""
+        age_ms = self._ages.age_ms(
+            opened.sender, opened.sent_ms, clock.wall_time_ms()
+        )
         if opened.kind is _Kind.GOSSIP:
             await self._receive_gossip(opened)
             return
         await self._dispatcher.dispatch_message(
             messages.ControlMessageReceived(
-                opened.sender, opened.kind, opened.body
+                opened.sender, opened.kind, opened.body, age_ms
             )
         )
 
--- a/packages/node/sapphire_node/messages.py
+++ b/packages/node/sapphire_node/messages.py
@@ -105,11 +105,14 @@
         sender: The host identity of the sender.
         kind: The type of the message.
         body: The encoded message.
+        age_ms: How long it was on its way, or waited while this process was
+            paused.
     """
 
     sender: str
     kind: message_kind.MessageKind
     body: bytes
+    age_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/node/sapphire_node/slot_message_channel.py
+++ b/packages/node/sapphire_node/slot_message_channel.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Mapping
+import dataclasses
 
 import anyio
 from anyio.streams import memory
@@ -74,6 +75,9 @@
     ) -> None:
         """Decodes the message of another host and has it handled.
 
+        A loan counts from when it was sent: a host that was paused does not
+        use a slot that its lender uses again.
+
         Args:
             received: A control message of kind `SLOT_MESSAGE`.
             handle: Called with the decoded message.
@@ -82,4 +86,8 @@
         if decoded.is_error():
             self.drops.count_drop(decoded.error)
             return
-        handle(decoded.ok)
+        message = decoded.ok
+        if isinstance(message, request_data.SlotLoan):
+            left_ms = max(0, message.duration_ms - received.age_ms)
+            message = dataclasses.replace(message, duration_ms=left_ms)
+        handle(message)
--- a/packages/node/sapphire_node/slot_message_channel_test.py
+++ b/packages/node/sapphire_node/slot_message_channel_test.py
@@ -7,6 +7,7 @@
 from sapphire_node import messages
 from sapphire_node import slot_message_channel
 from sapphire_wire import message_kind
+from sapphire_wire import slot_messages
 
 
 class SlotMessageChannelTest(testtools.TestCase):
@@ -31,6 +32,23 @@
         self.channel.receive(received, handled.append)
         self.assertEqual([self.need], handled)
 
+    def test_a_loan_that_arrives_late_is_shorter(self) -> None:
+        loan = request_data.SlotLoan("h1", 1, "rota", "u1", 300)
+        body = slot_messages.encode(loan)
+        kind = message_kind.MessageKind.SLOT_MESSAGE
+        handled: list[request_data.PeerMessage] = []
+        for age_ms in (0, 40, 299, 5_000):
+            received = messages.ControlMessageReceived("h1", kind, body, age_ms)
+            self.channel.receive(received, handled.append)
+        self.assertEqual(
+            [300, 260, 1, 0],
+            [
+                message.duration_ms
+                for message in handled
+                if isinstance(message, request_data.SlotLoan)
+            ],
+        )
+
     def test_dropped_messages_are_counted(self) -> None:
         self.channel.send("h9", self.need)
         self.channel.send("h2", self.need)
