--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,9 @@
 SYSTEM ?=
 REGRESSION_SITES := further/magnolia-rind.toml \
 	further-grown/magnolia-rind-grown.toml large/crfo-balance-large.toml \
-	grown/crfo-balance-grown.toml grown/kalnins-quotes-grown.toml
+	grown/crfo-balance-grown.toml grown/kalnins-quotes-grown.toml \
+	shifted/crfo-balance-now-grown.toml demands/armor-conf-grown.toml \
+	demands/sml-heredia-grown.toml
 
 .PHONY: test demo trial check format measure measure-flows measure-requests \
 	measure-config measure-forward measure-slopes measure-tagged_flows thrift lock \
