Ejection from two bad ends on, with a penalty of four requests a slot at most

The penalty followed the share less its error, so 8 bad ends of 30 counted for 2.4 requests; it follows the share itself now. It is bounded by four requests a slot: beyond, the others may reject what they get, and an upstream that serves a part is better than none. A single slow response was enough for slowness; five are needed.

--- a/packages/core/sapphire_core/peers/outcome_reports_test.py
+++ b/packages/core/sapphire_core/peers/outcome_reports_test.py
@@ -1,7 +1,10 @@
+import random
+
 import testtools
 
 from sapphire_core.peers import data
 from sapphire_core.peers import outcome_reports
+from sapphire_core.peers import peer_table
 from sapphire_core.peers import upstream_reports
 from sapphire_lab.tagged_flows import builders
 from sapphire_lab.tagged_flows import outcome_builders
@@ -69,6 +72,22 @@
             ),
         )
 
+    def test_doubled_and_overtaken_reports_change_nothing(self) -> None:
+        table = peer_table.PeerTable(
+            builders.heartbeat("own").contact, random.Random(1), 4_000
+        )
+        for sequence, badly in ((2, 3), (2, 3), (1, 8), (2, 8)):
+            heartbeat = builders.heartbeat(
+                "edge-2",
+                sequence=sequence,
+                outcomes=(outcome_builders.report(TAG, 0, badly),),
+            )
+            table.record_heartbeat(heartbeat, 100)
+        evidence = outcome_reports.evidence_of_peers(table.live_heartbeats(100))
+        self.assertEqual(
+            [3], [counts.badly for counts in evidence[TAG].of_peers]
+        )
+
     def test_more_reports_than_a_heartbeat_has_are_ignored(self) -> None:
         reports = [outcome_builders.report(tag, 0, 3) for tag in range(90)]
         self.assertEqual(
--- a/packages/core/sapphire_core/tagged_flows/outlier_assessment.py
+++ b/packages/core/sapphire_core/tagged_flows/outlier_assessment.py
@@ -13,7 +13,9 @@
 from sapphire_core.peers import outcome_reports
 
 # Bad ends that count as evidence at the least, over all hosts.
-MIN_BAD = 3
+MIN_BAD = 2
+# Response times that count as evidence at the least, over all hosts.
+MIN_ANSWERED = 5
 # The share of bad ends, less the error of the estimate, from which on an
 # upstream is an outlier, and in excess of the others of its service.
 MIN_FAILING_SHARE = 0.15
@@ -91,11 +93,11 @@
     own = (evidence.own,) if evidence.own is not None else ()
     by_bad = sorted(evidence.of_peers, key=lambda counts: counts.badly)
     by_time = sorted(evidence.of_peers, key=lambda counts: counts.time_ratio)
-    failing_share = 0.0
+    share = failing_share = 0.0
     if sum(counts.badly for counts in own + tuple(by_bad)) >= MIN_BAD:
-        failing_share = _failing_share(own + tuple(by_bad[:-1]))
+        share, failing_share = _failing_shares(own + tuple(by_bad[:-1]))
     slowness = _slowness(own + tuple(by_time[:-1]))
-    penalty = max(FAILED_REQUEST_COST * failing_share, slowness - 1.0, 0.0)
+    penalty = max(FAILED_REQUEST_COST * share, slowness - 1.0, 0.0)
     return Assessment(
         sum(counts.well for counts in own + evidence.of_peers),
         sum(counts.badly for counts in own + evidence.of_peers),
@@ -107,22 +109,28 @@
     )
 
 
-def _failing_share(hosts: Sequence[outcome_reports.HostCounts]) -> float:
-    """Returns the share of bad ends, less one standard error (Wilson)."""
+def _failing_shares(
+    hosts: Sequence[outcome_reports.HostCounts],
+) -> tuple[float, float]:
+    """Returns the share of bad ends, and less one standard error (Wilson).
+
+    Both lean to a half while there are few requests.
+    """
     badly = sum(counts.badly for counts in hosts)
     total = badly + sum(counts.well for counts in hosts)
     if badly == 0:
-        return 0.0
+        return 0.0, 0.0
     share = badly / total
     centre = share + 1 / (2 * total)
     error = math.sqrt(share * (1 - share) / total + 1 / (4 * total * total))
-    return max(0.0, (centre - error) / (1 + 1 / total))
+    scale = 1 + 1 / total
+    return centre / scale, max(0.0, (centre - error) / scale)
 
 
 def _slowness(hosts: Sequence[outcome_reports.HostCounts]) -> float:
     """Returns the mean relative response time, less two standard errors."""
     answered = sum(counts.answered for counts in hosts)
-    if answered == 0:
+    if answered < MIN_ANSWERED:
         return 1.0
     total = sum(counts.answered * counts.time_ratio for counts in hosts)
     return total / answered - 2 * TIME_DEVIATION / math.sqrt(answered)
--- a/packages/core/sapphire_core/tagged_flows/outlier_ejection.py
+++ b/packages/core/sapphire_core/tagged_flows/outlier_ejection.py
@@ -34,6 +34,10 @@
 TRIAL_MS = 2_000
 # The part of the new flows that regards an upstream on trial as sound.
 TRIAL_SHARE = 0.2
+# The largest penalty, in requests for each slot: others are preferred while a
+# request waits there for this many others, some 100 ms at the users' upstreams.
+# Beyond, they may reject it, and one that serves a part is better.
+MAX_PENALTY_OF_SLOT = 4.0
 # Counts reach all hosts of a data centre within this time; before, those who
 # saw a request fail are heard and those who saw one succeed are not yet.
 SETTLING_MS = 600
@@ -240,9 +244,16 @@
             former.back_ms is None or now_ms - former.back_ms < FORGET_MS
         ):
             repeats = former.repeats + 1
+        assessment = dataclasses.replace(
+            assessment,
+            penalty=min(assessment.penalty, MAX_PENALTY_OF_SLOT * member.slots),
+        )
         ejected_ms = min(EJECTION_MS << min(repeats, 8), MAX_EJECTION_MS)
         self._ejections_by_id[member.upstream_id] = _Ejection(
-            now_ms, now_ms + ejected_ms, repeats, assessment
+            now_ms,
+            now_ms + ejected_ms,
+            repeats,
+            assessment,
         )
         return EjectionChange(
             service, member.upstream_id, True, assessment, ejected_ms, repeats
