Openings are logged with what peers reported and how old that is

Cause: a selection draws from the range of the reports, so a line with the sum alone did not explain it.

--- a/packages/core/sapphire_core/tagged_flows/openings.py
+++ b/packages/core/sapphire_core/tagged_flows/openings.py
@@ -226,6 +226,8 @@
             entry,
             copy=packet.acknowledged,
             busy=round(self._selector.in_flight(entry), 1),
+            peers_busy=round(self._selector.peer_in_flight(entry), 1),
+            peers_ms=self._selector.reports_age_ms(now_ms),
         )
         return data.Forward(packet, entry.upstream, entry.tag)
 
--- a/packages/core/sapphire_core/tagged_flows/upstream_selector.py
+++ b/packages/core/sapphire_core/tagged_flows/upstream_selector.py
@@ -61,6 +61,8 @@
             rng.getrandbits(32)
         )
         self._peer_in_flight_by_tag: Mapping[int, float] = {}
+        # When the reports of peers were last applied; None before the first.
+        self._reports_ms: int | None = None
         # How many hosts share the cold rate of an upstream, at most.
         self._host_count = INITIAL_HOST_COUNT
         # How many hosts share the slots of a service, as far as is known.
@@ -83,6 +85,7 @@
             now_ms: The current time.
         """
         self._peer_in_flight_by_tag = in_flight_by_tag
+        self._reports_ms = now_ms
         for tag, avoid_ms in avoid_ms_by_tag.items():
             entry = self._upstream_table.by_tag(tag)
             if entry is not None and avoid_ms > 0:
@@ -217,7 +220,24 @@
         requests.
         """
         own = self._own_in_flight(entry.upstream.upstream_id)
-        return own + self._peer_in_flight_by_tag.get(entry.tag, 0.0)
+        return own + self.peer_in_flight(entry)
+
+    def peer_in_flight(self, entry: upstream_table_lib.Entry) -> float:
+        """Returns the in-flight requests of peers, as they report them."""
+        return self._peer_in_flight_by_tag.get(entry.tag, 0.0)
+
+    def reports_age_ms(self, now_ms: int) -> int:
+        """Returns when reports of peers were last applied, as a field of logs.
+
+        Args:
+            now_ms: The current time.
+
+        Returns:
+            How long ago that was; -1 if there were none yet.
+        """
+        if self._reports_ms is None:
+            return -1
+        return now_ms - self._reports_ms
 
     def _own_in_flight(self, upstream_id: str) -> int:
         """Returns the requests and unanswered attempts of this host."""
--- a/packages/core/sapphire_core/tagged_flows/upstream_selector_test.py
+++ b/packages/core/sapphire_core/tagged_flows/upstream_selector_test.py
@@ -37,3 +37,15 @@
             bench.answer(number, bench.open(number, 10), 10)
         for name in bench.steering.upstream_table.by_id:
             self.assertEqual(3, bench.steering.flow_table.in_flight(name))
+
+    def test_the_log_tells_what_peers_report_and_how_old_it_is(self) -> None:
+        bench = builders.SteeringBench(builders.upstream("i-0"))
+        bench.open(1, 10)
+        tag = bench.steering.upstream_table.by_id["i-0"].tag
+        bench.steering.apply_peer_reports({tag: 1.5}, {}, 9, 20)
+        bench.open(2, 45)
+        logged = [
+            (each.detail["peers_busy"], each.detail["peers_ms"])
+            for each in bench.decisions
+        ]
+        self.assertEqual([(0.0, -1), (1.5, 25)], logged)
