--- a/packages/core/sapphire_core/peers/data.py
+++ b/packages/core/sapphire_core/peers/data.py
@@ -95,6 +95,8 @@
             may do badly; empty while all do well.
         left_out: What was wrong with a part that was left out when the
             heartbeat was decoded; empty if nothing was.
+        era: The era of the store that the revisions belong to. A scope that the
+            sender knows in an older era only has revision 0.
     """
 
     contact: Contact
@@ -108,3 +110,20 @@
     live_counts: Mapping[str, LiveCount]
     outcomes: tuple[OutcomeReport, ...] = ()
     left_out: str = ""
+    era: int = 0
+
+    def position(
+        self, scope: replication_data.Scope
+    ) -> replication_data.Position | None:
+        """Returns the newest position that the sender has of a scope.
+
+        Args:
+            scope: The scope.
+
+        Returns:
+            The position, None if it has no change of the scope in its era.
+        """
+        revision = self.revisions.get(scope, 0)
+        if revision == 0:
+            return None
+        return replication_data.Position(self.era, revision)
--- a/packages/core/sapphire_core/peers/peer_table.py
+++ b/packages/core/sapphire_core/peers/peer_table.py
@@ -224,24 +224,37 @@
         return received
 
     def sources_ahead(
-        self, scope: replication_data.Scope, revision: int, now_ms: int
+        self,
+        scope: replication_data.Scope,
+        position: replication_data.Position,
+        max_era: int,
+        now_ms: int,
     ) -> list[pull_sources.Source]:
         """Returns the live peers that have newer changes of a scope.
 
         Args:
             scope: The scope.
-            revision: The revision of the newest change that this host has.
+            position: The position of the newest change that this host has.
+            max_era: The newest era of which this host takes changes.
             now_ms: The current time.
         """
-        return [
-            pull_sources.Source(
-                received.heartbeat.contact,
-                received.is_near,
-                received.heartbeat.revisions.get(scope, 0),
+        sources: list[pull_sources.Source] = []
+        for received in self.live_heartbeats(now_ms):
+            heartbeat = received.heartbeat
+            newest = heartbeat.position(scope)
+            if newest is None or not position < newest:
+                continue
+            if newest.era > max_era:
+                continue
+            sources.append(
+                pull_sources.Source(
+                    heartbeat.contact,
+                    received.is_near,
+                    newest.revision,
+                    newest.era,
+                )
             )
-            for received in self.live_heartbeats(now_ms)
-            if received.heartbeat.revisions.get(scope, 0) > revision
-        ]
+        return sources
 
     def contact(self, host: str) -> data.Contact | None:
         """Returns where a peer is reached, None if it is not known."""
--- a/packages/core/sapphire_core/peers/pull_sources.py
+++ b/packages/core/sapphire_core/peers/pull_sources.py
@@ -48,11 +48,13 @@
         contact: Where the peer is reached.
         is_near: Whether it is in the same data centre as this host.
         revision: The newest revision that it names.
+        era: The era that this revision belongs to.
     """
 
     contact: data.Contact
     is_near: bool
     revision: int
+    era: int = 0
 
 
 class PullSources:
--- a/packages/core/sapphire_core/replication/data.py
+++ b/packages/core/sapphire_core/replication/data.py
@@ -23,6 +23,22 @@
     HOSTS = 3
 
 
+@dataclasses.dataclass(frozen=True, order=True, slots=True)
+class Position:
+    """A point in the history of the store; ordered by era, then revision.
+
+    A store that comes back from an older copy of itself starts a new era, in
+    which it gives out revisions again that it gave out before.
+
+    Attributes:
+        era: The era; 0 where the store names none.
+        revision: The revision.
+    """
+
+    era: int
+    revision: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Item:
     """A key of the store with the value that its last change gave it.
@@ -47,11 +63,18 @@
         as_of: The revision up to which no change is missing.
         is_full: Whether these are all items of the scope; otherwise they are
             changes only.
+        era: The era of the store that all revisions belong to.
     """
 
     items: tuple[Item, ...]
     as_of: int
     is_full: bool
+    era: int = 0
+
+    @property
+    def position(self) -> Position:
+        """The position up to which no change is missing."""
+        return Position(self.era, self.as_of)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -87,10 +110,12 @@
     Attributes:
         lease: The lease that its entry is attached to.
         revision: The revision of the store at which it was added.
+        era: The era of the store in which both were given out.
     """
 
     lease: int
     revision: int
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/sapphire_core/replication/replica.py
+++ b/packages/core/sapphire_core/replication/replica.py
@@ -1,43 +1,67 @@
 """This host's replica of the items of one scope of the store."""
 
+from sapphire_core.replication import carried_items
 from sapphire_core.replication import data
 
 # Tombstones are kept for this long, for peers that are behind by less than
 # this. So are the last values of removed keys, for the open flows of upstreams
 # that have left the registry.
 TOMBSTONE_TTL_MS = 30_000
+# The revision of a store that has no items: it is above 0, so that peers see
+# that an empty scope has been read in its era.
+_FIRST_REVISION = 1
 
 
 class Replica:
     """A replica of one scope, which keeps the newest revision of each key.
 
     Batches from the store and from peers may therefore be applied in any order
-    and more than once.
+    and more than once. Revisions are compared within an era only: a full batch
+    of a newer era replaces the items, and batches of older eras are ignored.
+
+    Args:
+        keeps_missing: Whether items that an older copy of the store lacks count
+            for `carried_items.CARRIED_MS`; otherwise they are removed at once.
 
     Attributes:
+        era: The era of the store that the revisions belong to.
         as_of: The revision up to which the replica is complete.
         newest_revision: The revision of the newest item.
         is_complete: Whether a batch with all items was applied.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, keeps_missing: bool = True) -> None:
+        self._keeps_missing = keeps_missing
+        # What the store has, in the era of the replica.
         self._items_by_key: dict[str, data.Item] = {}
+        self._carried = carried_items.nothing()
         self._removed_ms_by_key: dict[str, int] = {}
         # The items of removed keys with their last value.
         self._last_items_by_key: dict[str, data.Item] = {}
         # Changes since an earlier revision would lack evicted tombstones.
         self._oldest_delta_revision = 0
+        self.era = 0
         self.as_of = 0
         self.newest_revision = 0
         self.is_complete = False
 
+    @property
+    def position(self) -> data.Position:
+        """The position up to which the replica is complete."""
+        return data.Position(self.era, self.as_of)
+
     def items(self) -> list[data.Item]:
-        """Returns the items that exist, in the order of their keys."""
-        return [
-            self._items_by_key[key]
-            for key in sorted(self._items_by_key)
-            if self._items_by_key[key].value is not None
+        """Returns the items that count, in the order of their keys.
+
+        These are the items of the store and what is carried of a former era.
+        """
+        found = [
+            item
+            for item in self._stored_items()
+            if not self._carried.is_masked(item.key)
         ]
+        found.extend(self._carried.kept_items)
+        return sorted(found, key=lambda item: item.key)
 
     def get(self, key: str) -> data.Item | None:
         """Returns an item, which may be a tombstone.
@@ -57,19 +81,31 @@
         started finds no record of these upstreams in the store.
         """
         return data.Batch(
-            tuple(self._last_items_by_key.values()), self.as_of, False
+            tuple(self._last_items_by_key.values()), self.as_of, False, self.era
         )
 
-    def apply(self, batch: data.Batch, now_ms: int) -> list[data.Item]:
+    def apply(
+        self, batch: data.Batch, now_ms: int, *, is_final: bool = False
+    ) -> list[data.Item]:
         """Merges a batch from the store or a peer.
 
+        Changes of a newer era are ignored, since all items have to be read
+        first.
+
         Args:
             batch: The batch.
             now_ms: The current time.
+            is_final: Whether the batch is of the era that the store itself
+                named last, so that a newer one must be an error of a peer.
 
         Returns:
             The items that changed, tombstones included, oldest first.
         """
+        is_new_era = batch.era > self.era or (is_final and batch.era < self.era)
+        if is_new_era and batch.is_full:
+            return self._start_era(batch, now_ms)
+        if batch.era != self.era:
+            return []
         changed = [item for item in batch.items if self._accept(item, now_ms)]
         if batch.is_full:
             changed.extend(self._remove_missing(batch, now_ms))
@@ -82,42 +118,165 @@
             )
         return changed
 
-    def changes_after(self, revision: int) -> data.Batch:
+    def changes_after(
+        self, revision: int, era: int | None = None
+    ) -> data.Batch:
         """Returns what a peer lacks.
 
         Args:
             revision: The revision up to which the peer's replica is complete;
                 0 if it has none.
+            era: The era that this revision belongs to; None for that of this
+                replica.
 
         Returns:
-            The changes after the revision, or all items if tombstones of such
-            changes were evicted.
+            The changes after the revision, or all items if it belongs to
+            another era or tombstones of such changes were evicted.
         """
-        if revision < self._oldest_delta_revision or revision == 0:
-            return data.Batch(tuple(self.items()), self.as_of, True)
+        is_other_era = era is not None and era != self.era
+        lacks_tombstones = revision < self._oldest_delta_revision
+        if is_other_era or lacks_tombstones or revision == 0:
+            stored = sorted(self._stored_items(), key=lambda item: item.key)
+            return data.Batch(tuple(stored), self.as_of, True, self.era)
         changed = [
             item
             for item in self._items_by_key.values()
             if item.revision > revision
         ]
         changed.sort(key=lambda item: item.revision)
-        return data.Batch(tuple(changed), self.as_of, False)
+        return data.Batch(tuple(changed), self.as_of, False, self.era)
+
+    def evict_expired(self, now_ms: int) -> list[data.Item]:
+        """Evicts what has counted for long enough.
 
-    def evict_expired(self, now_ms: int) -> None:
-        """Evicts tombstones, and last values, of `TOMBSTONE_TTL_MS` ago.
+        That is tombstones, and last values, of `TOMBSTONE_TTL_MS` ago, and what
+        is carried of a former era.
 
         Args:
             now_ms: The current time.
+
+        Returns:
+            The items that changed, as what was carried no longer counts.
         """
         for key, removed_ms in list(self._removed_ms_by_key.items()):
             if now_ms - removed_ms < TOMBSTONE_TTL_MS:
                 continue
             del self._removed_ms_by_key[key]
             self._last_items_by_key.pop(key, None)
-            item = self._items_by_key.pop(key)
+            item = self._items_by_key.get(key)
+            # Keys of a former era have no tombstone in this one.
+            if item is None or item.value is not None:
+                continue
+            del self._items_by_key[key]
             self._oldest_delta_revision = max(
                 self._oldest_delta_revision, item.revision
             )
+        if self._carried.is_expired(now_ms):
+            return self._drop_carried(now_ms)
+        return []
+
+    def _stored_items(self) -> list[data.Item]:
+        """Returns the items that exist in the store."""
+        return [
+            item
+            for item in self._items_by_key.values()
+            if item.value is not None
+        ]
+
+    def _start_era(self, batch: data.Batch, now_ms: int) -> list[data.Item]:
+        """Replaces all items by those of a store that was restored.
+
+        Returns:
+            The items that changed. An item that the copy lacks has the revision
+            of the batch.
+        """
+        known_by_key = {item.key: item for item in self.items()}
+        removed_revisions = self._removed_revisions()
+        self._items_by_key = {item.key: item for item in batch.items}
+        missing = [
+            item
+            for item in known_by_key.values()
+            if item.key not in self._items_by_key
+        ]
+        masked_keys = frozenset(
+            item.key
+            for item in batch.items
+            if item.revision <= removed_revisions.get(item.key, -1)
+        )
+        self._carried = carried_items.CarriedItems(
+            {item.key: item for item in missing} if self._keeps_missing else {},
+            masked_keys,
+            now_ms + carried_items.CARRIED_MS,
+        )
+        self.era = batch.era
+        self.as_of = batch.as_of
+        self.newest_revision = max(
+            (item.revision for item in batch.items), default=_FIRST_REVISION
+        )
+        self._oldest_delta_revision = batch.as_of
+        self.is_complete = True
+        changed: list[data.Item] = []
+        for item in batch.items:
+            if item.key in masked_keys:
+                continue
+            self._forget_removal(item.key)
+            known = known_by_key.get(item.key)
+            if known is None or known.value != item.value:
+                changed.append(item)
+        if not self._keeps_missing:
+            changed.extend(self._remove_all(missing, now_ms))
+        self._lower_last_items()
+        return sorted(changed, key=lambda item: item.revision)
+
+    def _removed_revisions(self) -> dict[str, int]:
+        """Returns the keys that count as removed, by their last revision.
+
+        A key at a higher revision in a newer era was written in it. For a key
+        whose last value was never known, that is the revision of its removal.
+        """
+        return {
+            key: self._last_items_by_key.get(key, item).revision
+            for key, item in self._items_by_key.items()
+            if item.value is None or self._carried.is_masked(key)
+        }
+
+    def _lower_last_items(self) -> None:
+        """Gives last values of a former era revisions that the store has."""
+        for key, item in self._last_items_by_key.items():
+            self._last_items_by_key[key] = data.Item(
+                key, min(item.revision, self.as_of), item.value
+            )
+
+    def _drop_carried(self, now_ms: int) -> list[data.Item]:
+        """Ends what is carried of a former era.
+
+        Returns:
+            The items that changed.
+        """
+        carried, self._carried = self._carried, carried_items.nothing()
+        changed = self._remove_all(carried.kept_items, now_ms)
+        for key in sorted(carried.masked_keys):
+            self._forget_removal(key)
+            changed.append(self._items_by_key[key])
+        return changed
+
+    def _remove_all(
+        self, items: list[data.Item], now_ms: int
+    ) -> list[data.Item]:
+        """Records the removal of items of a former era.
+
+        Returns:
+            Their tombstones. The replica does not keep these: other hosts find
+            out themselves which items the store lacks.
+        """
+        for item in items:
+            self._record_removal(item, now_ms)
+        return [data.Item(item.key, self.as_of, None) for item in items]
+
+    def _forget_removal(self, key: str) -> None:
+        """Forgets that a key was removed, as it exists again."""
+        self._removed_ms_by_key.pop(key, None)
+        self._last_items_by_key.pop(key, None)
 
     def _accept(self, item: data.Item, now_ms: int) -> bool:
         """Stores an item if it is newer than the known one.
@@ -125,21 +284,22 @@
         Returns:
             Whether the item is a change for this host.
         """
-        known = self._items_by_key.get(item.key)
-        if known is not None and item.revision <= known.revision:
+        stored = self._items_by_key.get(item.key)
+        if stored is not None and item.revision <= stored.revision:
             return False
-        if item.value is None and known is None:
-            # The key was never known here. The tombstone is kept, since a full
-            # read from before the removal may still contain the key.
+        was_masked = self._carried.is_masked(item.key)
+        known = self._carried.settle(item.key) or stored
+        self._items_by_key[item.key] = item
+        if item.value is not None:
+            self._forget_removal(item.key)
+            return True
+        if known is None or was_masked:
+            # The key was never known here, or counts as removed already. The
+            # tombstone is kept, since a full read from before the removal may
+            # still contain the key.
             self._removed_ms_by_key[item.key] = now_ms
-            self._items_by_key[item.key] = item
             return False
-        self._items_by_key[item.key] = item
-        if item.value is None:
-            self._record_removal(known, now_ms)
-        else:
-            self._removed_ms_by_key.pop(item.key, None)
-            self._last_items_by_key.pop(item.key, None)
+        self._record_removal(known, now_ms)
         return True
 
     def _record_removal(self, previous: data.Item | None, now_ms: int) -> None:
@@ -169,6 +329,10 @@
                 continue
             tombstone = data.Item(key, batch.as_of, None)
             self._items_by_key[key] = tombstone
+            if self._carried.is_masked(key):
+                self._carried.settle(key)
+                self._removed_ms_by_key[key] = now_ms
+                continue
             self._record_removal(item, now_ms)
             removed.append(tombstone)
         return removed
--- a/packages/core/sapphire_core/replication/replica_test.py
+++ b/packages/core/sapphire_core/replication/replica_test.py
@@ -2,6 +2,7 @@
 
 import testtools
 
+from sapphire_core.replication import carried_items
 from sapphire_core.replication import data
 from sapphire_core.replication import replica as replica_lib
 from sapphire_lab.tagged_flows import builders
@@ -268,3 +269,92 @@
         self.restore(item("i-1", 5))
         self.watch_restored(item("i-3", 13), as_of=13)
         self.assertFalse(self.replica.changes_after(12).is_full)
+
+
+class EraTest(testtools.TestCase):
+    """What is known from before a restore, and how long it counts.
+
+    The store was at revision 20 and comes back from a copy of revision 12.
+    """
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.replica = replica_lib.Replica()
+        self.replica.apply(
+            batch(item("kept", 18), item("both", 4), as_of=18, is_full=True),
+            0,
+        )
+        self.replica.apply(batch(item("left", 6), as_of=19), 0)
+        self.replica.apply(batch(item("left", 20, None), as_of=20), 0)
+
+    def restore(self, *items: data.Item, now_ms: int = 0) -> list[data.Item]:
+        """Applies all items of a copy that has the key that left."""
+        copy = builders.copy_batch(
+            item("both", 4), item("left", 6), *items, as_of=12
+        )
+        return self.replica.apply(copy, now_ms)
+
+    def test_batches_of_an_older_era_are_ignored(self) -> None:
+        self.restore()
+        for is_full in (False, True):
+            late = batch(item("both", 30), as_of=30, is_full=is_full)
+            self.assertEqual([], self.replica.apply(late, 0))
+        self.assertEqual(
+            data.Position(builders.COPY_ERA, 12), self.replica.position
+        )
+
+    def test_changes_of_a_newer_era_wait_for_a_read_of_all_items(self) -> None:
+        changes = builders.copy_batch(item("both", 21), as_of=21, is_full=False)
+        self.assertEqual([], self.replica.apply(changes, 0))
+        self.assertEqual(data.Position(0, 20), self.replica.position)
+
+    def test_nothing_changes_at_the_restore_itself(self) -> None:
+        self.assertEqual([], self.restore())
+        self.assertEqual({"both": b"v", "kept": b"v"}, values(self.replica))
+
+    def test_after_the_bound_only_the_store_counts(self) -> None:
+        self.restore()
+        bound_ms = carried_items.CARRIED_MS
+        self.assertEqual([], self.replica.evict_expired(bound_ms - 1))
+        self.assertEqual(
+            [item("kept", 12, None), item("left", 6)],
+            self.replica.evict_expired(bound_ms),
+        )
+        self.assertEqual({"both": b"v", "left": b"v"}, values(self.replica))
+
+    def test_what_is_written_again_counts_at_once(self) -> None:
+        self.restore(item("new", 11))
+        written = (item("kept", 13, None), item("left", 14, b"again"))
+        changes = builders.copy_batch(*written, as_of=14, is_full=False)
+        self.assertEqual(list(written), self.replica.apply(changes, 0))
+        self.assertEqual([], self.replica.evict_expired(10**6))
+
+    def test_a_key_written_again_before_the_read_counts(self) -> None:
+        copy = builders.copy_batch(item("left", 13, b"again"), as_of=14)
+        self.replica.apply(copy, 0)
+        self.assertEqual(b"again", values(self.replica)["left"])
+
+    def test_a_second_restore_changes_nothing_either(self) -> None:
+        self.restore()
+        again = data.Batch((item("left", 6),), 9, True, builders.COPY_ERA + 1)
+        self.assertEqual([], self.replica.apply(again, 5_000))
+        self.assertEqual({"both": b"v", "kept": b"v"}, values(self.replica))
+
+    def test_peers_of_another_era_get_all_that_the_store_has(self) -> None:
+        self.restore()
+        sent = self.replica.changes_after(20, era=0)
+        expected = builders.copy_batch(
+            item("both", 4), item("left", 6), as_of=12
+        )
+        self.assertEqual(expected, sent)
+        self.assertFalse(self.replica.changes_after(12, 1).is_full)
+
+    def test_a_scope_without_the_bound_drops_what_the_copy_lacks(self) -> None:
+        self.replica = replica_lib.Replica(keeps_missing=False)
+        self.replica.apply(batch(item("i-1", 18), as_of=20, is_full=True), 0)
+        changed = self.replica.apply(builders.copy_batch(as_of=12), 0)
+        self.assertEqual([item("i-1", 12, None)], changed)
+        removed = self.replica.removed_items()
+        self.assertEqual((item("i-1", 12),), removed.items)
+        again = builders.copy_batch(item("i-1", 13), as_of=13, is_full=False)
+        self.assertEqual([item("i-1", 13)], self.replica.apply(again, 0))
--- a/packages/core/sapphire_core/tagged_flows/flow_table_test.py
+++ b/packages/core/sapphire_core/tagged_flows/flow_table_test.py
@@ -1,5 +1,6 @@
 import testtools
 
+from sapphire_core.replication import data as replication_data
 from sapphire_core.tagged_flows import flow_table
 from sapphire_core.tagged_flows import upstream_table
 from sapphire_lab.tagged_flows import builders
@@ -12,7 +13,9 @@
         super().setUp()
         self.flow_table = flow_table.FlowTable()
         upstream = builders.upstream("i-1")
-        self.entry = upstream_table.Entry(upstream, 5, 1, 0)
+        self.entry = upstream_table.Entry(
+            upstream, 5, replication_data.Position(0, 1), 0
+        )
 
     def add_record(self, number: int = 1) -> flow_table.FlowRecord:
         return self.flow_table.add(builders.flow(number), self.entry, 0)
--- a/packages/core/sapphire_core/tagged_flows/selection_policy_test.py
+++ b/packages/core/sapphire_core/tagged_flows/selection_policy_test.py
@@ -3,6 +3,7 @@
 
 import testtools
 
+from sapphire_core.replication import data as replication_data
 from sapphire_core.tagged_flows import selection_policy
 from sapphire_core.tagged_flows import upstream_table
 from sapphire_lab.tagged_flows import builders
@@ -21,7 +22,9 @@
     penalty: float = 0.0,
 ) -> selection_policy.Candidate:
     upstream = builders.upstream(name, data_centre=data_centre, slots=slots)
-    entry = upstream_table.Entry(upstream, 5, 1, 0)
+    entry = upstream_table.Entry(
+        upstream, 5, replication_data.Position(0, 1), 0
+    )
     return selection_policy.Candidate(
         entry, in_flight, consecutive_unanswered, is_cold, penalty
     )
--- a/packages/core/sapphire_core/tagged_flows/upstream_table.py
+++ b/packages/core/sapphire_core/tagged_flows/upstream_table.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from sapphire_core.replication import data as replication_data
 from sapphire_core.tagged_flows import data
 from sapphire_core.tagged_flows import tags
 
@@ -20,8 +21,9 @@
     Attributes:
         upstream: Its newest report.
         tag: Its tag.
-        first_revision: The revision of the registry at which it was first seen.
-            Of two upstreams with the same tag, the lower revision keeps it.
+        first_position: The position of the registry at which it was first seen.
+            Of two upstreams with the same tag, the lower position keeps it: a
+            revision that a restored store gives out again is of a newer era.
         cold_until_ms: When its slow start ends.
         removed_ms: When it was removed from the registry; None while
             registered.
@@ -29,16 +31,18 @@
         is_replaced: Whether another upstream has its address.
         last_active_ms: When a packet of a caller last showed that the upstream
             sends; None if never.
+        era: The era of the registry in which its newest report was read.
     """
 
     upstream: data.Upstream
     tag: int
-    first_revision: int
+    first_position: replication_data.Position
     cold_until_ms: int
     removed_ms: int | None = None
     removal_cause: data.RemovalCause | None = None
     is_replaced: bool = False
     last_active_ms: int | None = None
+    era: int = 0
 
     def is_cold(self, now_ms: int) -> bool:
         """Whether the upstream is in slow start."""
@@ -91,7 +95,7 @@
             self._data_centres_out_of_rotation.discard(data_centre)
 
     def put(
-        self, upstream: data.Upstream, revision: int, now_ms: int
+        self, upstream: data.Upstream, revision: int, now_ms: int, era: int = 0
     ) -> Entry | None:
         """Adds an upstream or updates it from its report.
 
@@ -99,17 +103,23 @@
             upstream: The report.
             revision: The revision of the registry at the report.
             now_ms: The current time.
+            era: The era of the registry that the revision belongs to.
 
         Returns:
             The entry if the upstream is new or has restarted, else None.
         """
         known = self.by_id.get(upstream.upstream_id)
+        if known is not None and _is_from_older_copy(upstream, known, era):
+            return None
+        position = replication_data.Position(era, revision)
         is_new_start = (
             known is None or known.upstream.started_ms != upstream.started_ms
         )
         entry = known or Entry(
-            upstream, tags.tag_of(upstream.upstream_id), revision, 0
+            upstream, tags.tag_of(upstream.upstream_id), position, 0
         )
+        entry.first_position = min(entry.first_position, position)
+        entry.era = era
         if upstream.cold_ms > 0:
             entry.cold_until_ms = max(
                 entry.cold_until_ms, now_ms + upstream.cold_ms
@@ -123,13 +133,13 @@
         entry.is_replaced = False
         self.by_id[upstream.upstream_id] = entry
         owner = self._by_tag.setdefault(entry.tag, entry)
-        if owner is not entry and entry.first_revision < owner.first_revision:
+        if owner is not entry and entry.first_position < owner.first_position:
             self._by_tag[entry.tag] = entry
         self._claim_address(entry)
         return entry if is_new_start else None
 
     def put_former(
-        self, upstream: data.Upstream, revision: int, now_ms: int
+        self, upstream: data.Upstream, revision: int, now_ms: int, era: int = 0
     ) -> Entry | None:
         """Adds an upstream that was removed before this host knew it.
 
@@ -140,6 +150,7 @@
             upstream: The last report of the upstream.
             revision: The revision of the registry at that report.
             now_ms: The current time.
+            era: The era of the registry that the revision belongs to.
 
         Returns:
             The new entry, None if the upstream was known already.
@@ -149,7 +160,7 @@
         entry = Entry(
             upstream,
             tags.tag_of(upstream.upstream_id),
-            revision,
+            replication_data.Position(era, revision),
             now_ms,
             removed_ms=now_ms,
             removal_cause=data.RemovalCause.UNKNOWN,
@@ -279,4 +290,20 @@
         """
         sharing = [e for e in self.by_id.values() if e.tag == tag]
         if sharing:
-            self._by_tag[tag] = min(sharing, key=lambda e: e.first_revision)
+            self._by_tag[tag] = min(sharing, key=lambda e: e.first_position)
+
+
+def _is_from_older_copy(
+    upstream: data.Upstream, known: Entry, era: int
+) -> bool:
+    """Whether a report is one from before the newest known of its upstream.
+
+    A store that comes back from an older copy may have such a report until the
+    upstream writes again, for example one from before it began to drain.
+    """
+    return (
+        era > known.era
+        and known.removed_ms is None
+        and upstream.started_ms == known.upstream.started_ms
+        and upstream.report_number < known.upstream.report_number
+    )
--- a/packages/core/sapphire_core/tagged_flows/upstream_table_test.py
+++ b/packages/core/sapphire_core/tagged_flows/upstream_table_test.py
@@ -215,3 +215,30 @@
         owner = table.by_tag(5)
         assert owner is not None
         self.assertEqual("i-1", owner.upstream.upstream_id)
+
+    def test_an_upstream_that_is_not_back_yet_keeps_its_tag(self) -> None:
+        table = upstream_table.UpstreamTable()
+        with mock.patch.object(tags, "tag_of", return_value=5):
+            table.put(builders.upstream("i-1"), 10, 0)
+            table.remove("i-1", 500, data.RemovalCause.REGISTRY_UNAVAILABLE)
+            table.put(builders.upstream("i-2"), 7, 1_000, builders.COPY_ERA)
+            table.put(builders.upstream("i-1"), 8, 1_100, builders.COPY_ERA)
+        owner = table.by_tag(5)
+        assert owner is not None
+        self.assertEqual("i-1", owner.upstream.upstream_id)
+
+    # Guards against DRAIN: the copy has the report from before.
+    def test_an_upstream_that_drains_is_not_ready_because_of_the_copy(
+        self,
+    ) -> None:
+        table = upstream_table.UpstreamTable()
+        draining = data.UpstreamState.DRAINING
+        era = builders.COPY_ERA
+        drains = builders.upstream("i-1", state=draining, report_number=9)
+        table.put(drains, 18, 0)
+        table.put(builders.upstream("i-1", report_number=5), 4, 100, era)
+        self.assertEqual([], table.eligible_upstreams("board", 100))
+        # A new process, which counts anew.
+        started = builders.upstream("i-1", report_number=1, started_ms=2)
+        table.put(started, 6, 2_000, era)
+        self.assertEqual(1, len(table.eligible_upstreams("board", 2_000)))
--- a/packages/lab/sapphire_lab/tagged_flows/builders.py
+++ b/packages/lab/sapphire_lab/tagged_flows/builders.py
@@ -13,6 +13,8 @@
 CALLER_ADDRESS = 0x64400007  # 100.64.0.7
 DATA_CENTRE = "tacoma"
 SEED = 7
+# The era of a store that came back from an older copy once.
+COPY_ERA = 1
 
 
 def upstream(
@@ -173,10 +175,9 @@
 ) -> replication_data.Batch:
     """Returns a batch of a store that came back from an older copy.
 
-    Batches have no field for that yet, so one like this equals a late answer
-    from before. A field that tells them apart is to be set here.
+    Other batches and announcements are of era 0.
     """
-    return replication_data.Batch(items, as_of, is_full)
+    return replication_data.Batch(items, as_of, is_full, COPY_ERA)
 
 
 def heartbeat(
--- a/packages/lab/sapphire_lab/tagged_flows/outcome_builders.py
+++ b/packages/lab/sapphire_lab/tagged_flows/outcome_builders.py
@@ -10,6 +10,7 @@
 
 from sapphire_core.peers import data as peer_data
 from sapphire_core.peers import outcome_reports
+from sapphire_core.replication import data as replication_data
 from sapphire_core.tagged_flows import data
 from sapphire_core.tagged_flows import request_outcomes
 from sapphire_core.tagged_flows import upstream_table
@@ -42,7 +43,12 @@
 
 def entry(number: int) -> upstream_table.Entry:
     """Returns the entry of an upstream whose tag is its number."""
-    return upstream_table.Entry(builders.upstream(f"i-{number}"), number, 1, 0)
+    return upstream_table.Entry(
+        builders.upstream(f"i-{number}"),
+        number,
+        replication_data.Position(0, 1),
+        0,
+    )
 
 
 def packets_of(
--- a/packages/lab/sapphire_lab/tagged_flows/scripted_store.py
+++ b/packages/lab/sapphire_lab/tagged_flows/scripted_store.py
@@ -6,7 +6,12 @@
 from sapphire_node.entry import platform_interface
 
 Answer = (
-    data.Batch | data.Snapshot | data.Announcement | data.SourceFailure | None
+    data.Batch
+    | data.Snapshot
+    | data.Announcement
+    | data.SourceFailure
+    | int
+    | None
 )
 # What a full read records among the calls.
 READ_ALL = -1
@@ -22,12 +27,14 @@
         calls: The revision of each wait for changes, `READ_ALL` for each read
             of all items, the name of each other call.
         close_count: How often a connection was closed.
+        era: The newest era that the store has named.
     """
 
     def __init__(self, answers: list[Answer]) -> None:
         self.answers = answers
         self.calls: list[int | str] = []
         self.close_count = 0
+        self.era = 0
 
     async def _next(self) -> Answer:
         await anyio.sleep(0)
@@ -90,6 +97,15 @@
         assert answer is None or isinstance(answer, data.SourceFailure)
         return answer
 
+    async def read_era(self, timeout_ms: int) -> int | data.SourceFailure:
+        """See `platform_interface.StoreClient`."""
+        self.calls.append("era")
+        answer = await self._next()
+        assert isinstance(answer, int | data.SourceFailure)
+        if isinstance(answer, int):
+            self.era = max(self.era, answer)
+        return answer
+
     async def close(self) -> None:
         """See `platform_interface.StoreClient`."""
         self.close_count += 1
--- a/packages/net/sapphire_net/http1.py
+++ b/packages/net/sapphire_net/http1.py
@@ -40,10 +40,26 @@
     Attributes:
         status: The status code.
         body: The whole body.
+        headers: The header fields with their names in lower case, as received;
+            those of a response to be sent follow from its body.
     """
 
     status: int
     body: bytes
+    headers: tuple[tuple[bytes, bytes], ...] = dataclasses.field(
+        default=(), compare=False
+    )
+
+    def header(self, name: bytes) -> bytes | None:
+        """Returns the value of a header field, None if it is missing.
+
+        Args:
+            name: The name in lower case.
+        """
+        for each_name, value in self.headers:
+            if each_name == name:
+                return value
+        return None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -178,6 +194,7 @@
     ) -> Response:
         """Reads the response to the request that was sent."""
         status = 0
+        headers: tuple[tuple[bytes, bytes], ...] = ()
         chunks: list[bytes] = []
         while True:
             event: Any = self._protocol.next_event()
@@ -188,6 +205,7 @@
                 continue
             if isinstance(event, h11.Response):
                 status = event.status_code
+                headers = tuple(event.headers)
                 continue
             if isinstance(event, h11.Data):
                 chunks.append(bytes(event.data))
@@ -195,7 +213,7 @@
                     raise h11.RemoteProtocolError("body too long")
                 continue
             if isinstance(event, h11.EndOfMessage):
-                return Response(status, b"".join(chunks))
+                return Response(status, b"".join(chunks), headers)
             if isinstance(event, h11.ConnectionClosed):
                 raise anyio.EndOfStream
 
--- a/packages/node/sapphire_node/entry/announcer.py
+++ b/packages/node/sapphire_node/entry/announcer.py
@@ -29,6 +29,12 @@
 POLL_INTERVAL_MS = 1_000
 # Hosts that are missing from the list announce themselves over this time.
 REANNOUNCE_SPREAD_MS = 4_000
+# Hosts that a restored store lacks are listed again within two seconds of its
+# return, which has to do for the news as well.
+RESTORED_SPREAD_MS = 1_000
+# After a restore, whether the list lacks this host is soon known.
+RESTORED_POLL_INTERVAL_MS = 200
+RESTORED_POLL_MS = 5_000
 _MAX_DOUBLINGS = 4
 
 
@@ -58,8 +64,9 @@
         self._clock = clock
         self._rng = random.Random()
         self._lease: int | None = None
-        # The revision of the store at which this host was surely listed.
-        self._listed_revision = 0
+        # The position of the store at which this host was surely listed. The
+        # lease is of the same era.
+        self._listed_position = data.Position(0, 0)
         self._next_call_ms = 0
         self._consecutive_failures = 0
 
@@ -69,7 +76,15 @@
         self.adopt_listing()
         while True:
             await self.step()
-            await pauses.sleep_ms(POLL_INTERVAL_MS)
+            restored_ms = self._state.eras.restored_ms
+            now_ms = self._clock.now_ms()
+            if (
+                restored_ms is not None
+                and now_ms - restored_ms < RESTORED_POLL_MS
+            ):
+                await pauses.sleep_ms(RESTORED_POLL_INTERVAL_MS)
+            else:
+                await self._state.eras.wait_for_restore(POLL_INTERVAL_MS)
 
     def adopt_listing(self) -> None:
         """Takes over the entry of this host's former process, if it fits."""
@@ -79,7 +94,9 @@
         if listing.value != self._value:
             return
         self._lease = listing.lease
-        self._listed_revision = self._state.startup_revision
+        self._listed_position = data.Position(
+            self._state.startup_era, self._state.startup_revision
+        )
         # Hosts that start at the same moment renew at different ones.
         self._next_call_ms = self._clock.now_ms() + self._rng.randrange(
             RENEW_INTERVAL_MS
@@ -94,33 +111,54 @@
                 logging.INFO,
                 "unlisted",
                 as_of=self._state.unlisted_as_of,
-                listed_revision=self._listed_revision,
+                listed_revision=self._listed_position.revision,
+                listed_era=self._listed_position.era,
+                store_era=self._state.eras.named,
             )
             self._lease = None
-            self._next_call_ms = now_ms + self._rng.randrange(
-                REANNOUNCE_SPREAD_MS
-            )
+            spread_ms = REANNOUNCE_SPREAD_MS
+            if self._list_position().era > self._listed_position.era:
+                spread_ms = RESTORED_SPREAD_MS
+            self._next_call_ms = now_ms + self._rng.randrange(spread_ms)
         if now_ms < self._next_call_ms:
             return
         store = self._platform.create_store_client(self._state.settings)
         failure = await self._announce_or_renew(store)
+        self._state.record_store_era(store.era, self._clock.now_ms())
         await store.close()
         self._schedule_next_call(failure)
 
+    def _list_position(self) -> data.Position:
+        """Returns the position of the newest list, if it lacks this host."""
+        return data.Position(
+            self._state.era_by_scope.get(data.Scope.HOSTS, 0),
+            self._state.unlisted_as_of or 0,
+        )
+
     def _is_missing_from_list(self) -> bool:
         """Whether a list from after the announcement lacks this host."""
-        unlisted_as_of = self._state.unlisted_as_of
         return (
             self._lease is not None
-            and unlisted_as_of is not None
-            and unlisted_as_of > self._listed_revision
+            and self._state.unlisted_as_of is not None
+            and self._list_position() > self._listed_position
         )
 
+    def _has_former_lease(self) -> bool:
+        """Whether the lease is of a former era.
+
+        A restored store may not have it, or may have given its number to
+        another host.
+        """
+        return self._listed_position.era < self._state.eras.named
+
     async def _announce_or_renew(
         self, store: platform_interface.StoreClient
     ) -> data.SourceFailure | None:
-        """Renews the lease, or announces this host if it has none."""
-        if self._lease is not None:
+        """Renews the lease, or announces this host if it has none.
+
+        A lease of a former era is replaced, not renewed.
+        """
+        if self._lease is not None and not self._has_former_lease():
             return await store.renew(self._lease, ANSWER_TIMEOUT_MS)
         announcement = await store.announce(
             self._contact.host, self._value, LEASE_TTL_MS, ANSWER_TIMEOUT_MS
@@ -128,7 +166,9 @@
         if isinstance(announcement, data.SourceFailure):
             return announcement
         self._lease = announcement.lease
-        self._listed_revision = announcement.revision
+        self._listed_position = data.Position(
+            announcement.era, announcement.revision
+        )
         return None
 
     def _schedule_next_call(self, failure: data.SourceFailure | None) -> None:
--- a/packages/node/sapphire_node/entry/announcer_test.py
+++ b/packages/node/sapphire_node/entry/announcer_test.py
@@ -157,3 +157,12 @@
         for after_ms in (0, 1_000, 1_000):
             calls.extend(self.step(again, after_ms=after_ms))
         self.assertEqual(1, calls.count("announce"))
+
+    def test_a_lease_of_a_former_era_is_made_anew(self) -> None:
+        # The copy has the entry; another host may have the number of the lease.
+        self.step(LISTED)
+        self.state.record_store_era(builders.COPY_ERA, self.clock.now_ms())
+        again = data.Announcement(7, 14, builders.COPY_ERA)
+        interval_ms = announcer_lib.RENEW_INTERVAL_MS
+        self.assertEqual(["announce"], self.step(again, after_ms=interval_ms))
+        self.assertEqual(["renew 7"], self.step(None, after_ms=interval_ms))
--- a/packages/node/sapphire_node/entry/change_puller.py
+++ b/packages/node/sapphire_node/entry/change_puller.py
@@ -72,16 +72,27 @@
         self._new_peer_event = anyio.Event()
 
     def record_revisions(
-        self, revisions: Mapping[data.Scope, int], now_ms: int
+        self, revisions: Mapping[data.Scope, int], now_ms: int, era: int = 0
     ) -> None:
         """Records the newest revisions that a peer has.
 
         Args:
-            revisions: The revision of its newest change of each scope.
+            revisions: The revision of its newest change of each scope; 0 if it
+                has none.
             now_ms: The current time.
+            era: The era of the store that they belong to.
         """
+        eras = self._state.eras
+        if not self._state.as_of_by_scope and eras.named == 0:
+            # A host that knows nothing yet cannot lose anything. The store
+            # corrects it when it answers.
+            eras.from_peers = max(eras.from_peers, era)
+        if era > eras.accepted:
+            eras.record_claim(era)
+            return
         for scope, revision in revisions.items():
-            if revision <= self._state.change_revision_by_scope.get(scope, 0):
+            position = data.Position(era, revision)
+            if revision == 0 or position <= self._state.newest_position(scope):
                 continue
             self._behind_since_ms_by_scope.setdefault(scope, now_ms)
             self._is_behind_event.set()
@@ -128,8 +139,12 @@
 
         A scope of which no peer is ahead any more is no longer behind.
         """
-        revision = self._state.change_revision_by_scope.get(scope, 0)
-        sources = self._peer_table.sources_ahead(scope, revision, now_ms)
+        sources = self._peer_table.sources_ahead(
+            scope,
+            self._state.newest_position(scope),
+            self._state.eras.accepted,
+            now_ms,
+        )
         if not sources:
             self._behind_since_ms_by_scope.pop(scope, None)
             return None
@@ -159,8 +174,8 @@
         self, scope: data.Scope, source: pull_sources.Source
     ) -> pull_sources.PullOutcome:
         """Pulls the changes of a scope from one peer."""
-        after = self._state.as_of_by_scope.get(scope, 0)
-        request = peer_requests.PeerRequest(scope, after)
+        after = self._state.position(scope)
+        request = peer_requests.PeerRequest(scope, after.revision, after.era)
         host = source.contact.host
         batch = await self._request_batch(host, request)
         if isinstance(batch, pull_sources.PullOutcome):
@@ -168,7 +183,8 @@
         await self._batches.send(messages.BatchReceived(scope, batch, host))
         # Items read page by page may be newer than the first page.
         newest = max((item.revision for item in batch.items), default=0)
-        if max(newest, batch.as_of) < source.revision:
+        position = data.Position(batch.era, max(newest, batch.as_of))
+        if position < data.Position(source.era, source.revision):
             event_log.log(
                 _LOG,
                 logging.WARNING,
@@ -176,6 +192,8 @@
                 peer=host,
                 scope=scope.name,
                 named_revision=source.revision,
+                named_era=source.era,
+                era=batch.era,
                 as_of=batch.as_of,
             )
             return pull_sources.PullOutcome.CONTRADICTED
--- a/packages/node/sapphire_node/entry/change_puller_test.py
+++ b/packages/node/sapphire_node/entry/change_puller_test.py
@@ -239,3 +239,55 @@
 
         self.assertEqual(["a"], self.run_with_peer(answer))
         self.assertEqual(["/removed/2"], paths)
+
+
+class ClaimedEraTest(ChangePullerFixture):
+    """What a host makes of an era that only a peer claims."""
+
+    def claim(self, era: int, revision: int = 3) -> None:
+        """Records a heartbeat that names a revision in an era."""
+        self.puller.record_revisions(
+            {replication_data.Scope.INTENT: revision},
+            self.clock.now_ms(),
+            era,
+        )
+
+    def is_behind(self) -> bool:
+        """Whether the host has something to pull."""
+        return bool(self.puller._behind_since_ms_by_scope)
+
+    def setUp(self) -> None:
+        super().setUp()
+        scope = replication_data.Scope.INTENT
+        self.state.record_store_era(1, 0)
+        self.state.era_by_scope[scope] = 1
+        self.state.as_of_by_scope[scope] = 20
+        self.state.change_revision_by_scope[scope] = 20
+
+    def test_a_claimed_era_is_only_a_question_to_the_store(self) -> None:
+        self.claim(10**6)
+        self.assertFalse(self.is_behind())
+        self.assertTrue(self.state.eras.has_open_claim)
+        self.assertEqual(1, self.state.eras.accepted)
+
+    def test_a_confirmed_era_is_pulled_at_a_lower_revision(self) -> None:
+        self.state.record_store_era(2, 0)
+        self.claim(2)
+        self.assertTrue(self.is_behind())
+
+    def test_peers_of_an_older_era_are_not_ahead(self) -> None:
+        self.claim(0, 900)
+        self.assertFalse(self.is_behind())
+
+    def test_a_peer_that_knows_the_scope_in_another_era_is_no_source(
+        self,
+    ) -> None:
+        self.state.record_store_era(2, 0)
+        self.claim(2, 0)
+        self.assertFalse(self.is_behind())
+
+    def test_a_host_that_knows_nothing_takes_the_era_of_its_peers(self) -> None:
+        """Pattern: a host starts while the store is away."""
+        self.puller._state = self.state = host_builders.state()
+        self.claim(7)
+        self.assertTrue(self.is_behind())
--- a/packages/node/sapphire_node/entry/host.py
+++ b/packages/node/sapphire_node/entry/host.py
@@ -21,6 +21,7 @@
 from sapphire_node import process_signals
 from sapphire_node import signal_stream
 from sapphire_node.entry import announcer
+from sapphire_node.entry import era_question
 from sapphire_node.entry import host_state
 from sapphire_node.entry import messages
 from sapphire_node.entry import metrics_task
@@ -126,6 +127,7 @@
         peer_reports=changes,
     )
     host_announcer = announcer.Announcer(contact, platform, state, clock)
+    asker = era_question.EraQuestion(platform, state, clock)
     reader = startup_reader.StartupReader(platform, state, clock, batches)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(handler.run)
@@ -133,6 +135,7 @@
         tasks.start_soon(replicator.run)
         tasks.start_soon(peer_exchange.run)
         tasks.start_soon(host_announcer.run)
+        tasks.start_soon(asker.run)
         tasks.start_soon(reader.run)
         for scope in replication_data.Scope:
             follower = store_follower.StoreFollower(
--- a/packages/node/sapphire_node/entry/host_state.py
+++ b/packages/node/sapphire_node/entry/host_state.py
@@ -8,6 +8,7 @@
 from sapphire_core.replication import data as replication_data
 from sapphire_net import pauses
 from sapphire_node.entry import platform_interface
+from sapphire_node.entry import store_eras
 
 # A host can forward flows only when it knows these scopes.
 ROUTING_SCOPES = frozenset(
@@ -47,6 +48,7 @@
         last_packet_ms: When the last packet arrived.
         startup_read: Set when the store has been read after the start.
         startup_revision: The revision of the store at that read.
+        startup_era: The era of the store at that read.
         startup_listing: The entry of this host in the host list at that read;
             None if it had none.
         unlisted_as_of: The revision of the newest host list, if it lacks this
@@ -58,6 +60,9 @@
         as_of_by_scope: The revision up to which each scope is known.
         change_revision_by_scope: The revision of the newest known change of
             each scope.
+        era_by_scope: The era of the store that the revisions of each scope
+            belong to.
+        eras: The newest eras, by who has named them.
         followed_scopes: The scopes that this host follows in the store and
             whose last call succeeded.
         counts: Counters by name, for metrics.
@@ -71,6 +76,7 @@
     last_packet_ms: int = 0
     startup_read: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     startup_revision: int = 0
+    startup_era: int = 0
     startup_listing: replication_data.HostListing | None = None
     unlisted_as_of: int | None = None
     last_store_failure_ms: int | None = None
@@ -83,6 +89,12 @@
     change_revision_by_scope: dict[replication_data.Scope, int] = (
         dataclasses.field(default_factory=dict)
     )
+    era_by_scope: dict[replication_data.Scope, int] = dataclasses.field(
+        default_factory=dict
+    )
+    eras: store_eras.StoreEras = dataclasses.field(
+        default_factory=store_eras.StoreEras
+    )
     followed_scopes: set[replication_data.Scope] = dataclasses.field(
         default_factory=set
     )
@@ -122,6 +134,61 @@
         """Waits until this host has to follow the store itself."""
         await self._must_follow_store.wait()
 
+    def position(
+        self, scope: replication_data.Scope
+    ) -> replication_data.Position:
+        """Returns the position up to which a scope is known.
+
+        Args:
+            scope: The scope.
+        """
+        return replication_data.Position(
+            self.era_by_scope.get(scope, 0), self.as_of_by_scope.get(scope, 0)
+        )
+
+    def newest_position(
+        self, scope: replication_data.Scope
+    ) -> replication_data.Position:
+        """Returns the position of the newest known change of a scope.
+
+        Args:
+            scope: The scope.
+        """
+        return replication_data.Position(
+            self.era_by_scope.get(scope, 0),
+            self.change_revision_by_scope.get(scope, 0),
+        )
+
+    def newest_revisions(self, era: int) -> dict[replication_data.Scope, int]:
+        """Returns the revision of the newest known change of each scope.
+
+        Args:
+            era: The era of the revisions; scopes known in another are left out.
+        """
+        return {
+            scope: revision
+            for scope, revision in self.change_revision_by_scope.items()
+            if self.era_by_scope.get(scope, 0) == era
+        }
+
+    def record_store_era(self, era: int, now_ms: int) -> None:
+        """Records the era that an answer of the store names.
+
+        Args:
+            era: The era.
+            now_ms: The current time.
+        """
+        if era <= self.eras.named:
+            return
+        self.eras.named = era
+        if all(known >= era for known in self.era_by_scope.values()):
+            # Nothing is known from before.
+            return
+        self.counts["store_restored"] += 1
+        # Upstreams may be missing because they have not registered again.
+        self.last_store_failure_ms = now_ms
+        self.eras.record_restore(now_ms)
+
     async def wait_for_startup(self) -> None:
         """Waits until the host is ready, `STARTUP_WAIT_MS` at most.
 
--- a/packages/node/sapphire_node/entry/messages.py
+++ b/packages/node/sapphire_node/entry/messages.py
@@ -8,6 +8,9 @@
 from sapphire_core.replication import data as replication_data
 from sapphire_core.tagged_flows import data as flow_data
 
+# The source of batches that the store itself has returned.
+STORE = "store"
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class BatchReceived:
@@ -46,10 +49,12 @@
     Attributes:
         change: The change.
         revision: The revision.
+        era: The era of the store that the revision belongs to.
     """
 
     change: flow_data.Change
     revision: int
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/node/sapphire_node/entry/packet_task.py
+++ b/packages/node/sapphire_node/entry/packet_task.py
@@ -287,7 +287,12 @@
                 )
             return
         if isinstance(change, data.FormerUpstream):
-            table.put_former(change.upstream, versioned_change.revision, now_ms)
+            table.put_former(
+                change.upstream,
+                versioned_change.revision,
+                now_ms,
+                versioned_change.era,
+            )
             event_log.log(
                 _LOG,
                 logging.INFO,
@@ -298,14 +303,14 @@
             )
             return
         self._apply_upstream(
-            change.upstream, versioned_change.revision, message, now_ms
+            change.upstream, versioned_change, message.source, now_ms
         )
 
     def _apply_upstream(
         self,
         upstream: data.Upstream,
-        revision: int,
-        message: messages.NewChanges,
+        versioned_change: messages.ChangeAtRevision,
+        source: str,
         now_ms: int,
     ) -> None:
         """Applies the registry entry of an upstream.
@@ -316,7 +321,8 @@
         entry = table.by_id.get(upstream.upstream_id)
         former = entry.upstream if entry is not None else None
         was_removed = entry is not None and entry.removed_ms is not None
-        table.put(upstream, revision, now_ms)
+        revision = versioned_change.revision
+        table.put(upstream, revision, now_ms, versioned_change.era)
         if (
             former is not None
             and not was_removed
@@ -338,7 +344,7 @@
             was_known=former is not None,
             was_removed=was_removed,
             revision=revision,
-            source=message.source,
+            source=source,
         )
 
     def _update_readiness(self, now_ms: int) -> None:
--- a/packages/node/sapphire_node/entry/peer_requests.py
+++ b/packages/node/sapphire_node/entry/peer_requests.py
@@ -17,17 +17,23 @@
         scope: The scope.
         after_revision: The revision after which changes are requested; None to
             request the removed items.
+        era: The era that this revision belongs to.
     """
 
     scope: data.Scope
     after_revision: int | None
+    era: int = 0
 
     @property
     def path(self) -> str:
-        """The path, such as `/items/1/530` or `/removed/2`."""
+        """The path, such as `/items/1/530`, `/items/1/7/530` or `/removed/2`.
+
+        The era 0, of a store that names none, is left out.
+        """
         if self.after_revision is None:
             return f"/{_REMOVED}/{self.scope.value}"
-        return f"/{_ITEMS}/{self.scope.value}/{self.after_revision}"
+        era = f"{self.era}/" if self.era else ""
+        return f"/{_ITEMS}/{self.scope.value}/{era}{self.after_revision}"
 
 
 def parse_request_path(path: str) -> PeerRequest | None:
@@ -41,6 +47,11 @@
         case ["", kind, scope, after] if kind == _ITEMS and scope in scopes:
             if after.isdecimal():
                 return PeerRequest(scopes[scope], int(after))
+        case ["", kind, scope, era, after] if (
+            kind == _ITEMS and scope in scopes
+        ):
+            if era.isdecimal() and after.isdecimal():
+                return PeerRequest(scopes[scope], int(after), int(era))
         case ["", kind, scope] if kind == _REMOVED and scope in scopes:
             return PeerRequest(scopes[scope], None)
     return None
--- a/packages/node/sapphire_node/entry/peer_requests_test.py
+++ b/packages/node/sapphire_node/entry/peer_requests_test.py
@@ -10,6 +10,10 @@
         for path, expected in (
             ("/items/2/530", peer_requests.PeerRequest(registry, 530)),
             ("/removed/2", peer_requests.PeerRequest(registry, None)),
+            ("/items/2/7/530", peer_requests.PeerRequest(registry, 530, 7)),
+            ("/items/2/x/530", None),
+            ("/items/2/7/-1", None),
+            ("/items/2/7/5/30", None),
             ("/items/2", None),
             ("/items/2/x", None),
             ("/items/9/1", None),
@@ -18,3 +22,5 @@
             ("/", None),
         ):
             self.assertEqual(expected, peer_requests.parse_request_path(path))
+            if expected is not None:
+                self.assertEqual(path, expected.path)
--- a/packages/node/sapphire_node/entry/peer_task.py
+++ b/packages/node/sapphire_node/entry/peer_task.py
@@ -262,6 +262,7 @@
                 reports, now_ms
             )
         failure_ms = self._state.last_store_failure_ms
+        era = max(self._state.era_by_scope.values(), default=0)
         self._sequence += 1
         return peer_messages.encode_heartbeat(
             peer_data.Heartbeat(
@@ -269,7 +270,7 @@
                 start_id=self._start_id,
                 sequence=self._sequence,
                 is_leaving=self._state.is_leaving,
-                revisions=self._state.change_revision_by_scope,
+                revisions=self._state.newest_revisions(era),
                 store_failed_ms=None
                 if failure_ms is None
                 else now_ms - failure_ms,
@@ -279,6 +280,7 @@
                 upstreams=reports,
                 live_counts=self._peer_table.live_counts(now_ms),
                 outcomes=self._outcomes,
+                era=era,
             )
         )
 
@@ -345,7 +347,9 @@
             self._publish_peer_reports(now_ms)
             if self._peer_table.is_large_fleet:
                 self._send_heartbeat(self._peer_table.near_targets())
-        self._puller.record_revisions(heartbeat.revisions, now_ms)
+        self._puller.record_revisions(
+            heartbeat.revisions, now_ms, heartbeat.era
+        )
 
     def _handle_new_peer(
         self, heartbeat: peer_data.Heartbeat, now_ms: int
--- a/packages/node/sapphire_node/entry/platform_interface.py
+++ b/packages/node/sapphire_node/entry/platform_interface.py
@@ -49,6 +49,13 @@
 class StoreClient(Protocol):
     """A connection to the store that hosts read and follow."""
 
+    @property
+    def era(self) -> int:
+        """The newest era that the store has named to this process.
+
+        It is read from all answers, errors included. 0 if the store names none.
+        """
+
     async def read_snapshot(
         self, timeout_ms: int
     ) -> replication_data.Snapshot | replication_data.SourceFailure:
@@ -134,6 +141,18 @@
             None on success; `LeaseEnded` if the host must be announced again.
         """
 
+    async def read_era(
+        self, timeout_ms: int
+    ) -> int | replication_data.SourceFailure:
+        """Asks the store for its era, with a call that costs little else.
+
+        Args:
+            timeout_ms: How long to wait for the answer.
+
+        Returns:
+            The era that the answer names.
+        """
+
     async def close(self) -> None:
         """Closes the connection; the next call opens a new one."""
 
--- a/packages/node/sapphire_node/entry/replica_task.py
+++ b/packages/node/sapphire_node/entry/replica_task.py
@@ -4,6 +4,7 @@
 to the other tasks, and serves the replicas to peers over HTTP.
 """
 
+import dataclasses
 import logging
 
 import anyio
@@ -18,6 +19,7 @@
 from sapphire_data import failures
 from sapphire_net import event_log
 from sapphire_net import http1
+from sapphire_net import pauses
 from sapphire_net import transfers
 from sapphire_node.entry import host_state
 from sapphire_node.entry import messages
@@ -31,6 +33,8 @@
 # may have lapsed because the store was unavailable, not because its upstream
 # stopped. The platform considers the store stable 4 s after a disruption.
 STORE_UNSTABLE_MS = 5_000
+# Without batches, what is carried of a former era ends this late at most.
+EVICT_INTERVAL_MS = 1_000
 # How many peers may pull a large body from this host at a time.
 MAX_LARGE_TRANSFERS = 3
 # Encoded bodies that are kept; peers that are behind ask for the same ones.
@@ -77,8 +81,11 @@
         self._batches = batches
         self._changes = changes
         self._peers = peers
+        # Upstreams that a restored store lacks get new flows for as long as
+        # after an outage; hosts are known from their heartbeats.
         self._replicas_by_scope = {
-            scope: replica.Replica() for scope in data.Scope
+            scope: replica.Replica(keeps_missing=scope is data.Scope.INTENT)
+            for scope in data.Scope
         }
         # Encoded bodies by request, dropped when the scope changes.
         self._bodies_by_request: dict[peer_requests.PeerRequest, bytes] = {}
@@ -94,6 +101,7 @@
                 self._serve_peer,
                 transfer_slots,
             )
+            tasks.start_soon(self._evict_expired)
             async for message in self._batches:
                 if isinstance(message, messages.RemovedItemsReceived):
                     await self._send_former_upstreams(message)
@@ -106,17 +114,51 @@
         scope = message.scope
         scope_replica = self._replicas_by_scope[scope]
         was_complete = scope_replica.is_complete
-        changed_items = scope_replica.apply(message.batch, now_ms)
-        scope_replica.evict_expired(now_ms)
+        former_era = scope_replica.era
+        is_final = (
+            message.source == messages.STORE
+            and message.batch.era == self._state.eras.named
+        )
+        changed_items = scope_replica.apply(
+            message.batch, now_ms, is_final=is_final
+        )
+        if scope_replica.era < former_era:
+            # What a peer passed on was wrong: the store is asked next time.
+            self._state.eras.from_peers = 0
+        if scope_replica.era != message.batch.era:
+            self._state.counts["batches_of_other_eras"] += 1
+            return
+        changed_items.extend(scope_replica.evict_expired(now_ms))
         self._state.as_of_by_scope[scope] = scope_replica.as_of
+        self._state.era_by_scope[scope] = scope_replica.era
         if scope is data.Scope.HOSTS:
             self._update_unlisted()
-        if not changed_items and was_complete:
-            return
+        if scope_replica.era == former_era:
+            if not changed_items and was_complete:
+                return
+        elif was_complete:
+            # Upstreams may be missing because the copy lacks them.
+            self._state.last_store_failure_ms = now_ms
+        await self._send_changes(scope, changed_items, message.source)
+
+    async def _evict_expired(self) -> None:
+        """Ends what is known of a former era in time, until cancelled."""
+        while True:
+            await pauses.sleep_ms(EVICT_INTERVAL_MS)
+            now_ms = self._clock.now_ms()
+            for scope, scope_replica in self._replicas_by_scope.items():
+                changed_items = scope_replica.evict_expired(now_ms)
+                if changed_items:
+                    await self._send_changes(scope, changed_items, "carried")
+
+    async def _send_changes(
+        self, scope: data.Scope, changed_items: list[data.Item], source: str
+    ) -> None:
+        """Sends the changes of a scope to the other tasks."""
         self._drop_cached_bodies(scope)
-        self._state.change_revision_by_scope[scope] = (
-            scope_replica.newest_revision
-        )
+        self._state.change_revision_by_scope[scope] = self._replicas_by_scope[
+            scope
+        ].newest_revision
         if scope is data.Scope.HOSTS:
             await self._peers.send(
                 messages.HostListChanged(self._listed_contacts())
@@ -125,9 +167,13 @@
         await self._changes.send(
             messages.NewChanges(
                 scope,
-                tuple(self._decode(changed_items)),
-                self._removal_cause(now_ms),
-                message.source,
+                tuple(
+                    self._decode(
+                        changed_items, self._replicas_by_scope[scope].era
+                    )
+                ),
+                self._removal_cause(self._clock.now_ms()),
+                source,
             )
         )
         await self._peers.send(messages.ScopeUpdated(scope))
@@ -141,22 +187,21 @@
         are newer than its replica, are left out.
         """
         scope_replica = self._replicas_by_scope[message.scope]
+        is_other_era = message.batch.era != scope_replica.era
         changes: list[messages.ChangeAtRevision] = []
         unknown = [
             item
             for item in message.batch.items
             if scope_replica.get(item.key) is None
-            and item.revision <= scope_replica.as_of
+            and (is_other_era or item.revision <= scope_replica.as_of)
         ]
-        for versioned_change in self._decode(unknown):
+        for versioned_change in self._decode(unknown, message.batch.era):
             if not isinstance(
                 versioned_change.change, flow_data.UpstreamChange
             ):
                 continue
             former = flow_data.FormerUpstream(versioned_change.change.upstream)
-            changes.append(
-                messages.ChangeAtRevision(former, versioned_change.revision)
-            )
+            changes.append(dataclasses.replace(versioned_change, change=former))
         if not scope_replica.is_complete or not changes:
             return
         await self._changes.send(
@@ -169,7 +214,7 @@
         )
 
     def _decode(
-        self, items: list[data.Item]
+        self, items: list[data.Item], era: int
     ) -> list[messages.ChangeAtRevision]:
         """Decodes items; those that are invalid are logged and left out.
 
@@ -192,7 +237,9 @@
                     _LOG, "item_ignored", change, key=item.key
                 )
                 continue
-            decoded.append(messages.ChangeAtRevision(change, item.revision))
+            decoded.append(
+                messages.ChangeAtRevision(change, item.revision, era)
+            )
         return decoded
 
     def _removal_cause(self, now_ms: int) -> flow_data.RemovalCause:
@@ -247,7 +294,9 @@
         if request.after_revision is None:
             batch = scope_replica.removed_items()
         else:
-            batch = scope_replica.changes_after(request.after_revision)
+            batch = scope_replica.changes_after(
+                request.after_revision, request.era
+            )
         body = peer_messages.encode_batch(batch)
         if len(self._bodies_by_request) >= MAX_CACHED_BODIES:
             oldest = next(iter(self._bodies_by_request))
--- a/packages/node/sapphire_node/entry/replica_task_test.py
+++ b/packages/node/sapphire_node/entry/replica_task_test.py
@@ -229,3 +229,47 @@
         self.assertIsNone(self.state.unlisted_as_of)
         self.apply(builders.copy_batch(as_of=12), hosts)
         self.assertIsNotNone(self.state.unlisted_as_of)
+
+    # Guards against two contents of one revision.
+    def test_peers_of_another_era_get_all_items(self) -> None:
+        self.apply(builders.copy_batch(builders.item("i-1", 8), as_of=12))
+        for path, is_full in (("/items/2/12", True), ("/items/2/1/12", False)):
+            response = anyio.run(self.task._serve_peer, "GET", path)
+            batch = peer_messages.decode_batch(response.body)
+            assert isinstance(batch, data.Batch)
+            self.assertEqual(is_full, batch.is_full)
+            self.assertEqual(builders.COPY_ERA, batch.era)
+
+    # Guards against a late answer, or a peer that has not heard of it yet.
+    def test_batches_from_before_are_ignored(self) -> None:
+        self.apply(builders.copy_batch(builders.item("i-1", 8), as_of=12))
+        before = builders.batch(builders.item("i-2", 20), as_of=20)
+        self.assertEqual([], self.apply(before))
+        self.assertEqual(
+            data.Position(builders.COPY_ERA, 12), self.state.position(REGISTRY)
+        )
+
+    # Guards against a forged era of a peer that hides what the store says.
+    def test_the_store_has_the_last_word_on_its_era(self) -> None:
+        self.state.eras.named = builders.COPY_ERA
+        forged = data.Batch((builders.item("i-9", 1),), 900, True, 10**6)
+        received = messages.BatchReceived(REGISTRY, forged, "edge-2")
+        anyio.run(self.task._apply_batch, received)
+        self.apply(builders.copy_batch(builders.item("i-1", 8), as_of=12))
+        self.assertEqual(
+            data.Position(builders.COPY_ERA, 12), self.state.position(REGISTRY)
+        )
+        again = builders.copy_batch(
+            builders.item("i-2", 13), as_of=13, is_full=False
+        )
+        self.assertEqual(1, len(self.apply(again)))
+
+    # Guards against packets of open flows that are dropped.
+    def test_upstreams_removed_before_are_known_to_a_host_that_started(
+        self,
+    ) -> None:
+        self.apply(builders.copy_batch(builders.item("i-1", 8), as_of=12))
+        removed = builders.batch(builders.item("i-2", 17), as_of=20)
+        message = messages.RemovedItemsReceived(REGISTRY, removed, "edge-2")
+        anyio.run(self.task._send_former_upstreams, message)
+        self.assertEqual(1, self.changes.statistics().current_buffer_used)
--- a/packages/node/sapphire_node/entry/startup_reader.py
+++ b/packages/node/sapphire_node/entry/startup_reader.py
@@ -51,11 +51,14 @@
         snapshot = await self._read()
         state = self._state
         for scope, batch in snapshot.batches_by_scope.items():
+            state.record_store_era(batch.era, self._clock.now_ms())
+            state.startup_era = batch.era
             state.store_answer_ms_by_scope[scope] = self._clock.now_ms()
             state.startup_revision = max(state.startup_revision, batch.as_of)
             await self._batches.send(
-                messages.BatchReceived(scope, batch, "store")
+                messages.BatchReceived(scope, batch, messages.STORE)
             )
+        state.eras.from_peers = 0
         state.startup_listing = snapshot.listings_by_host.get(
             state.settings.host_name
         )
--- a/packages/node/sapphire_node/entry/store_follower.py
+++ b/packages/node/sapphire_node/entry/store_follower.py
@@ -75,8 +75,8 @@
         # How often in a row the store no longer had the changes.
         self._consecutive_history_losses = 0
         self._must_read_all = False
-        self._last_batch_as_of = 0
-        self._newest_revision = 0
+        self._last_batch_position = data.Position(0, 0)
+        self._newest_position = data.Position(0, 0)
 
     async def run(self) -> None:
         """Follows the scope until cancelled, whenever this host has to."""
@@ -88,42 +88,78 @@
                 continue
             await self._apply_settings()
             call_started_ms = self._clock.now_ms()
-            batch = await self._next_batch()
+            position = self._position()
+            batch = await self._next_batch(position)
             self._state.durations_ms_by_name[host_state.STORE_CALL].append(
                 self._clock.now_ms() - call_started_ms
             )
+            self._record_era(batch)
             if isinstance(batch, data.SourceFailure):
                 await self._handle_failure(batch)
                 continue
+            if self._is_of_other_era(batch, position):
+                restored = data.HistoryGone("the answer is of another era")
+                await self._handle_failure(restored)
+                continue
             self._record_answer(batch)
             await self._batches.send(
-                messages.BatchReceived(self._scope, batch, "store")
+                messages.BatchReceived(self._scope, batch, messages.STORE)
             )
-            if self._scope is not data.Scope.INTENT:
-                await pauses.sleep_ms(_PAUSE_MS_BY_SCOPE[self._scope])
+            if self._scope in _PAUSE_MS_BY_SCOPE:
+                await self._state.eras.wait_for_restore(
+                    _PAUSE_MS_BY_SCOPE[self._scope]
+                )
 
-    async def _next_batch(self) -> data.Batch | data.SourceFailure:
+    def _position(self) -> data.Position:
+        """Returns the position after which changes are missing.
+
+        The replica may be ahead of this follower by batches of peers, or
+        behind it while the last batch of this follower is still queued.
+        """
+        return max(
+            self._state.position(self._scope),
+            data.Position(
+                self._state.startup_era, self._state.startup_revision
+            ),
+            self._last_batch_position,
+        )
+
+    async def _next_batch(
+        self, position: data.Position
+    ) -> data.Batch | data.SourceFailure:
         """Reads all items, or waits for the next changes."""
         timeout_ms = self._backoff.timeout_ms
+        if self._must_read_all or position.era != self._state.eras.named:
+            return await self._store.read_all(self._scope, timeout_ms)
         if self._scope is data.Scope.HOSTS:
             return await self._store.read_all_allow_stale(
                 self._scope, timeout_ms
             )
-        if self._must_read_all:
-            return await self._store.read_all(self._scope, timeout_ms)
-        # The replica may be ahead of this follower by batches of peers, or
-        # behind it while the last batch of this follower is still queued.
-        after = max(
-            self._state.as_of_by_scope.get(self._scope, 0),
-            self._state.startup_revision,
-            self._last_batch_as_of,
-        )
         # After a failure, changes may be overdue: let the store answer at once.
         wait_ms = 1 if self._backoff.consecutive_failures else WATCH_WAIT_MS
         return await self._store.wait_for_changes(
-            self._scope, after, wait_ms, timeout_ms
+            self._scope, position.revision, wait_ms, timeout_ms
         )
 
+    def _record_era(self, answer: data.Batch | data.SourceFailure) -> None:
+        """Records the era that an answer, or another one before, names."""
+        era = self._store.era
+        if isinstance(answer, data.Batch):
+            era = max(era, answer.era)
+        self._state.record_store_era(era, self._clock.now_ms())
+
+    def _is_of_other_era(
+        self, batch: data.Batch, position: data.Position
+    ) -> bool:
+        """Whether a batch says nothing about the store as it is now.
+
+        It may be a late answer of before a restore; or changes after a
+        revision that was given out again.
+        """
+        if batch.era != self._state.eras.named:
+            return True
+        return not batch.is_full and batch.era != position.era
+
     async def _handle_failure(self, failure: data.SourceFailure) -> None:
         """Records a failed call and backs off before the next one.
 
@@ -158,16 +194,16 @@
                 repeats=self._consecutive_history_losses,
             )
             self._consecutive_history_losses = 0
-        self._last_batch_as_of = batch.as_of
+        self._last_batch_position = batch.position
         self._must_read_all = self._has_large_changes(batch)
 
     def _has_large_changes(self, batch: data.Batch) -> bool:
         """Whether a batch has new values that took long to arrive."""
-        newest_revision = max(
-            (item.revision for item in batch.items), default=0
+        newest_position = data.Position(
+            batch.era, max((item.revision for item in batch.items), default=0)
         )
-        has_changes = newest_revision > self._newest_revision
-        self._newest_revision = max(self._newest_revision, newest_revision)
+        has_changes = newest_position > self._newest_position
+        self._newest_position = max(self._newest_position, newest_position)
         size = sum(len(item.value or b"") for item in batch.items)
         return has_changes and size >= LARGE_BATCH_BYTES
 
--- a/packages/node/sapphire_node/entry/store_follower_test.py
+++ b/packages/node/sapphire_node/entry/store_follower_test.py
@@ -251,3 +251,39 @@
         self.assertEqual(
             [STARTUP_REVISION, *reads, 16, *reads, 12], store.calls
         )
+
+
+class EraTest(StoreFollowerFixture):
+    """Guards against answers that are not of the store as it is now."""
+
+    def test_changes_after_a_revision_given_out_again_are_not_used(
+        self,
+    ) -> None:
+        # The store has passed revision 5 again before the watch.
+        changes = builders.copy_batch(
+            builders.item("a", 7), as_of=7, is_full=False
+        )
+        copy = builders.copy_batch(builders.item("b", 4), as_of=7)
+        store, state, sent = self.run_store_follower([changes, copy], 3)
+        self.assertEqual([STARTUP_REVISION, READ_ALL, 7], store.calls)
+        self.assertEqual([copy], sent)
+        self.assertEqual(builders.COPY_ERA, state.eras.named)
+
+    def test_a_late_answer_of_an_older_era_is_not_used(self) -> None:
+        def restore(state: host_state.HostState) -> None:
+            state.record_store_era(builders.COPY_ERA, 0)
+
+        copy = builders.copy_batch(as_of=3)
+        store, _, sent = self.run_store_follower([FULL, copy], 3, restore)
+        self.assertEqual([READ_ALL, READ_ALL, 3], store.calls)
+        self.assertEqual([copy], sent)
+
+    def test_answers_of_an_older_era_are_not_asked_for_in_a_loop(self) -> None:
+        def restore(state: host_state.HostState) -> None:
+            state.record_store_era(builders.COPY_ERA, 0)
+
+        answers: list[scripted_store.Answer] = [FULL] * 1_000
+        store, _, _ = self.run_store_follower(
+            answers, 1_000, restore, limit_s=1.0
+        )
+        self.assertLessEqual(len(store.calls), 10)
--- a/packages/wire/idl/peers.thrift
+++ b/packages/wire/idl/peers.thrift
@@ -22,6 +22,7 @@
   15: optional list<string> data_centres,
   16: optional list<i32> live_hosts,
   17: optional list<i32> live_host_ages_ms,
+  18: optional i64 era,                  // Of the revisions; absent: 0.
   // What became of the sender's requests at upstreams that may do badly.
   20: optional list<i64> outcome_tags,
   21: optional list<i32> ended_well,
@@ -40,6 +41,7 @@
   1: required list<ItemRecord> items,
   2: required i64 as_of,
   3: required bool is_full,
+  4: optional i64 era,                   // Of the revisions; absent: 0.
 }
 
 // How a host is reached; its entry in the store's list of hosts.
--- a/packages/wire/sapphire_wire/gen/peers/ttypes.py
+++ b/packages/wire/sapphire_wire/gen/peers/ttypes.py
@@ -36,6 +36,7 @@
      - data_centres
      - live_hosts
      - live_host_ages_ms
+     - era
      - outcome_tags
      - ended_well
      - ended_badly
@@ -45,7 +46,7 @@
     """
 
 
-    def __init__(self, host=None, data_centre=None, address=None, port=None, start_id=None, sequence=None, is_leaving=None, revisions=None, store_failed_ms=None, followers=None, follower_ages_ms=None, upstream_tags=None, busy=None, silent_ms=None, data_centres=None, live_hosts=None, live_host_ages_ms=None, outcome_tags=None, ended_well=None, ended_badly=None, answered=None, time_percents=None,):
+    def __init__(self, host=None, data_centre=None, address=None, port=None, start_id=None, sequence=None, is_leaving=None, revisions=None, store_failed_ms=None, followers=None, follower_ages_ms=None, upstream_tags=None, busy=None, silent_ms=None, data_centres=None, live_hosts=None, live_host_ages_ms=None, era=None, outcome_tags=None, ended_well=None, ended_badly=None, answered=None, time_percents=None,):
         self.host = host
         self.data_centre = data_centre
         self.address = address
@@ -63,6 +64,7 @@
         self.data_centres = data_centres
         self.live_hosts = live_hosts
         self.live_host_ages_ms = live_host_ages_ms
+        self.era = era
         self.outcome_tags = outcome_tags
         self.ended_well = ended_well
         self.ended_badly = ended_badly
@@ -208,6 +210,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             elif fid == 20:
                 if ftype == TType.LIST:
                     self.outcome_tags = []
@@ -363,6 +370,10 @@
                 oprot.writeI32(iter92)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 18)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
         if self.outcome_tags is not None:
             oprot.writeFieldBegin('outcome_tags', TType.LIST, 20)
             oprot.writeListBegin(TType.I64, len(self.outcome_tags))
@@ -533,14 +544,16 @@
      - items
      - as_of
      - is_full
+     - era
 
     """
 
 
-    def __init__(self, items=None, as_of=None, is_full=None,):
+    def __init__(self, items=None, as_of=None, is_full=None, era=None,):
         self.items = items
         self.as_of = as_of
         self.is_full = is_full
+        self.era = era
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -572,6 +585,11 @@
                     self.is_full = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -597,6 +615,10 @@
             oprot.writeFieldBegin('is_full', TType.BOOL, 3)
             oprot.writeBool(self.is_full)
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 4)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -737,7 +759,7 @@
     (15, TType.LIST, 'data_centres', (TType.STRING, 'UTF8', False), None, ),  # 15
     (16, TType.LIST, 'live_hosts', (TType.I32, None, False), None, ),  # 16
     (17, TType.LIST, 'live_host_ages_ms', (TType.I32, None, False), None, ),  # 17
-    None,  # 18
+    (18, TType.I64, 'era', None, None, ),  # 18
     None,  # 19
     (20, TType.LIST, 'outcome_tags', (TType.I64, None, False), None, ),  # 20
     (21, TType.LIST, 'ended_well', (TType.I32, None, False), None, ),  # 21
@@ -758,6 +780,7 @@
     (1, TType.LIST, 'items', (TType.STRUCT, [ItemRecord, None], False), None, ),  # 1
     (2, TType.I64, 'as_of', None, None, ),  # 2
     (3, TType.BOOL, 'is_full', None, None, ),  # 3
+    (4, TType.I64, 'era', None, None, ),  # 4
 )
 all_structs.append(Contact)
 Contact.thrift_spec = (
--- a/packages/wire/sapphire_wire/peer_messages.py
+++ b/packages/wire/sapphire_wire/peer_messages.py
@@ -61,6 +61,7 @@
                 _limit(each.age_ms) for each in heartbeat.live_counts.values()
             ],
             **({} if outcomes is None else dataclasses.asdict(outcomes)),
+            era=heartbeat.era or None,
         )
     )
 
@@ -147,9 +148,18 @@
         live_counts=live_counts,
         outcomes=outcomes,
         left_out=left_out,
+        era=_decode_era(record.era),
     )
 
 
+def _decode_era(era: int | None) -> int:
+    """Returns the era of a message.
+
+    Hosts of earlier versions send none, as do those of a store that names none.
+    """
+    return max(0, era or 0)
+
+
 def _decode_live_counts(
     record: ttypes.Beat,
 ) -> dict[str, data.LiveCount] | failures.UnreadableInput:
@@ -182,6 +192,7 @@
         ],
         as_of=batch.as_of,
         is_full=batch.is_full,
+        era=batch.era or None,
     )
     return zlib.compress(thrift_codec.encode(record))
 
@@ -212,6 +223,7 @@
         ),
         record.as_of,
         bool(record.is_full),
+        _decode_era(record.era),
     )
 
 
--- a/packages/wire/sapphire_wire/peer_messages_test.py
+++ b/packages/wire/sapphire_wire/peer_messages_test.py
@@ -131,3 +131,14 @@
         self.assertEqual(HEARTBEAT.contact, peer_messages.decode_contact(value))
         truncated = peer_messages.decode_contact(value[:-3])
         self.assertIsInstance(truncated, failures.UnreadableInput)
+
+    def test_eras_are_sent_and_are_0_without_the_field(self) -> None:
+        batch = builders.copy_batch(builders.item("a", 1), as_of=9)
+        body = peer_messages.encode_batch(batch)
+        self.assertEqual(batch, peer_messages.decode_batch(body))
+        for era, sent in ((6, 6), (0, 0), (-3, 0)):
+            heartbeat = dataclasses.replace(HEARTBEAT, era=era)
+            datagram = peer_messages.encode_heartbeat(heartbeat)
+            decoded = peer_messages.decode_heartbeat(datagram)
+            assert not isinstance(decoded, failures.Failure)
+            self.assertEqual(sent, decoded.era)
