One line at a restore of the store, a counter and a gauge

`store_restored` is also a counter, and `knowledge.era` a gauge by scope. `sapphirectl explain` shows the line, and `era_claimed`.

--- a/packages/core/sapphire_core/replication/replica.py
+++ b/packages/core/sapphire_core/replication/replica.py
@@ -28,6 +28,8 @@
         as_of: The revision up to which the replica is complete.
         newest_revision: The revision of the newest item.
         is_complete: Whether a batch with all items was applied.
+        missing_keys: The keys known before the store was last restored that its
+            copy lacked.
     """
 
     def __init__(self, *, keeps_missing: bool = True) -> None:
@@ -44,6 +46,12 @@
         self.as_of = 0
         self.newest_revision = 0
         self.is_complete = False
+        self.missing_keys: frozenset[str] = frozenset()
+
+    @property
+    def masked_keys(self) -> frozenset[str]:
+        """The keys that the store has again and that count as removed."""
+        return self._carried.masked_keys
 
     @property
     def position(self) -> data.Position:
@@ -203,6 +211,7 @@
             for item in batch.items
             if item.revision <= removed_revisions.get(item.key, -1)
         )
+        self.missing_keys = frozenset(item.key for item in missing)
         self._carried = carried_items.CarriedItems(
             {item.key: item for item in missing} if self._keeps_missing else {},
             masked_keys,
--- a/packages/ctl/sapphire_ctl/flow_timeline.py
+++ b/packages/ctl/sapphire_ctl/flow_timeline.py
@@ -25,6 +25,8 @@
         "store_lost",
         "store_regained",
         "history_gone",
+        "store_restored",
+        "era_claimed",
         "log_lines_left_out",
     }
 )
--- a/packages/node/sapphire_node/entry/metrics_task.py
+++ b/packages/node/sapphire_node/entry/metrics_task.py
@@ -79,6 +79,12 @@
             "The revision of the newest known change of a scope.",
             self._read_revisions,
         )
+        metrics.register_gauge(
+            f"{_PREFIX}.knowledge.era",
+            "{era}",
+            "The era of the store in which a scope is known.",
+            self._read_eras,
+        )
         metrics.register_gauge(
             f"{_PREFIX}.state",
             "1",
@@ -113,6 +119,13 @@
             for scope, revision in self._state.change_revision_by_scope.items()
         }
 
+    def _read_eras(self) -> dict[tuple[tuple[str, str], ...], float]:
+        """Returns the era of the store, by scope."""
+        return {
+            _scope_attributes(scope): float(era)
+            for scope, era in self._state.era_by_scope.items()
+        }
+
     def _read_state(self) -> dict[tuple[tuple[str, str], ...], float]:
         """Returns the lifecycle flags of the process as 0 or 1."""
         return {
--- a/packages/node/sapphire_node/entry/metrics_task_test.py
+++ b/packages/node/sapphire_node/entry/metrics_task_test.py
@@ -58,3 +58,10 @@
     def test_other_paths_are_not_found(self) -> None:
         answer = anyio.run(self.task.answer, "GET", "/other")
         self.assertEqual(404, answer.status)
+
+    def test_the_era_is_shown_and_restores_are_counted(self) -> None:
+        scope = replication_data.Scope.INTENT
+        self.state.era_by_scope[scope] = 3
+        self.state.record_store_era(4, 0)
+        self.assertEqual(3, self.value("knowledge_era", 'scope="intent"'))
+        self.assertEqual(1, self.value("events", 'event="store_restored"'))
--- a/packages/node/sapphire_node/entry/replica_task.py
+++ b/packages/node/sapphire_node/entry/replica_task.py
@@ -25,6 +25,7 @@
 from sapphire_node.entry import messages
 from sapphire_node.entry import peer_requests
 from sapphire_node.entry import platform_interface
+from sapphire_node.entry import restore_report
 from sapphire_wire import peer_messages
 
 _LOG = logging.getLogger(__name__)
@@ -87,6 +88,8 @@
             scope: replica.Replica(keeps_missing=scope is data.Scope.INTENT)
             for scope in data.Scope
         }
+        # What the last restore of the store lost, until it is logged.
+        self._report: restore_report.RestoreReport | None = None
         # Encoded bodies by request, dropped when the scope changes.
         self._bodies_by_request: dict[peer_requests.PeerRequest, bytes] = {}
 
@@ -139,6 +142,7 @@
         elif was_complete:
             # Upstreams may be missing because the copy lacks them.
             self._state.last_store_failure_ms = now_ms
+            self._report_restore(scope, former_era, now_ms)
         await self._send_changes(scope, changed_items, message.source)
 
     async def _evict_expired(self) -> None:
@@ -146,6 +150,9 @@
         while True:
             await pauses.sleep_ms(EVICT_INTERVAL_MS)
             now_ms = self._clock.now_ms()
+            if self._report is not None and self._report.is_due(now_ms):
+                self._report.log()
+                self._report = None
             for scope, scope_replica in self._replicas_by_scope.items():
                 changed_items = scope_replica.evict_expired(now_ms)
                 if changed_items:
@@ -155,6 +162,10 @@
         self, scope: data.Scope, changed_items: list[data.Item], source: str
     ) -> None:
         """Sends the changes of a scope to the other tasks."""
+        if self._report is not None:
+            self._report.record_changes(
+                scope, changed_items, self._clock.now_ms()
+            )
         self._drop_cached_bodies(scope)
         self._state.change_revision_by_scope[scope] = self._replicas_by_scope[
             scope
@@ -178,6 +189,20 @@
         )
         await self._peers.send(messages.ScopeUpdated(scope))
 
+    def _report_restore(
+        self, scope: data.Scope, former_era: int, now_ms: int
+    ) -> None:
+        """Records that a scope was read from a restored store."""
+        scope_replica = self._replicas_by_scope[scope]
+        if self._report is not None and self._report.era != scope_replica.era:
+            self._report.log()
+            self._report = None
+        if self._report is None:
+            self._report = restore_report.RestoreReport(
+                former_era, scope_replica.era, now_ms
+            )
+        self._report.record_scope(scope, scope_replica, now_ms)
+
     async def _send_former_upstreams(
         self, message: messages.RemovedItemsReceived
     ) -> None:
--- a/packages/node/sapphire_node/entry/replica_task_test.py
+++ b/packages/node/sapphire_node/entry/replica_task_test.py
@@ -8,8 +8,10 @@
 from sapphire_data import failures
 from sapphire_lab.tagged_flows import builders
 from sapphire_lab.tagged_flows import host_builders
+from sapphire_net import event_log
 from sapphire_node.entry import messages
 from sapphire_node.entry import replica_task
+from sapphire_node.entry import restore_report
 from sapphire_wire import peer_messages
 
 REGISTRY = data.Scope.REGISTRY
@@ -273,3 +275,23 @@
         message = messages.RemovedItemsReceived(REGISTRY, removed, "edge-2")
         anyio.run(self.task._send_former_upstreams, message)
         self.assertEqual(1, self.changes.statistics().current_buffer_used)
+
+    def test_one_line_tells_what_was_lost_and_written_again(self) -> None:
+        self.read(builders.item("i-1", 18), builders.item("i-2", 4), as_of=20)
+        self.apply(builders.copy_batch(builders.item("i-2", 4), as_of=12))
+        self.clock.advance(900)
+        again = builders.item("i-1", 13)
+        self.apply(builders.copy_batch(again, as_of=13, is_full=False))
+        report = self.task._report
+        assert report is not None
+        delay_ms = restore_report.REPORT_DELAY_MS
+        self.assertFalse(report.is_due(1_000 + delay_ms - 1))
+        self.assertTrue(report.is_due(1_000 + delay_ms))
+        with self.assertLogs(restore_report.__name__, "INFO") as logs:
+            report.log()
+        line = event_log.KeyValueFormatter().format(logs.records[0])
+        for part in (
+            "former_era=0 era=1 scopes=1 missing=1 written_again=1",
+            "took_ms=900",
+        ):
+            self.assertIn(part, line)
