Peers get removals that a host missed while it was down

Cause: a host that has just read all items has no tombstones of what was removed before, but served changes after any revision. A peer that had been behind that revision kept the removed key: an upstream that had left was in use again, or a data centre that was put back stayed out, until the key changed. The same after a full read because the store had dropped its history.

Change: after a read of all items, peers that are behind it get all items. The host list, which is polled, is excepted after its first read.

--- a/packages/core/sapphire_core/replication/replica.py
+++ b/packages/core/sapphire_core/replication/replica.py
@@ -22,6 +22,9 @@
     Args:
         keeps_missing: Whether items that an older copy of the store lacks count
             for `carried_items.CARRIED_MS`; otherwise they are removed at once.
+        is_polled: Whether all items are read at intervals in place of their
+            changes. Peers then get changes all the same: a key that was added
+            and removed between two reads may stay with them for longer.
 
     Attributes:
         era: The era of the store that the revisions belong to.
@@ -32,8 +35,11 @@
             copy lacked.
     """
 
-    def __init__(self, *, keeps_missing: bool = True) -> None:
+    def __init__(
+        self, *, keeps_missing: bool = True, is_polled: bool = False
+    ) -> None:
         self._keeps_missing = keeps_missing
+        self._is_polled = is_polled
         # What the store has, in the era of the replica.
         self._items_by_key: dict[str, data.Item] = {}
         self._carried = carried_items.nothing()
@@ -116,6 +122,12 @@
             return []
         changed = [item for item in batch.items if self._accept(item, now_ms)]
         if batch.is_full:
+            if not self._is_polled or not self.is_complete:
+                # Keys that were removed before this read without this host's
+                # knowledge have no tombstones here.
+                self._oldest_delta_revision = max(
+                    self._oldest_delta_revision, batch.as_of
+                )
             changed.extend(self._remove_missing(batch, now_ms))
             self.is_complete = True
         self.as_of = max(self.as_of, batch.as_of)
--- a/packages/core/sapphire_core/replication/replica_test.py
+++ b/packages/core/sapphire_core/replication/replica_test.py
@@ -358,3 +358,36 @@
         self.assertEqual((item("i-1", 12),), removed.items)
         again = builders.copy_batch(item("i-1", 13), as_of=13, is_full=False)
         self.assertEqual([item("i-1", 13)], self.replica.apply(again, 0))
+
+
+class RestartedPeerTest(testtools.TestCase):
+    """A host that read all items at its start serves one that ran before."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.peer = replica_lib.Replica()
+        self.peer.apply(
+            batch(item("a", 1), item("b", 2), as_of=3, is_full=True), 0
+        )
+        # Key "b" was removed at 4, before the start.
+        self.started = replica_lib.Replica()
+        self.started.apply(batch(item("a", 1), as_of=5, is_full=True), 0)
+        self.started.apply(batch(item("c", 6), as_of=6), 0)
+
+    # Guards against a removed key that is in use again after a restart.
+    def test_removals_before_the_start_reach_the_peer(self) -> None:
+        self.peer.apply(self.started.changes_after(3), 0)
+        self.assertEqual({"a": b"v", "c": b"v"}, values(self.peer))
+
+    def test_a_peer_that_lacks_no_removal_gets_changes_only(self) -> None:
+        self.assertFalse(self.started.changes_after(5).is_full)
+
+    # A key that was added and removed while this host could not watch.
+    def test_removals_before_a_later_full_read_reach_the_peer(self) -> None:
+        self.peer.apply(batch(item("d", 7), as_of=7), 0)
+        self.started.apply(
+            batch(item("a", 1), item("c", 6), as_of=9, is_full=True), 0
+        )
+        self.started.apply(batch(item("e", 10), as_of=10), 0)
+        self.peer.apply(self.started.changes_after(7), 0)
+        self.assertNotIn("d", values(self.peer))
--- a/packages/node/sapphire_node/entry/replica_task.py
+++ b/packages/node/sapphire_node/entry/replica_task.py
@@ -85,7 +85,10 @@
         # Upstreams that a restored store lacks get new flows for as long as
         # after an outage; hosts are known from their heartbeats.
         self._replicas_by_scope = {
-            scope: replica.Replica(keeps_missing=scope is data.Scope.INTENT)
+            scope: replica.Replica(
+                keeps_missing=scope is data.Scope.INTENT,
+                is_polled=scope is data.Scope.HOSTS,
+            )
             for scope in data.Scope
         }
         # What the last restore of the store lost, until it is logged.
