A host that was paused reads its heartbeats before it counts peers

Cause: after a pause of some seconds, the task that sends heartbeats ran before the heartbeats that had arrived were read. It counted no peer, so for 250 ms the host took the shares of cold upstreams and the in-flight requests of a fleet of one, and discarded peers that the list lacks.

Change: after a stall of a second, 100 ms pass before peers are counted.

Test: PausedHostTest (a pause of 5 s), which failed before.

--- a/packages/node/sapphire_node/entry/peer_task.py
+++ b/packages/node/sapphire_node/entry/peer_task.py
@@ -42,6 +42,10 @@
 # Heartbeats of many hosts arrive at any time; those that arrive within this
 # time are read together.
 HEARTBEAT_READ_DELAY_MS = 20
+# After a stall of a second, peers that sent heartbeats all the while would have
+# timed out; these are read within a few read delays.
+STALL_THRESHOLD_MS = 1_000
+STALL_READ_MS = 100
 # The interval of heartbeats to other data centres while nothing changes;
 # traffic between data centres is paid for by the byte.
 REMOTE_HEARTBEAT_INTERVAL_MS = 1_000
@@ -157,6 +161,10 @@
                 self._send_to_seeds(now_ms)
             self._publish_peer_reports(now_ms)
             await pauses.sleep_ms(peer_table_lib.HEARTBEAT_INTERVAL_MS)
+            if self._clock.now_ms() - now_ms >= STALL_THRESHOLD_MS:
+                # The process did not run. Peers would count as silent, though
+                # their heartbeats of that time have arrived.
+                await pauses.sleep_ms(STALL_READ_MS)
 
     def _update_must_follow_store(self, now_ms: int) -> None:
         """Updates whether this host has to follow the store itself."""
--- a/packages/node/sapphire_node/entry/peer_task_test.py
+++ b/packages/node/sapphire_node/entry/peer_task_test.py
@@ -10,6 +10,7 @@
 from sapphire_lab.tagged_flows import host_builders
 from sapphire_lab.tagged_flows import outcome_builders
 from sapphire_net import datagrams
+from sapphire_net import pauses
 from sapphire_node.entry import messages
 from sapphire_node.entry import peer_task
 from sapphire_wire import peer_messages
@@ -147,3 +148,40 @@
         self.assertEqual(
             peer_task.MAX_REPLIES_TO_NEW_PEERS, len(self.received())
         )
+
+
+class PausedHostTest(PeerTaskBench):
+    """The process does not run for 5 s; heartbeats arrive meanwhile."""
+
+    # Guards against shares of cold upstreams for fewer hosts than there are.
+    def test_peers_count_until_their_heartbeats_have_been_read(self) -> None:
+        sent: list[peer_data.Heartbeat] = []
+
+        def hear() -> None:
+            heartbeat = builders.heartbeat("edge-2", sequence=len(sent) + 1)
+            sent.append(heartbeat)
+            datagram = peer_messages.encode_heartbeat(heartbeat)
+            self.task._handle_datagram(datagram)
+
+        async def pause_then_read(duration_ms: int) -> None:
+            if len(sent) == 1:
+                self.clock.advance(duration_ms + 5_000)
+                sent.append(sent[0])
+                return
+            if len(sent) == 2:
+                hear()
+                return
+            raise StopAsyncIteration
+
+        hear()
+        self.state.is_ready = True
+        self.patch(pauses, "sleep_ms", pause_then_read)
+        self.assertRaises(
+            (StopAsyncIteration, RuntimeError),
+            anyio.run,
+            self.task._send_heartbeats,
+        )
+        counts: list[int] = []
+        while self.peer_reports.statistics().current_buffer_used:
+            counts.append(self.peer_reports.receive_nowait().host_count)
+        self.assertEqual([2, 2], counts[:2])
