After a restore, a host that starts hears which upstreams have left

Cause: a host that starts after the store came back from an older copy has only the copy's word. An upstream that had left was in use again there until its entry lapsed.

--- a/packages/core/sapphire_core/replication/carried_items.py
+++ b/packages/core/sapphire_core/replication/carried_items.py
@@ -48,6 +48,17 @@
         """Whether a key that the copy has still counts as removed."""
         return key in self._masked_keys
 
+    def mask(self, keys: frozenset[str], now_ms: int) -> None:
+        """Lets more keys count as removed that the copy has.
+
+        Args:
+            keys: The keys.
+            now_ms: The current time.
+        """
+        if not self._kept_by_key and not self._masked_keys:
+            self._until_ms = now_ms + CARRIED_MS
+        self._masked_keys |= keys
+
     def settle(self, key: str) -> data.Item | None:
         """Ends what is carried of a key, as the store has written it again.
 
--- a/packages/core/sapphire_core/replication/replica.py
+++ b/packages/core/sapphire_core/replication/replica.py
@@ -98,6 +98,32 @@
             tuple(self._last_items_by_key.values()), self.as_of, False, self.era
         )
 
+    def mask_removed(self, removed: data.Batch, now_ms: int) -> list[data.Item]:
+        """Lets keys count as removed that a peer saw removed before a restore.
+
+        This host has started since and has only the word of the copy.
+
+        Args:
+            removed: The removed items of the peer.
+            now_ms: The current time.
+
+        Returns:
+            The tombstones of the keys that this changes.
+        """
+        if removed.era != self.era or self.era == 0:
+            return []
+        masked: list[data.Item] = []
+        for item in removed.items:
+            stored = self._items_by_key.get(item.key)
+            if stored is None or stored.value is None:
+                continue
+            if self._carried.is_masked(item.key):
+                continue
+            if stored.revision <= item.revision:
+                masked.append(stored)
+        self._carried.mask(frozenset(item.key for item in masked), now_ms)
+        return self._remove_all(masked, now_ms)
+
     def apply(
         self, batch: data.Batch, now_ms: int, *, is_final: bool = False
     ) -> list[data.Item]:
--- a/packages/node/sapphire_node/entry/change_puller_test.py
+++ b/packages/node/sapphire_node/entry/change_puller_test.py
@@ -291,3 +291,18 @@
         self.puller._state = self.state = host_builders.state()
         self.claim(7)
         self.assertTrue(self.is_behind())
+
+    # Guards against a source that is not asked again for a minute.
+    def test_a_peer_that_has_gone_on_to_a_newer_era_is_no_contradiction(
+        self,
+    ) -> None:
+        scope = replication_data.Scope.INTENT
+
+        async def answer(host: str, request: object) -> replication_data.Batch:
+            return replication_data.Batch((), 14, True, 2)
+
+        self.patch(self.puller, "_request_batch", answer)
+        contact = builders.heartbeat("edge-2").contact
+        source = pull_sources.Source(contact, True, 20, 1)
+        outcome = anyio.run(self.puller._pull_from, scope, source)
+        self.assertIs(pull_sources.PullOutcome.PULLED, outcome)
--- a/packages/node/sapphire_node/entry/replica_task.py
+++ b/packages/node/sapphire_node/entry/replica_task.py
@@ -212,7 +212,8 @@
         """Sends the upstreams that left a scope before this host started.
 
         Flows to them may still be open. Items that this host knows, or that
-        are newer than its replica, are left out.
+        are newer than its replica, are left out. One that a restored store has
+        though it left before counts as removed.
         """
         scope_replica = self._replicas_by_scope[message.scope]
         is_other_era = message.batch.era != scope_replica.era
@@ -230,7 +231,11 @@
                 continue
             former = flow_data.FormerUpstream(versioned_change.change.upstream)
             changes.append(dataclasses.replace(versioned_change, change=former))
-        if not scope_replica.is_complete or not changes:
+        if not scope_replica.is_complete:
+            return
+        masked = scope_replica.mask_removed(message.batch, self._clock.now_ms())
+        changes.extend(self._decode(masked, scope_replica.era))
+        if not changes:
             return
         await self._changes.send(
             messages.NewChanges(
