--- a/packages/core/sapphire_core/flows/router_fault_test.py
+++ b/packages/core/sapphire_core/flows/router_fault_test.py
@@ -315,6 +315,20 @@
             if isinstance(outcome, data.Forward):
                 self.assertNotEqual("a", outcome.upstream.name)
 
+    def test_a_restarted_host_with_an_older_revision_drains_too(self) -> None:
+        # Guards against an upstream that was withdrawn, in use again after the
+        # restart of a host that knows of the newer revision and can't fetch it.
+        cluster, _ = changed_cluster()
+        router = router_lib.Router("h3")
+        cluster.fabric.routers_by_id["h3"] = router
+        cluster.prepare(FIRST, "h3")
+        router.record_newer_revision(SECOND.revision, cluster.now_ms)
+        cluster.wait(5_000)
+        for flow in range(9_000, 9_400):
+            outcome = cluster.send(flow, "h3", is_opening=True)
+            if isinstance(outcome, data.Forward):
+                self.assertNotEqual("a", outcome.upstream.name)
+
 
 class DataCentreTest(testtools.TestCase):
     def out_of_rotation(self, cluster: Cluster) -> records.Configuration:
