--- a/packages/core/sapphire_core/tagged_flows/openings.py
+++ b/packages/core/sapphire_core/tagged_flows/openings.py
@@ -10,6 +10,7 @@
 from sapphire_core.tagged_flows import decisions as decisions_lib
 from sapphire_core.tagged_flows import deferred_flows
 from sapphire_core.tagged_flows import failover_budget as failover_budget_lib
+from sapphire_core.tagged_flows import failovers as failovers_lib
 from sapphire_core.tagged_flows import flow_table as flow_table_lib
 from sapphire_core.tagged_flows import half_open_flows
 from sapphire_core.tagged_flows import service_routing
@@ -21,9 +22,6 @@
 # of an unresponsive upstream; a retransmission is. The fabric polls the
 # readiness of each host twice a second and acts after two failed polls.
 MEMBERSHIP_GRACE_MS = 1_500
-# Upstreams that an opening packet is sent to without a retransmission by the
-# caller; each retransmission allows one more.
-MAX_ATTEMPTS = 3
 # An opening packet that arrives again within this time is a duplicate made by
 # the network; callers retransmit later than that.
 DUPLICATE_WINDOW_MS = 100
@@ -70,6 +68,14 @@
         self._selector = selector
         self._answer_timeout = answer_timeout
         self._failover_budget = failover_budget
+        self._failovers = failovers_lib.Failovers(
+            routing=routing,
+            half_open=half_open,
+            selector=selector,
+            answer_timeout=answer_timeout,
+            failover_budget=failover_budget,
+            decisions=decisions,
+        )
         self._decisions = decisions
         self._last_tick_ms = 0
         self._membership_grace_until_ms = 0
@@ -128,7 +134,7 @@
         if stall_ms > PAUSE_THRESHOLD_MS:
             # Upstreams may have left, and callers may have gone on at a peer.
             return actions
-        actions.extend(self._fail_over_timed_out(now_ms))
+        actions.extend(self._failovers.fail_over_timed_out(now_ms))
         if len(self.deferred) > 0:
             actions.extend(self._release_deferred(now_ms))
         return actions
@@ -298,101 +304,15 @@
         half_open.may_continue_at_peer = self.is_membership_changing(now_ms)
         elapsed_ms = now_ms - half_open.last_sent_ms
         if elapsed_ms >= self._answer_timeout.timeout_ms:
-            action = self._fail_over(half_open, now_ms, is_retransmission=True)
+            action = self._failovers.fail_over(
+                half_open, now_ms, is_retransmission=True
+            )
             if action is not None:
                 return action
         last = half_open.tried_upstreams[-1]
         self.half_open.record_attempt(half_open, last, now_ms)
         return data.Forward(packet, last.upstream, last.tag)
 
-    def _fail_over(
-        self,
-        half_open: half_open_flows.HalfOpenFlow,
-        now_ms: int,
-        *,
-        is_retransmission: bool,
-    ) -> data.Action | None:
-        """Records an unanswered attempt and tries another upstream.
-
-        Args:
-            half_open: The flow whose last upstream did not answer.
-            now_ms: The current time.
-            is_retransmission: Whether the caller has retransmitted, so that it
-                is known to be still waiting.
-
-        Returns:
-            The next attempt, None if there is no further upstream to try.
-        """
-        last = half_open.tried_upstreams[-1]
-        if is_retransmission or len(half_open.tried_upstreams) == 1:
-            # After a fail-over without a retransmission, a timeout says nothing
-            # about the later upstream: the first one may have reset the flow,
-            # and the caller then answers none of the others.
-            self._selector.record_unanswered(
-                last, half_open.last_sent_ms, now_ms
-            )
-            self._failover_budget.record_outcome(
-                last.upstream.upstream_id, now_ms, is_silent=True
-            )
-        self.half_open.mark_timed_out(half_open)
-        if (
-            len(half_open.tried_upstreams)
-            >= MAX_ATTEMPTS + half_open.retransmissions
-        ):
-            return None
-        service = self._routing.find_service(half_open.service)
-        if service is None:
-            return None
-        entry = self._selector.select(
-            service, half_open.tried_upstream_ids, now_ms
-        )
-        if entry is None:
-            return None
-        if not is_retransmission and self._is_spared(half_open, now_ms):
-            return None
-        self.half_open.record_attempt(half_open, entry, now_ms)
-        self._decisions.report(
-            data.Verdict.FAILED_OVER,
-            half_open.packet,
-            entry,
-            silent=last.upstream.upstream_id,
-            waited_ms=now_ms - half_open.first_seen_ms,
-        )
-        return data.Forward(half_open.packet, entry.upstream, entry.tag)
-
-    def _is_spared(
-        self, half_open: half_open_flows.HalfOpenFlow, now_ms: int
-    ) -> bool:
-        """Whether a flow gets no second try until its caller retransmits."""
-        last = half_open.tried_upstreams[-1]
-        last_active_ms = last.last_active_ms
-        if last_active_ms is not None and (
-            last_active_ms > half_open.last_sent_ms
-        ):
-            # The upstream is alive. It has probably answered, and would be the
-            # first of two that do.
-            reason = "upstream_active"
-        else:
-            refusal = self._failover_budget.take(half_open.service, now_ms)
-            if refusal is None:
-                return False
-            reason = refusal.value
-        self._decisions.report(
-            data.Verdict.SPARED, half_open.packet, last, reason=reason
-        )
-        return True
-
-    def _fail_over_timed_out(self, now_ms: int) -> list[data.Action]:
-        """Fails over half-open flows whose upstream did not answer in time."""
-        actions: list[data.Action] = []
-        for half_open in self.half_open.timed_out(
-            now_ms, self._answer_timeout.timeout_ms
-        ):
-            action = self._fail_over(half_open, now_ms, is_retransmission=False)
-            if action is not None:
-                actions.append(action)
-        return actions
-
 
 def _belongs_to_open_flow(
     packet: data.Packet, record: flow_table_lib.FlowRecord, now_ms: int
--- a/packages/core/sapphire_core/tagged_flows/steering_test.py
+++ b/packages/core/sapphire_core/tagged_flows/steering_test.py
@@ -2,6 +2,7 @@
 
 from sapphire_core.tagged_flows import answer_timeout
 from sapphire_core.tagged_flows import data
+from sapphire_core.tagged_flows import failovers
 from sapphire_core.tagged_flows import openings
 from sapphire_core.tagged_flows import tags
 from sapphire_lab.tagged_flows import builders
@@ -85,7 +86,7 @@
             for now_ms in range(10, 1_400, 10)
             for action in bench.steering.tick(now_ms)
         ]
-        self.assertEqual(openings.MAX_ATTEMPTS - 1, len(sent))
+        self.assertEqual(failovers.MAX_ATTEMPTS - 1, len(sent))
         self.assertIsInstance(
             bench.open(1, 1_400, retransmissions=1), data.Forward
         )
