Logs and metrics tell the era of each change and the version in force

New: era in the lines of changes, the line startup_read, and the gauge configuration_version. Test: metrics_task_test shows the version.

--- a/packages/ctl/sapphire_ctl/flow_timeline.py
+++ b/packages/ctl/sapphire_ctl/flow_timeline.py
@@ -15,6 +15,7 @@
 _HOST_EVENTS = frozenset(
     {
         "started",
+        "startup_read",
         "ready",
         "stopping",
         "stopped",
--- a/packages/node/sapphire_node/entry/host_state.py
+++ b/packages/node/sapphire_node/entry/host_state.py
@@ -63,6 +63,8 @@
         era_by_scope: The era of the store that the revisions of each scope
             belong to.
         eras: The newest eras, by who has named them.
+        configuration_version: The version of the configuration in force on this
+            host; None before the first.
         followed_scopes: The scopes that this host follows in the store and
             whose last call succeeded.
         counts: Counters by name, for metrics.
@@ -95,6 +97,7 @@
     eras: store_eras.StoreEras = dataclasses.field(
         default_factory=store_eras.StoreEras
     )
+    configuration_version: int | None = None
     followed_scopes: set[replication_data.Scope] = dataclasses.field(
         default_factory=set
     )
--- a/packages/node/sapphire_node/entry/metrics_task.py
+++ b/packages/node/sapphire_node/entry/metrics_task.py
@@ -85,6 +85,12 @@
             "The era of the store in which a scope is known.",
             self._read_eras,
         )
+        metrics.register_gauge(
+            f"{_PREFIX}.configuration.version",
+            "{version}",
+            "The version of the configuration that the host acts on.",
+            self._read_configuration_version,
+        )
         metrics.register_gauge(
             f"{_PREFIX}.state",
             "1",
@@ -126,6 +132,13 @@
             for scope, era in self._state.era_by_scope.items()
         }
 
+    def _read_configuration_version(
+        self,
+    ) -> dict[tuple[tuple[str, str], ...], float]:
+        """Returns the version in force, nothing before the first."""
+        version = self._state.configuration_version
+        return {} if version is None else {(): float(version)}
+
     def _read_state(self) -> dict[tuple[tuple[str, str], ...], float]:
         """Returns the lifecycle flags of the process as 0 or 1."""
         return {
--- a/packages/node/sapphire_node/entry/metrics_task_test.py
+++ b/packages/node/sapphire_node/entry/metrics_task_test.py
@@ -59,6 +59,10 @@
         answer = anyio.run(self.task.answer, "GET", "/other")
         self.assertEqual(404, answer.status)
 
+    def test_the_version_of_the_configuration_is_shown(self) -> None:
+        self.state.configuration_version = 13
+        self.assertEqual(13, self.value("configuration_version"))
+
     def test_the_era_is_shown_and_restores_are_counted(self) -> None:
         scope = replication_data.Scope.INTENT
         self.state.era_by_scope[scope] = 3
--- a/packages/node/sapphire_node/entry/packet_task.py
+++ b/packages/node/sapphire_node/entry/packet_task.py
@@ -248,12 +248,14 @@
         if isinstance(change, data.ConfigurationChange):
             configuration = change.configuration
             if self._steering.configure(configuration):
+                self._state.configuration_version = configuration.version
                 event_log.log(
                     _LOG,
                     logging.INFO,
                     "configuration_in_force",
                     version=configuration.version,
                     revision=versioned_change.revision,
+                    era=versioned_change.era,
                     routes=len(configuration.routes_by_endpoint),
                     source=message.source,
                 )
@@ -267,6 +269,7 @@
                 "data_centre_out" if change.is_out else "data_centre_in",
                 data_centre=change.data_centre,
                 revision=versioned_change.revision,
+                era=versioned_change.era,
                 source=message.source,
             )
             return
@@ -283,6 +286,7 @@
                     state=entry.upstream.state.value,
                     cause=message.removal_cause.value,
                     revision=versioned_change.revision,
+                    era=versioned_change.era,
                     source=message.source,
                 )
             return
@@ -299,6 +303,7 @@
                 "former_upstream_known",
                 upstream=change.upstream.upstream_id,
                 revision=versioned_change.revision,
+                era=versioned_change.era,
                 source=message.source,
             )
             return
@@ -344,6 +349,7 @@
             was_known=former is not None,
             was_removed=was_removed,
             revision=revision,
+            era=versioned_change.era,
             source=source,
         )
 
--- a/packages/node/sapphire_node/entry/startup_reader.py
+++ b/packages/node/sapphire_node/entry/startup_reader.py
@@ -4,16 +4,21 @@
 the store one call for each host.
 """
 
+import logging
+
 import anyio.streams.memory
 
 from sapphire_core.replication import data
 from sapphire_data import clock as clock_lib
+from sapphire_net import event_log
 from sapphire_net import pauses
 from sapphire_node.entry import call_backoff
 from sapphire_node.entry import host_state
 from sapphire_node.entry import messages
 from sapphire_node.entry import platform_interface
 
+_LOG = logging.getLogger(__name__)
+
 BatchSender = anyio.streams.memory.MemoryObjectSendStream[
     messages.BatchReceived | messages.RemovedItemsReceived
 ]
@@ -48,6 +53,7 @@
 
     async def run(self) -> None:
         """Reads the store and sends a batch of each scope."""
+        started_ms = self._clock.now_ms()
         snapshot = await self._read()
         state = self._state
         for scope, batch in snapshot.batches_by_scope.items():
@@ -62,6 +68,15 @@
         state.startup_listing = snapshot.listings_by_host.get(
             state.settings.host_name
         )
+        event_log.log(
+            _LOG,
+            logging.INFO,
+            "startup_read",
+            era=state.startup_era,
+            revision=state.startup_revision,
+            hosts=len(snapshot.listings_by_host),
+            took_ms=self._clock.now_ms() - started_ms,
+        )
         state.startup_read.set()
 
     async def _read(self) -> data.Snapshot:
