A host that starts after a restore of the store asks peers what is in force

What callers saw: CONFIG, and with it DRAIN and EVAC: after the store had come back from an older copy, a host that was started before the operator wrote again sent new flows by a removed route, to an upstream that drains or to a data centre that is out, until then. Cause: it had the copy's word only, though its peers went on by what they knew. Of the copy's gaps it asked peers for removed upstreams alone. Class: a process that starts acts on a source older than what its peers act on. Change: Replica keeps the values that the copy has older ones of; /carried/SCOPE serves them with what the copy lacks and what it has again, and how much longer that counts. On a store that names its era, a host asks listed peers before it is ready, until two have answered, for 200 ms at most; peers that are starting themselves do not answer. It passes on what it took over. What the store wrote in its new era, a later version, or a later report of an upstream counts in any case. Only hosts of the store's list are asked; values of one key and time limits are bounded. Why it works: at a start the first decision is made after the peers' word, and content decides, not the order of arrival.

--- a/packages/core/sapphire_core/replication/data.py
+++ b/packages/core/sapphire_core/replication/data.py
@@ -64,12 +64,15 @@
         is_full: Whether these are all items of the scope; otherwise they are
             changes only.
         era: The era of the store that all revisions belong to.
+        left_ms: Of what is carried from a former era (`carried_items`): how
+            much longer it counts, unless the store decides on it before.
     """
 
     items: tuple[Item, ...]
     as_of: int
     is_full: bool
     era: int = 0
+    left_ms: int = 0
 
     @property
     def position(self) -> Position:
--- a/packages/core/sapphire_core/replication/replica.py
+++ b/packages/core/sapphire_core/replication/replica.py
@@ -121,9 +121,74 @@
                 continue
             if stored.revision <= item.revision:
                 masked.append(stored)
-        self._carried.mask(frozenset(item.key for item in masked), now_ms)
+        self._carried.mask(
+            frozenset(item.key for item in masked),
+            now_ms + carried_items.CARRIED_MS,
+        )
         return self._remove_all(masked, now_ms)
 
+    def carried_batch(self, now_ms: int) -> data.Batch:
+        """Returns what counts in place of what the restored store has.
+
+        Args:
+            now_ms: The current time.
+
+        Returns:
+            Values that the copy lacks or has older ones of, and tombstones of
+            keys that it has though they were removed. The revision is that of
+            the copy's own item, or of the replica where it has none.
+        """
+        carried = self._carried
+        items = [
+            data.Item(item.key, self.as_of, item.value)
+            for item in carried.kept_items
+        ]
+        items.extend(
+            data.Item(key, self._items_by_key[key].revision, None)
+            for key in sorted(carried.masked_keys)
+        )
+        items.extend(carried.former_items)
+        left_ms = carried.left_ms(now_ms)
+        return data.Batch(tuple(items), self.as_of, False, self.era, left_ms)
+
+    def carry(self, batch: data.Batch, now_ms: int) -> list[data.Item]:
+        """Takes over what a peer carries, since this host has only the copy.
+
+        What the store has written in this era counts in any case.
+
+        Args:
+            batch: The batch of the peer, see `carried_batch`.
+            now_ms: The current time.
+
+        Returns:
+            The items that changed. A value that the copy has an older one of
+            is for the receiver to compare by its content.
+        """
+        if batch.era != self.era or self.era == 0:
+            return []
+        until_ms = now_ms + min(batch.left_ms, carried_items.CARRIED_MS)
+        masked: list[data.Item] = []
+        changed: list[data.Item] = []
+        for item in batch.items:
+            stored = self._items_by_key.get(item.key)
+            if stored is None:
+                if item.value is None or not self._keeps_missing:
+                    continue
+                if self._carried.keep(item, until_ms):
+                    changed.append(item)
+                continue
+            if stored.value is None or stored.revision > item.revision:
+                continue
+            if self._carried.is_masked(item.key):
+                continue
+            if item.value is None:
+                masked.append(stored)
+            elif self._carried.add_former(item):
+                changed.append(item)
+        self._carried.mask(frozenset(item.key for item in masked), until_ms)
+        changed.extend(self._remove_all(masked, now_ms))
+        return changed
+
     def apply(
         self, batch: data.Batch, now_ms: int, *, is_final: bool = False
     ) -> list[data.Item]:
@@ -244,6 +309,10 @@
             for item in known_by_key.values()
             if item.key not in self._items_by_key
         ]
+        kept = {item.key: item for item in missing}
+        for item in self._carried.former_items:
+            if item.key in kept:
+                kept[item.key] = item
         masked_keys = frozenset(
             item.key
             for item in batch.items
@@ -251,8 +320,11 @@
         )
         self.missing_keys = frozenset(item.key for item in missing)
         self._carried = carried_items.CarriedItems(
-            {item.key: item for item in missing} if self._keeps_missing else {},
+            kept if self._keeps_missing else {},
             masked_keys,
+            _former_values(
+                batch, [*known_by_key.values(), *self._carried.former_items]
+            ),
             now_ms + carried_items.CARRIED_MS,
         )
         self.era = batch.era
@@ -300,7 +372,10 @@
         Returns:
             The items that changed.
         """
-        carried, self._carried = self._carried, carried_items.nothing()
+        carried = self._carried
+        self._carried = carried_items.CarriedItems(
+            {}, frozenset(), carried.former_items, 0
+        )
         changed = self._remove_all(carried.kept_items, now_ms)
         for key in sorted(carried.masked_keys):
             self._forget_removal(key)
@@ -376,10 +451,36 @@
                 continue
             tombstone = data.Item(key, batch.as_of, None)
             self._items_by_key[key] = tombstone
-            if self._carried.is_masked(key):
-                self._carried.settle(key)
+            was_masked = self._carried.is_masked(key)
+            self._carried.settle(key)
+            if was_masked:
                 self._removed_ms_by_key[key] = now_ms
                 continue
             self._record_removal(item, now_ms)
             removed.append(tombstone)
         return removed
+
+
+def _former_values(
+    batch: data.Batch, known: list[data.Item]
+) -> list[data.Item]:
+    """Returns known values of which a restored store has older ones.
+
+    Args:
+        batch: All items of the restored store.
+        known: The items known before, with the revisions of the former era.
+
+    Returns:
+        The values, with the revisions of the store's own.
+    """
+    stored_by_key = {item.key: item for item in batch.items}
+    former: list[data.Item] = []
+    for item in known:
+        stored = stored_by_key.get(item.key)
+        if stored is None or stored.value == item.value:
+            continue
+        if stored.revision > item.revision:
+            # The store has a newer one, or has written it again.
+            continue
+        former.append(data.Item(item.key, stored.revision, item.value))
+    return former
--- a/packages/core/sapphire_core/tagged_flows/upstream_table.py
+++ b/packages/core/sapphire_core/tagged_flows/upstream_table.py
@@ -109,7 +109,7 @@
             The entry if the upstream is new or has restarted, else None.
         """
         known = self.by_id.get(upstream.upstream_id)
-        if known is not None and _is_from_older_copy(upstream, known, era):
+        if known is not None and _is_outdated(upstream, known, era):
             return None
         position = replication_data.Position(era, revision)
         is_new_start = (
@@ -293,14 +293,20 @@
             self._by_tag[tag] = min(sharing, key=lambda e: e.first_position)
 
 
-def _is_from_older_copy(
-    upstream: data.Upstream, known: Entry, era: int
-) -> bool:
-    """Whether a report is one from before the newest known of its upstream.
+def _is_outdated(upstream: data.Upstream, known: Entry, era: int) -> bool:
+    """Whether a report is older than the newest known one of its upstream.
 
-    A store that comes back from an older copy may have such a report until the
-    upstream writes again, for example one from before it began to drain.
+    Within an era, the registry delivers reports in their order. A store that
+    comes back from an older copy may have a report until the upstream writes
+    again that is older than what this host knows, for example one from before
+    it began to drain. The other way round, a peer may have told this host, as
+    a report of a former era, what the copy lacks.
     """
+    if era < known.era:
+        return known.removed_ms is not None or (
+            upstream.started_ms,
+            upstream.report_number,
+        ) <= (known.upstream.started_ms, known.upstream.report_number)
     return (
         era > known.era
         and known.removed_ms is None
--- a/packages/core/sapphire_core/tagged_flows/upstream_table_test.py
+++ b/packages/core/sapphire_core/tagged_flows/upstream_table_test.py
@@ -242,3 +242,22 @@
         started = builders.upstream("i-1", report_number=1, started_ms=2)
         table.put(started, 6, 2_000, era)
         self.assertEqual(1, len(table.eligible_upstreams("board", 2_000)))
+
+    # Guards against DRAIN: the copy was read before the peer's word came.
+    def test_a_report_that_the_copy_lacks_counts_by_its_number(self) -> None:
+        table = upstream_table.UpstreamTable()
+        era = builders.COPY_ERA
+        drains = builders.upstream(
+            "i-1", state=data.UpstreamState.DRAINING, report_number=9
+        )
+        table.put(builders.upstream("i-1", report_number=5), 4, 0, era)
+        table.put(drains, 4, 100, era - 1)
+        self.assertEqual([], table.eligible_upstreams("board", 100))
+        # Written again, and then the peer's word arrives late.
+        table.put(builders.upstream("i-1", report_number=12), 8, 200, era)
+        table.put(drains, 4, 300, era - 1)
+        self.assertEqual(1, len(table.eligible_upstreams("board", 300)))
+        table.remove("i-1", 400, data.RemovalCause.UPSTREAM_STOPPED)
+        table.put(drains, 4, 500, era - 1)
+        entry = table.by_id["i-1"]
+        self.assertEqual(400, entry.removed_ms)
--- a/packages/lab/sapphire_lab/tagged_flows/restored_hosts.py
+++ b/packages/lab/sapphire_lab/tagged_flows/restored_hosts.py
@@ -139,10 +139,10 @@
         self.store = store
         self._clock = clock
         batches, self._batches = anyio.create_memory_object_stream[
-            messages.BatchReceived | messages.RemovedItemsReceived
+            messages.ReplicaMessage
         ](100)
         changes, self._changes = anyio.create_memory_object_stream[
-            messages.NewChanges | messages.PeerReports
+            messages.PacketTaskMessage
         ](100)
         peers, self._peers = anyio.create_memory_object_stream[
             messages.HostListChanged
@@ -172,6 +172,7 @@
         )
         self.packets._socket.close()
         self.set_reachable(is_reachable=True)
+        self.state.is_ready = True
 
     def set_reachable(self, *, is_reachable: bool) -> None:
         """Sets whether this host reaches the store."""
@@ -237,6 +238,17 @@
 
     def ask_at_start(self, peer: "Host") -> None:
         """Asks a peer for what it knows from before this host started."""
+        for scope in (INTENT, REGISTRY):
+            request = peer_requests.PeerRequest(
+                scope, None, is_for_carried=True
+            )
+            response = anyio.run(peer.replicas._serve_peer, "GET", request.path)
+            assert response.status == http1.OK
+            batch = peer_messages.decode_batch(response.body)
+            assert isinstance(batch, data.Batch)
+            received = messages.CarriedItemsReceived(scope, batch, peer.name)
+            anyio.run(self.replicas._handle_message, received)
+        self._apply_changes()
         self.hear_removed(peer)
 
     def _pull(self, scope: data.Scope, peer: "Host") -> None:
--- a/packages/node/sapphire_node/entry/announcer_test.py
+++ b/packages/node/sapphire_node/entry/announcer_test.py
@@ -118,11 +118,11 @@
 
     def setUp(self) -> None:
         super().setUp()
-        _, batches = anyio.create_memory_object_stream[
-            messages.BatchReceived | messages.RemovedItemsReceived
-        ](10)
+        _, batches = anyio.create_memory_object_stream[messages.ReplicaMessage](
+            10
+        )
         changes, _ = anyio.create_memory_object_stream[
-            messages.NewChanges | messages.PeerReports
+            messages.PacketTaskMessage
         ](10)
         peers, received = anyio.create_memory_object_stream[
             messages.HostListChanged
--- a/packages/node/sapphire_node/entry/change_puller.py
+++ b/packages/node/sapphire_node/entry/change_puller.py
@@ -1,7 +1,6 @@
 """Pulls the changes that this host lacks from its peers.
 
-Heartbeats tell which peers have newer changes. They are pulled over HTTP; a
-host that has just started also pulls the items that left the registry before.
+Heartbeats tell which peers have newer changes. They are pulled over HTTP.
 """
 
 from collections.abc import Mapping
@@ -13,28 +12,20 @@
 from sapphire_core.peers import pull_sources
 from sapphire_core.replication import data
 from sapphire_data import clock as clock_lib
-from sapphire_data import failures
 from sapphire_net import event_log
-from sapphire_net import http1
 from sapphire_net import pauses
 from sapphire_node.entry import host_state
 from sapphire_node.entry import messages
+from sapphire_node.entry import peer_client
 from sapphire_node.entry import peer_requests
 from sapphire_node.entry import store_follower
-from sapphire_wire import peer_messages
 
 _LOG = logging.getLogger(__name__)
 
 # A host that follows the store gets the same changes from there. It pulls them
 # from a peer only after it has been behind that peer for this long.
 FOLLOWER_PULL_DELAY_MS = 300
-# The first bytes of a response take a few network delays, and longer while the
-# peer serves others.
-PULL_TIMEOUT_MS = 1_000
 PULL_POLL_MS = 20
-# How many peers a host that has just started asks for items that left the
-# registry before its start.
-REMOVED_ITEMS_PEER_COUNT = 2
 
 
 class ChangePuller:
@@ -68,8 +59,6 @@
         self._is_behind_event = anyio.Event()
         # The scopes that are being pulled from a peer.
         self._scopes_being_pulled: set[data.Scope] = set()
-        self._new_peers: set[str] = set()
-        self._new_peer_event = anyio.Event()
 
     def record_revisions(
         self, revisions: Mapping[data.Scope, int], now_ms: int, era: int = 0
@@ -97,15 +86,6 @@
             self._behind_since_ms_by_scope.setdefault(scope, now_ms)
             self._is_behind_event.set()
 
-    def record_new_peer(self, host: str) -> None:
-        """Records that a peer was heard for the first time since its start.
-
-        Args:
-            host: The name of the peer.
-        """
-        self._new_peers.add(host)
-        self._new_peer_event.set()
-
     async def pull_changes(self) -> None:
         """Pulls changes from peers that are ahead, until cancelled."""
         async with anyio.create_task_group() as tasks:
@@ -177,7 +157,9 @@
         after = self._state.position(scope)
         request = peer_requests.PeerRequest(scope, after.revision, after.era)
         host = source.contact.host
-        batch = await self._request_batch(host, request)
+        # A heartbeat since may have told another address.
+        contact = self._peer_table.contact(host) or source.contact
+        batch = await peer_client.request_batch(self._state, contact, request)
         if isinstance(batch, pull_sources.PullOutcome):
             return batch
         await self._batches.send(messages.BatchReceived(scope, batch, host))
@@ -198,63 +180,3 @@
             )
             return pull_sources.PullOutcome.CONTRADICTED
         return pull_sources.PullOutcome.PULLED
-
-    async def pull_removed_items(self) -> None:
-        """Pulls items that left the registry before the start of this host.
-
-        A peer that has just started itself has no such items, so more than one
-        peer is asked.
-        """
-        scope = data.Scope.REGISTRY
-        request = peer_requests.PeerRequest(scope, None)
-        await self._state.wait_for_startup()
-        while scope not in self._state.as_of_by_scope:
-            # Removed items can be told from present ones only once the registry
-            # is known.
-            await pauses.sleep_ms(PULL_POLL_MS)
-        asked_peers: set[str] = set()
-        while len(asked_peers) < REMOVED_ITEMS_PEER_COUNT:
-            await self._new_peer_event.wait()
-            self._new_peer_event = anyio.Event()
-            for host in self._new_peers - asked_peers:
-                asked_peers.add(host)
-                batch = await self._request_batch(host, request)
-                if isinstance(batch, data.Batch):
-                    await self._batches.send(
-                        messages.RemovedItemsReceived(scope, batch, host)
-                    )
-
-    async def _request_batch(
-        self, host: str, request: peer_requests.PeerRequest
-    ) -> data.Batch | pull_sources.PullOutcome:
-        """Requests items from one peer; logs why it sent none."""
-        contact = self._peer_table.contact(host)
-        if contact is None:
-            return pull_sources.PullOutcome.FAILED
-        client = http1.Client((contact.address, contact.port))
-        response = await client.call("GET", request.path, PULL_TIMEOUT_MS)
-        await client.close()
-        if isinstance(response, http1.CallFailure):
-            self._state.counts["pull_failures"] += 1
-            event_log.log_failure(_LOG, "pull_failed", response, peer=host)
-            return pull_sources.PullOutcome.FAILED
-        if response.status == http1.UNAVAILABLE:
-            self._state.counts["pulls_deferred"] += 1
-            return pull_sources.PullOutcome.BUSY
-        if response.status != http1.OK:
-            self._state.counts["pull_failures"] += 1
-            event_log.log(
-                _LOG,
-                logging.WARNING,
-                "pull_refused",
-                peer=host,
-                scope=request.scope.name,
-                status=response.status,
-            )
-            return pull_sources.PullOutcome.FAILED
-        batch = peer_messages.decode_batch(response.body)
-        if isinstance(batch, failures.Failure):
-            self._state.counts["pull_failures"] += 1
-            event_log.log_failure(_LOG, "pull_failed", batch, peer=host)
-            return pull_sources.PullOutcome.FAILED
-        return batch
--- a/packages/node/sapphire_node/entry/change_puller_test.py
+++ b/packages/node/sapphire_node/entry/change_puller_test.py
@@ -14,6 +14,7 @@
 from sapphire_net import http1
 from sapphire_node.entry import change_puller
 from sapphire_node.entry import messages
+from sapphire_node.entry import peer_client
 from sapphire_wire import peer_messages
 
 LOOPBACK = "127.0.0.1"
@@ -32,7 +33,7 @@
             builders.heartbeat("edge-1").contact, random.Random(1), CONTACT_MS
         )
         batches, self.batches = anyio.create_memory_object_stream[
-            messages.BatchReceived | messages.RemovedItemsReceived
+            messages.ReplicaMessage
         ](10)
         self.puller = change_puller.ChangePuller(
             self.state,
@@ -55,8 +56,7 @@
             contact=dataclasses.replace(heartbeat.contact, port=port),
             revisions=revisions or {},
         )
-        if self.table.record_heartbeat(heartbeat, self.clock.now_ms()):
-            self.puller.record_new_peer(host)
+        self.table.record_heartbeat(heartbeat, self.clock.now_ms())
         self.puller.record_revisions(heartbeat.revisions, self.clock.now_ms())
 
 
@@ -204,43 +204,6 @@
         self.assertLessEqual(self.requests_within(5_000, answer), 6)
 
 
-class PullRemovedItemsTest(ChangePullerFixture):
-    """A new host pulls the items that left the registry before its start."""
-
-    def run_with_peer(self, answer: http1.RequestHandler) -> list[str]:
-        """Runs the pull beside a peer that serves HTTP.
-
-        Returns:
-            The keys of the removed items that the host received.
-        """
-        self.state.as_of_by_scope[replication_data.Scope.REGISTRY] = 9
-
-        async def main() -> list[str]:
-            async with anyio.create_task_group() as tasks:
-                listener = await anyio.create_tcp_listener(local_host=LOOPBACK)
-                port = listener.extra(anyio.abc.SocketAttribute.local_port)
-                tasks.start_soon(http1.serve, listener, answer)
-                tasks.start_soon(self.puller.pull_removed_items)
-                self.hear("edge-2", port=port)
-                message = await self.batches.receive()
-                tasks.cancel_scope.cancel()
-            assert isinstance(message, messages.RemovedItemsReceived)
-            return [item.key for item in message.batch.items]
-
-        return anyio.run(main)
-
-    def test_a_new_peer_is_asked_for_removed_items(self) -> None:
-        paths: list[str] = []
-
-        async def answer(method: str, path: str) -> http1.Response:
-            paths.append(path)
-            batch = builders.batch(builders.item("a", 4), as_of=9)
-            return http1.Response(200, peer_messages.encode_batch(batch))
-
-        self.assertEqual(["a"], self.run_with_peer(answer))
-        self.assertEqual(["/removed/2"], paths)
-
-
 class ClaimedEraTest(ChangePullerFixture):
     """What a host makes of an era that only a peer claims."""
 
@@ -298,10 +261,10 @@
     ) -> None:
         scope = replication_data.Scope.INTENT
 
-        async def answer(host: str, request: object) -> replication_data.Batch:
+        async def answer(*_: object) -> replication_data.Batch:
             return replication_data.Batch((), 14, True, 2)
 
-        self.patch(self.puller, "_request_batch", answer)
+        self.patch(peer_client, "request_batch", answer)
         contact = builders.heartbeat("edge-2").contact
         source = pull_sources.Source(contact, True, 20, 1)
         outcome = anyio.run(self.puller._pull_from, scope, source)
--- a/packages/node/sapphire_node/entry/host.py
+++ b/packages/node/sapphire_node/entry/host.py
@@ -94,10 +94,10 @@
         store=f"{settings.store_address[0]}:{settings.store_address[1]}",
     )
     batches, received_batches = anyio.create_memory_object_stream[
-        messages.BatchReceived | messages.RemovedItemsReceived
+        messages.ReplicaMessage
     ](math.inf)
     changes, received_changes = anyio.create_memory_object_stream[
-        messages.NewChanges | messages.PeerReports
+        messages.PacketTaskMessage
     ](math.inf)
     to_peers, inbox = anyio.create_memory_object_stream[
         messages.HostListChanged
--- a/packages/node/sapphire_node/entry/host_state.py
+++ b/packages/node/sapphire_node/entry/host_state.py
@@ -162,6 +162,16 @@
             self.change_revision_by_scope.get(scope, 0),
         )
 
+    @property
+    def knows_all_scopes(self) -> bool:
+        """Whether all that a host needs for routing is known."""
+        return self.as_of_by_scope.keys() >= ROUTING_SCOPES
+
+    @property
+    def has_eras(self) -> bool:
+        """Whether the store names its era, so it may be an older copy."""
+        return max(self.era_by_scope.values(), default=0) > 0
+
     def newest_revisions(self, era: int) -> dict[replication_data.Scope, int]:
         """Returns the revision of the newest known change of each scope.
 
--- a/packages/node/sapphire_node/entry/messages.py
+++ b/packages/node/sapphire_node/entry/messages.py
@@ -42,6 +42,37 @@
     source: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CarriedItemsReceived:
+    """A peer has returned what counts in place of what a restored store has.
+
+    Attributes:
+        scope: The scope.
+        batch: What the peer carries, see `Replica.carried_batch`.
+        source: The host that returned it, for logs.
+    """
+
+    scope: replication_data.Scope
+    batch: replication_data.Batch
+    source: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeersAsked:
+    """Peers have been asked for what they carry, after the start.
+
+    Attributes:
+        answers: How many of them have answered.
+    """
+
+    answers: int
+
+
+ReplicaMessage = (
+    BatchReceived | RemovedItemsReceived | CarriedItemsReceived | PeersAsked
+)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ChangeAtRevision:
     """A change and the revision of the store at which it was made.
@@ -134,3 +165,6 @@
     host_count: int
     has_membership_changed: bool
     evidence_by_tag: Mapping[int, outcome_reports.Evidence]
+
+
+PacketTaskMessage = NewChanges | PeerReports | PeersAsked
--- a/packages/node/sapphire_node/entry/packet_task.py
+++ b/packages/node/sapphire_node/entry/packet_task.py
@@ -20,6 +20,7 @@
 from sapphire_node.entry import host_state
 from sapphire_node.entry import messages
 from sapphire_node.entry import platform_interface
+from sapphire_node.entry import startup_exchange
 
 _LOG = logging.getLogger(__name__)
 
@@ -35,7 +36,7 @@
 EMPTY_REGISTRY_GRACE_MS = upstream_table.LAPSE_GRACE_MS
 
 ChangeReceiver = anyio.streams.memory.MemoryObjectReceiveStream[
-    messages.NewChanges | messages.PeerReports
+    messages.PacketTaskMessage
 ]
 ReportSender = anyio.streams.memory.MemoryObjectSendStream[
     messages.OwnUpstreamReports
@@ -74,6 +75,8 @@
         self._work_pending = anyio.Event()
         self._scopes_known_ms: int | None = None
         self._known_scopes: set[replication_data.Scope] = set()
+        # How many peers have told what they carry; None until they were asked.
+        self._peer_answers: int | None = None
         self._held_packets: collections.deque[tuple[int, data.Packet]] = (
             collections.deque(maxlen=MAX_HELD_PACKETS)
         )
@@ -195,6 +198,10 @@
                 self._judge_upstreams(message, now_ms)
                 await self._send_own_reports(now_ms, is_urgent=False)
                 continue
+            if isinstance(message, messages.PeersAsked):
+                self._peer_answers = message.answers
+                self._update_readiness(now_ms)
+                continue
             for versioned_change in message.changes:
                 self._apply_change(versioned_change, message, now_ms)
             self._known_scopes.add(message.scope)
@@ -369,6 +376,9 @@
             and not is_grace_period_over
         ):
             return
+        waited_ms = now_ms - self._scopes_known_ms
+        if self._must_wait_for_peers(waited_ms):
+            return
         self._state.is_ready = True
         self._steering.record_membership_change(now_ms)
         event_log.log(
@@ -377,12 +387,20 @@
             "ready",
             upstreams=len(self._steering.upstream_table.by_id),
             held_packets=len(self._held_packets),
+            peer_answers=self._peer_answers,
+            waited_ms=waited_ms,
         )
         while self._held_packets:
             held_ms, packet = self._held_packets.popleft()
             if now_ms - held_ms <= MAX_HOLD_MS:
                 self._handle_packet(packet, now_ms)
 
+    def _must_wait_for_peers(self, waited_ms: int) -> bool:
+        """Whether peers may still tell that the store is an older copy."""
+        if self._peer_answers is not None or not self._state.has_eras:
+            return False
+        return waited_ms < startup_exchange.MAX_WAIT_MS
+
     def _record_decision(self, decision: decisions.Decision) -> None:
         """Counts and logs a decision that `Steering` reports."""
         self._state.counts[f"verdict_{decision.verdict.value}"] += 1
--- a/packages/node/sapphire_node/entry/packet_task_test.py
+++ b/packages/node/sapphire_node/entry/packet_task_test.py
@@ -15,6 +15,7 @@
 from sapphire_node.entry import messages
 from sapphire_node.entry import packet_task
 from sapphire_node.entry import platform_interface
+from sapphire_node.entry import startup_exchange
 
 LOOPBACK = "127.0.0.1"
 
@@ -61,7 +62,7 @@
         self.upstream = datagrams.open_socket((LOOPBACK, 0))
         self.addCleanup(self.upstream.close)
         self.changes, received = anyio.create_memory_object_stream[
-            messages.NewChanges | messages.PeerReports
+            messages.PacketTaskMessage
         ](10)
         reports, self.reports = anyio.create_memory_object_stream[
             messages.OwnUpstreamReports
@@ -78,10 +79,18 @@
         versioned_changes = tuple(
             messages.ChangeAtRevision(change, 5) for change in changes
         )
-        message = messages.NewChanges(
-            scope, versioned_changes, data.RemovalCause.UPSTREAM_STOPPED, "test"
+        self.apply_message(
+            messages.NewChanges(
+                scope,
+                versioned_changes,
+                data.RemovalCause.UPSTREAM_STOPPED,
+                "test",
+            )
         )
 
+    def apply_message(self, message: messages.PacketTaskMessage) -> None:
+        """Lets the task handle a message of another task."""
+
         async def main() -> None:
             await self.changes.send(message)
             with anyio.move_on_after(0.05):
@@ -141,6 +150,28 @@
         self.apply_changes(replication_data.Scope.REGISTRY)
         self.assertTrue(self.state.is_ready)
 
+    # Guards against CONFIG and DRAIN: the store may be an older copy.
+    def test_the_host_is_ready_when_peers_have_told_what_they_carry(
+        self,
+    ) -> None:
+        self.state.era_by_scope[replication_data.Scope.INTENT] = 2
+        self.apply_upstream()
+        self.apply_configuration()
+        self.assertFalse(self.state.is_ready)
+        self.apply_message(messages.PeersAsked(2))
+        self.assertTrue(self.state.is_ready)
+
+    def test_the_host_waits_for_peers_for_a_bounded_time(self) -> None:
+        self.state.era_by_scope[replication_data.Scope.INTENT] = 2
+        self.apply_upstream()
+        self.apply_configuration()
+        self.clock.advance(startup_exchange.MAX_WAIT_MS - 1)
+        self.apply_upstream()
+        self.assertFalse(self.state.is_ready)
+        self.clock.advance(1)
+        self.apply_upstream()
+        self.assertTrue(self.state.is_ready)
+
     def test_an_opening_packet_after_an_idle_time_fails_over_in_time(
         self,
     ) -> None:
--- a/packages/node/sapphire_node/entry/peer_requests.py
+++ b/packages/node/sapphire_node/entry/peer_requests.py
@@ -7,6 +7,7 @@
 # The first segments of the paths of pull requests.
 _ITEMS = "items"
 _REMOVED = "removed"
+_CARRIED = "carried"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -16,20 +17,26 @@
     Attributes:
         scope: The scope.
         after_revision: The revision after which changes are requested; None to
-            request the removed items.
+            request the removed items, or what is carried.
         era: The era that this revision belongs to.
+        is_for_carried: Whether it asks for what the peer carries from before
+            the store came back from an older copy.
     """
 
     scope: data.Scope
     after_revision: int | None
     era: int = 0
+    is_for_carried: bool = False
 
     @property
     def path(self) -> str:
         """The path, such as `/items/1/530`, `/items/1/7/530` or `/removed/2`.
 
-        The era 0, of a store that names none, is left out.
+        What is carried is at `/carried/1`. The era 0, of a store that names
+        none, is left out.
         """
+        if self.is_for_carried:
+            return f"/{_CARRIED}/{self.scope.value}"
         if self.after_revision is None:
             return f"/{_REMOVED}/{self.scope.value}"
         era = f"{self.era}/" if self.era else ""
@@ -54,4 +61,6 @@
                 return PeerRequest(scopes[scope], int(after), int(era))
         case ["", kind, scope] if kind == _REMOVED and scope in scopes:
             return PeerRequest(scopes[scope], None)
+        case ["", kind, scope] if kind == _CARRIED and scope in scopes:
+            return PeerRequest(scopes[scope], None, is_for_carried=True)
     return None
--- a/packages/node/sapphire_node/entry/peer_requests_test.py
+++ b/packages/node/sapphire_node/entry/peer_requests_test.py
@@ -10,6 +10,10 @@
         for path, expected in (
             ("/items/2/530", peer_requests.PeerRequest(registry, 530)),
             ("/removed/2", peer_requests.PeerRequest(registry, None)),
+            (
+                "/carried/2",
+                peer_requests.PeerRequest(registry, None, is_for_carried=True),
+            ),
             ("/items/2/7/530", peer_requests.PeerRequest(registry, 530, 7)),
             ("/items/2/x/530", None),
             ("/items/2/7/-1", None),
--- a/packages/node/sapphire_node/entry/peer_task.py
+++ b/packages/node/sapphire_node/entry/peer_task.py
@@ -26,6 +26,7 @@
 from sapphire_node.entry import change_puller
 from sapphire_node.entry import host_state
 from sapphire_node.entry import messages
+from sapphire_node.entry import startup_exchange
 from sapphire_node.entry import store_follower
 from sapphire_wire import peer_messages
 
@@ -109,6 +110,13 @@
             batches=batches,
             sources=pull_sources.PullSources(rng),
         )
+        self._startup_exchange = startup_exchange.StartupExchange(
+            contact,
+            state,
+            peer_table=self._peer_table,
+            batches=batches,
+            rng=rng,
+        )
         self._socket = datagrams.open_socket((contact.address, contact.port))
 
     async def run(self) -> None:
@@ -119,7 +127,7 @@
                 tasks.start_soon(self._puller.pull_changes)
                 tasks.start_soon(self._handle_messages)
                 tasks.start_soon(self._send_leaving_heartbeat)
-                tasks.start_soon(self._puller.pull_removed_items)
+                tasks.start_soon(self._startup_exchange.run)
                 await datagrams.receive_all(
                     self._socket,
                     peer_messages.MAX_HEARTBEAT_BYTES,
@@ -141,6 +149,7 @@
                 self._peer_table.set_host_list(
                     message.contacts, self._clock.now_ms()
                 )
+                self._startup_exchange.record_host_list(message.contacts)
             else:
                 self._send_change_notice()
 
@@ -367,7 +376,7 @@
         The new process may not know any peer yet, so it gets a heartbeat of
         this host, except in a large fleet, where a few others do that.
         """
-        self._puller.record_new_peer(heartbeat.contact.host)
+        self._startup_exchange.record_new_peer(heartbeat.contact.host)
         is_near = self._peer_table.is_same_data_centre(heartbeat.contact)
         if is_near:
             # The fabric distributes the flows of a data centre over its hosts,
--- a/packages/node/sapphire_node/entry/peer_task_test.py
+++ b/packages/node/sapphire_node/entry/peer_task_test.py
@@ -30,7 +30,7 @@
             | messages.OwnUpstreamReports
         ](10)
         batches, self.batches = anyio.create_memory_object_stream[
-            messages.BatchReceived | messages.RemovedItemsReceived
+            messages.ReplicaMessage
         ](10)
         peer_reports, self.peer_reports = anyio.create_memory_object_stream[
             messages.PeerReports
--- a/packages/node/sapphire_node/entry/replica_task.py
+++ b/packages/node/sapphire_node/entry/replica_task.py
@@ -42,10 +42,10 @@
 MAX_CACHED_BODIES = 8
 
 BatchReceiver = anyio.streams.memory.MemoryObjectReceiveStream[
-    messages.BatchReceived | messages.RemovedItemsReceived
+    messages.ReplicaMessage
 ]
 ChangeSender = anyio.streams.memory.MemoryObjectSendStream[
-    messages.NewChanges | messages.PeerReports
+    messages.PacketTaskMessage
 ]
 PeerSender = anyio.streams.memory.MemoryObjectSendStream[
     messages.HostListChanged
@@ -109,10 +109,19 @@
             )
             tasks.start_soon(self._evict_expired)
             async for message in self._batches:
-                if isinstance(message, messages.RemovedItemsReceived):
-                    await self._send_former_upstreams(message)
-                    continue
-                await self._apply_batch(message)
+                await self._handle_message(message)
+
+    async def _handle_message(self, message: messages.ReplicaMessage) -> None:
+        """Handles one message of the store's readers or of the peer task."""
+        if isinstance(message, messages.BatchReceived):
+            await self._apply_batch(message)
+        elif isinstance(message, messages.RemovedItemsReceived):
+            await self._send_former_upstreams(message)
+        elif isinstance(message, messages.CarriedItemsReceived):
+            await self._carry(message)
+        else:
+            # It follows what the peers have sent.
+            await self._changes.send(message)
 
     async def _apply_batch(self, message: messages.BatchReceived) -> None:
         """Merges one batch and sends the new changes to the other tasks."""
@@ -246,6 +255,40 @@
             )
         )
 
+    async def _carry(self, message: messages.CarriedItemsReceived) -> None:
+        """Takes over what a peer carries from before a restore of the store."""
+        scope_replica = self._replicas_by_scope[message.scope]
+        if not scope_replica.is_complete:
+            return
+        changed = scope_replica.carry(message.batch, self._clock.now_ms())
+        if not changed:
+            return
+        era = scope_replica.era
+        event_log.log(
+            _LOG,
+            logging.INFO,
+            "carried_items_known",
+            scope=message.scope.name,
+            source=message.source,
+            items=len(changed),
+            era=era,
+            left_ms=message.batch.left_ms,
+        )
+        self._drop_cached_bodies(message.scope)
+        # Values of the former era are older than any of this one.
+        former = [item for item in changed if item.value is not None]
+        removed = [item for item in changed if item.value is None]
+        await self._changes.send(
+            messages.NewChanges(
+                message.scope,
+                tuple(
+                    self._decode(former, era - 1) + self._decode(removed, era)
+                ),
+                flow_data.RemovalCause.UNKNOWN,
+                message.source,
+            )
+        )
+
     def _decode(
         self, items: list[data.Item], era: int
     ) -> list[messages.ChangeAtRevision]:
@@ -312,6 +355,12 @@
         scope_replica = self._replicas_by_scope[request.scope]
         if not scope_replica.is_complete:
             return http1.Response(http1.NOT_FOUND, b"")
+        if request.is_for_carried:
+            if not self._state.is_ready:
+                # It may be about to ask others itself.
+                return http1.Response(http1.UNAVAILABLE, b"")
+            carried = scope_replica.carried_batch(self._clock.now_ms())
+            return http1.Response(http1.OK, peer_messages.encode_batch(carried))
         return http1.Response(http1.OK, self._encoded_body(request))
 
     def _encoded_body(self, request: peer_requests.PeerRequest) -> bytes:
--- a/packages/node/sapphire_node/entry/replica_task_test.py
+++ b/packages/node/sapphire_node/entry/replica_task_test.py
@@ -33,11 +33,11 @@
         super().setUp()
         self.state = host_builders.state()
         self.clock = clock_lib.ManualClock(1_000)
-        _, batches = anyio.create_memory_object_stream[
-            messages.BatchReceived | messages.RemovedItemsReceived
-        ](10)
+        _, batches = anyio.create_memory_object_stream[messages.ReplicaMessage](
+            10
+        )
         changes, self.changes = anyio.create_memory_object_stream[
-            messages.NewChanges | messages.PeerReports
+            messages.PacketTaskMessage
         ](10)
         peers, self.peers = anyio.create_memory_object_stream[
             messages.HostListChanged
--- a/packages/node/sapphire_node/entry/startup_reader.py
+++ b/packages/node/sapphire_node/entry/startup_reader.py
@@ -20,7 +20,7 @@
 _LOG = logging.getLogger(__name__)
 
 BatchSender = anyio.streams.memory.MemoryObjectSendStream[
-    messages.BatchReceived | messages.RemovedItemsReceived
+    messages.ReplicaMessage
 ]
 
 
--- a/packages/node/sapphire_node/entry/startup_reader_test.py
+++ b/packages/node/sapphire_node/entry/startup_reader_test.py
@@ -40,7 +40,7 @@
 
         async def main() -> None:
             batches, received = anyio.create_memory_object_stream[
-                messages.BatchReceived | messages.RemovedItemsReceived
+                messages.ReplicaMessage
             ](10)
             reader = startup_reader.StartupReader(
                 scripted_store.ScriptedPlatform(store),
--- a/packages/node/sapphire_node/entry/store_follower.py
+++ b/packages/node/sapphire_node/entry/store_follower.py
@@ -41,7 +41,7 @@
 LARGE_BATCH_BYTES = 65_536
 
 BatchSender = anyio.streams.memory.MemoryObjectSendStream[
-    messages.BatchReceived | messages.RemovedItemsReceived
+    messages.ReplicaMessage
 ]
 
 
--- a/packages/node/sapphire_node/entry/store_follower_test.py
+++ b/packages/node/sapphire_node/entry/store_follower_test.py
@@ -51,7 +51,7 @@
             if prepare is not None:
                 prepare(state)
             batches, received = anyio.create_memory_object_stream[
-                messages.BatchReceived | messages.RemovedItemsReceived
+                messages.ReplicaMessage
             ](1_000)
             task = store_follower.StoreFollower(
                 data.Scope.INTENT,
@@ -68,6 +68,7 @@
                 tasks.cancel_scope.cancel()
             batches.close()
             async for message in received:
+                assert isinstance(message, messages.BatchReceived)
                 sent.append(message.batch)
 
         anyio.run(main)
--- a/packages/wire/idl/peers.thrift
+++ b/packages/wire/idl/peers.thrift
@@ -42,6 +42,7 @@
   2: required i64 as_of,
   3: required bool is_full,
   4: optional i64 era,                   // Of the revisions; absent: 0.
+  5: optional i32 left_ms,               // How much longer it counts.
 }
 
 // How a host is reached; its entry in the store's list of hosts.
--- a/packages/wire/sapphire_wire/gen/peers/ttypes.py
+++ b/packages/wire/sapphire_wire/gen/peers/ttypes.py
@@ -545,15 +545,17 @@
      - as_of
      - is_full
      - era
+     - left_ms
 
     """
 
 
-    def __init__(self, items=None, as_of=None, is_full=None, era=None,):
+    def __init__(self, items=None, as_of=None, is_full=None, era=None, left_ms=None,):
         self.items = items
         self.as_of = as_of
         self.is_full = is_full
         self.era = era
+        self.left_ms = left_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -590,6 +592,11 @@
                     self.era = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.left_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -619,6 +626,10 @@
             oprot.writeFieldBegin('era', TType.I64, 4)
             oprot.writeI64(self.era)
             oprot.writeFieldEnd()
+        if self.left_ms is not None:
+            oprot.writeFieldBegin('left_ms', TType.I32, 5)
+            oprot.writeI32(self.left_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -781,6 +792,7 @@
     (2, TType.I64, 'as_of', None, None, ),  # 2
     (3, TType.BOOL, 'is_full', None, None, ),  # 3
     (4, TType.I64, 'era', None, None, ),  # 4
+    (5, TType.I32, 'left_ms', None, None, ),  # 5
 )
 all_structs.append(Contact)
 Contact.thrift_spec = (
--- a/packages/wire/sapphire_wire/peer_messages.py
+++ b/packages/wire/sapphire_wire/peer_messages.py
@@ -193,6 +193,7 @@
         as_of=batch.as_of,
         is_full=batch.is_full,
         era=batch.era or None,
+        left_ms=batch.left_ms or None,
     )
     return zlib.compress(thrift_codec.encode(record))
 
@@ -224,6 +225,7 @@
         record.as_of,
         bool(record.is_full),
         _decode_era(record.era),
+        max(0, record.left_ms or 0),
     )
 
 
