Router: packets of the fabric carry the newest revision that a host knows of

What callers saw (KNOWN-RED, DrainTest): a host of sapphirearchd that restarted, could fetch an older revision only and knew of a newer one, sent 4 to 10 of 40 new flows to an upstream drained since. Cause: a host asks another replica host before it decides by an older revision than the packet names; relayed packets name the revision of their sender, but packets of the fabric named none, so this host decided settled buckets by its own old revision although it no longer was fresh. Change: such packets name the newest revision that a peer has told of. Within NEWER_GRACE_MS nothing changes. Result: router_fault_test.DrainTest.test_a_restarted_host_with_an_older_revision_drains_too passes and leaves KNOWN-RED.txt; 72 tests of the flows packages of core and lab pass.

--- a/packages/core/sapphire_core/flows/router.py
+++ b/packages/core/sapphire_core/flows/router.py
@@ -70,6 +70,8 @@
         self._host_id = host_id
         self._fresh_until_ms = -1
         self._newer_since_ms: int | None = None
+        # The newest revision that a peer knows.
+        self._known_revision = 0
         self._started_ms: int | None = None
         self._has_joined = False
         self._members_changed_ms = 0
@@ -144,6 +146,7 @@
             revision: The revision that a peer knows.
             now_ms: The current time.
         """
+        self._known_revision = max(self._known_revision, revision)
         if revision <= self.prepared_revision:
             return
         if self._newer_since_ms is None:
@@ -251,7 +254,7 @@
         decision = self._route_uncached(
             service_key,
             bucket_replica_state.Packet(
-                flow_hash, is_opening, is_closing, (), 0
+                flow_hash, is_opening, is_closing, (), self._known_revision
             ),
             now_ms,
         )
