Selection: near upstreams first, and a draw only where it can decide

Change: candidates are tuples, evaluated once, those of the host's data centre first; one whose cost without its peers' load is above the best so far is left without a draw, as that load only adds to it. The choice has the distribution of before; its tests are unchanged but for the arguments of the draw.

--- a/packages/core/sapphire_core/tagged_flows/half_open_flows.py
+++ b/packages/core/sapphire_core/tagged_flows/half_open_flows.py
@@ -81,7 +81,7 @@
 
         Attempts that timed out do not count.
         """
-        return self._pending_by_upstream_id[upstream_id]
+        return self._pending_by_upstream_id.get(upstream_id, 0)
 
     def add(self, half_open: HalfOpenFlow) -> None:
         """Adds a half-open flow; evicts the oldest if there are too many."""
--- a/packages/core/sapphire_core/tagged_flows/passive_health.py
+++ b/packages/core/sapphire_core/tagged_flows/passive_health.py
@@ -109,6 +109,27 @@
             return 0
         return max(0, record.avoid_until_ms - now_ms)
 
+    def unanswered(self, upstream_id: str, now_ms: int) -> int:
+        """Returns how many opening packets in a row were left unanswered.
+
+        Args:
+            upstream_id: The identity of the upstream.
+            now_ms: The current time.
+
+        Returns:
+            The number; 1 if only a peer reports the upstream as unresponsive,
+            0 if the upstream is not avoided.
+        """
+        record = self._records_by_id.get(upstream_id)
+        if record is None:
+            return 0
+        if (
+            now_ms >= record.avoid_until_ms
+            and now_ms >= record.peer_avoid_until_ms
+        ):
+            return 0
+        return record.consecutive_unanswered or 1
+
     def is_avoided(self, upstream_id: str, now_ms: int) -> bool:
         """Whether an upstream is to be selected only as a last resort."""
         record = self._records_by_id.get(upstream_id)
@@ -116,16 +137,6 @@
             return False
         return now_ms < max(record.avoid_until_ms, record.peer_avoid_until_ms)
 
-    def consecutive_unanswered(self, upstream_id: str) -> int:
-        """Returns how many opening packets in a row were left unanswered.
-
-        The result is at least 1, which stands for the report of a peer.
-        """
-        record = self._records_by_id.get(upstream_id)
-        return (
-            max(record.consecutive_unanswered, 1) if record is not None else 1
-        )
-
     def discard(self, upstream_id: str) -> None:
         """Discards the record of an upstream."""
         self._records_by_id.pop(upstream_id, None)
--- a/packages/core/sapphire_core/tagged_flows/smoothed_load.py
+++ b/packages/core/sapphire_core/tagged_flows/smoothed_load.py
@@ -6,7 +6,6 @@
 follows the rate that new and open flows bring, and how long the upstream takes.
 """
 
-from collections.abc import Mapping
 import dataclasses
 import math
 import random
@@ -39,7 +38,9 @@
 
     def average_at(self, now_ms: int) -> float:
         """Returns the average; `current` has not changed since the update."""
-        elapsed_ms = max(0, now_ms - self.updated_ms)
+        elapsed_ms = now_ms - self.updated_ms
+        if elapsed_ms <= 0:
+            return self.average
         share = math.exp(-elapsed_ms / TIME_CONSTANT_MS)
         return self.current + (self.average - self.current) * share
 
@@ -68,6 +69,19 @@
         load = self._by_id.get(upstream_id)
         return load.average_at(now_ms) if load is not None else 0.0
 
+    def at_least(self, upstream_id: str, further: int, now_ms: int) -> float:
+        """Returns the larger of the present number and the average.
+
+        Args:
+            upstream_id: The upstream.
+            further: What counts as in flight besides, at present.
+            now_ms: The current time.
+        """
+        load = self._by_id.get(upstream_id)
+        if load is None:
+            return further
+        return max(load.current + further, load.average_at(now_ms))
+
     def begin(self, upstream_id: str, now_ms: int) -> None:
         """Records that a request has begun.
 
@@ -122,9 +136,7 @@
     return (whole + (rng.random() < units - whole)) * REPORT_UNIT
 
 
-def draw_in_flight(
-    in_flight_by_tag: Mapping[int, float], tag: int, rng: random.Random
-) -> float:
+def draw_in_flight(average: float, rng: random.Random) -> float:
     """Draws how many requests of peers an upstream may have in flight now.
 
     Hosts that know the same averages and each take the least of them collide at
@@ -135,11 +147,10 @@
     the least load, and no further. Where peers report no load it draws none.
 
     Args:
-        in_flight_by_tag: The averages that all peers together have reported.
-        tag: The upstream.
+        average: What all peers together have reported of the upstream.
         rng: The source of the draw.
     """
-    average = in_flight_by_tag.get(tag, 0.0)
     if average <= 0.0:
         return 0.0
-    return max(0.0, rng.gauss(average, math.sqrt(average)))
+    drawn = rng.gauss(average, math.sqrt(average))
+    return drawn if drawn > 0.0 else 0.0
--- a/packages/core/sapphire_core/tagged_flows/smoothed_load_test.py
+++ b/packages/core/sapphire_core/tagged_flows/smoothed_load_test.py
@@ -78,14 +78,13 @@
     def draw(self, average: float) -> list[float]:
         rng = random.Random(SEED)
         return [
-            smoothed_load.draw_in_flight({TAG: average}, TAG, rng)
-            for _ in range(DRAWS)
+            smoothed_load.draw_in_flight(average, rng) for _ in range(DRAWS)
         ]
 
     def test_nothing_is_drawn_where_peers_report_no_load(self) -> None:
         rng = random.Random(SEED)
         state = rng.getstate()
-        self.assertEqual(0.0, smoothed_load.draw_in_flight({}, TAG, rng))
+        self.assertEqual(0.0, smoothed_load.draw_in_flight(0.0, rng))
         self.assertEqual(state, rng.getstate())
 
     def test_draws_spread_by_the_root_of_the_average(self) -> None:
--- a/packages/core/sapphire_core/tagged_flows/upstream_selector.py
+++ b/packages/core/sapphire_core/tagged_flows/upstream_selector.py
@@ -4,7 +4,9 @@
 """
 
 from collections.abc import Collection
+from collections.abc import Iterator
 from collections.abc import Mapping
+import itertools
 import random
 
 from sapphire_core.peers import data as peer_data
@@ -143,10 +145,9 @@
             The number; 1 if only a peer reports the upstream as unresponsive,
             0 if the upstream is not avoided.
         """
-        upstream_id = entry.upstream.upstream_id
-        if not self._passive_health.is_avoided(upstream_id, now_ms):
-            return 0
-        return self._passive_health.consecutive_unanswered(upstream_id)
+        return self._passive_health.unanswered(
+            entry.upstream.upstream_id, now_ms
+        )
 
     def unresponsive_observer(
         self, entry: upstream_table_lib.Entry, now_ms: int
@@ -180,29 +181,11 @@
         Returns:
             The upstream, None if none is eligible.
         """
-        candidates: list[selection_policy.Candidate] = []
-        for entry in self._upstream_table.eligible_upstreams(
-            service.name, now_ms
-        ):
-            is_cold = entry.is_cold(now_ms)
-            if is_cold and not self._slow_start_pacer.allows_flow(
-                entry.upstream.upstream_id, service, self._host_count, now_ms
-            ):
-                continue
-            unanswered_openings = self.unanswered_openings(entry, now_ms)
-            candidates.append(
-                selection_policy.Candidate(
-                    entry,
-                    self._draw_in_flight(entry, now_ms),
-                    unanswered_openings,
-                    is_cold,
-                    self.ejection.penalty(
-                        entry.upstream.upstream_id, self._rng, now_ms
-                    ),
-                )
-            )
         selected = selection_policy.select(
-            candidates, self._data_centre, excluded_ids, self._rng
+            self._candidates(service, now_ms),
+            self._data_centre,
+            excluded_ids,
+            self._rng,
         )
         if selected is None:
             return None
@@ -213,6 +196,42 @@
             )
         return selected.entry
 
+    def _candidates(
+        self, service: data.Service, now_ms: int
+    ) -> Iterator[selection_policy.Candidate]:
+        """Yields the candidates for a new flow, near ones first.
+
+        Open flows of this host whose callers pause between requests count with
+        what they bring on average.
+        """
+        near: list[upstream_table_lib.Entry] = []
+        remote: list[upstream_table_lib.Entry] = []
+        for entry in self._upstream_table.eligible_upstreams(
+            service.name, now_ms
+        ):
+            is_near = entry.upstream.data_centre == self._data_centre
+            (near if is_near else remote).append(entry)
+        unanswered = self._passive_health.unanswered
+        penalty = self.ejection.penalty
+        pending = self._half_open_flows.pending
+        in_flight = self._flow_table.load.at_least
+        of_peers = self._peer_in_flight_by_tag.get
+        for entry in itertools.chain(near, remote):
+            upstream_id = entry.upstream.upstream_id
+            is_cold = now_ms < entry.cold_until_ms
+            if is_cold and not self._slow_start_pacer.allows_flow(
+                upstream_id, service, self._host_count, now_ms
+            ):
+                continue
+            yield selection_policy.Candidate(
+                entry,
+                in_flight(upstream_id, pending(upstream_id), now_ms),
+                unanswered(upstream_id, now_ms),
+                is_cold,
+                penalty(upstream_id, self._rng, now_ms),
+                of_peers(entry.tag, 0.0),
+            )
+
     def in_flight(self, entry: upstream_table_lib.Entry) -> float:
         """Returns the estimated in-flight requests of all hosts at an upstream.
 
@@ -245,23 +264,6 @@
             upstream_id
         ) + self._half_open_flows.pending(upstream_id)
 
-    def _draw_in_flight(
-        self, entry: upstream_table_lib.Entry, now_ms: int
-    ) -> float:
-        """Draws the in-flight requests of all hosts at an upstream.
-
-        Open flows of this host whose callers pause between requests count with
-        what they bring on average.
-        """
-        upstream_id = entry.upstream.upstream_id
-        own = max(
-            self._own_in_flight(upstream_id),
-            self._flow_table.load.average(upstream_id, now_ms),
-        )
-        return own + smoothed_load.draw_in_flight(
-            self._peer_in_flight_by_tag, entry.tag, self._rng
-        )
-
     def has_free_slot(self, entry: upstream_table_lib.Entry) -> bool:
         """Whether an upstream is estimated to have a free slot."""
         return self.in_flight(entry) < entry.upstream.slots
--- a/packages/core/sapphire_core/tagged_flows/upstream_table.py
+++ b/packages/core/sapphire_core/tagged_flows/upstream_table.py
@@ -240,14 +240,20 @@
             The entries, including cold ones.
         """
         found: list[Entry] = []
+        out_of_rotation = self._data_centres_out_of_rotation
+        by_tag = self._by_tag
         for entry in self._by_service.get(service, {}).values():
-            if not entry.accepts_new_flows(now_ms):
+            if by_tag.get(entry.tag) is not entry:
                 continue
-            if entry.upstream.data_centre in self._data_centres_out_of_rotation:
+            upstream = entry.upstream
+            if out_of_rotation and upstream.data_centre in out_of_rotation:
                 continue
-            if self._by_tag.get(entry.tag) is not entry:
-                continue
-            found.append(entry)
+            if entry.removed_ms is None:
+                # Nearly all of them, for each new flow.
+                if upstream.state is data.UpstreamState.READY:
+                    found.append(entry)
+            elif entry.accepts_new_flows(now_ms):
+                found.append(entry)
         return found
 
     def _remove_from_service(self, entry: Entry) -> None:
