Heartbeats, judging and logs take less processor time

Change: reports are tuples, bounded again only if out of bounds; upstreams are judged every 500 ms in place of each round and each urgent report, own counts still go with each; heartbeats that are due at once are collected for 50 ms after one; heartbeats that arrive within 50 ms (20 before) are read together; log lines leave out the place of the call and the thread, which they do not show.

--- a/packages/core/sapphire_core/peers/data.py
+++ b/packages/core/sapphire_core/peers/data.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 import dataclasses
+from typing import NamedTuple
 
 from sapphire_core.replication import data as replication_data
 
@@ -23,10 +24,11 @@
     port: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class UpstreamReport:
+class UpstreamReport(NamedTuple):
     """What a host has observed of an upstream.
 
+    A host receives about a thousand of them a second.
+
     Attributes:
         tag: The tag of the upstream.
         busy: The in-flight requests of the host at the upstream, on average
@@ -40,10 +42,11 @@
     silent_ms: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class OutcomeReport:
+class OutcomeReport(NamedTuple):
     """What became of a host's last requests at one upstream.
 
+    A host receives about a thousand of them a second while some fail.
+
     Attributes:
         tag: The tag of the upstream.
         well: How many requests ended well.
--- a/packages/core/sapphire_core/peers/outcome_reports.py
+++ b/packages/core/sapphire_core/peers/outcome_reports.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 import dataclasses
+from typing import Protocol
 
 from sapphire_core.peers import data
 from sapphire_core.peers import upstream_reports
@@ -29,6 +30,26 @@
 MAX_TIME_RATIO = 10.0
 
 
+class Counts(Protocol):
+    """What one host has counted at one upstream, see `HostCounts`."""
+
+    @property
+    def well(self) -> int:
+        """How many requests ended well."""
+
+    @property
+    def badly(self) -> int:
+        """How many ended badly or hang."""
+
+    @property
+    def answered(self) -> int:
+        """How many had a response whose time is known."""
+
+    @property
+    def time_ratio(self) -> float:
+        """The mean of their times, relative to the usual ones."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class HostCounts:
     """What one host reports of one upstream.
@@ -56,8 +77,8 @@
         oldest_ms: The age of the oldest of them.
     """
 
-    own: HostCounts | None
-    of_peers: tuple[HostCounts, ...]
+    own: Counts | None
+    of_peers: tuple[Counts, ...]
     oldest_ms: int
 
 
@@ -72,7 +93,7 @@
     Args:
         received: The last heartbeat of each live peer.
     """
-    counts_by_tag: dict[int, list[HostCounts]] = {}
+    counts_by_tag: dict[int, list[Counts]] = {}
     age_by_tag: dict[int, int] = {}
     for each in received:
         if not each.is_near or each.age_ms > MAX_REPORT_AGE_MS:
@@ -137,8 +158,17 @@
     )
 
 
-def _bounded(report: data.OutcomeReport) -> HostCounts:
-    """Returns the counts of a peer's report."""
+def _bounded(report: data.OutcomeReport) -> Counts:
+    """Returns the counts of a peer's report, as they are if within bounds.
+
+    Those of all peers within bounds are: their senders bound them, too.
+    """
+    if (
+        report.well + report.badly <= MAX_REQUESTS_OF_HOST
+        and report.answered <= MAX_REQUESTS_OF_HOST
+        and 0.0 <= report.time_ratio <= MAX_TIME_RATIO
+    ):
+        return report
     return bounded(
         HostCounts(
             report.well, report.badly, report.answered, report.time_ratio
--- a/packages/core/sapphire_core/peers/upstream_reports.py
+++ b/packages/core/sapphire_core/peers/upstream_reports.py
@@ -65,10 +65,9 @@
         reporting_near_peers += each.is_near
         weight = _weight(each.age_ms) * limit / max(load, limit)
         by_tag = near_by_tag if each.is_near else remote_by_tag
-        for report in each.heartbeat.upstreams:
-            if report.busy > 0.0:
-                known = by_tag.get(report.tag, 0.0)
-                by_tag[report.tag] = known + report.busy * weight
+        for tag, busy, _ in each.heartbeat.upstreams:
+            if busy > 0.0:
+                by_tag[tag] = by_tag.get(tag, 0.0) + busy * weight
     scale = max(1.0, near_peer_count / max(reporting_near_peers, 1))
     total_by_tag = remote_by_tag
     for tag, in_flight in near_by_tag.items():
@@ -92,7 +91,7 @@
 
 def _reported_load(heartbeat: data.Heartbeat) -> float:
     """Returns what a peer reports of all upstreams together."""
-    return sum([each.busy for each in heartbeat.upstreams if each.busy > 0.0])
+    return sum([busy for _, busy, _ in heartbeat.upstreams if busy > 0.0])
 
 
 def _weight(age_ms: int) -> float:
@@ -128,9 +127,9 @@
         """
         is_new = False
         for report in reports:
-            remaining_ms = min(report.silent_ms, MAX_AVOID_MS) - HOP_MS
-            if remaining_ms <= 0:
+            if report.silent_ms <= HOP_MS:
                 continue
+            remaining_ms = min(report.silent_ms, MAX_AVOID_MS) - HOP_MS
             until_ms = now_ms + remaining_ms
             known_ms = self._avoid_until_ms_by_tag.get(report.tag, 0)
             is_new |= known_ms <= now_ms
--- a/packages/core/sapphire_core/tagged_flows/ejection_control.py
+++ b/packages/core/sapphire_core/tagged_flows/ejection_control.py
@@ -4,6 +4,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Mapping
 
 from sapphire_core.peers import data as peer_data
@@ -39,6 +40,14 @@
         self._in_flight = in_flight
         self.outcomes = request_outcomes.RequestOutcomes()
         self.own_reports: tuple[peer_data.OutcomeReport, ...] = ()
+        # The upstreams that some peer reported last.
+        self._reported_tags: Collection[int] = ()
+
+    def update_own_reports(self) -> None:
+        """Counts what this host tells its peers."""
+        self.own_reports = outcome_reports.own_reports(
+            self.outcomes.by_tag(), self._reported_tags
+        )
 
     def update(
         self,
@@ -54,6 +63,7 @@
         Returns:
             What has changed.
         """
+        self._reported_tags = evidence_by_tag.keys()
         own_by_tag = self.outcomes.by_tag()
         self.own_reports = outcome_reports.own_reports(
             own_by_tag, evidence_by_tag.keys()
--- a/packages/core/sapphire_core/tagged_flows/outlier_assessment.py
+++ b/packages/core/sapphire_core/tagged_flows/outlier_assessment.py
@@ -90,7 +90,9 @@
     Args:
         evidence: The counts.
     """
-    own = (evidence.own,) if evidence.own is not None else ()
+    own: tuple[outcome_reports.Counts, ...] = ()
+    if evidence.own is not None:
+        own = (evidence.own,)
     by_bad = sorted(evidence.of_peers, key=lambda counts: counts.badly)
     by_time = sorted(evidence.of_peers, key=lambda counts: counts.time_ratio)
     share = failing_share = 0.0
@@ -110,7 +112,7 @@
 
 
 def _failing_shares(
-    hosts: Sequence[outcome_reports.HostCounts],
+    hosts: Sequence[outcome_reports.Counts],
 ) -> tuple[float, float]:
     """Returns the share of bad ends, and less one standard error (Wilson).
 
@@ -127,7 +129,7 @@
     return centre / scale, max(0.0, (centre - error) / scale)
 
 
-def _slowness(hosts: Sequence[outcome_reports.HostCounts]) -> float:
+def _slowness(hosts: Sequence[outcome_reports.Counts]) -> float:
     """Returns the mean relative response time, less two standard errors."""
     answered = sum(counts.answered for counts in hosts)
     if answered < MIN_ANSWERED:
--- a/packages/net/sapphire_net/event_log.py
+++ b/packages/net/sapphire_net/event_log.py
@@ -1,5 +1,6 @@
 """Structured logs: one line of key=value pairs per event."""
 
+import functools
 import json
 import logging
 import re
@@ -15,6 +16,8 @@
 # Texts of errors may quote whole messages.
 _MAX_DETAIL_CHARACTERS = 500
 _PLAIN_VALUE = re.compile(r"[A-Za-z0-9_.:/@%+,\-\[\]]+")
+# Keys are those of calls in the code, a few hundred.
+_MAX_CACHED_KEYS = 1_024
 _KEY_CHARACTER = re.compile(r"[^A-Za-z0-9_.]")
 
 
@@ -42,11 +45,16 @@
         if record.exc_info:
             pairs.append(("exception", self.formatException(record.exc_info)))
         return " ".join(
-            f"{_KEY_CHARACTER.sub('_', key)}={quote(value)}"
-            for key, value in pairs
+            [f"{_clean_key(key)}={quote(value)}" for key, value in pairs]
         )
 
 
+@functools.lru_cache(maxsize=_MAX_CACHED_KEYS)
+def _clean_key(key: str) -> str:
+    """Returns a key with the characters that keys may have."""
+    return _KEY_CHARACTER.sub("_", key)
+
+
 def quote(value: Any) -> str:
     """Returns a value as it is written after the equals sign.
 
@@ -57,8 +65,8 @@
         The text of the value, as a JSON string if it holds characters that
         need quotes.
     """
-    if isinstance(value, failures.Failure):
-        value = str(value)
+    if type(value) is int:
+        return str(value)
     if isinstance(value, bool):
         return str(value).lower()
     text = value if isinstance(value, str) else str(value)
@@ -143,6 +151,12 @@
         handler: The handler.
     """
     handler.setFormatter(KeyValueFormatter())
+    # Lines show neither the place of the call nor the thread or process, which
+    # take a third of the time of a line (`logging`, "Optimization").
+    logging._srcfile = None
+    logging.logThreads = False
+    logging.logProcesses = False
+    logging.logMultiprocessing = False
     root = logging.getLogger()
     root.handlers = [handler]
     root.setLevel(level.upper())
--- a/packages/node/sapphire_node/entry/change_puller.py
+++ b/packages/node/sapphire_node/entry/change_puller.py
@@ -79,9 +79,13 @@
         if era > eras.accepted:
             eras.record_claim(era)
             return
+        state = self._state
         for scope, revision in revisions.items():
-            position = data.Position(era, revision)
-            if revision == 0 or position <= self._state.newest_position(scope):
+            known_era = state.era_by_scope.get(scope, 0)
+            if revision == 0 or era < known_era:
+                continue
+            known_revision = state.change_revision_by_scope.get(scope, 0)
+            if era == known_era and revision <= known_revision:
                 continue
             self._behind_since_ms_by_scope.setdefault(scope, now_ms)
             self._is_behind_event.set()
--- a/packages/node/sapphire_node/entry/messages.py
+++ b/packages/node/sapphire_node/entry/messages.py
@@ -157,14 +157,15 @@
         has_membership_changed: Whether a host of this data centre has joined
             or is leaving, so that the fabric moves flows between hosts.
         evidence_by_tag: What became of requests at upstreams that may do
-            badly, as the peers of this data centre report it, by tag.
+            badly, as the peers of this data centre report it, by tag; None
+            while upstreams are not due to be judged again.
     """
 
     in_flight_by_tag: Mapping[int, float]
     avoid_ms_by_tag: Mapping[int, int]
     host_count: int
     has_membership_changed: bool
-    evidence_by_tag: Mapping[int, outcome_reports.Evidence]
+    evidence_by_tag: Mapping[int, outcome_reports.Evidence] | None
 
 
 PacketTaskMessage = NewChanges | PeerReports | PeersAsked
--- a/packages/node/sapphire_node/entry/packet_task.py
+++ b/packages/node/sapphire_node/entry/packet_task.py
@@ -1,6 +1,7 @@
 """The task that owns the packet socket and forwards packets to upstreams."""
 
 import collections
+from collections.abc import Mapping
 import logging
 import random
 import socket
@@ -8,6 +9,7 @@
 import anyio
 import anyio.streams.memory
 
+from sapphire_core.peers import outcome_reports
 from sapphire_core.replication import data as replication_data
 from sapphire_core.tagged_flows import data
 from sapphire_core.tagged_flows import decisions
@@ -195,7 +197,10 @@
                 )
                 if message.has_membership_changed:
                     self._steering.record_membership_change(now_ms)
-                self._judge_upstreams(message, now_ms)
+                if message.evidence_by_tag is None:
+                    self._steering.ejection_control.update_own_reports()
+                else:
+                    self._judge_upstreams(message.evidence_by_tag, now_ms)
                 await self._send_own_reports(now_ms, is_urgent=False)
                 continue
             if isinstance(message, messages.PeersAsked):
@@ -218,11 +223,13 @@
         )
 
     def _judge_upstreams(
-        self, message: messages.PeerReports, now_ms: int
+        self,
+        evidence_by_tag: Mapping[int, outcome_reports.Evidence],
+        now_ms: int,
     ) -> None:
         """Ejects upstreams that do badly, and logs and counts what changed."""
         for change in self._steering.ejection_control.update(
-            message.evidence_by_tag, now_ms
+            evidence_by_tag, now_ms
         ):
             event = "upstream_ejected" if change.is_ejected else "upstream_back"
             self._state.counts[event] += 1
--- a/packages/node/sapphire_node/entry/peer_task.py
+++ b/packages/node/sapphire_node/entry/peer_task.py
@@ -42,11 +42,17 @@
 MAX_REPLIES_TO_NEW_PEERS = 4
 # Heartbeats of many hosts arrive at any time; those that arrive within this
 # time are read together.
-HEARTBEAT_READ_DELAY_MS = 20
+HEARTBEAT_READ_DELAY_MS = 50
 # After a stall of a second, peers that sent heartbeats all the while would have
 # timed out; these are read within a few read delays.
 STALL_THRESHOLD_MS = 1_000
 STALL_READ_MS = 100
+# Upstreams are judged by what hosts counted over some seconds, which changes
+# little in this time.
+JUDGE_INTERVAL_MS = 500
+# Changes and reports come in bursts. After a heartbeat that was sent at once,
+# what is to be sent at once is collected for this time.
+NOTICE_INTERVAL_MS = 50
 # The interval of heartbeats to other data centres while nothing changes;
 # traffic between data centres is paid for by the byte.
 REMOTE_HEARTBEAT_INTERVAL_MS = 1_000
@@ -103,6 +109,12 @@
         self._upstream_reports: tuple[peer_data.UpstreamReport, ...] = ()
         self._outcomes: tuple[peer_data.OutcomeReport, ...] = ()
         self._listed_hosts: frozenset[str] = frozenset()
+        self._judged_ms: int | None = None
+        self._last_notice_ms: int | None = None
+        # What is to be sent at once, as soon as it may.
+        self._is_notice_due = False
+        self._is_notice_for_remote = False
+        self._notice_due = anyio.Event()
         self._puller = change_puller.ChangePuller(
             state,
             clock,
@@ -124,6 +136,7 @@
         with self._socket:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._send_heartbeats)
+                tasks.start_soon(self._send_due_notices)
                 tasks.start_soon(self._puller.pull_changes)
                 tasks.start_soon(self._handle_messages)
                 tasks.start_soon(self._send_leaving_heartbeat)
@@ -143,7 +156,7 @@
                 self._upstream_reports = message.reports
                 self._outcomes = message.outcomes
                 if message.is_urgent:
-                    self._send_heartbeat(self._peer_table.near_targets())
+                    self._send_notice(is_for_remote=False)
             elif isinstance(message, messages.HostListChanged):
                 self._listed_hosts = frozenset(c.host for c in message.contacts)
                 self._peer_table.set_host_list(
@@ -151,7 +164,9 @@
                 )
                 self._startup_exchange.record_host_list(message.contacts)
             else:
-                self._send_change_notice()
+                # Only followers notify other data centres; the hosts there pass
+                # the notice on among themselves.
+                self._send_notice(is_for_remote=self._state.is_following_store)
 
     async def _send_heartbeats(self) -> None:
         """Sends heartbeats and publishes the reports of peers at intervals."""
@@ -204,19 +219,42 @@
             now_ms, is_follower=self._state.is_following_store
         )
 
-    def _send_change_notice(self) -> None:
-        """Sends a heartbeat at once, since a scope has changed.
+    def _send_notice(self, *, is_for_remote: bool) -> None:
+        """Sends a heartbeat at once, or soon after the last such one.
 
-        Only followers notify other data centres; the hosts there pass the
-        notice on among themselves.
+        Args:
+            is_for_remote: Whether it concerns other data centres too.
         """
+        self._is_notice_due = True
+        self._is_notice_for_remote |= is_for_remote
+        last_ms = self._last_notice_ms
+        now_ms = self._clock.now_ms()
+        if last_ms is None or now_ms - last_ms >= NOTICE_INTERVAL_MS:
+            self._send_due_notice(now_ms)
+        else:
+            self._notice_due.set()
+
+    def _send_due_notice(self, now_ms: int) -> None:
+        """Sends the heartbeat that is due, to the peers that it concerns."""
         receivers = self._peer_table.near_targets()
-        if self._state.is_following_store:
+        if self._is_notice_for_remote:
             receivers = receivers + self._peer_table.remote_targets(
-                self._clock.now_ms(), is_follower=True
+                now_ms, is_follower=True
             )
+        self._is_notice_due = False
+        self._is_notice_for_remote = False
+        self._last_notice_ms = now_ms
         self._send_heartbeat(receivers)
 
+    async def _send_due_notices(self) -> None:
+        """Sends the heartbeats that were collected, until cancelled."""
+        while True:
+            await self._notice_due.wait()
+            self._notice_due = anyio.Event()
+            await pauses.sleep_ms(NOTICE_INTERVAL_MS)
+            if self._is_notice_due:
+                self._send_due_notice(self._clock.now_ms())
+
     def _send_to_seeds(self, now_ms: int) -> None:
         """Sends a heartbeat to the seeds, while no peer is heard.
 
@@ -243,6 +281,13 @@
         in_flight_by_tag = upstream_reports.total_in_flight(
             received, self._peer_table.near_host_count(now_ms) - 1
         )
+        evidence_by_tag = None
+        if (
+            self._judged_ms is None
+            or now_ms - self._judged_ms >= JUDGE_INTERVAL_MS
+        ):
+            self._judged_ms = now_ms
+            evidence_by_tag = outcome_reports.evidence_of_peers(received)
         has_membership_changed = self._has_membership_changed or any(
             each.is_near and each.heartbeat.is_leaving for each in received
         )
@@ -254,7 +299,7 @@
                 self._unresponsive_reports.avoid_ms_by_tag(now_ms),
                 self._peer_table.host_count(now_ms),
                 has_membership_changed,
-                outcome_reports.evidence_of_peers(received),
+                evidence_by_tag,
             )
         )
 
@@ -363,7 +408,7 @@
         if self._unresponsive_reports.record(heartbeat.upstreams, now_ms):
             self._publish_peer_reports(now_ms)
             if self._peer_table.is_large_fleet:
-                self._send_heartbeat(self._peer_table.near_targets())
+                self._send_notice(is_for_remote=False)
         self._puller.record_revisions(
             heartbeat.revisions, now_ms, heartbeat.era
         )
--- a/packages/wire/sapphire_wire/outcome_lists.py
+++ b/packages/wire/sapphire_wire/outcome_lists.py
@@ -65,13 +65,18 @@
         return failures.UnreadableInput(
             record.host, "an upstream has two reports of outcomes"
         )
-    if any(not 0 <= each <= _MAX_COUNT for values in lists for each in values):
+    if not tags:
+        return ()
+    if min(map(min, lists)) < 0 or max(map(max, lists)) > _MAX_COUNT:
         return failures.UnreadableInput(
             record.host, "a count of outcomes is out of range"
         )
+    # A list comprehension takes half the time of a generator.
     return tuple(
-        data.OutcomeReport(tag, well, badly, answered, percent / _PERCENT)
-        for tag, well, badly, answered, percent in zip(
-            tags, *lists, strict=True
-        )
+        [
+            data.OutcomeReport(tag, well, badly, answered, percent / _PERCENT)
+            for tag, well, badly, answered, percent in zip(
+                tags, *lists, strict=True
+            )
+        ]
     )
--- a/packages/wire/sapphire_wire/peer_messages.py
+++ b/packages/wire/sapphire_wire/peer_messages.py
@@ -1,5 +1,6 @@
 """Encodes and decodes the messages between entry hosts as thrift records."""
 
+from collections.abc import Collection
 import dataclasses
 import socket
 import zlib
@@ -42,17 +43,14 @@
                 _NEVER_FAILED if failed_ms is None else _limit(failed_ms)
             ),
             followers=list(heartbeat.follower_ages_ms),
-            follower_ages_ms=[
-                _limit(age_ms) for age_ms in heartbeat.follower_ages_ms.values()
-            ],
+            follower_ages_ms=_limit_all(heartbeat.follower_ages_ms.values()),
             upstream_tags=[report.tag for report in heartbeat.upstreams],
-            busy=[
-                _limit(int(upstream.busy * _BUSY_UNITS))
-                for upstream in heartbeat.upstreams
-            ],
-            silent_ms=[
-                _limit(report.silent_ms) for report in heartbeat.upstreams
-            ],
+            busy=_limit_all(
+                [int(each.busy * _BUSY_UNITS) for each in heartbeat.upstreams]
+            ),
+            silent_ms=_limit_all(
+                [report.silent_ms for report in heartbeat.upstreams]
+            ),
             data_centres=list(heartbeat.live_counts),
             live_hosts=[
                 _limit(each.hosts) for each in heartbeat.live_counts.values()
@@ -71,6 +69,13 @@
     return min(number, _MAX_I32)
 
 
+def _limit_all(numbers: Collection[int]) -> list[int]:
+    """Returns numbers that fit into a list of 32 bits each."""
+    if max(numbers, default=0) <= _MAX_I32:
+        return list(numbers)
+    return [_limit(number) for number in numbers]
+
+
 def _to_contact(
     record: ttypes.Beat | ttypes.Contact,
 ) -> data.Contact | failures.UnreadableInput:
@@ -142,8 +147,10 @@
         store_failed_ms=None if failed_ms < 0 else failed_ms,
         follower_ages_ms={host: max(0, age_ms) for host, age_ms in ages},
         upstreams=tuple(
-            data.UpstreamReport(tag, busy / _BUSY_UNITS, silent_ms)
-            for tag, busy, silent_ms in reports
+            [
+                data.UpstreamReport(tag, busy / _BUSY_UNITS, silent_ms)
+                for tag, busy, silent_ms in reports
+            ]
         ),
         live_counts=live_counts,
         outcomes=outcomes,
