--- a/packages/core/sapphire_core/peers/upstream_reports.py
+++ b/packages/core/sapphire_core/peers/upstream_reports.py
@@ -65,8 +65,10 @@
         reporting_near_peers += each.is_near
         weight = _weight(each.age_ms) * limit / max(load, limit)
         by_tag = near_by_tag if each.is_near else remote_by_tag
-        for tag, busy, _ in each.heartbeat.upstreams:
+        for report in each.heartbeat.upstreams:
+            busy = report.busy
             if busy > 0.0:
+                tag = report.tag
                 by_tag[tag] = by_tag.get(tag, 0.0) + busy * weight
     scale = max(1.0, near_peer_count / max(reporting_near_peers, 1))
     total_by_tag = remote_by_tag
@@ -91,7 +93,7 @@
 
 def _reported_load(heartbeat: data.Heartbeat) -> float:
     """Returns what a peer reports of all upstreams together."""
-    return sum([busy for _, busy, _ in heartbeat.upstreams if busy > 0.0])
+    return sum([each.busy for each in heartbeat.upstreams if each.busy > 0.0])
 
 
 def _weight(age_ms: int) -> float:
