--- a/Makefile
+++ b/Makefile
@@ -59,13 +59,14 @@
 bench-hunt: bench
 	$(BENCH) hunt $(SITE) --days $(DAYS) --why "$(WHY)"
 
-# Real host processes under overlapping faults: SEEDS=1-50 FAULTS=20.
+# Real host processes under overlapping faults: SEEDS=1-50 FAULTS=20 HOSTS=4.
 SEEDS ?= 1-5
 FAULTS ?= 20
+HOSTS ?= 4
 
 soak: $(STAMP)
 	cd platform && ../$(BIN)/python -m sapphire_platform_lab.soak.main \
-	  --seeds $(SEEDS) --faults $(FAULTS)
+	  --seeds $(SEEDS) --faults $(FAULTS) --hosts $(HOSTS)
 
 check: $(STAMP)
 	$(BIN)/ruff format --check .
--- a/packages/net/sapphire_net/bounded_log_handler.py
+++ b/packages/net/sapphire_net/bounded_log_handler.py
@@ -15,7 +15,7 @@
 # At 250 bytes a line, the buffer holds about 2,000 lines, which are logged in
 # several seconds.
 MAX_BUFFERED_BYTES = 524_288
-FLUSH_INTERVAL_MS = 50
+FLUSH_INTERVAL_MS = 100
 # A write of this size fits into an empty pipe on any system.
 MAX_WRITE_BYTES = 32_768
 
