--- a/packages/core/sapphire_core/replication/replica.py
+++ b/packages/core/sapphire_core/replication/replica.py
@@ -2,11 +2,8 @@
 
 from sapphire_core.replication import carried_items
 from sapphire_core.replication import data
+from sapphire_core.replication import removed_items
 
-# Tombstones are kept for this long, for peers that are behind by less than
-# this. So are the last values of removed keys, for the open flows of upstreams
-# that have left the registry.
-TOMBSTONE_TTL_MS = 30_000
 # The revision of a store that has no items: it is above 0, so that peers see
 # that an empty scope has been read in its era.
 _FIRST_REVISION = 1
@@ -43,9 +40,7 @@
         # What the store has, in the era of the replica.
         self._items_by_key: dict[str, data.Item] = {}
         self._carried = carried_items.nothing()
-        self._removed_ms_by_key: dict[str, int] = {}
-        # The items of removed keys with their last value.
-        self._last_items_by_key: dict[str, data.Item] = {}
+        self._removed = removed_items.RemovedItems()
         # Changes since an earlier revision would lack evicted tombstones.
         self._oldest_delta_revision = 0
         self.era = 0
@@ -94,9 +89,7 @@
         Flows of removed upstreams may still be open, and a host that has just
         started finds no record of these upstreams in the store.
         """
-        return data.Batch(
-            tuple(self._last_items_by_key.values()), self.as_of, False, self.era
-        )
+        return data.Batch(self._removed.last_items, self.as_of, False, self.era)
 
     def mask_removed(self, removed: data.Batch, now_ms: int) -> list[data.Item]:
         """Lets keys count as removed that a peer saw removed before a restore.
@@ -273,8 +266,8 @@
     def evict_expired(self, now_ms: int) -> list[data.Item]:
         """Evicts what has counted for long enough.
 
-        That is tombstones, and last values, of `TOMBSTONE_TTL_MS` ago, and what
-        is carried of a former era.
+        That is tombstones, and last values, of `removed_items.TOMBSTONE_TTL_MS`
+        ago, and what is carried of a former era.
 
         Args:
             now_ms: The current time.
@@ -282,11 +275,7 @@
         Returns:
             The items that changed, as what was carried no longer counts.
         """
-        for key, removed_ms in list(self._removed_ms_by_key.items()):
-            if now_ms - removed_ms < TOMBSTONE_TTL_MS:
-                continue
-            del self._removed_ms_by_key[key]
-            self._last_items_by_key.pop(key, None)
+        for key in self._removed.pop_expired(now_ms):
             item = self._items_by_key.get(key)
             # Keys of a former era have no tombstone in this one.
             if item is None or item.value is not None:
@@ -351,13 +340,13 @@
         for item in batch.items:
             if item.key in masked_keys:
                 continue
-            self._forget_removal(item.key)
+            self._removed.forget(item.key)
             known = known_by_key.get(item.key)
             if known is None or known.value != item.value:
                 changed.append(item)
         if not self._keeps_missing:
             changed.extend(self._remove_all(missing, now_ms))
-        self._lower_last_items()
+        self._removed.lower_revisions(self.as_of)
         return sorted(changed, key=lambda item: item.revision)
 
     def _removed_revisions(self) -> dict[str, int]:
@@ -367,18 +356,11 @@
         whose last value was never known, that is the revision of its removal.
         """
         return {
-            key: self._last_items_by_key.get(key, item).revision
+            key: self._removed.last_revision(item)
             for key, item in self._items_by_key.items()
             if item.value is None or self._carried.is_masked(key)
         }
 
-    def _lower_last_items(self) -> None:
-        """Gives last values of a former era revisions that the store has."""
-        for key, item in self._last_items_by_key.items():
-            self._last_items_by_key[key] = data.Item(
-                key, min(item.revision, self.as_of), item.value
-            )
-
     def _drop_carried(self, now_ms: int) -> list[data.Item]:
         """Ends what is carried of a former era.
 
@@ -391,7 +373,7 @@
         )
         changed = self._remove_all(carried.kept_items, now_ms)
         for key in sorted(carried.masked_keys):
-            self._forget_removal(key)
+            self._removed.forget(key)
             changed.append(self._items_by_key[key])
         return changed
 
@@ -405,14 +387,9 @@
             out themselves which items the store lacks.
         """
         for item in items:
-            self._record_removal(item, now_ms)
+            self._removed.record(item, now_ms)
         return [data.Item(item.key, self.as_of, None) for item in items]
 
-    def _forget_removal(self, key: str) -> None:
-        """Forgets that a key was removed, as it exists again."""
-        self._removed_ms_by_key.pop(key, None)
-        self._last_items_by_key.pop(key, None)
-
     def _accept(self, item: data.Item, now_ms: int) -> bool:
         """Stores an item if it is newer than the known one.
 
@@ -426,25 +403,17 @@
         known = self._carried.settle(item.key) or stored
         self._items_by_key[item.key] = item
         if item.value is not None:
-            self._forget_removal(item.key)
+            self._removed.forget(item.key)
             return True
         if known is None or was_masked:
             # The key was never known here, or counts as removed already. The
             # tombstone is kept, since a full read from before the removal may
             # still contain the key.
-            self._removed_ms_by_key[item.key] = now_ms
+            self._removed.record_again(item.key, now_ms)
             return False
-        self._record_removal(known, now_ms)
+        self._removed.record(known, now_ms)
         return True
 
-    def _record_removal(self, previous: data.Item | None, now_ms: int) -> None:
-        """Records when a key was removed, and its last value."""
-        if previous is None:
-            return
-        self._removed_ms_by_key[previous.key] = now_ms
-        if previous.value is not None:
-            self._last_items_by_key[previous.key] = previous
-
     def _remove_missing(
         self, batch: data.Batch, now_ms: int
     ) -> list[data.Item]:
@@ -467,9 +436,9 @@
             was_masked = self._carried.is_masked(key)
             self._carried.settle(key)
             if was_masked:
-                self._removed_ms_by_key[key] = now_ms
+                self._removed.record_again(key, now_ms)
                 continue
-            self._record_removal(item, now_ms)
+            self._removed.record(item, now_ms)
             removed.append(tombstone)
         return removed
 
--- a/packages/core/sapphire_core/replication/replica_test.py
+++ b/packages/core/sapphire_core/replication/replica_test.py
@@ -4,6 +4,7 @@
 
 from sapphire_core.replication import carried_items
 from sapphire_core.replication import data
+from sapphire_core.replication import removed_items
 from sapphire_core.replication import replica as replica_lib
 from sapphire_lab.tagged_flows import builders
 
@@ -82,7 +83,7 @@
             batch(item("a", 1), item("b", 2), as_of=2, is_full=True), 0
         )
         replica.apply(batch(item("a", 3, None), as_of=3), 0)
-        replica.evict_expired(replica_lib.TOMBSTONE_TTL_MS)
+        replica.evict_expired(removed_items.TOMBSTONE_TTL_MS)
         sent = replica.changes_after(2)
         self.assertTrue(sent.is_full)
         peer = replica_lib.Replica()
@@ -125,9 +126,9 @@
 
     def test_removed_items_are_evicted_with_their_tombstones(self) -> None:
         self.replica.apply(batch(item("a", 4, None), as_of=4), 0)
-        self.replica.evict_expired(replica_lib.TOMBSTONE_TTL_MS - 1)
+        self.replica.evict_expired(removed_items.TOMBSTONE_TTL_MS - 1)
         self.assertEqual(1, len(self.replica.removed_items().items))
-        self.replica.evict_expired(replica_lib.TOMBSTONE_TTL_MS)
+        self.replica.evict_expired(removed_items.TOMBSTONE_TTL_MS)
         self.assertEqual((), self.replica.removed_items().items)
 
     def test_the_removal_of_an_unknown_key_has_no_last_value(self) -> None:
@@ -265,7 +266,7 @@
     def test_tombstones_evicted_before_do_not_make_pulls_full(self) -> None:
         self.read(item("i-1", 5), item("i-2", 6), as_of=17)
         self.watch(item("i-2", 18, None), as_of=20)
-        self.replica.evict_expired(replica_lib.TOMBSTONE_TTL_MS)
+        self.replica.evict_expired(removed_items.TOMBSTONE_TTL_MS)
         self.restore(item("i-1", 5))
         self.watch_restored(item("i-3", 13), as_of=13)
         self.assertFalse(self.replica.changes_after(12).is_full)
