--- a/packages/net/sapphire_net/datagrams.py
+++ b/packages/net/sapphire_net/datagrams.py
@@ -45,7 +45,7 @@
     max_bytes: int,
     handle_datagram: DatagramHandler,
     handle_error: ErrorHandler,
-    pause_ms: int = 0,
+    interval_ms: int = 0,
 ) -> None:
     """Reads datagrams until cancelled.
 
@@ -58,13 +58,15 @@
         handle_datagram: Called with each datagram.
         handle_error: Called with each error of the socket. The kernel also
             reports here that a datagram sent earlier had no receiver.
-        pause_ms: The delay between the first datagram and reading, so that
-            several are read in one burst.
+        interval_ms: The interval at which all datagrams are read that have
+            arrived, where many arrive in it: that takes fewer wake-ups and
+            calls than to wait for each. 0 to read each as it arrives.
     """
     while True:
-        await anyio.wait_readable(udp_socket)
-        if pause_ms > 0:
-            await pauses.sleep_ms(pause_ms)
+        if interval_ms > 0:
+            await pauses.sleep_ms(interval_ms)
+        else:
+            await anyio.wait_readable(udp_socket)
         for _ in range(MAX_BURST_DATAGRAMS):
             try:
                 datagram = udp_socket.recv(max_bytes)
--- a/packages/node/sapphire_node/entry/packet_task.py
+++ b/packages/node/sapphire_node/entry/packet_task.py
@@ -28,6 +28,9 @@
 
 MAX_DATAGRAM_BYTES = 2_048
 TICK_INTERVAL_MS = 10
+# The first tick after a time without pending flows. Most upstreams answer
+# before, and nothing times out earlier.
+FIRST_TICK_MS = 20
 SWEEP_INTERVAL_MS = 100
 # Packets that arrive before the host is ready are held for the time after which
 # their callers retransmit them.
@@ -175,14 +178,14 @@
                 self._update_readiness(now_ms)
 
     async def _wait_for_tick(self) -> None:
-        """Waits one tick, and up to a sweep longer while nothing is pending."""
-        if not self._steering.has_pending:
-            self._work_pending = anyio.Event()
-            with anyio.move_on_after(
-                SWEEP_INTERVAL_MS / clock_lib.MS_PER_SECOND
-            ):
-                await self._work_pending.wait()
-        await pauses.sleep_ms(TICK_INTERVAL_MS)
+        """Waits for the next tick, or a sweep while nothing is pending."""
+        if self._steering.has_pending:
+            await pauses.sleep_ms(TICK_INTERVAL_MS)
+            return
+        self._work_pending = anyio.Event()
+        with anyio.move_on_after(SWEEP_INTERVAL_MS / clock_lib.MS_PER_SECOND):
+            await self._work_pending.wait()
+            await pauses.sleep_ms(FIRST_TICK_MS)
 
     async def _apply_messages(self) -> None:
         """Applies new changes and the reports of peers, until cancelled."""
--- a/packages/node/sapphire_node/entry/peer_task.py
+++ b/packages/node/sapphire_node/entry/peer_task.py
@@ -40,11 +40,10 @@
 # How many new peers are answered with a heartbeat of this host in an interval,
 # in a large fleet.
 MAX_REPLIES_TO_NEW_PEERS = 4
-# Heartbeats of many hosts arrive at any time; those that arrive within this
-# time are read together.
-HEARTBEAT_READ_DELAY_MS = 50
+# Heartbeats of many hosts arrive at any time; they are read at this interval.
+HEARTBEAT_READ_INTERVAL_MS = 50
 # After a stall of a second, peers that sent heartbeats all the while would have
-# timed out; these are read within a few read delays.
+# timed out; these are read within a few read intervals.
 STALL_THRESHOLD_MS = 1_000
 STALL_READ_MS = 100
 # Upstreams are judged by what hosts counted over some seconds, which changes
@@ -52,7 +51,7 @@
 JUDGE_INTERVAL_MS = 500
 # Changes and reports come in bursts. After a heartbeat that was sent at once,
 # what is to be sent at once is collected for this time.
-NOTICE_INTERVAL_MS = 50
+NOTICE_INTERVAL_MS = 100
 # The interval of heartbeats to other data centres while nothing changes;
 # traffic between data centres is paid for by the byte.
 REMOTE_HEARTBEAT_INTERVAL_MS = 1_000
@@ -146,7 +145,7 @@
                     peer_messages.MAX_HEARTBEAT_BYTES,
                     self._handle_datagram,
                     self._record_socket_error,
-                    HEARTBEAT_READ_DELAY_MS,
+                    HEARTBEAT_READ_INTERVAL_MS,
                 )
 
     async def _handle_messages(self) -> None:
