--- a/packages/node/sapphire_node/entry/peer_task.py
+++ b/packages/node/sapphire_node/entry/peer_task.py
@@ -14,6 +14,7 @@
 import anyio.streams.memory
 
 from sapphire_core.peers import data as peer_data
+from sapphire_core.peers import notice_schedule
 from sapphire_core.peers import outcome_reports
 from sapphire_core.peers import peer_table as peer_table_lib
 from sapphire_core.peers import pull_sources
@@ -49,9 +50,6 @@
 # Upstreams are judged by what hosts counted over some seconds, which changes
 # little in this time.
 JUDGE_INTERVAL_MS = 500
-# Changes and reports come in bursts. After a heartbeat that was sent at once,
-# what is to be sent at once is collected for this time.
-NOTICE_INTERVAL_MS = 100
 # The interval of heartbeats to other data centres while nothing changes;
 # traffic between data centres is paid for by the byte.
 REMOTE_HEARTBEAT_INTERVAL_MS = 1_000
@@ -109,10 +107,7 @@
         self._outcomes: tuple[peer_data.OutcomeReport, ...] = ()
         self._listed_hosts: frozenset[str] = frozenset()
         self._judged_ms: int | None = None
-        self._last_notice_ms: int | None = None
-        # What is to be sent at once, as soon as it may.
-        self._is_notice_due = False
-        self._is_notice_for_remote = False
+        self._notices = notice_schedule.NoticeSchedule()
         self._notice_due = anyio.Event()
         self._puller = change_puller.ChangePuller(
             state,
@@ -224,11 +219,8 @@
         Args:
             is_for_remote: Whether it concerns other data centres too.
         """
-        self._is_notice_due = True
-        self._is_notice_for_remote |= is_for_remote
-        last_ms = self._last_notice_ms
         now_ms = self._clock.now_ms()
-        if last_ms is None or now_ms - last_ms >= NOTICE_INTERVAL_MS:
+        if self._notices.request(now_ms, is_for_remote=is_for_remote):
             self._send_due_notice(now_ms)
         else:
             self._notice_due.set()
@@ -236,13 +228,11 @@
     def _send_due_notice(self, now_ms: int) -> None:
         """Sends the heartbeat that is due, to the peers that it concerns."""
         receivers = self._peer_table.near_targets()
-        if self._is_notice_for_remote:
+        if self._notices.is_for_remote:
             receivers = receivers + self._peer_table.remote_targets(
                 now_ms, is_follower=True
             )
-        self._is_notice_due = False
-        self._is_notice_for_remote = False
-        self._last_notice_ms = now_ms
+        self._notices.record_sent(now_ms)
         self._send_heartbeat(receivers)
 
     async def _send_due_notices(self) -> None:
@@ -250,8 +240,8 @@
         while True:
             await self._notice_due.wait()
             self._notice_due = anyio.Event()
-            await pauses.sleep_ms(NOTICE_INTERVAL_MS)
-            if self._is_notice_due:
+            await pauses.sleep_ms(notice_schedule.NOTICE_INTERVAL_MS)
+            if self._notices.is_due:
                 self._send_due_notice(self._clock.now_ms())
 
     def _send_to_seeds(self, now_ms: int) -> None:
