A host that reaches no upstream leaves the rotation

Ruled out by the tables: rolling stops (they run from 1 s on without loss) and the store.

A host now answers readiness checks with 503 while three signs hold: no eligible upstream in its data centre, nobody of another one heard for 1 s, and at least three upstreams silent with none answering. The fabric then uses the nearest data centres.

--- a/packages/core/sapphire_core/peers/peer_table.py
+++ b/packages/core/sapphire_core/peers/peer_table.py
@@ -200,6 +200,23 @@
                 return True
         return False
 
+    def remote_silence_ms(self, now_ms: int) -> int | None:
+        """Returns how long no host of another data centre has been heard.
+
+        Args:
+            now_ms: The current time.
+
+        Returns:
+            The time; None if no such host is known or none was ever heard.
+        """
+        heard_ms = [
+            peer.last_heartbeat_ms
+            for peer in self._peers_by_host.values()
+            if peer.last_heartbeat_ms is not None
+            and not self.is_same_data_centre(peer.contact)
+        ]
+        return now_ms - max(heard_ms) if heard_ms else None
+
     def live_heartbeats(
         self, now_ms: int
     ) -> list[upstream_reports.ReceivedHeartbeat]:
--- a/packages/core/sapphire_core/peers/peer_table_test.py
+++ b/packages/core/sapphire_core/peers/peer_table_test.py
@@ -152,6 +152,20 @@
         self.peer_table.record_heartbeat(builders.heartbeat("c"), 0)
         self.assertEqual(4, self.peer_table.host_count(0))
 
+    def test_silence_of_other_data_centres_is_that_of_the_last_heard(
+        self,
+    ) -> None:
+        self.assertIsNone(self.peer_table.remote_silence_ms(0))
+        for host, data_centre, heard_ms in (
+            ("a", "salem", 100),
+            ("b", "spokane", 300),
+            ("c", builders.DATA_CENTRE, 900),
+        ):
+            self.peer_table.record_heartbeat(
+                builders.heartbeat(host, data_centre=data_centre), heard_ms
+            )
+        self.assertEqual(700, self.peer_table.remote_silence_ms(1_000))
+
     def test_a_peer_is_evicted_when_neither_listed_nor_live(self) -> None:
         self.peer_table.record_heartbeat(builders.heartbeat("a"), 0)
         self.peer_table.evict_expired(60_000, frozenset({"a"}))
--- a/packages/core/sapphire_core/tagged_flows/failover_budget.py
+++ b/packages/core/sapphire_core/tagged_flows/failover_budget.py
@@ -104,15 +104,25 @@
         self._tokens_by_service[service] = tokens - 1
         return None
 
-    def _are_most_silent(self, now_ms: int) -> bool:
-        """Whether more upstreams are silent than answer."""
+    def count_outcomes(self, now_ms: int, window_ms: int) -> tuple[int, int]:
+        """Returns how many upstreams are silent and how many answer.
+
+        Args:
+            now_ms: The current time.
+            window_ms: For how long the last outcome at an upstream counts.
+        """
         silent = 0
         answering = 0
         for outcome in reversed(self._outcomes_by_id.values()):
-            if now_ms - outcome.at_ms > OUTCOME_TTL_MS:
+            if now_ms - outcome.at_ms > window_ms:
                 break
             if outcome.is_silent:
                 silent += 1
             else:
                 answering += 1
+        return silent, answering
+
+    def _are_most_silent(self, now_ms: int) -> bool:
+        """Whether more upstreams are silent than answer."""
+        silent, answering = self.count_outcomes(now_ms, OUTCOME_TTL_MS)
         return silent >= MIN_SILENT and silent > answering
--- a/packages/core/sapphire_core/tagged_flows/steering.py
+++ b/packages/core/sapphire_core/tagged_flows/steering.py
@@ -19,6 +19,7 @@
 from sapphire_core.tagged_flows import load_shedding as load_shedding_lib
 from sapphire_core.tagged_flows import open_flows
 from sapphire_core.tagged_flows import openings
+from sapphire_core.tagged_flows import reachability
 from sapphire_core.tagged_flows import service_routing
 from sapphire_core.tagged_flows import upstream_selector
 from sapphire_core.tagged_flows import upstream_table
@@ -35,6 +36,7 @@
         flow_table: The records of open flows.
         selector: Selects upstreams, from their load and health.
         ejection_control: Ejects upstreams by what became of requests there.
+        reachability: Whether this host can reach any upstream.
 
     Args:
         data_centre: The data centre of this host.
@@ -63,6 +65,9 @@
         self.ejection_control = ejection_control.EjectionControl(
             self.upstream_table, self.selector.ejection, self.selector.in_flight
         )
+        self.reachability = reachability.Reachability(
+            data_centre, self.upstream_table, failover_budget
+        )
         self._openings = openings.Openings(
             routing=self._routing,
             flow_table=self.flow_table,
--- a/packages/node/sapphire_node/entry/host_state.py
+++ b/packages/node/sapphire_node/entry/host_state.py
@@ -41,6 +41,7 @@
     Attributes:
         settings: The settings in force.
         is_ready: Whether the host can select upstreams for new flows.
+        is_cut_off: Whether the host can reach no upstream, though others may.
         leaving: Set when the host, after a request to stop, has withdrawn from
             rotation: its readiness check fails from then on.
         is_near_host_away: Whether another host of its data centre is leaving,
@@ -75,6 +76,7 @@
 
     settings: platform_interface.HostSettings
     is_ready: bool = False
+    is_cut_off: bool = False
     leaving: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     is_near_host_away: bool = False
     last_packet_ms: int = 0
--- a/packages/node/sapphire_node/entry/messages.py
+++ b/packages/node/sapphire_node/entry/messages.py
@@ -159,6 +159,8 @@
         evidence_by_tag: What became of requests at upstreams that may do
             badly, as the peers of this data centre report it, by tag; None
             while upstreams are not due to be judged again.
+        remote_silence_ms: How long no host of another data centre has been
+            heard; None if there is none or none was ever heard.
     """
 
     in_flight_by_tag: Mapping[int, float]
@@ -166,6 +168,7 @@
     host_count: int
     has_membership_changed: bool
     evidence_by_tag: Mapping[int, outcome_reports.Evidence] | None
+    remote_silence_ms: int | None
 
 
 PacketTaskMessage = NewChanges | PeerReports | PeersAsked
--- a/packages/node/sapphire_node/entry/packet_task.py
+++ b/packages/node/sapphire_node/entry/packet_task.py
@@ -204,6 +204,7 @@
                     self._steering.ejection_control.update_own_reports()
                 else:
                     self._judge_upstreams(message.evidence_by_tag, now_ms)
+                self._update_reachability(message.remote_silence_ms, now_ms)
                 await self._send_own_reports(now_ms, is_urgent=False)
                 continue
             if isinstance(message, messages.PeersAsked):
@@ -215,6 +216,22 @@
             self._known_scopes.add(message.scope)
             self._update_readiness(now_ms)
 
+    def _update_reachability(
+        self, remote_silence_ms: int | None, now_ms: int
+    ) -> None:
+        """Leaves the rotation while this host can reach no upstream."""
+        is_cut_off = self._steering.reachability.is_cut_off(
+            remote_silence_ms, now_ms
+        )
+        if is_cut_off == self._state.is_cut_off:
+            return
+        self._state.is_cut_off = is_cut_off
+        event = "cut_off" if is_cut_off else "not_cut_off"
+        self._state.counts[event] += 1
+        event_log.log(
+            _LOG, logging.INFO, event, remote_silence_ms=remote_silence_ms
+        )
+
     async def _send_own_reports(self, now_ms: int, *, is_urgent: bool) -> None:
         """Sends what this host has observed of upstreams to its peer task."""
         await self._reports.send(
--- a/packages/node/sapphire_node/entry/packet_task_test.py
+++ b/packages/node/sapphire_node/entry/packet_task_test.py
@@ -205,7 +205,7 @@
             )
         failing = outcome_builders.evidence(*[(0, 2)] * 4)
         reports = messages.PeerReports(
-            {}, {}, 5, False, {tags.tag_of("i-1"): failing}
+            {}, {}, 5, False, {tags.tag_of("i-1"): failing}, None
         )
 
         async def judge() -> None:
--- a/packages/node/sapphire_node/entry/peer_task.py
+++ b/packages/node/sapphire_node/entry/peer_task.py
@@ -289,6 +289,7 @@
                 self._peer_table.host_count(now_ms),
                 has_membership_changed,
                 evidence_by_tag,
+                self._peer_table.remote_silence_ms(now_ms),
             )
         )
 
--- a/packages/node/sapphire_node/entry/readiness.py
+++ b/packages/node/sapphire_node/entry/readiness.py
@@ -23,6 +23,7 @@
         """Returns the response to one request."""
         if method != "GET" or path != self._state.settings.readiness_path:
             return http1.Response(http1.NOT_FOUND, b"")
-        if self._state.is_ready and not self._state.is_leaving:
+        state = self._state
+        if state.is_ready and not state.is_leaving and not state.is_cut_off:
             return http1.Response(http1.OK, b"")
         return http1.Response(http1.UNAVAILABLE, b"")
