tagged_flows: openings, health and flows are packages of their own

25 modules stood in one directory. They follow the path of a packet now: openings and selection; the health of upstreams; records of open flows. Imports go one way. No behaviour changes.

--- /dev/null
+++ b/packages/core/sapphire_core/tagged_flows/flows/__init__.py
@@ -0,0 +1,1 @@
+"""Open flows: their records and the load they bring."""
--- a/packages/core/sapphire_core/tagged_flows/flow_table.py
+++ b/packages/core/sapphire_core/tagged_flows/flows/flow_table.py
@@ -11,8 +11,8 @@
 import dataclasses
 
 from sapphire_core.tagged_flows import data
-from sapphire_core.tagged_flows import smoothed_load
 from sapphire_core.tagged_flows import upstream_table
+from sapphire_core.tagged_flows.flows import smoothed_load
 
 # A record takes about 200 bytes, so the table takes 4 MB at most.
 MAX_RECORDS = 20_000
--- a/packages/core/sapphire_core/tagged_flows/flow_table_test.py
+++ b/packages/core/sapphire_core/tagged_flows/flows/flow_table_test.py
@@ -1,8 +1,8 @@
 import testtools
 
 from sapphire_core.replication import data as replication_data
-from sapphire_core.tagged_flows import flow_table
 from sapphire_core.tagged_flows import upstream_table
+from sapphire_core.tagged_flows.flows import flow_table
 from sapphire_lab.tagged_flows import builders
 
 MIN_RETRANSMISSION_MS = flow_table.MIN_RETRANSMISSION_MS
--- a/packages/core/sapphire_core/tagged_flows/smoothed_load_test.py
+++ b/packages/core/sapphire_core/tagged_flows/flows/smoothed_load_test.py
@@ -3,7 +3,7 @@
 
 import testtools
 
-from sapphire_core.tagged_flows import smoothed_load
+from sapphire_core.tagged_flows.flows import smoothed_load
 
 UPSTREAM = "i-1"
 TAG = 5
--- /dev/null
+++ b/packages/core/sapphire_core/tagged_flows/health/__init__.py
@@ -0,0 +1,1 @@
+"""The health of upstreams, from openings and from what became of requests."""
--- a/packages/core/sapphire_core/tagged_flows/dead_upstreams.py
+++ b/packages/core/sapphire_core/tagged_flows/health/dead_upstreams.py
@@ -22,8 +22,8 @@
 import enum
 
 from sapphire_core.tagged_flows import data
-from sapphire_core.tagged_flows import flow_table
 from sapphire_core.tagged_flows import upstream_table
+from sapphire_core.tagged_flows.flows import flow_table
 
 # Callers repeat their data after 200 ms and 400 ms later (the protocol); a
 # request may take longer than the first.
--- a/packages/core/sapphire_core/tagged_flows/ejection_control.py
+++ b/packages/core/sapphire_core/tagged_flows/health/ejection_control.py
@@ -9,9 +9,9 @@
 
 from sapphire_core.peers import data as peer_data
 from sapphire_core.peers import outcome_reports
-from sapphire_core.tagged_flows import outlier_ejection
-from sapphire_core.tagged_flows import request_outcomes
 from sapphire_core.tagged_flows import upstream_table as upstream_table_lib
+from sapphire_core.tagged_flows.health import outlier_ejection
+from sapphire_core.tagged_flows.health import request_outcomes
 
 InFlight = Callable[[upstream_table_lib.Entry], float]
 
--- a/packages/core/sapphire_core/tagged_flows/ejection_control_test.py
+++ b/packages/core/sapphire_core/tagged_flows/health/ejection_control_test.py
@@ -1,6 +1,6 @@
 import testtools
 
-from sapphire_core.tagged_flows import outlier_ejection
+from sapphire_core.tagged_flows.health import outlier_ejection
 from sapphire_lab.tagged_flows import ejection_fleet
 from sapphire_lab.tagged_flows import outcome_builders
 
--- a/packages/core/sapphire_core/tagged_flows/outlier_ejection.py
+++ b/packages/core/sapphire_core/tagged_flows/health/outlier_ejection.py
@@ -20,7 +20,7 @@
 import random
 
 from sapphire_core.peers import outcome_reports
-from sapphire_core.tagged_flows import outlier_assessment
+from sapphire_core.tagged_flows.health import outlier_assessment
 
 # At most this part of the upstreams of a service is ejected. Where more do
 # badly, the cause is common to them, such as the network or too much work.
--- a/packages/core/sapphire_core/tagged_flows/outlier_ejection_test.py
+++ b/packages/core/sapphire_core/tagged_flows/health/outlier_ejection_test.py
@@ -3,7 +3,7 @@
 import testtools
 
 from sapphire_core.peers import outcome_reports
-from sapphire_core.tagged_flows import outlier_ejection
+from sapphire_core.tagged_flows.health import outlier_ejection
 from sapphire_lab.tagged_flows import builders
 from sapphire_lab.tagged_flows import outcome_builders
 
--- a/packages/core/sapphire_core/tagged_flows/passive_health_test.py
+++ b/packages/core/sapphire_core/tagged_flows/health/passive_health_test.py
@@ -1,6 +1,6 @@
 import testtools
 
-from sapphire_core.tagged_flows import passive_health
+from sapphire_core.tagged_flows.health import passive_health
 
 
 class PassiveHealthTest(testtools.TestCase):
--- a/packages/core/sapphire_core/tagged_flows/request_outcomes.py
+++ b/packages/core/sapphire_core/tagged_flows/health/request_outcomes.py
@@ -22,9 +22,9 @@
 
 from sapphire_core.peers import outcome_reports
 from sapphire_core.tagged_flows import data
-from sapphire_core.tagged_flows import flow_table
 from sapphire_core.tagged_flows import upstream_table
-from sapphire_core.tagged_flows import usual_responses
+from sapphire_core.tagged_flows.flows import flow_table
+from sapphire_core.tagged_flows.health import usual_responses
 
 # For how long an outcome counts: long enough for about ten requests at an
 # upstream of a small service, short enough that it tells of the present.
--- a/packages/core/sapphire_core/tagged_flows/request_outcomes_test.py
+++ b/packages/core/sapphire_core/tagged_flows/health/request_outcomes_test.py
@@ -1,7 +1,7 @@
 import testtools
 
 from sapphire_core.peers import outcome_reports
-from sapphire_core.tagged_flows import request_outcomes
+from sapphire_core.tagged_flows.health import request_outcomes
 from sapphire_lab.tagged_flows import outcome_builders
 
 Way = outcome_builders.Way
--- a/packages/core/sapphire_core/tagged_flows/usual_responses_test.py
+++ b/packages/core/sapphire_core/tagged_flows/health/usual_responses_test.py
@@ -1,6 +1,6 @@
 import testtools
 
-from sapphire_core.tagged_flows import usual_responses
+from sapphire_core.tagged_flows.health import usual_responses
 
 ENDPOINT = (1, 443)
 # The least of the users' responses of 770 bytes, and their longest error.
--- a/packages/core/sapphire_core/tagged_flows/open_flows.py
+++ b/packages/core/sapphire_core/tagged_flows/open_flows.py
@@ -4,19 +4,25 @@
 reset only if its upstream has gone, see `dead_upstreams`.
 """
 
-from sapphire_core.tagged_flows import answer_timeout as answer_timeout_lib
 from sapphire_core.tagged_flows import data
-from sapphire_core.tagged_flows import dead_upstreams
 from sapphire_core.tagged_flows import decisions as decisions_lib
-from sapphire_core.tagged_flows import deferred_flows
-from sapphire_core.tagged_flows import failover_budget as failover_budget_lib
-from sapphire_core.tagged_flows import flow_table as flow_table_lib
-from sapphire_core.tagged_flows import half_open_flows
-from sapphire_core.tagged_flows import load_shedding as load_shedding_lib
-from sapphire_core.tagged_flows import request_outcomes
 from sapphire_core.tagged_flows import service_routing
-from sapphire_core.tagged_flows import upstream_selector
 from sapphire_core.tagged_flows import upstream_table as upstream_table_lib
+from sapphire_core.tagged_flows.flows import flow_table as flow_table_lib
+from sapphire_core.tagged_flows.health import dead_upstreams
+from sapphire_core.tagged_flows.health import request_outcomes
+from sapphire_core.tagged_flows.openings import (
+    answer_timeout as answer_timeout_lib,
+)
+from sapphire_core.tagged_flows.openings import deferred_flows
+from sapphire_core.tagged_flows.openings import (
+    failover_budget as failover_budget_lib,
+)
+from sapphire_core.tagged_flows.openings import half_open_flows
+from sapphire_core.tagged_flows.openings import (
+    load_shedding as load_shedding_lib,
+)
+from sapphire_core.tagged_flows.openings import upstream_selector
 
 
 class OpenFlows:
--- /dev/null
+++ b/packages/core/sapphire_core/tagged_flows/openings/__init__.py
@@ -0,0 +1,1 @@
+"""Opening packets: which upstream gets them, and which are refused."""
--- a/packages/core/sapphire_core/tagged_flows/answer_timeout_test.py
+++ b/packages/core/sapphire_core/tagged_flows/openings/answer_timeout_test.py
@@ -2,7 +2,7 @@
 
 import testtools
 
-from sapphire_core.tagged_flows import answer_timeout
+from sapphire_core.tagged_flows.openings import answer_timeout
 
 MIN_MS = answer_timeout.MIN_TIMEOUT_MS
 MAX_MS = answer_timeout.MAX_TIMEOUT_MS
--- a/packages/core/sapphire_core/tagged_flows/failover_budget_test.py
+++ b/packages/core/sapphire_core/tagged_flows/openings/failover_budget_test.py
@@ -1,8 +1,8 @@
 import testtools
 
-from sapphire_core.tagged_flows import answer_timeout
 from sapphire_core.tagged_flows import data
-from sapphire_core.tagged_flows import failover_budget
+from sapphire_core.tagged_flows.openings import answer_timeout
+from sapphire_core.tagged_flows.openings import failover_budget
 from sapphire_lab.tagged_flows import builders
 
 TIMEOUT_MS = answer_timeout.MIN_TIMEOUT_MS
--- a/packages/core/sapphire_core/tagged_flows/failovers.py
+++ b/packages/core/sapphire_core/tagged_flows/openings/failovers.py
@@ -1,12 +1,16 @@
 """Fails over opening packets to other upstreams while none has answered."""
 
-from sapphire_core.tagged_flows import answer_timeout as answer_timeout_lib
 from sapphire_core.tagged_flows import data
 from sapphire_core.tagged_flows import decisions as decisions_lib
-from sapphire_core.tagged_flows import failover_budget as failover_budget_lib
-from sapphire_core.tagged_flows import half_open_flows
 from sapphire_core.tagged_flows import service_routing
-from sapphire_core.tagged_flows import upstream_selector
+from sapphire_core.tagged_flows.openings import (
+    answer_timeout as answer_timeout_lib,
+)
+from sapphire_core.tagged_flows.openings import (
+    failover_budget as failover_budget_lib,
+)
+from sapphire_core.tagged_flows.openings import half_open_flows
+from sapphire_core.tagged_flows.openings import upstream_selector
 
 # Upstreams that an opening packet is sent to without a retransmission by the
 # caller; each retransmission allows one more.
--- a/packages/core/sapphire_core/tagged_flows/load_shedding_test.py
+++ b/packages/core/sapphire_core/tagged_flows/openings/load_shedding_test.py
@@ -9,7 +9,7 @@
 import testtools
 
 from sapphire_core.tagged_flows import data
-from sapphire_core.tagged_flows import load_shedding
+from sapphire_core.tagged_flows.openings import load_shedding
 
 SERVICE = "board"
 SEED = 5
--- a/packages/core/sapphire_core/tagged_flows/openings.py
+++ b/packages/core/sapphire_core/tagged_flows/openings/openings.py
@@ -5,18 +5,24 @@
 that are late already are deferred while their service has no free slot.
 """
 
-from sapphire_core.tagged_flows import answer_timeout as answer_timeout_lib
 from sapphire_core.tagged_flows import data
 from sapphire_core.tagged_flows import decisions as decisions_lib
-from sapphire_core.tagged_flows import deferred_flows
-from sapphire_core.tagged_flows import failover_budget as failover_budget_lib
-from sapphire_core.tagged_flows import failovers as failovers_lib
-from sapphire_core.tagged_flows import flow_table as flow_table_lib
-from sapphire_core.tagged_flows import half_open_flows
-from sapphire_core.tagged_flows import load_shedding as load_shedding_lib
 from sapphire_core.tagged_flows import service_routing
-from sapphire_core.tagged_flows import upstream_selector
 from sapphire_core.tagged_flows import upstream_table
+from sapphire_core.tagged_flows.flows import flow_table as flow_table_lib
+from sapphire_core.tagged_flows.openings import (
+    answer_timeout as answer_timeout_lib,
+)
+from sapphire_core.tagged_flows.openings import deferred_flows
+from sapphire_core.tagged_flows.openings import (
+    failover_budget as failover_budget_lib,
+)
+from sapphire_core.tagged_flows.openings import failovers as failovers_lib
+from sapphire_core.tagged_flows.openings import half_open_flows
+from sapphire_core.tagged_flows.openings import (
+    load_shedding as load_shedding_lib,
+)
+from sapphire_core.tagged_flows.openings import upstream_selector
 
 # Grace period after a membership change. The fabric may send the caller's next
 # packet to another host than its opening packet, so a missing packet is no sign
--- a/packages/core/sapphire_core/tagged_flows/reachability.py
+++ b/packages/core/sapphire_core/tagged_flows/openings/reachability.py
@@ -15,8 +15,10 @@
 signs ends.
 """
 
-from sapphire_core.tagged_flows import failover_budget as failover_budget_lib
 from sapphire_core.tagged_flows import upstream_table as upstream_table_lib
+from sapphire_core.tagged_flows.openings import (
+    failover_budget as failover_budget_lib,
+)
 
 # Each host hears several heartbeats a second from other data centres.
 MIN_REMOTE_SILENCE_MS = 1_000
--- a/packages/core/sapphire_core/tagged_flows/reachability_test.py
+++ b/packages/core/sapphire_core/tagged_flows/openings/reachability_test.py
@@ -2,9 +2,9 @@
 
 import testtools
 
-from sapphire_core.tagged_flows import answer_timeout
 from sapphire_core.tagged_flows import data
-from sapphire_core.tagged_flows import reachability
+from sapphire_core.tagged_flows.openings import answer_timeout
+from sapphire_core.tagged_flows.openings import reachability
 from sapphire_lab.tagged_flows import builders
 
 REMOTE = "salem"
--- a/packages/core/sapphire_core/tagged_flows/selection_policy.py
+++ b/packages/core/sapphire_core/tagged_flows/openings/selection_policy.py
@@ -5,8 +5,8 @@
 import random
 from typing import NamedTuple
 
-from sapphire_core.tagged_flows import smoothed_load
 from sapphire_core.tagged_flows import upstream_table
+from sapphire_core.tagged_flows.flows import smoothed_load
 
 # The cost of a crossing between data centres, relative to the time that one
 # request occupies a slot.
--- a/packages/core/sapphire_core/tagged_flows/selection_policy_test.py
+++ b/packages/core/sapphire_core/tagged_flows/openings/selection_policy_test.py
@@ -4,8 +4,8 @@
 import testtools
 
 from sapphire_core.replication import data as replication_data
-from sapphire_core.tagged_flows import selection_policy
 from sapphire_core.tagged_flows import upstream_table
+from sapphire_core.tagged_flows.openings import selection_policy
 from sapphire_lab.tagged_flows import builders
 
 LOCAL_DATA_CENTRE = builders.DATA_CENTRE
--- a/packages/core/sapphire_core/tagged_flows/slow_start_pacer_test.py
+++ b/packages/core/sapphire_core/tagged_flows/openings/slow_start_pacer_test.py
@@ -1,7 +1,7 @@
 import testtools
 
 from sapphire_core.tagged_flows import data
-from sapphire_core.tagged_flows import slow_start_pacer
+from sapphire_core.tagged_flows.openings import slow_start_pacer
 
 # In any second, all hosts together may send the cold rate times this factor,
 # plus the extra flows.
--- a/packages/core/sapphire_core/tagged_flows/upstream_selector.py
+++ b/packages/core/sapphire_core/tagged_flows/openings/upstream_selector.py
@@ -11,14 +11,16 @@
 
 from sapphire_core.peers import data as peer_data
 from sapphire_core.tagged_flows import data
-from sapphire_core.tagged_flows import flow_table as flow_table_lib
-from sapphire_core.tagged_flows import half_open_flows as half_open_flows_lib
-from sapphire_core.tagged_flows import outlier_ejection
-from sapphire_core.tagged_flows import passive_health
-from sapphire_core.tagged_flows import selection_policy
-from sapphire_core.tagged_flows import slow_start_pacer
-from sapphire_core.tagged_flows import smoothed_load
 from sapphire_core.tagged_flows import upstream_table as upstream_table_lib
+from sapphire_core.tagged_flows.flows import flow_table as flow_table_lib
+from sapphire_core.tagged_flows.flows import smoothed_load
+from sapphire_core.tagged_flows.health import outlier_ejection
+from sapphire_core.tagged_flows.health import passive_health
+from sapphire_core.tagged_flows.openings import (
+    half_open_flows as half_open_flows_lib,
+)
+from sapphire_core.tagged_flows.openings import selection_policy
+from sapphire_core.tagged_flows.openings import slow_start_pacer
 
 # How many hosts are assumed to share the cold rate of an upstream until this
 # host knows their number: the largest fleet that the platform measures.
--- a/packages/core/sapphire_core/tagged_flows/upstream_selector_test.py
+++ b/packages/core/sapphire_core/tagged_flows/openings/upstream_selector_test.py
@@ -1,6 +1,6 @@
 import testtools
 
-from sapphire_core.tagged_flows import upstream_selector
+from sapphire_core.tagged_flows.openings import upstream_selector
 from sapphire_lab.tagged_flows import builders
 from sapphire_wire import peer_messages
 
--- a/packages/core/sapphire_core/tagged_flows/paused_host_test.py
+++ b/packages/core/sapphire_core/tagged_flows/paused_host_test.py
@@ -1,8 +1,8 @@
 import testtools
 
 from sapphire_core.tagged_flows import data
-from sapphire_core.tagged_flows import half_open_flows
-from sapphire_core.tagged_flows import openings
+from sapphire_core.tagged_flows.openings import half_open_flows
+from sapphire_core.tagged_flows.openings import openings
 from sapphire_lab.tagged_flows import builders
 
 PAUSE_MS = 5_000
--- a/packages/core/sapphire_core/tagged_flows/steering.py
+++ b/packages/core/sapphire_core/tagged_flows/steering.py
@@ -9,20 +9,26 @@
 from collections.abc import Mapping
 import random
 
-from sapphire_core.tagged_flows import answer_timeout as answer_timeout_lib
 from sapphire_core.tagged_flows import data
 from sapphire_core.tagged_flows import decisions as decisions_lib
-from sapphire_core.tagged_flows import ejection_control
-from sapphire_core.tagged_flows import failover_budget as failover_budget_lib
-from sapphire_core.tagged_flows import flow_table
-from sapphire_core.tagged_flows import half_open_flows
-from sapphire_core.tagged_flows import load_shedding as load_shedding_lib
 from sapphire_core.tagged_flows import open_flows
-from sapphire_core.tagged_flows import openings
-from sapphire_core.tagged_flows import reachability
 from sapphire_core.tagged_flows import service_routing
-from sapphire_core.tagged_flows import upstream_selector
 from sapphire_core.tagged_flows import upstream_table
+from sapphire_core.tagged_flows.flows import flow_table
+from sapphire_core.tagged_flows.health import ejection_control
+from sapphire_core.tagged_flows.openings import (
+    answer_timeout as answer_timeout_lib,
+)
+from sapphire_core.tagged_flows.openings import (
+    failover_budget as failover_budget_lib,
+)
+from sapphire_core.tagged_flows.openings import half_open_flows
+from sapphire_core.tagged_flows.openings import (
+    load_shedding as load_shedding_lib,
+)
+from sapphire_core.tagged_flows.openings import openings
+from sapphire_core.tagged_flows.openings import reachability
+from sapphire_core.tagged_flows.openings import upstream_selector
 
 # `sweep` is due about every 100 ms, also while nothing is pending.
 SWEEP_STALL_THRESHOLD_MS = 250
--- a/packages/core/sapphire_core/tagged_flows/steering_test.py
+++ b/packages/core/sapphire_core/tagged_flows/steering_test.py
@@ -1,10 +1,10 @@
 import testtools
 
-from sapphire_core.tagged_flows import answer_timeout
 from sapphire_core.tagged_flows import data
-from sapphire_core.tagged_flows import failovers
-from sapphire_core.tagged_flows import openings
 from sapphire_core.tagged_flows import tags
+from sapphire_core.tagged_flows.openings import answer_timeout
+from sapphire_core.tagged_flows.openings import failovers
+from sapphire_core.tagged_flows.openings import openings
 from sapphire_lab.tagged_flows import builders
 
 TIMEOUT_MS = answer_timeout.MIN_TIMEOUT_MS
--- a/packages/lab/sapphire_lab/tagged_flows/outcome_builders.py
+++ b/packages/lab/sapphire_lab/tagged_flows/outcome_builders.py
@@ -12,8 +12,8 @@
 from sapphire_core.peers import outcome_reports
 from sapphire_core.replication import data as replication_data
 from sapphire_core.tagged_flows import data
-from sapphire_core.tagged_flows import request_outcomes
 from sapphire_core.tagged_flows import upstream_table
+from sapphire_core.tagged_flows.health import request_outcomes
 from sapphire_lab.tagged_flows import builders
 
 REQUEST_BYTES = 170
--- a/packages/node/sapphire_node/entry/packet_task_test.py
+++ b/packages/node/sapphire_node/entry/packet_task_test.py
@@ -2,11 +2,11 @@
 import testtools
 
 from sapphire_core.replication import data as replication_data
-from sapphire_core.tagged_flows import answer_timeout
 from sapphire_core.tagged_flows import data
-from sapphire_core.tagged_flows import openings
-from sapphire_core.tagged_flows import outlier_ejection
 from sapphire_core.tagged_flows import tags
+from sapphire_core.tagged_flows.health import outlier_ejection
+from sapphire_core.tagged_flows.openings import answer_timeout
+from sapphire_core.tagged_flows.openings import openings
 from sapphire_data import clock as clock_lib
 from sapphire_lab.tagged_flows import builders
 from sapphire_lab.tagged_flows import host_builders
