A host that starts behind a cut counts silence from its host list on

It has never heard a host of another data centre, which counted as none known, so it stayed in rotation, and the fabric uses all hosts of a data centre while one is.

The silence begins now when a host first knows of another data centre's hosts. peer_table_test fails before.

--- a/packages/core/sapphire_core/peers/peer_table.py
+++ b/packages/core/sapphire_core/peers/peer_table.py
@@ -203,17 +203,20 @@
     def remote_silence_ms(self, now_ms: int) -> int | None:
         """Returns how long no host of another data centre has been heard.
 
+        A host that has just started counts from when it first knew of one.
+
         Args:
             now_ms: The current time.
 
         Returns:
-            The time; None if no such host is known or none was ever heard.
+            The time; None if no such host is known.
         """
         heard_ms = [
-            peer.last_heartbeat_ms
+            peer.first_known_ms
+            if peer.last_heartbeat_ms is None
+            else peer.last_heartbeat_ms
             for peer in self._peers_by_host.values()
-            if peer.last_heartbeat_ms is not None
-            and not self.is_same_data_centre(peer.contact)
+            if not self.is_same_data_centre(peer.contact)
         ]
         return now_ms - max(heard_ms) if heard_ms else None
 
--- a/packages/core/sapphire_core/peers/peer_table_test.py
+++ b/packages/core/sapphire_core/peers/peer_table_test.py
@@ -166,6 +166,14 @@
             )
         self.assertEqual(700, self.peer_table.remote_silence_ms(1_000))
 
+    def test_silence_of_other_data_centres_begins_with_the_host_list(
+        self,
+    ) -> None:
+        """Pattern: a host starts behind a cut and has heard nobody."""
+        listed = builders.heartbeat("a", data_centre="salem").contact
+        self.peer_table.set_host_list([listed], 200)
+        self.assertEqual(800, self.peer_table.remote_silence_ms(1_000))
+
     def test_a_peer_is_evicted_when_neither_listed_nor_live(self) -> None:
         self.peer_table.record_heartbeat(builders.heartbeat("a"), 0)
         self.peer_table.evict_expired(60_000, frozenset({"a"}))
--- a/packages/core/sapphire_core/tagged_flows/openings/reachability.py
+++ b/packages/core/sapphire_core/tagged_flows/openings/reachability.py
@@ -53,7 +53,7 @@
 
         Args:
             remote_silence_ms: How long no host of another data centre has been
-                heard; None if there is none or none was ever heard.
+                heard; None if none is known.
             now_ms: The current time.
         """
         if (
--- a/packages/node/sapphire_node/entry/messages.py
+++ b/packages/node/sapphire_node/entry/messages.py
@@ -160,7 +160,7 @@
             badly, as the peers of this data centre report it, by tag; None
             while upstreams are not due to be judged again.
         remote_silence_ms: How long no host of another data centre has been
-            heard; None if there is none or none was ever heard.
+            heard; None if none is known.
     """
 
     in_flight_by_tag: Mapping[int, float]
