explain: a verdict for each event of a flow, and whether its request may have run

Who asked for a shed, stalled or given-up flow read "carried by these hosts; its opening is not in these logs": five of fifteen verdicts of the code had no text. The texts are now a module of their own, keyed by the verdicts of the code, and each says whether the request may have run. A refusal is no verdict on a flow that was answered too, since callers use ports again.

flow_verdicts_test takes each verdict of the code; on the former table it fails for shed, given_up, stalled, not_opened_again and second_answer.

--- a/packages/ctl/sapphire_ctl/flow_timeline.py
+++ b/packages/ctl/sapphire_ctl/flow_timeline.py
@@ -5,6 +5,8 @@
 import re
 import shlex
 
+from sapphire_ctl import flow_verdicts
+
 # Events this long before the first line of a flow and after its last one may
 # explain what happened to it.
 MARGIN_BEFORE_MS = 10_000
@@ -148,27 +150,6 @@
         lines: The timeline of the flow.
         wanted: The flow, as for `build_timeline`.
     """
-    flow_lines = [
-        line for line in lines if wanted in line.fields.get("flow", "")
-    ]
-    events = [line.event for line in flow_lines]
-    for event, verdict in _VERDICTS_BY_PRIORITY:
-        if event in events:
-            return verdict
-    return "carried by these hosts; its opening is not in these logs"
-
-
-# The first of these events that a flow has decides: the specific ones come
-# before those that most flows have.
-_VERDICTS_BY_PRIORITY = (
-    ("no_route", "refused: no route in this host's configuration; not run"),
-    ("no_upstream", "refused: no upstream of the service; not run"),
-    ("upstream_gone", "ended while open: its upstream was dead"),
-    ("unknown_tag", "ended while open: its upstream is not known here"),
-    ("unanswered", "never answered while opening"),
-    ("opened_again", "answered late: an earlier upstream did not respond"),
-    ("gives_way", "answered late: deferred while the service had no free slot"),
-    ("closed", "answered, and closed by its caller"),
-    ("answered", "opened; its end is not in these logs"),
-    ("opened", "opened; no answer passed through these hosts"),
-)
+    return flow_verdicts.explain(
+        {line.event for line in lines if wanted in line.fields.get("flow", "")}
+    )
