A planned stop ends within a bound, whatever hangs

A stop ended once all tasks had ended, which a task that waits for something outside could delay without a bound; the platform kills such a process. A thread now ends the process one second before the end of the grace time, with a line stop_overdue and status 3, which the soak reports as unexpected. Time in which the whole process is paused does not count, so that a frozen host goes on stopping when it runs again.

--- a/packages/node/sapphire_node/entry/host.py
+++ b/packages/node/sapphire_node/entry/host.py
@@ -31,6 +31,7 @@
 from sapphire_node.entry import readiness
 from sapphire_node.entry import replica_task
 from sapphire_node.entry import startup_reader
+from sapphire_node.entry import stop_deadline
 from sapphire_node.entry import store_follower
 
 _LOG = logging.getLogger(__name__)
@@ -71,7 +72,9 @@
         event_log.log(_LOG, logging.INFO, "stopped_before_start")
         handler.write_buffered()
         return EXIT_OK
-    anyio.run(_main, settings, make_platform, handler, signals)
+    deadline = stop_deadline.StopDeadline(handler.write_buffered)
+    anyio.run(_main, settings, make_platform, handler, signals, deadline)
+    deadline.cancel()
     return EXIT_OK
 
 
@@ -80,6 +83,7 @@
     make_platform: PlatformFactory,
     handler: bounded_log_handler.BoundedLogHandler,
     signals: process_signals.ProcessSignals,
+    deadline: stop_deadline.StopDeadline,
 ) -> None:
     """Runs all tasks until the host has stopped."""
     clock = clock_lib.MonotonicClock()
@@ -148,6 +152,9 @@
         await _wait_for_stop(signal_stream.iterate(signals), platform, state)
         # Further signals are caught and not read: the host already stops as
         # soon as the fabric allows.
+        deadline.start(
+            stop_deadline.longest_stop_ms(state.settings.limits.shutdown_ms)
+        )
         await _shut_down_gracefully(state, clock)
         event_log.log(_LOG, logging.INFO, "stopped", **state.counts)
         tasks.cancel_scope.cancel()
