A response time is counted from the last data, without what the way takes beyond the usual

Two ways: count from the last byte only, which leaves the queue of the link in it; or also take off how much longer than the shortest the last answers to openings took, which pass the same way and are not processed.

Patience with a request that hangs begins anew with data that fills a gap, and is longer by the same excess.

--- a/packages/core/sapphire_core/tagged_flows/health/ejection_control.py
+++ b/packages/core/sapphire_core/tagged_flows/health/ejection_control.py
@@ -11,6 +11,7 @@
 from sapphire_core.peers import outcome_reports
 from sapphire_core.tagged_flows import upstream_table as upstream_table_lib
 from sapphire_core.tagged_flows.health import outlier_ejection
+from sapphire_core.tagged_flows.health import path_time as path_time_lib
 from sapphire_core.tagged_flows.health import request_outcomes
 
 InFlight = Callable[[upstream_table_lib.Entry], float]
@@ -27,6 +28,7 @@
         upstream_table: The upstreams known to this host.
         ejection: Which upstreams are ejected.
         in_flight: Returns the estimated in-flight requests at an upstream.
+        path_time: How long packets take on the way.
     """
 
     def __init__(
@@ -34,11 +36,12 @@
         upstream_table: upstream_table_lib.UpstreamTable,
         ejection: outlier_ejection.OutlierEjection,
         in_flight: InFlight,
+        path_time: path_time_lib.PathTime,
     ) -> None:
         self._upstream_table = upstream_table
         self._ejection = ejection
         self._in_flight = in_flight
-        self.outcomes = request_outcomes.RequestOutcomes()
+        self.outcomes = request_outcomes.RequestOutcomes(path_time)
         self.own_reports: tuple[peer_data.OutcomeReport, ...] = ()
         # The upstreams that some peer reported last.
         self._reported_tags: Collection[int] = ()
--- a/packages/core/sapphire_core/tagged_flows/health/request_outcomes.py
+++ b/packages/core/sapphire_core/tagged_flows/health/request_outcomes.py
@@ -24,6 +24,7 @@
 from sapphire_core.tagged_flows import data
 from sapphire_core.tagged_flows import upstream_table
 from sapphire_core.tagged_flows.flows import flow_table
+from sapphire_core.tagged_flows.health import path_time as path_time_lib
 from sapphire_core.tagged_flows.health import usual_responses
 
 # For how long an outcome counts: long enough for about ten requests at an
@@ -61,7 +62,9 @@
         entry: The upstream.
         base: What the caller had acknowledged before the request.
         end: The sequence number after the last byte of the request.
-        sent_ms: When the last new data of the request arrived.
+        sent_ms: When its data last arrived, repetitions of its last packet
+            apart.
+        repeated_ms: When its data last arrived, all repetitions included.
         has_response: Whether its caller has acknowledged a response.
         is_hanging: Whether it counts as ended badly already.
     """
@@ -70,6 +73,7 @@
     base: int
     end: int
     sent_ms: int
+    repeated_ms: int
     has_response: bool = False
     is_hanging: bool = False
 
@@ -100,9 +104,14 @@
     standard error of up to 0.5 / sqrt(n). A request whose flow moves to another
     host between its data and its response counts as hanging; when a host joins
     or leaves, this is one of the requests in flight at each host, at most.
+
+    Args:
+        path_time: How much longer than usual the way takes, which is no fault
+            of an upstream.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, path_time: path_time_lib.PathTime) -> None:
+        self._path_time = path_time
         self._usual = usual_responses.UsualResponses()
         self._requests: collections.OrderedDict[data.FlowId, _Request] = (
             collections.OrderedDict()
@@ -126,8 +135,10 @@
             now_ms: The current time.
 
         Returns:
-            The response time in milliseconds if the caller acknowledges the
-            begin of a response that is no error, otherwise None.
+            The response time in milliseconds, without the transfer of the
+            request and its excess on the way, if the caller acknowledges the
+            begin of a
+            response that is no error, otherwise None.
         """
         request = self._requests.get(packet.flow_id)
         if request is None:
@@ -142,7 +153,16 @@
             packet.flow_id.endpoint, _received_bytes(packet, request)
         ):
             return None
-        return now_ms - request.sent_ms
+        return self._processing_ms(request, now_ms)
+
+    def _processing_ms(self, request: _Request, now_ms: int) -> int:
+        """Returns how long a request waits, delays of the way apart.
+
+        Counted from its last data, repetitions included: the transfer of a
+        request depends on the links, not on the upstream.
+        """
+        path_ms = self._path_time.excess_ms(now_ms)
+        return max(0, now_ms - request.repeated_ms - path_ms)
 
     def _observe_request(
         self,
@@ -171,13 +191,14 @@
         Args:
             now_ms: The current time.
         """
+        path_ms = self._path_time.excess_ms(now_ms)
         for flow_id, request in list(self._requests.items()):
             waited_ms = now_ms - request.sent_ms
             if waited_ms > flow_table.STALLED_FLOW_TTL_MS * 2:
                 del self._requests[flow_id]
             if request.has_response or request.is_hanging:
                 continue
-            if waited_ms >= self._patience_ms(flow_id.endpoint):
+            if waited_ms >= self._patience_ms(flow_id.endpoint) + path_ms:
                 request.is_hanging = True
                 self._record(flow_id, request.entry, now_ms, is_bad=True)
         while self._outcomes and (now_ms - self._outcomes[0].at_ms > WINDOW_MS):
@@ -239,8 +260,12 @@
         """
         end = (packet.sequence + packet.payload_bytes) & _SEQUENCE_MASK
         if request is not None and not _received_bytes(packet, request):
-            if _distance(end, request.end) > 0:
+            distance = _distance(end, request.end)
+            if distance > 0:
                 request.end = end
+            request.repeated_ms = now_ms
+            if distance != 0:
+                # More of the request, or what was lost of it on the way.
                 request.sent_ms = now_ms
             return
         if request is not None and _distance(end, request.end) <= 0:
@@ -249,7 +274,7 @@
         if request is not None:
             self._finish(packet, request, now_ms)
         self._requests[packet.flow_id] = _Request(
-            entry, packet.acknowledged, end, now_ms
+            entry, packet.acknowledged, end, now_ms, now_ms
         )
         if len(self._requests) > MAX_REQUESTS:
             self._requests.popitem(last=False)
@@ -262,7 +287,7 @@
             return
         request.has_response = True
         endpoint = packet.flow_id.endpoint
-        time_ms = now_ms - request.sent_ms
+        time_ms = self._processing_ms(request, now_ms)
         mean_ms = self._usual.mean_ms(endpoint)
         self._usual.record_time(endpoint, time_ms)
         if mean_ms is None:
--- a/packages/core/sapphire_core/tagged_flows/open_flows.py
+++ b/packages/core/sapphire_core/tagged_flows/open_flows.py
@@ -10,6 +10,7 @@
 from sapphire_core.tagged_flows import upstream_table as upstream_table_lib
 from sapphire_core.tagged_flows.flows import flow_table as flow_table_lib
 from sapphire_core.tagged_flows.health import dead_upstreams
+from sapphire_core.tagged_flows.health import path_time as path_time_lib
 from sapphire_core.tagged_flows.health import request_outcomes
 from sapphire_core.tagged_flows.openings import (
     answer_timeout as answer_timeout_lib,
@@ -36,6 +37,7 @@
         selector: Learns from answers that upstreams respond.
         answer_timeout: Learns how long upstreams take to answer.
         outcomes: Learns what became of requests.
+        path_time: Learns how long packets take on the way.
         load_shedding: Learns how long responses take.
         routing: The configuration in force.
         failover_budget: Learns which upstreams answer.
@@ -52,6 +54,7 @@
         selector: upstream_selector.UpstreamSelector,
         answer_timeout: answer_timeout_lib.AnswerTimeout,
         outcomes: request_outcomes.RequestOutcomes,
+        path_time: path_time_lib.PathTime,
         load_shedding: load_shedding_lib.LoadShedding,
         routing: service_routing.ServiceRouting,
         failover_budget: failover_budget_lib.FailoverBudget,
@@ -64,6 +67,7 @@
         self._selector = selector
         self._answer_timeout = answer_timeout
         self._outcomes = outcomes
+        self._path_time = path_time
         self._load_shedding = load_shedding
         self._routing = routing
         self._failover_budget = failover_budget
@@ -214,15 +218,17 @@
             self._failover_budget.record_outcome(
                 entry.upstream.upstream_id, now_ms, is_silent=False
             )
+            answer_ms = now_ms - half_open.first_seen_ms
             if len(half_open.tried_upstreams) == 1 and (
                 half_open.retransmissions == 0
             ):
-                self._answer_timeout.record(now_ms - half_open.first_seen_ms)
+                self._answer_timeout.record(answer_ms)
+            self._path_time.record(answer_ms, now_ms)
             self._decisions.report(
                 data.Verdict.ANSWERED,
                 packet,
                 entry,
-                waited_ms=now_ms - half_open.first_seen_ms,
+                waited_ms=answer_ms,
                 tries=len(half_open.tried_upstreams),
             )
         return self._flow_table.add(packet.flow_id, entry, now_ms)
--- a/packages/core/sapphire_core/tagged_flows/steering.py
+++ b/packages/core/sapphire_core/tagged_flows/steering.py
@@ -16,6 +16,7 @@
 from sapphire_core.tagged_flows import upstream_table
 from sapphire_core.tagged_flows.flows import flow_table
 from sapphire_core.tagged_flows.health import ejection_control
+from sapphire_core.tagged_flows.health import path_time as path_time_lib
 from sapphire_core.tagged_flows.openings import (
     answer_timeout as answer_timeout_lib,
 )
@@ -61,6 +62,7 @@
         half_open = half_open_flows.HalfOpenFlows()
         answer_timeout = answer_timeout_lib.AnswerTimeout()
         failover_budget = failover_budget_lib.FailoverBudget()
+        path_time = path_time_lib.PathTime()
         load_shedding = load_shedding_lib.LoadShedding(rng)
         self._routing = service_routing.ServiceRouting()
         self.upstream_table = upstream_table.UpstreamTable()
@@ -69,7 +71,10 @@
             data_centre, rng, self.upstream_table, self.flow_table, half_open
         )
         self.ejection_control = ejection_control.EjectionControl(
-            self.upstream_table, self.selector.ejection, self.selector.in_flight
+            self.upstream_table,
+            self.selector.ejection,
+            self.selector.in_flight,
+            path_time,
         )
         self.reachability = reachability.Reachability(
             data_centre, self.upstream_table, failover_budget
@@ -92,6 +97,7 @@
             selector=self.selector,
             answer_timeout=answer_timeout,
             outcomes=self.ejection_control.outcomes,
+            path_time=path_time,
             load_shedding=load_shedding,
             routing=self._routing,
             failover_budget=failover_budget,
--- a/packages/lab/sapphire_lab/tagged_flows/narrow_link_simulation.py
+++ b/packages/lab/sapphire_lab/tagged_flows/narrow_link_simulation.py
@@ -21,10 +21,10 @@
 STEP_MS = 1
 TICK_MS = 10
 SWEEP_MS = 100
+JUDGE_MS = 500
 # From a caller to the host, from the link to an upstream, and from an upstream
 # to a caller.
 ONE_WAY_DELAY_MS = 2
-WORK_MS = 40
 HEADER_BYTES = 40
 REQUEST_BYTES = 300
 RESPONSE_BYTES = 900
@@ -52,6 +52,8 @@
         upload_pause_ms: The time between the starts of two groups of uploads.
         upload_packets: The full packets of one upload.
         openings_per_s: How many flows for one request are opened each second.
+        work_ms: How long an upstream processes a request.
+        objective_ms: The latency objective of all routes.
         lapse_ms: When the entry of one live upstream is removed from the
             registry as if it had stopped; None for never.
     """
@@ -65,6 +67,8 @@
     upload_pause_ms: int = 3_000
     upload_packets: int = 60
     openings_per_s: int = 6
+    work_ms: int = 40
+    objective_ms: int = 200
     lapse_ms: int | None = None
 
 
@@ -102,6 +106,8 @@
 
     Attributes:
         resets: The decisions by which the host has reset open flows.
+        refusals: How many opening packets it has refused.
+        ejections: How many upstreams it has ejected.
         retransmissions: How many packets of open flows callers have repeated.
         responses: How many responses have reached callers.
         lost_packets: How many packets the link has lost.
@@ -113,6 +119,8 @@
 
     def __init__(self, load: Load, seed: int) -> None:
         self.resets: list[decisions.Decision] = []
+        self.refusals = 0
+        self.ejections = 0
         self.retransmissions = 0
         self.responses = 0
         self.lost_packets = 0
@@ -122,7 +130,10 @@
             builders.DATA_CENTRE, random.Random(seed), self._record_decision
         )
         services = (FEED_SERVICE, UPLOAD_SERVICE)
-        self._steering.configure(builders.configuration(1, services))
+        self._steering.configure(
+            builders.configuration(1, services, objective_ms=load.objective_ms)
+        )
+        self._steering.apply_peer_reports({}, {}, 1, 0)
         for number in range(4):
             service = services[number % 2]
             self._steering.upstream_table.put(
@@ -167,9 +178,10 @@
         )
 
     def _record_decision(self, decision: decisions.Decision) -> None:
-        """Records a decision by which the host resets an open flow."""
+        """Records a decision by which the host resets a flow."""
         if decision.verdict is data.Verdict.UPSTREAM_GONE:
             self.resets.append(decision)
+        self.refusals += decision.verdict is data.Verdict.SHED
 
     def _open(
         self, *, is_feed: bool, port: int = builders.SERVICE_PORT
@@ -195,8 +207,8 @@
         flow.unsent_packets = self._load.upload_packets
 
     def _send_opening(self, flow: _Flow, retransmissions: int) -> None:
-        """Sends an opening packet, unless the flow is open by now."""
-        if flow.is_open:
+        """Sends an opening packet, unless the flow is open or refused."""
+        if flow.is_open or flow.is_reset:
             return
         packet = builders.opening(
             flow.number, retransmissions=retransmissions, port=flow.port
@@ -256,7 +268,8 @@
         ):
             return
         self._schedule(
-            WORK_MS + ONE_WAY_DELAY_MS, lambda: self._handle_response(flow)
+            self._load.work_ms + ONE_WAY_DELAY_MS,
+            lambda: self._handle_response(flow),
         )
 
     def _handle_answer(self, flow: _Flow, tag: int) -> None:
@@ -356,3 +369,6 @@
                 self._apply(self._flows_by_number[number], action)
         if self._now_ms % SWEEP_MS == 0:
             self._steering.sweep(self._now_ms)
+        if self._now_ms % JUDGE_MS == 0:
+            changes = self._steering.ejection_control.update({}, self._now_ms)
+            self.ejections += sum(change.is_ejected for change in changes)
--- a/packages/lab/sapphire_lab/tagged_flows/outcome_builders.py
+++ b/packages/lab/sapphire_lab/tagged_flows/outcome_builders.py
@@ -13,6 +13,7 @@
 from sapphire_core.replication import data as replication_data
 from sapphire_core.tagged_flows import data
 from sapphire_core.tagged_flows import upstream_table
+from sapphire_core.tagged_flows.health import path_time
 from sapphire_core.tagged_flows.health import request_outcomes
 from sapphire_lab.tagged_flows import builders
 
@@ -137,7 +138,7 @@
     """
 
     def __init__(self) -> None:
-        self.outcomes = request_outcomes.RequestOutcomes()
+        self.outcomes = request_outcomes.RequestOutcomes(path_time.PathTime())
         self.now_ms = 0
         self._flows = 0
         self._pending: list[
