Callers that wait for a dead upstream are reset unasked

That another upstream has the address is no sign here, since it is concluded from the clocks of the two. A reset of an open flow promises nothing about the request.

Ways: as it stands; at once when the address has another holder, left out since a clock that is wrong would reset flows of an upstream that lives; heartbeats that carry the sign, which would reach no flow that its own host does not record.

Before, no flow was reset in any of them.

--- a/packages/core/sapphire_core/tagged_flows/flows/flow_table.py
+++ b/packages/core/sapphire_core/tagged_flows/flows/flow_table.py
@@ -8,6 +8,7 @@
 """
 
 import collections
+from collections.abc import Set
 import dataclasses
 
 from sapphire_core.tagged_flows import data
@@ -51,6 +52,8 @@
         acknowledged: The highest sequence number that the caller acknowledged.
         request_data_ms: When the last new data of the in-flight request
             arrived; None if no request is in flight.
+        waiting_since_ms: When the caller last sent new data, or acknowledged a
+            part of the response; None if it waits for no response.
         retransmissions: How often the caller has retransmitted the last data
             without any progress.
         last_new_data_ms: When the last new data arrived.
@@ -68,6 +71,7 @@
     next_sequence: int = 0
     acknowledged: int = 0
     request_data_ms: int | None = None
+    waiting_since_ms: int | None = None
     retransmissions: int = 0
     last_new_data_ms: int = 0
     last_retransmission_ms: int = 0
@@ -147,6 +151,7 @@
         record.last_packet_ms = now_ms
         self._by_flow.move_to_end(packet.flow_id)
         if packet.is_reset or packet.is_closing:
+            record.waiting_since_ms = None
             self._end_request(record, now_ms)
             return
         if packet.payload_bytes > 0:
@@ -158,11 +163,32 @@
         # Callers send nothing between a request and its response, so an
         # acknowledgement without data acknowledges the response, or a part.
         if received_bytes % FULL_PACKET_BYTES != 0:
+            record.waiting_since_ms = None
             self._end_request(record, now_ms)
-        elif record.request_data_ms is not None:
+            return
+        if record.waiting_since_ms is not None:
+            record.waiting_since_ms = now_ms
+        if record.request_data_ms is not None:
             # The request counts as in flight while its response arrives.
             record.request_data_ms = now_ms
 
+    def waiting_at(
+        self, upstream_ids: Set[str], since_ms: int
+    ) -> list[tuple[data.FlowId, FlowRecord]]:
+        """Returns the flows whose callers have long waited for a response.
+
+        Args:
+            upstream_ids: The upstreams whose flows are meant.
+            since_ms: Callers that have waited since then, or longer.
+        """
+        return [
+            (flow_id, record)
+            for flow_id, record in self._by_flow.items()
+            if record.waiting_since_ms is not None
+            and record.waiting_since_ms <= since_ms
+            and record.entry.upstream.upstream_id in upstream_ids
+        ]
+
     def has_stalled_elsewhere(
         self, entry: upstream_table.Entry, now_ms: int
     ) -> bool:
@@ -228,6 +254,8 @@
         """
         for record in self._by_flow.values():
             record.last_new_data_ms += stall_ms
+            if record.waiting_since_ms is not None:
+                record.waiting_since_ms += stall_ms
             # What the upstream has sent since may be among the packets that
             # are still to be read.
             record.retransmissions = 0
@@ -280,6 +308,7 @@
         record.retransmissions = 0
         record.is_stall_reported = False
         record.last_new_data_ms = now_ms
+        record.waiting_since_ms = now_ms
         self._observe_acknowledgement(packet, record, now_ms)
         if record.request_data_ms is None:
             self.load.begin(record.entry.upstream.upstream_id, now_ms)
--- a/packages/core/sapphire_core/tagged_flows/health/dead_upstreams.py
+++ b/packages/core/sapphire_core/tagged_flows/health/dead_upstreams.py
@@ -17,8 +17,14 @@
 repeat in many of the flows to other registered upstreams: a path that loses
 packets seldom stalls another flow at the very moment, but shows over seconds. A
 partition gives both signs; the caller cannot continue there either.
+
+A caller whose data was acknowledged before its upstream died repeats nothing,
+and would wait until its deadline. Its flow is reset unasked, once the registry
+says that the upstream has stopped and the caller has waited for far longer than
+the requests of its route take. See `waiting_in_vain`.
 """
 
+from collections.abc import Callable
 import enum
 
 from sapphire_core.tagged_flows import data
@@ -35,6 +41,15 @@
 # doubt. A path that loses less loses the same data three times in fewer than
 # one of a thousand requests.
 MAX_REPEATED_SHARE = 0.1
+# For how long a caller has to have waited until its flow is reset unasked. An
+# entry lapses after about as long without a report, so that such a flow has
+# been silent at least since the last one.
+MIN_UNASKED_WAIT_MS = 3_000
+# How many flows are reset unasked at a time.
+MAX_UNASKED = 64
+
+# Returns the time that few requests of a route exceed, None if not known.
+LongestUsualMs = Callable[[data.Endpoint], float | None]
 
 
 class Evidence(enum.StrEnum):
@@ -78,6 +93,54 @@
     return Evidence.REMOVED
 
 
+def waiting_in_vain(
+    upstreams: upstream_table.UpstreamTable,
+    flows: flow_table.FlowTable,
+    longest_usual_ms: LongestUsualMs,
+    now_ms: int,
+) -> list[tuple[data.FlowId, flow_table.FlowRecord]]:
+    """Returns flows whose callers wait for a response of a dead upstream.
+
+    That an upstream has the address of another one is no sign here: it is
+    concluded from the clocks of the two.
+
+    Args:
+        upstreams: The upstreams known to this host.
+        flows: All records of this host.
+        longest_usual_ms: How long the requests of a route may take.
+        now_ms: The current time.
+
+    Returns:
+        At most `MAX_UNASKED` flows.
+    """
+    stopped_ids = {
+        entry.upstream.upstream_id
+        for entry in upstreams.by_id.values()
+        if _has_stopped(entry, now_ms)
+    }
+    if not stopped_ids:
+        return []
+    found: list[tuple[data.FlowId, flow_table.FlowRecord]] = []
+    for flow_id, record in flows.waiting_at(
+        stopped_ids, now_ms - MIN_UNASKED_WAIT_MS
+    ):
+        longest_ms = longest_usual_ms(flow_id.endpoint)
+        waited_ms = now_ms - (record.waiting_since_ms or now_ms)
+        if longest_ms is None or waited_ms < longest_ms:
+            continue
+        last_active_ms = record.entry.last_active_ms
+        if last_active_ms is not None and (
+            now_ms - last_active_ms < MIN_UNASKED_WAIT_MS
+        ):
+            continue
+        if is_own_path_in_doubt(record.entry, flows, now_ms):
+            continue
+        found.append((flow_id, record))
+        if len(found) == MAX_UNASKED:
+            break
+    return found
+
+
 def is_own_path_in_doubt(
     entry: upstream_table.Entry, flows: flow_table.FlowTable, now_ms: int
 ) -> bool:
--- a/packages/core/sapphire_core/tagged_flows/health/dead_upstreams_test.py
+++ b/packages/core/sapphire_core/tagged_flows/health/dead_upstreams_test.py
@@ -2,6 +2,7 @@
 
 from sapphire_core.tagged_flows import data
 from sapphire_core.tagged_flows import tags
+from sapphire_core.tagged_flows.health import dead_upstreams
 from sapphire_lab.tagged_flows import builders
 
 # When a caller sends its data and retransmits it (the protocol).
@@ -336,3 +337,145 @@
             packet = builders.packet(1, tag=tags.tag_of("i-1"), sequence=302)
             self.bench.steering.handle(packet, now_ms)
         self.assertEqual(2, len(self.stalled()))
+
+
+class WaitingInVainTest(testtools.TestCase):
+    """A caller repeats nothing: its data was acknowledged."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.bench = builders.SteeringBench(
+            builders.upstream("i-1"), builders.upstream("i-2")
+        )
+        self.steering = self.bench.steering
+        self.now_ms = 0
+        # Requests of the route take 50 ms.
+        for number in range(20, 30):
+            self.serve(number, "i-2", 50)
+        self.sent_ms = self.now_ms
+        self.send(1, "i-1")
+
+    def send(self, number: int, upstream_id: str, response: int = 0) -> None:
+        """Sends a request, or acknowledges some bytes of its response."""
+        packet = builders.packet(
+            number,
+            tag=tags.tag_of(upstream_id),
+            sequence=302 if response else 2,
+            acknowledged=100 + response,
+            payload_bytes=0 if response else 300,
+        )
+        self.steering.handle(packet, self.now_ms)
+
+    def serve(self, number: int, upstream_id: str, time_ms: int) -> None:
+        """Sends a request that is answered."""
+        self.send(number, upstream_id)
+        self.resets_until(self.now_ms + time_ms)
+        self.send(number, upstream_id, response=870)
+
+    def remove_upstream(
+        self,
+        cause: data.RemovalCause = data.RemovalCause.UPSTREAM_STOPPED,
+    ) -> None:
+        self.steering.upstream_table.remove("i-1", self.now_ms, cause)
+
+    def resets_until(self, until_ms: int) -> list[int]:
+        """Returns the times of the resets that are sent unasked."""
+        resets: list[int] = []
+        while self.now_ms < until_ms:
+            self.now_ms += 50
+            for action in self.steering.sweep(self.now_ms):
+                assert isinstance(action, data.Reset)
+                resets.append(self.now_ms)
+        return resets
+
+    def test_it_is_reset_once_its_upstream_has_stopped(self) -> None:
+        self.resets_until(self.sent_ms + 2_400)
+        self.remove_upstream()
+        resets = self.resets_until(self.sent_ms + 10_000)
+        self.assertEqual([self.sent_ms + 3_000], resets)
+        decision = self.bench.decisions[-1]
+        self.assertEqual(data.Verdict.UPSTREAM_GONE, decision.verdict)
+
+    def test_the_reset_has_what_the_caller_acknowledged(self) -> None:
+        self.send(1, "i-1", response=1_200)
+        self.remove_upstream()
+        self.now_ms += 50
+        for _ in range(100):
+            self.now_ms += 50
+            for action in self.steering.sweep(self.now_ms):
+                self.assertEqual(builders.flow(1), action.packet.flow_id)
+                self.assertEqual(1_300, action.packet.acknowledged)
+                return
+        self.fail("not reset")
+
+    def test_a_caller_that_waits_for_nothing_keeps_its_flow(self) -> None:
+        self.send(1, "i-1", response=870)
+        self.remove_upstream()
+        self.assertEqual([], self.resets_until(self.sent_ms + 10_000))
+
+    def test_a_registered_upstream_may_take_long(self) -> None:
+        self.assertEqual([], self.resets_until(self.sent_ms + 10_000))
+
+    # An upstream that lives never loses a flow by it.
+    def test_an_entry_that_lapsed_with_the_registry_says_nothing(self) -> None:
+        for cause in (
+            data.RemovalCause.REGISTRY_UNAVAILABLE,
+            data.RemovalCause.UNKNOWN,
+        ):
+            self.remove_upstream(cause)
+            self.assertEqual([], self.resets_until(self.now_ms + 8_000))
+
+    def test_an_entry_that_came_back_says_nothing(self) -> None:
+        self.remove_upstream()
+        self.resets_until(self.sent_ms + 1_000)
+        self.steering.upstream_table.put(builders.upstream("i-1"), 9, 0)
+        self.assertEqual([], self.resets_until(self.sent_ms + 10_000))
+
+    def test_an_address_used_again_is_no_sign_by_itself(self) -> None:
+        """The clocks of the two upstreams may differ by seconds."""
+        address = builders.upstream("i-1").address
+        other = builders.upstream("i-9", address=address, started_ms=2)
+        self.steering.upstream_table.put(other, 9, self.now_ms)
+        self.assertEqual([], self.resets_until(self.sent_ms + 10_000))
+
+    def test_an_upstream_that_answers_others_keeps_its_flows(self) -> None:
+        self.remove_upstream()
+        for number in range(50, 60):
+            self.serve(number, "i-1", 900)
+        self.assertNotIn(data.Verdict.UPSTREAM_GONE, self.bench.verdicts())
+
+    def test_requests_of_a_slow_route_may_take_as_long_as_usual(self) -> None:
+        for number in range(100, 140):
+            self.serve(number, "i-2", 1_000)
+        self.now_ms += 100
+        self.sent_ms = self.now_ms
+        self.send(1, "i-1")
+        self.remove_upstream()
+        self.assertEqual([], self.resets_until(self.sent_ms + 5_000))
+
+    def test_a_stall_of_this_process_is_no_waiting(self) -> None:
+        self.remove_upstream()
+        self.resets_until(self.sent_ms + 600)
+        self.now_ms += 5_000
+        self.assertEqual([], self.resets_until(self.now_ms + 1_000))
+
+    def test_a_bad_path_of_this_host_is_a_doubt(self) -> None:
+        """Other flows are stalled, so that i-1 may only seem silent."""
+        self.remove_upstream()
+        start_ms = self.now_ms
+        resets: list[int] = []
+        for number in range(60, 66):
+            for _ in range(3):
+                self.send(number, "i-2")
+                resets += self.resets_until(self.now_ms + 200)
+        self.assertLess(start_ms + 3_000, self.now_ms)
+        self.assertEqual([], resets)
+
+    def test_many_flows_are_reset_in_batches(self) -> None:
+        for number in range(200, 500):
+            self.send(number, "i-1")
+        self.remove_upstream()
+        resets = self.resets_until(self.sent_ms + 10_000)
+        self.assertEqual(301, len(resets))
+        per_sweep = [resets.count(each) for each in set(resets)]
+        self.assertLessEqual(max(per_sweep), dead_upstreams.MAX_UNASKED)
--- a/packages/core/sapphire_core/tagged_flows/health/request_outcomes.py
+++ b/packages/core/sapphire_core/tagged_flows/health/request_outcomes.py
@@ -204,6 +204,18 @@
         while self._outcomes and (now_ms - self._outcomes[0].at_ms > WINDOW_MS):
             self._outcomes.popleft()
 
+    def longest_usual_ms(self, endpoint: data.Endpoint) -> float | None:
+        """Returns the time that few requests of a route exceed.
+
+        Args:
+            endpoint: The endpoint of the route.
+
+        Returns:
+            The time; None while too few responses are known.
+        """
+        mean_ms = self._usual.mean_ms(endpoint)
+        return None if mean_ms is None else mean_ms * PATIENCE_MEANS
+
     def forget_requests(self) -> None:
         """Forgets the requests in flight.
 
--- a/packages/core/sapphire_core/tagged_flows/open_flows.py
+++ b/packages/core/sapphire_core/tagged_flows/open_flows.py
@@ -142,6 +142,35 @@
             self._report_stalled(data.Verdict.STALLED, packet, record, now_ms)
         return data.Forward(packet, entry.upstream, entry.tag)
 
+    def reset_waiting_in_vain(self, now_ms: int) -> list[data.Action]:
+        """Resets flows whose callers wait for a response of a dead upstream.
+
+        Args:
+            now_ms: The current time.
+
+        Returns:
+            The resets.
+        """
+        actions: list[data.Action] = []
+        for flow_id, record in dead_upstreams.waiting_in_vain(
+            self._upstream_table,
+            self._flow_table,
+            self._outcomes.longest_usual_ms,
+            now_ms,
+        ):
+            packet = _last_acknowledgement(flow_id, record)
+            self._report_stalled(
+                data.Verdict.UPSTREAM_GONE,
+                packet,
+                record,
+                now_ms,
+                evidence=dead_upstreams.Evidence.REMOVED.value,
+                asked="no",
+            )
+            self._flow_table.discard(flow_id)
+            actions.append(data.Reset(packet, data.Verdict.UPSTREAM_GONE))
+        return actions
+
     def _record_response(
         self,
         packet: data.Packet,
@@ -232,3 +261,20 @@
                 tries=len(half_open.tried_upstreams),
             )
         return self._flow_table.add(packet.flow_id, entry, now_ms)
+
+
+def _last_acknowledgement(
+    flow_id: data.FlowId, record: flow_table_lib.FlowRecord
+) -> data.Packet:
+    """Returns a packet in which a caller acknowledges what it has received."""
+    return data.Packet(
+        flow_id,
+        False,
+        False,
+        False,
+        record.entry.tag,
+        record.next_sequence,
+        record.acknowledged,
+        0,
+        b"",
+    )
--- a/packages/core/sapphire_core/tagged_flows/steering.py
+++ b/packages/core/sapphire_core/tagged_flows/steering.py
@@ -226,12 +226,16 @@
         """How many flows are deferred until an upstream has a free slot."""
         return len(self._openings.deferred)
 
-    def sweep(self, now_ms: int) -> None:
+    def sweep(self, now_ms: int) -> list[data.Action]:
         """Evicts expired state; to be called about every 100 ms.
 
         Args:
             now_ms: The current time.
+
+        Returns:
+            What to send: resets of flows whose callers wait in vain.
         """
+        self._allow_for_stall(now_ms)
         self._last_sweep_ms = now_ms
         idle_timeout_ms = upstream_table.MAX_FLOW_LIFETIME_MS
         if self.configuration is not None:
@@ -240,3 +244,4 @@
         self.ejection_control.outcomes.sweep(now_ms)
         for upstream_id in self.upstream_table.evict_expired(now_ms):
             self.selector.discard(upstream_id)
+        return self._open_flows.reset_waiting_in_vain(now_ms)
--- a/packages/node/sapphire_node/entry/packet_task.py
+++ b/packages/node/sapphire_node/entry/packet_task.py
@@ -174,7 +174,8 @@
                 await self._send_own_reports(now_ms, is_urgent=True)
             if now_ms - last_sweep_ms >= SWEEP_INTERVAL_MS:
                 last_sweep_ms = now_ms
-                self._steering.sweep(now_ms)
+                for action in self._steering.sweep(now_ms):
+                    self._send_action(action)
                 self._update_readiness(now_ms)
 
     async def _wait_for_tick(self) -> None:
