Full packets wait for the host's own link instead of being lost on it

A host forwards what callers send as it arrives, windows of 16 full packets, over a link that holds 50 ms.

A host that knows the width of its link (limits.linkMbps of its settings) now sends full packets at that rate, less its own heartbeats, and queues the rest, one second at most. Opening packets, short requests and acknowledgements leave at once; the copy of a packet that still waits is not sent twice; what a reset gives up is dropped. A width that is missing, 0 or no number leaves everything as it was and is told in the log (setting_ignored).

--- a/packages/lab/sapphire_lab/tagged_flows/narrow_link_simulation.py
+++ b/packages/lab/sapphire_lab/tagged_flows/narrow_link_simulation.py
@@ -15,6 +15,7 @@
 
 from sapphire_core.tagged_flows import data
 from sapphire_core.tagged_flows import decisions
+from sapphire_core.tagged_flows import link_queue
 from sapphire_core.tagged_flows import steering as steering_lib
 from sapphire_lab.tagged_flows import builders
 
@@ -25,13 +26,14 @@
 # From a caller to the host, from the link to an upstream, and from an upstream
 # to a caller.
 ONE_WAY_DELAY_MS = 2
-HEADER_BYTES = 40
+HEADER_BYTES = 68
 REQUEST_BYTES = 300
 RESPONSE_BYTES = 900
 FULL_PACKET_BYTES = 1_200
 MAX_PACKETS_IN_FLIGHT = 16
 FIRST_RETRANSMISSION_MS = 200
 MAX_RETRANSMISSION_MS = 1_600
+RANDOM_UPLOADS_MS = 10_000
 OPENING_TIMES_MS = (0, 200, 600)
 FEED_SERVICE = "board"
 UPLOAD_SERVICE = "intake"
@@ -45,11 +47,15 @@
         bytes_per_ms: The rate of the host's link.
         max_queue_ms: The longest time that a packet waits for the link; further
             packets are lost.
+        has_link_queue: Whether the host knows the rate of its link and queues
+            what the link cannot carry.
         loss: The share of packets that the link loses, from 0 to 1.
         feeds: How many flows stay open for a request every `feed_pause_ms`.
         feed_pause_ms: The mean pause between two requests of a feed.
         uploads: How many uploads start every `upload_pause_ms`.
         upload_pause_ms: The time between the starts of two groups of uploads.
+        random_uploads: How many further uploads start at random times in the
+            first ten seconds.
         upload_packets: The full packets of one upload.
         openings_per_s: How many flows for one request are opened each second.
         work_ms: How long an upstream processes a request.
@@ -60,11 +66,13 @@
 
     bytes_per_ms: float = 250.0
     max_queue_ms: int = 1_000
+    has_link_queue: bool = False
     loss: float = 0.0
     feeds: int = 20
     feed_pause_ms: int = 4_000
     uploads: int = 3
     upload_pause_ms: int = 3_000
+    random_uploads: int = 0
     upload_packets: int = 60
     openings_per_s: int = 6
     work_ms: int = 40
@@ -84,6 +92,7 @@
         acknowledged: What the caller acknowledges.
         unacknowledged: The payload sizes in flight, by their sequence number.
         unsent_packets: The full packets still to be sent.
+        started_ms: When its caller opened it.
         is_open: Whether an upstream has answered the opening packet.
         is_feed: Whether the flow stays open for further requests.
         is_reset: Whether the host has reset the flow.
@@ -92,6 +101,7 @@
     number: int
     port: int
     is_feed: bool
+    started_ms: int
     unsent_packets: int = 0
     tag: int = 0
     sequence: int = 2
@@ -110,6 +120,7 @@
         ejections: How many upstreams it has ejected.
         retransmissions: How many packets of open flows callers have repeated.
         responses: How many responses have reached callers.
+        upload_times_ms: How long each finished upload took.
         lost_packets: How many packets the link has lost.
 
     Args:
@@ -123,6 +134,7 @@
         self.ejections = 0
         self.retransmissions = 0
         self.responses = 0
+        self.upload_times_ms: list[int] = []
         self.lost_packets = 0
         self._load = load
         self._rng = random.Random(seed)
@@ -139,6 +151,9 @@
             self._steering.upstream_table.put(
                 builders.upstream(f"i-{number}", service), number + 1, 0
             )
+        self._link_queue = link_queue.LinkQueue(
+            load.bytes_per_ms if load.has_link_queue else None
+        )
         self._now_ms = 0
         self._link_free_ms = 0.0
         self._flow_count = 0
@@ -161,6 +176,10 @@
         for start_ms in range(500, seconds * 1_000, self._load.upload_pause_ms):
             for _ in range(self._load.uploads):
                 self._schedule(start_ms, self._start_upload)
+        for _ in range(self._load.random_uploads):
+            self._schedule(
+                self._rng.randrange(RANDOM_UPLOADS_MS), self._start_upload
+            )
         for _ in range(seconds * self._load.openings_per_s):
             delay_ms = self._rng.randrange(seconds * 1_000)
             self._schedule(
@@ -188,7 +207,7 @@
     ) -> _Flow:
         """Starts a flow by scheduling its opening packets."""
         self._flow_count += 1
-        flow = _Flow(self._flow_count, port, is_feed)
+        flow = _Flow(self._flow_count, port, is_feed, self._now_ms)
         self._flows_by_number[flow.number] = flow
         for retransmissions, delay_ms in enumerate(OPENING_TIMES_MS):
             self._schedule(
@@ -225,6 +244,11 @@
             flow.is_reset = True
         if not isinstance(action, data.Forward):
             return
+        if self._link_queue.admit(action, self._now_ms):
+            self._transmit_forward(flow, action)
+
+    def _transmit_forward(self, flow: _Flow, action: data.Forward) -> None:
+        """Sends a packet over the link, which may lose it."""
         packet = action.packet
         delay_ms = self._pass_link(HEADER_BYTES + packet.payload_bytes)
         if delay_ms is None:
@@ -338,6 +362,8 @@
         if flow.is_reset:
             return
         self.responses += 1
+        if flow.port != builders.SERVICE_PORT:
+            self.upload_times_ms.append(self._now_ms - flow.started_ms)
         flow.acknowledged += RESPONSE_BYTES
         is_closing = not flow.is_feed
         packet = self._packet(flow, flow.sequence, 0, is_closing=is_closing)
@@ -360,15 +386,19 @@
         self._now_ms += STEP_MS
         while self._events and self._events[0][0] <= self._now_ms:
             heapq.heappop(self._events)[2]()
+        if self._now_ms % TICK_MS == 0:
+            for forward in self._link_queue.release(self._now_ms):
+                self._transmit_forward(self._flow_of(forward.packet), forward)
         if self._now_ms % TICK_MS == 0 and self._steering.has_pending:
             for action in self._steering.tick(self._now_ms):
-                number = (
-                    action.packet.flow_id.caller_port
-                    - builders.flow(0).caller_port
-                )
-                self._apply(self._flows_by_number[number], action)
+                self._apply(self._flow_of(action.packet), action)
         if self._now_ms % SWEEP_MS == 0:
             self._steering.sweep(self._now_ms)
         if self._now_ms % JUDGE_MS == 0:
             changes = self._steering.ejection_control.update({}, self._now_ms)
             self.ejections += sum(change.is_ejected for change in changes)
+
+    def _flow_of(self, packet: data.Packet) -> _Flow:
+        """Returns the flow of a packet."""
+        number = packet.flow_id.caller_port - builders.flow(0).caller_port
+        return self._flows_by_number[number]
--- a/packages/node/sapphire_node/entry/host.py
+++ b/packages/node/sapphire_node/entry/host.py
@@ -96,7 +96,9 @@
         host=settings.host_name,
         data_centre=settings.data_centre,
         store=f"{settings.store_address[0]}:{settings.store_address[1]}",
+        link_bytes_per_ms=settings.limits.link_bytes_per_ms,
     )
+    _log_problems(settings, "start")
     batches, received_batches = anyio.create_memory_object_stream[
         messages.ReplicaMessage
     ](math.inf)
@@ -150,11 +152,11 @@
         tasks.start_soon(metrics_task.MetricsTask(state, clock).run)
         tasks.start_soon(_poll_settings, platform, state)
         await _wait_for_stop(signal_stream.iterate(signals), platform, state)
-        # Further signals are caught and not read: the host already stops as
-        # soon as the fabric allows.
         deadline.start(
             stop_deadline.longest_stop_ms(state.settings.limits.shutdown_ms)
         )
+        # Further signals are caught and not read: the host already stops as
+        # soon as the fabric allows.
         await _shut_down_gracefully(state, clock)
         event_log.log(_LOG, logging.INFO, "stopped", **state.counts)
         tasks.cancel_scope.cancel()
@@ -233,3 +235,12 @@
         return
     state.settings = settings
     event_log.log(_LOG, logging.INFO, "settings_reloaded", cause=cause)
+    _log_problems(settings, cause)
+
+
+def _log_problems(
+    settings: platform_interface.HostSettings, cause: str
+) -> None:
+    """Logs which values of the settings the host does without."""
+    for problem in settings.problems:
+        event_log.log_failure(_LOG, "setting_ignored", problem, cause=cause)
--- a/packages/node/sapphire_node/entry/host_state.py
+++ b/packages/node/sapphire_node/entry/host_state.py
@@ -47,6 +47,7 @@
         is_near_host_away: Whether another host of its data centre is leaving,
             or has sent no heartbeats for a short time and may come back.
         last_packet_ms: When the last packet arrived.
+        peer_bytes_sent: What this host has sent in heartbeats.
         startup_read: Set when the store has been read after the start.
         startup_revision: The revision of the store at that read.
         startup_era: The era of the store at that read.
@@ -80,6 +81,7 @@
     leaving: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     is_near_host_away: bool = False
     last_packet_ms: int = 0
+    peer_bytes_sent: int = 0
     startup_read: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     startup_revision: int = 0
     startup_era: int = 0
--- a/packages/node/sapphire_node/entry/packet_task.py
+++ b/packages/node/sapphire_node/entry/packet_task.py
@@ -13,6 +13,7 @@
 from sapphire_core.replication import data as replication_data
 from sapphire_core.tagged_flows import data
 from sapphire_core.tagged_flows import decisions
+from sapphire_core.tagged_flows import link_queue
 from sapphire_core.tagged_flows import steering as steering_lib
 from sapphire_core.tagged_flows import upstream_table
 from sapphire_data import clock as clock_lib
@@ -77,6 +78,11 @@
         self._steering = steering_lib.Steering(
             state.settings.data_centre, random.Random(), self._record_decision
         )
+        self._settings = state.settings
+        self._link_queue = link_queue.LinkQueue(
+            state.settings.limits.link_bytes_per_ms
+        )
+        self._peer_bytes_recorded = 0
         self._work_pending = anyio.Event()
         self._scopes_known_ms: int | None = None
         self._known_scopes: set[replication_data.Scope] = set()
@@ -129,20 +135,40 @@
 
     def _handle_packet(self, packet: data.Packet, now_ms: int) -> None:
         """Decides over a packet, sends the result and starts ticks if due."""
-        self._send_action(self._steering.handle(packet, now_ms))
-        if self._steering.has_pending:
+        self._send_action(self._steering.handle(packet, now_ms), now_ms)
+        if self._has_pending:
             self._work_pending.set()
 
-    def _send_action(self, action: data.Action) -> None:
-        """Sends the datagram of an action, if it has one."""
+    @property
+    def _has_pending(self) -> bool:
+        """Whether there is anything that needs ticks."""
+        return self._steering.has_pending or len(self._link_queue) > 0
+
+    def _send_action(self, action: data.Action, now_ms: int) -> None:
+        """Sends the datagram of an action, if it has one, or queues it."""
         if isinstance(action, data.Forward):
-            datagram = self._codec.encode_forward(action)
-            self._send(datagram, action.upstream.address)
+            if self._link_queue.admit(action, now_ms):
+                self._send_forward(action)
+            else:
+                self._state.counts["packets_queued"] += 1
             return
         if isinstance(action, data.Reset):
             datagram = self._codec.encode_reset(action.packet)
             self._send(datagram, self._codec.caller_address(action.packet))
 
+    def _release_queued(self, now_ms: int) -> None:
+        """Sends the queued packets that the link can carry by now."""
+        peer_bytes = self._state.peer_bytes_sent
+        self._link_queue.record_sent(peer_bytes - self._peer_bytes_recorded)
+        self._peer_bytes_recorded = peer_bytes
+        for forward in self._link_queue.release(now_ms):
+            self._send_forward(forward)
+
+    def _send_forward(self, forward: data.Forward) -> None:
+        """Sends a packet to its upstream."""
+        datagram = self._codec.encode_forward(forward)
+        self._send(datagram, forward.upstream.address)
+
     def _send(self, datagram: bytes, address: data.Address) -> None:
         """Sends one datagram.
 
@@ -167,20 +193,22 @@
         while True:
             await self._wait_for_tick()
             now_ms = self._clock.now_ms()
+            self._release_queued(now_ms)
             for action in self._steering.tick(now_ms):
-                self._send_action(action)
+                self._send_action(action, now_ms)
             if self._steering.selector.has_urgent_report:
                 self._steering.selector.has_urgent_report = False
                 await self._send_own_reports(now_ms, is_urgent=True)
             if now_ms - last_sweep_ms >= SWEEP_INTERVAL_MS:
                 last_sweep_ms = now_ms
                 for action in self._steering.sweep(now_ms):
-                    self._send_action(action)
+                    self._send_action(action, now_ms)
+                self._follow_settings()
                 self._update_readiness(now_ms)
 
     async def _wait_for_tick(self) -> None:
         """Waits for the next tick, or a sweep while nothing is pending."""
-        if self._steering.has_pending:
+        if self._has_pending:
             await pauses.sleep_ms(TICK_INTERVAL_MS)
             return
         self._work_pending = anyio.Event()
@@ -188,6 +216,12 @@
             await self._work_pending.wait()
             await pauses.sleep_ms(FIRST_TICK_MS)
 
+    def _follow_settings(self) -> None:
+        """Applies the rate of the link if the settings have changed."""
+        if self._state.settings is not self._settings:
+            self._settings = self._state.settings
+            self._link_queue.set_rate(self._settings.limits.link_bytes_per_ms)
+
     async def _apply_messages(self) -> None:
         """Applies new changes and the reports of peers, until cancelled."""
         async for message in self._changes:
--- a/packages/node/sapphire_node/entry/peer_task.py
+++ b/packages/node/sapphire_node/entry/peer_task.py
@@ -53,6 +53,8 @@
 # The interval of heartbeats to other data centres while nothing changes;
 # traffic between data centres is paid for by the byte.
 REMOTE_HEARTBEAT_INTERVAL_MS = 1_000
+# The heads of IP and UDP.
+_HEAD_BYTES = 28
 
 Inbox = anyio.streams.memory.MemoryObjectReceiveStream[
     messages.HostListChanged
@@ -347,6 +349,7 @@
         """Sends a datagram to an address; a failure is logged only."""
         try:
             self._socket.sendto(datagram, address)
+            self._state.peer_bytes_sent += len(datagram) + _HEAD_BYTES
         except datagrams.SEND_ERRORS as error:
             self._state.counts["beats_not_sent"] += 1
             event_log.log(
--- a/packages/node/sapphire_node/entry/platform_interface.py
+++ b/packages/node/sapphire_node/entry/platform_interface.py
@@ -159,7 +159,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Limits:
-    """The time limits that the platform sets.
+    """The limits that the platform sets.
 
     Attributes:
         shutdown_ms: The time from the request to stop until the platform kills
@@ -168,11 +168,14 @@
         contact_ms: After this time without any disruption, hosts and the
             store are expected to reach each other; what is known of a host
             that has been silent for longer no longer counts.
+        link_bytes_per_ms: The rate of the host's own link; None if it is not
+            known.
     """
 
     shutdown_ms: int
     flow_life_ms: int
     contact_ms: int
+    link_bytes_per_ms: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -190,7 +193,8 @@
         metrics_address: The address that serves metrics.
         store_address: The address of the store.
         seed_addresses: The peer addresses of a few hosts, which may be down.
-        limits: The time limits that the platform sets.
+        limits: The limits that the platform sets.
+        problems: Why values were left out that a host can do without.
     """
 
     host_name: str
@@ -203,6 +207,7 @@
     store_address: flow_data.Address
     seed_addresses: tuple[flow_data.Address, ...]
     limits: Limits
+    problems: tuple[failures.Failure, ...] = ()
 
 
 class Platform(Protocol):
