--- a/packages/core/sapphire_core/tagged_flows/health/path_time.py
+++ b/packages/core/sapphire_core/tagged_flows/health/path_time.py
@@ -26,6 +26,8 @@
             maxlen=MAX_SAMPLES
         )
         self._shortest_ms: int | None = None
+        # As of the last sample.
+        self._excess_ms = 0
 
     def record(self, answer_ms: int, now_ms: int) -> None:
         """Records an answer to an opening packet.
@@ -34,9 +36,17 @@
             answer_ms: The time from its first copy to the caller's next packet.
             now_ms: The current time.
         """
-        self._samples.append((now_ms, answer_ms))
+        samples = self._samples
+        samples.append((now_ms, answer_ms))
+        while now_ms - samples[0][0] > MAX_AGE_MS:
+            samples.popleft()
         if self._shortest_ms is None or answer_ms < self._shortest_ms:
             self._shortest_ms = answer_ms
+        self._excess_ms = 0
+        if len(samples) >= MIN_SAMPLES:
+            times_ms = sorted(each_ms for _, each_ms in samples)
+            median_ms = times_ms[(len(times_ms) - 1) // 2]
+            self._excess_ms = median_ms - self._shortest_ms
 
     def excess_ms(self, now_ms: int) -> int:
         """Returns how much longer the way takes than if nothing waits on it.
@@ -47,12 +57,6 @@
         Returns:
             The excess; 0 if it is not known.
         """
-        times_ms = [
-            answer_ms
-            for at_ms, answer_ms in self._samples
-            if now_ms - at_ms <= MAX_AGE_MS
-        ]
-        if self._shortest_ms is None or len(times_ms) < MIN_SAMPLES:
+        if not self._samples or now_ms - self._samples[-1][0] > MAX_AGE_MS:
             return 0
-        times_ms.sort()
-        return times_ms[(len(times_ms) - 1) // 2] - self._shortest_ms
+        return self._excess_ms
--- a/packages/core/sapphire_core/tagged_flows/health/request_outcomes.py
+++ b/packages/core/sapphire_core/tagged_flows/health/request_outcomes.py
@@ -19,6 +19,7 @@
 
 import collections
 import dataclasses
+from typing import NamedTuple
 
 from sapphire_core.peers import outcome_reports
 from sapphire_core.tagged_flows import data
@@ -66,6 +67,7 @@
             apart.
         repeated_ms: When its data last arrived, all repetitions included.
         has_response: Whether its caller has acknowledged a response.
+        response_ms: How long the response took, once it has one.
         is_hanging: Whether it counts as ended badly already.
     """
 
@@ -75,13 +77,15 @@
     sent_ms: int
     repeated_ms: int
     has_response: bool = False
+    response_ms: int = 0
     is_hanging: bool = False
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Outcome:
+class _Outcome(NamedTuple):
     """The end of one request, or the begin of its response.
 
+    Two are made of each request.
+
     Attributes:
         at_ms: When it was observed.
         tag: The tag of the upstream.
@@ -135,10 +139,9 @@
             now_ms: The current time.
 
         Returns:
-            The response time in milliseconds, without the transfer of the
-            request and its excess on the way, if the caller acknowledges the
-            begin of a
-            response that is no error, otherwise None.
+            The response time in milliseconds if the caller acknowledges the
+            begin of a response that is no error, otherwise None. It is without
+            the transfer of the request and its excess on the way.
         """
         request = self._requests.get(packet.flow_id)
         if request is None:
@@ -153,7 +156,7 @@
             packet.flow_id.endpoint, _received_bytes(packet, request)
         ):
             return None
-        return self._processing_ms(request, now_ms)
+        return request.response_ms
 
     def _processing_ms(self, request: _Request, now_ms: int) -> int:
         """Returns how long a request waits, delays of the way apart.
@@ -300,6 +303,7 @@
         request.has_response = True
         endpoint = packet.flow_id.endpoint
         time_ms = self._processing_ms(request, now_ms)
+        request.response_ms = time_ms
         mean_ms = self._usual.mean_ms(endpoint)
         self._usual.record_time(endpoint, time_ms)
         if mean_ms is None:
--- a/packages/core/sapphire_core/tagged_flows/health/usual_responses.py
+++ b/packages/core/sapphire_core/tagged_flows/health/usual_responses.py
@@ -28,15 +28,22 @@
 # An error is also below this part of the lower edge of the class that holds the
 # median, so that small responses of a route of small ones count as usual.
 _SHORT_PART = 2
+# The weights of sizes grow with time and are then scaled back at once.
+_MAX_TOTAL_WEIGHT = 1e12
 # The weight of a response time in the mean.
 _TIME_WEIGHT = 1 / 16
 
 
 class _Route:
-    """The usual response of one route."""
+    """The usual response of one route.
+
+    The shares of the classes of sizes are their weights divided by the total: a
+    new size then adds to its class alone, instead of decaying all the others.
+    """
 
     def __init__(self) -> None:
-        self.size_shares = [0.0] * _SIZE_CLASSES
+        self.size_weights = [0.0] * _SIZE_CLASSES
+        self.total_weight = 0.0
         self.sizes = 0
         self.size_recorded_ms = 0
         self.mean_ms = 0.0
@@ -73,11 +80,18 @@
         if route.sizes <= MIN_RESPONSES:
             weight = 1 / route.sizes
         route.size_recorded_ms = now_ms
-        route.size_shares = [
-            share * (1 - weight) for share in route.size_shares
-        ]
+        if route.total_weight > _MAX_TOTAL_WEIGHT:
+            route.size_weights = [
+                each / route.total_weight for each in route.size_weights
+            ]
+            route.total_weight = 1.0
+        # The first size has the weight of all.
+        added = 1.0
+        if weight < 1:
+            added = route.total_weight * weight / (1 - weight)
         size_class = min(size_bytes.bit_length(), _SIZE_CLASSES - 1)
-        route.size_shares[size_class] += weight
+        route.size_weights[size_class] += added
+        route.total_weight += added
 
     def is_short(self, endpoint: data.Endpoint, size_bytes: int) -> bool:
         """Whether a response is far shorter than the median of its route.
@@ -95,9 +109,9 @@
             return False
         if size_bytes > MAX_ERROR_BYTES:
             return False
-        remaining = 0.5
-        for size_class, share in enumerate(route.size_shares):
-            remaining -= share
+        remaining = route.total_weight / 2
+        for size_class, weight in enumerate(route.size_weights):
+            remaining -= weight
             if remaining <= 0:
                 lower_edge = 1 << max(size_class - 1, 0)
                 return size_bytes * _SHORT_PART < lower_edge
@@ -128,7 +142,9 @@
 
     def _get_or_create(self, endpoint: data.Endpoint) -> _Route:
         """Returns the record of a route and marks it as used."""
-        route = self._routes.setdefault(endpoint, _Route())
+        route = self._routes.get(endpoint)
+        if route is None:
+            route = self._routes[endpoint] = _Route()
         self._routes.move_to_end(endpoint)
         if len(self._routes) > MAX_ROUTES:
             self._routes.popitem(last=False)
--- a/packages/core/sapphire_core/tagged_flows/openings/load_shedding.py
+++ b/packages/core/sapphire_core/tagged_flows/openings/load_shedding.py
@@ -199,8 +199,12 @@
         """
         if route.objective_ms <= 0:
             return
-        state = self._states_by_service.setdefault(service, _ServiceState())
-        usual = self._usual_by_route.setdefault(route.name, _UsualTime())
+        state = self._states_by_service.get(service)
+        if state is None:
+            state = self._states_by_service[service] = _ServiceState()
+        usual = self._usual_by_route.get(route.name)
+        if usual is None:
+            usual = self._usual_by_route[route.name] = _UsualTime()
         if not state.is_late:
             usual.record(time_ms, now_ms)
         if usual.responses < MIN_RESPONSES:
@@ -224,7 +228,9 @@
         state = self._states_by_service.get(service)
         if state is None or state.target_ms == 0:
             return False
-        count = state.openings_by_priority.setdefault(route.priority, _Count())
+        count = state.openings_by_priority.get(route.priority)
+        if count is None:
+            count = state.openings_by_priority[route.priority] = _Count()
         count.record(now_ms, state.rate_constant_ms)
         if not state.is_late:
             return False
