Counters and a line for packets that wait for the link

packets_queued, packets_repeated and packets_dropped count what does not leave at once; link_full says once a second that packets wait. Without them nobody could tell a full link from a slow upstream in the logs. Decisions are unchanged.

--- a/packages/core/sapphire_core/tagged_flows/link_queue.py
+++ b/packages/core/sapphire_core/tagged_flows/link_queue.py
@@ -12,6 +12,7 @@
 
 import collections
 import dataclasses
+import enum
 
 from sapphire_core.tagged_flows import data
 from sapphire_core.tagged_flows.flows import flow_table
@@ -32,6 +33,22 @@
 HEAD_BYTES = 68
 
 
+class Admission(enum.StrEnum):
+    """What becomes of a packet; the value is its name in counters.
+
+    Attributes:
+        SENT: It leaves now.
+        QUEUED: It leaves later.
+        REPEATED: It does not leave: a copy of it is queued already.
+        DROPPED: It does not leave: too much is queued.
+    """
+
+    SENT = "sent"
+    QUEUED = "queued"
+    REPEATED = "repeated"
+    DROPPED = "dropped"
+
+
 @dataclasses.dataclass(slots=True)
 class _LongRequest:
     """A request of full packets.
@@ -89,31 +106,29 @@
         """
         self._budget -= size_bytes
 
-    def admit(self, forward: data.Forward, now_ms: int) -> bool:
-        """Decides whether a packet leaves now; otherwise it is queued.
+    def admit(self, forward: data.Forward, now_ms: int) -> Admission:
+        """Decides what becomes of a packet, and queues it if it has to wait.
 
         Args:
             forward: The packet.
             now_ms: The current time.
-
-        Returns:
-            Whether it is to be sent now. One that is not is sent later by
-            `release`, unless a copy of it waits already or too much does.
         """
         if self._rate is None:
-            return True
+            return Admission.SENT
         packet = forward.packet
         self._update_budget(self._rate, now_ms)
         request = self._request_of(packet, now_ms)
         if request is None or not self._must_wait(packet, request):
             self._budget -= _size(packet)
-            return True
-        is_full = self._queued_bytes >= self._rate * MAX_QUEUED_MS
-        if packet.sequence not in request.queued and not is_full:
-            request.queued[packet.sequence] = forward
-            self._queued_packets += 1
-            self._queued_bytes += _size(packet)
-        return False
+            return Admission.SENT
+        if packet.sequence in request.queued:
+            return Admission.REPEATED
+        if self._queued_bytes >= self._rate * MAX_QUEUED_MS:
+            return Admission.DROPPED
+        request.queued[packet.sequence] = forward
+        self._queued_packets += 1
+        self._queued_bytes += _size(packet)
+        return Admission.QUEUED
 
     def release(self, now_ms: int) -> list[data.Forward]:
         """Returns the packets that may leave now.
--- a/packages/core/sapphire_core/tagged_flows/link_queue_test.py
+++ b/packages/core/sapphire_core/tagged_flows/link_queue_test.py
@@ -7,6 +7,8 @@
 # A link of 5 Mbit/s.
 BYTES_PER_MS = 625.0
 FULL_BYTES = 1_200
+SENT = link_queue.Admission.SENT
+QUEUED = link_queue.Admission.QUEUED
 
 
 def forward(
@@ -34,10 +36,14 @@
         super().setUp()
         self.queue = link_queue.LinkQueue(BYTES_PER_MS)
 
+    def admit(self, packet: data.Forward, now_ms: int) -> link_queue.Admission:
+        return self.queue.admit(packet, now_ms)
+
     def fill(self, number: int, packets: int, now_ms: int = 0) -> int:
         """Offers the packets of a request; returns how many leave at once."""
         return sum(
-            self.queue.admit(forward(number, position), now_ms)
+            self.admit(forward(number, position), now_ms)
+            is link_queue.Admission.SENT
             for position in range(packets)
         )
 
@@ -65,13 +71,14 @@
             forward(1, 100, payload_bytes=0),
         )
         for each in short:
-            self.assertTrue(self.queue.admit(each, 5))
+            self.assertEqual(SENT, self.admit(each, 5))
 
     def test_the_end_of_a_request_follows_its_data(self) -> None:
         self.fill(1, 100)
-        self.assertFalse(self.queue.admit(forward(1, 100, payload_bytes=7), 5))
+        end = forward(1, 100, payload_bytes=7)
         closing = forward(1, 101, payload_bytes=0, is_closing=True)
-        self.assertFalse(self.queue.admit(closing, 5))
+        self.assertEqual(QUEUED, self.admit(end, 5))
+        self.assertEqual(QUEUED, self.admit(closing, 5))
         last = [
             each.packet
             for now_ms in range(10, 400, 10)
@@ -83,8 +90,8 @@
         self.fill(1, 40)
         self.fill(2, 40, now_ms=5)
         # More of the first one arrives later.
-        self.queue.admit(forward(1, 40), 6)
-        self.queue.admit(forward(1, 41), 6)
+        self.admit(forward(1, 40), 6)
+        self.admit(forward(1, 41), 6)
         ports = self.released(400)
         self.assertEqual(sorted(ports), ports)
         self.assertIn(2, ports)
@@ -93,22 +100,28 @@
         self.fill(1, 60)
         waiting = len(self.queue)
         for position in range(60 - waiting, 60):
-            self.assertFalse(self.queue.admit(forward(1, position), 1))
+            self.assertEqual(
+                link_queue.Admission.REPEATED,
+                self.admit(forward(1, position), 1),
+            )
         self.assertEqual(waiting, len(self.queue))
 
     def test_a_repetition_of_what_was_sent_leaves_again(self) -> None:
         self.fill(1, 5)
-        self.assertTrue(self.queue.admit(forward(1, 0), 200))
+        self.assertEqual(SENT, self.admit(forward(1, 0), 200))
 
     def test_what_is_queued_is_bounded(self) -> None:
         for number in range(100):
             self.fill(number, 100)
         bound = BYTES_PER_MS * link_queue.MAX_QUEUED_MS / FULL_BYTES
         self.assertLessEqual(len(self.queue), bound)
+        self.assertEqual(
+            link_queue.Admission.DROPPED, self.admit(forward(1, 101), 5)
+        )
 
     def test_a_reset_gives_up_what_is_queued(self) -> None:
         self.fill(1, 100)
-        self.assertTrue(self.queue.admit(forward(1, is_reset=True), 5))
+        self.assertEqual(SENT, self.admit(forward(1, is_reset=True), 5))
         self.assertEqual(0, len(self.queue))
         self.assertEqual([], self.released(200))
 
--- a/packages/lab/sapphire_lab/tagged_flows/narrow_link_simulation.py
+++ b/packages/lab/sapphire_lab/tagged_flows/narrow_link_simulation.py
@@ -244,7 +244,8 @@
             flow.is_reset = True
         if not isinstance(action, data.Forward):
             return
-        if self._link_queue.admit(action, self._now_ms):
+        admission = self._link_queue.admit(action, self._now_ms)
+        if admission is link_queue.Admission.SENT:
             self._transmit_forward(flow, action)
 
     def _transmit_forward(self, flow: _Flow, action: data.Forward) -> None:
--- a/packages/node/sapphire_node/entry/packet_task.py
+++ b/packages/node/sapphire_node/entry/packet_task.py
@@ -33,6 +33,7 @@
 # before, and nothing times out earlier.
 FIRST_TICK_MS = 20
 SWEEP_INTERVAL_MS = 100
+LINK_REPORT_INTERVAL_MS = 1_000
 # Packets that arrive before the host is ready are held for the time after which
 # their callers retransmit them.
 MAX_HOLD_MS = 200
@@ -83,6 +84,7 @@
             state.settings.limits.link_bytes_per_ms
         )
         self._peer_bytes_recorded = 0
+        self._link_reported_ms = 0
         self._work_pending = anyio.Event()
         self._scopes_known_ms: int | None = None
         self._known_scopes: set[replication_data.Scope] = set()
@@ -147,10 +149,11 @@
     def _send_action(self, action: data.Action, now_ms: int) -> None:
         """Sends the datagram of an action, if it has one, or queues it."""
         if isinstance(action, data.Forward):
-            if self._link_queue.admit(action, now_ms):
+            admission = self._link_queue.admit(action, now_ms)
+            if admission is link_queue.Admission.SENT:
                 self._send_forward(action)
             else:
-                self._state.counts["packets_queued"] += 1
+                self._state.counts[f"packets_{admission.value}"] += 1
             return
         if isinstance(action, data.Reset):
             datagram = self._codec.encode_reset(action.packet)
@@ -204,6 +207,7 @@
                 for action in self._steering.sweep(now_ms):
                     self._send_action(action, now_ms)
                 self._follow_settings()
+                self._report_link(now_ms)
                 self._update_readiness(now_ms)
 
     async def _wait_for_tick(self) -> None:
@@ -222,6 +226,24 @@
             self._settings = self._state.settings
             self._link_queue.set_rate(self._settings.limits.link_bytes_per_ms)
 
+    def _report_link(self, now_ms: int) -> None:
+        """Logs that packets wait for the link, at most once a second."""
+        if now_ms - self._link_reported_ms < LINK_REPORT_INTERVAL_MS:
+            return
+        if len(self._link_queue) == 0:
+            return
+        self._link_reported_ms = now_ms
+        counts = self._state.counts
+        event_log.log(
+            _LOG,
+            logging.INFO,
+            "link_full",
+            waiting=len(self._link_queue),
+            queued=counts["packets_queued"],
+            repeated=counts["packets_repeated"],
+            dropped=counts["packets_dropped"],
+        )
+
     async def _apply_messages(self) -> None:
         """Applies new changes and the reports of peers, until cancelled."""
         async for message in self._changes:
