packet_task: applying changes of the store is a module of its own

The task holds sockets, ticks and state; what a change does to the steering, and its log line, is change_applier.

--- a/packages/lab/sapphire_lab/tagged_flows/restored_hosts.py
+++ b/packages/lab/sapphire_lab/tagged_flows/restored_hosts.py
@@ -285,7 +285,7 @@
             message = self._changes.receive_nowait()
             assert isinstance(message, messages.NewChanges)
             for change in message.changes:
-                self.packets._apply_change(
+                self.packets._change_applier.apply(
                     change, message, self._clock.now_ms()
                 )
 
--- a/packages/node/sapphire_node/entry/packet_task.py
+++ b/packages/node/sapphire_node/entry/packet_task.py
@@ -20,6 +20,7 @@
 from sapphire_net import datagrams
 from sapphire_net import event_log
 from sapphire_net import pauses
+from sapphire_node.entry import change_applier
 from sapphire_node.entry import host_state
 from sapphire_node.entry import messages
 from sapphire_node.entry import platform_interface
@@ -79,6 +80,9 @@
         self._steering = steering_lib.Steering(
             state.settings.data_centre, random.Random(), self._record_decision
         )
+        self._change_applier = change_applier.ChangeApplier(
+            self._steering, state
+        )
         self._settings = state.settings
         self._link_queue = link_queue.LinkQueue(
             state.settings.limits.link_bytes_per_ms
@@ -269,7 +273,7 @@
                 self._update_readiness(now_ms)
                 continue
             for versioned_change in message.changes:
-                self._apply_change(versioned_change, message, now_ms)
+                self._change_applier.apply(versioned_change, message, now_ms)
             self._known_scopes.add(message.scope)
             self._update_readiness(now_ms)
 
@@ -328,122 +332,6 @@
                 repeats=change.repeats,
             )
 
-    def _apply_change(
-        self,
-        versioned_change: messages.ChangeAtRevision,
-        message: messages.NewChanges,
-        now_ms: int,
-    ) -> None:
-        """Applies one change to the steering state and logs it."""
-        change = versioned_change.change
-        if isinstance(change, data.ConfigurationChange):
-            configuration = change.configuration
-            if self._steering.configure(configuration):
-                self._state.configuration_version = configuration.version
-                event_log.log(
-                    _LOG,
-                    logging.INFO,
-                    "configuration_in_force",
-                    version=configuration.version,
-                    revision=versioned_change.revision,
-                    era=versioned_change.era,
-                    routes=len(configuration.routes_by_endpoint),
-                    source=message.source,
-                )
-            return
-        table = self._steering.upstream_table
-        if isinstance(change, data.DataCentreChange):
-            table.set_out_of_rotation(change.data_centre, is_out=change.is_out)
-            event_log.log(
-                _LOG,
-                logging.INFO,
-                "data_centre_out" if change.is_out else "data_centre_in",
-                data_centre=change.data_centre,
-                revision=versioned_change.revision,
-                era=versioned_change.era,
-                source=message.source,
-            )
-            return
-        if isinstance(change, data.UpstreamRemoval):
-            entry = table.remove(
-                change.upstream_id, now_ms, message.removal_cause
-            )
-            if entry is not None:
-                event_log.log(
-                    _LOG,
-                    logging.INFO,
-                    "upstream_removed",
-                    upstream=change.upstream_id,
-                    state=entry.upstream.state.value,
-                    cause=message.removal_cause.value,
-                    revision=versioned_change.revision,
-                    era=versioned_change.era,
-                    source=message.source,
-                )
-            return
-        if isinstance(change, data.FormerUpstream):
-            table.put_former(
-                change.upstream,
-                versioned_change.revision,
-                now_ms,
-                versioned_change.era,
-            )
-            event_log.log(
-                _LOG,
-                logging.INFO,
-                "former_upstream_known",
-                upstream=change.upstream.upstream_id,
-                revision=versioned_change.revision,
-                era=versioned_change.era,
-                source=message.source,
-            )
-            return
-        self._apply_upstream(
-            change.upstream, versioned_change, message.source, now_ms
-        )
-
-    def _apply_upstream(
-        self,
-        upstream: data.Upstream,
-        versioned_change: messages.ChangeAtRevision,
-        source: str,
-        now_ms: int,
-    ) -> None:
-        """Applies the registry entry of an upstream.
-
-        An entry that only refreshes a known upstream is not logged.
-        """
-        table = self._steering.upstream_table
-        entry = table.by_id.get(upstream.upstream_id)
-        former = entry.upstream if entry is not None else None
-        was_removed = entry is not None and entry.removed_ms is not None
-        revision = versioned_change.revision
-        table.put(upstream, revision, now_ms, versioned_change.era)
-        if (
-            former is not None
-            and not was_removed
-            and former.state is upstream.state
-            and former.started_ms == upstream.started_ms
-            and former.address == upstream.address
-        ):
-            return
-        event_log.log(
-            _LOG,
-            logging.INFO,
-            "upstream_known",
-            upstream=upstream.upstream_id,
-            service=upstream.service,
-            data_centre=upstream.data_centre,
-            address=f"{upstream.address[0]}:{upstream.address[1]}",
-            state=upstream.state.value,
-            cold_ms=upstream.cold_ms,
-            was_known=former is not None,
-            was_removed=was_removed,
-            revision=revision,
-            era=versioned_change.era,
-            source=source,
-        )
-
     def _update_readiness(self, now_ms: int) -> None:
         """Makes the host ready once configuration and registry are known."""
         if self._state.is_ready or self._steering.configuration is None:
