link_queue: requests that have ended are forgotten also while nothing waits

A host with a wide link kept a record of each flow that had sent a full packet, without a bound: they were forgotten only while packets waited. Found by reading; the test fails before, with 1,000 records in place of none.

--- a/packages/core/sapphire_core/tagged_flows/link_queue.py
+++ b/packages/core/sapphire_core/tagged_flows/link_queue.py
@@ -29,6 +29,8 @@
 # A flow that sends nothing long for this time has begun another request: the
 # longest time between two repetitions of a caller (1,600 ms, the protocol).
 REQUEST_PAUSE_MS = 2_000
+# How often the requests that have ended are looked for.
+FORGET_INTERVAL_MS = 500
 # The head of a datagram on the link: of IP, UDP and the packet.
 HEAD_BYTES = 68
 
@@ -81,6 +83,7 @@
         self._requests_by_flow: dict[data.FlowId, _LongRequest] = {}
         self._queued_packets = 0
         self._queued_bytes = 0
+        self._forgotten_ms = 0
         self.set_rate(bytes_per_ms)
 
     def __len__(self) -> int:
@@ -133,11 +136,14 @@
     def release(self, now_ms: int) -> list[data.Forward]:
         """Returns the packets that may leave now.
 
-        To be called every 10 ms while packets wait.
+        To be called every 10 ms while packets wait, and from time to time.
 
         Args:
             now_ms: The current time.
         """
+        if now_ms - self._forgotten_ms >= FORGET_INTERVAL_MS:
+            self._forgotten_ms = now_ms
+            self._forget_ended(now_ms)
         if self._queued_packets == 0:
             return []
         if self._rate is not None:
@@ -157,7 +163,6 @@
                 self._queued_packets -= 1
                 self._queued_bytes -= size
                 released.append(forward)
-        self._forget_ended(now_ms)
         return released
 
     def _request_of(
--- a/packages/core/sapphire_core/tagged_flows/link_queue_test.py
+++ b/packages/core/sapphire_core/tagged_flows/link_queue_test.py
@@ -132,6 +132,15 @@
             self.queue.release(now_ms)
         self.assertGreater(len(self.queue), 80)
 
+    def test_requests_that_have_ended_are_forgotten(self) -> None:
+        """Also by a link on which nothing ever waits."""
+        self.queue = link_queue.LinkQueue(125_000.0)
+        for number in range(1_000):
+            self.admit(forward(number), number)
+            self.queue.release(number)
+        self.queue.release(4_000)
+        self.assertEqual(0, len(self.queue._requests_by_flow))
+
     def test_nothing_waits_for_a_link_of_unknown_or_great_width(self) -> None:
         for bytes_per_ms in (None, 125_000.0):
             self.queue = link_queue.LinkQueue(bytes_per_ms)
