peer_task: sending heartbeats is a module of its own

The task receives and publishes; heartbeat_sender knows what a heartbeat holds, where it goes and when. Nothing else changes; two tests call it by its new name.

--- a/packages/node/sapphire_node/entry/peer_task.py
+++ b/packages/node/sapphire_node/entry/peer_task.py
@@ -14,7 +14,6 @@
 import anyio.streams.memory
 
 from sapphire_core.peers import data as peer_data
-from sapphire_core.peers import notice_schedule
 from sapphire_core.peers import outcome_reports
 from sapphire_core.peers import peer_table as peer_table_lib
 from sapphire_core.peers import pull_sources
@@ -25,6 +24,7 @@
 from sapphire_net import event_log
 from sapphire_net import pauses
 from sapphire_node.entry import change_puller
+from sapphire_node.entry import heartbeat_sender
 from sapphire_node.entry import host_state
 from sapphire_node.entry import messages
 from sapphire_node.entry import startup_exchange
@@ -50,11 +50,6 @@
 # Upstreams are judged by what hosts counted over some seconds, which changes
 # little in this time.
 JUDGE_INTERVAL_MS = 500
-# The interval of heartbeats to other data centres while nothing changes;
-# traffic between data centres is paid for by the byte.
-REMOTE_HEARTBEAT_INTERVAL_MS = 1_000
-# The heads of IP and UDP.
-_HEAD_BYTES = 28
 
 Inbox = anyio.streams.memory.MemoryObjectReceiveStream[
     messages.HostListChanged
@@ -88,7 +83,6 @@
         batches: store_follower.BatchSender,
         peer_reports: PeerReportSender,
     ) -> None:
-        self._contact = contact
         self._state = state
         self._clock = clock
         self._inbox = inbox
@@ -101,16 +95,17 @@
         self._replies_left = MAX_REPLIES_TO_NEW_PEERS
         # From when on this host may follow the store; None before its start.
         self._may_follow_from_ms: int | None = None
-        self._start_id = rng.getrandbits(62)
-        self._sequence = 0
-        self._last_remote_heartbeat_ms = 0
+        self._sender = heartbeat_sender.HeartbeatSender(
+            contact,
+            state,
+            clock,
+            peer_table=self._peer_table,
+            unresponsive_reports=self._unresponsive_reports,
+            start_id=rng.getrandbits(62),
+        )
         self._has_membership_changed = False
-        self._upstream_reports: tuple[peer_data.UpstreamReport, ...] = ()
-        self._outcomes: tuple[peer_data.OutcomeReport, ...] = ()
         self._listed_hosts: frozenset[str] = frozenset()
         self._judged_ms: int | None = None
-        self._notices = notice_schedule.NoticeSchedule()
-        self._notice_due = anyio.Event()
         self._puller = change_puller.ChangePuller(
             state,
             clock,
@@ -125,20 +120,19 @@
             batches=batches,
             rng=rng,
         )
-        self._socket = datagrams.open_socket((contact.address, contact.port))
 
     async def run(self) -> None:
         """Exchanges data with peers until cancelled."""
-        with self._socket:
+        with self._sender.socket:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._send_heartbeats)
-                tasks.start_soon(self._send_due_notices)
+                tasks.start_soon(self._sender.run_notices)
                 tasks.start_soon(self._puller.pull_changes)
                 tasks.start_soon(self._handle_messages)
-                tasks.start_soon(self._send_leaving_heartbeat)
+                tasks.start_soon(self._sender.run_leaving)
                 tasks.start_soon(self._startup_exchange.run)
                 await datagrams.receive_all(
-                    self._socket,
+                    self._sender.socket,
                     peer_messages.MAX_HEARTBEAT_BYTES,
                     self._handle_datagram,
                     self._record_socket_error,
@@ -149,10 +143,10 @@
         """Handles the messages of other tasks."""
         async for message in self._inbox:
             if isinstance(message, messages.OwnUpstreamReports):
-                self._upstream_reports = message.reports
-                self._outcomes = message.outcomes
+                self._sender.own_reports = message.reports
+                self._sender.outcomes = message.outcomes
                 if message.is_urgent:
-                    self._send_notice(is_for_remote=False)
+                    self._sender.send_notice(is_for_remote=False)
             elif isinstance(message, messages.HostListChanged):
                 self._listed_hosts = frozenset(c.host for c in message.contacts)
                 self._peer_table.set_host_list(
@@ -162,7 +156,9 @@
             else:
                 # Only followers notify other data centres; the hosts there pass
                 # the notice on among themselves.
-                self._send_notice(is_for_remote=self._state.is_following_store)
+                self._sender.send_notice(
+                    is_for_remote=self._state.is_following_store
+                )
 
     async def _send_heartbeats(self) -> None:
         """Sends heartbeats and publishes the reports of peers at intervals."""
@@ -173,12 +169,7 @@
             self._update_must_follow_store(now_ms)
             self._update_near_host_away(now_ms)
             self._replies_left = MAX_REPLIES_TO_NEW_PEERS
-            self._send_heartbeat(
-                self._peer_table.near_targets()
-                + self._due_remote_targets(now_ms)
-            )
-            if not self._peer_table.has_live_peer(now_ms):
-                self._send_to_seeds(now_ms)
+            self._sender.send_regular(now_ms)
             self._publish_peer_reports(now_ms)
             await pauses.sleep_ms(peer_table_lib.HEARTBEAT_INTERVAL_MS)
             if self._clock.now_ms() - now_ms >= STALL_THRESHOLD_MS:
@@ -204,68 +195,6 @@
             must_follow and now_ms >= self._may_follow_from_ms
         )
 
-    def _due_remote_targets(self, now_ms: int) -> list[peer_data.Contact]:
-        """Returns the remote peers that get a heartbeat in this interval."""
-        if not self._peer_table.is_large_fleet:
-            elapsed_ms = now_ms - self._last_remote_heartbeat_ms
-            if elapsed_ms < REMOTE_HEARTBEAT_INTERVAL_MS:
-                return []
-            self._last_remote_heartbeat_ms = now_ms
-        return self._peer_table.remote_targets(
-            now_ms, is_follower=self._state.is_following_store
-        )
-
-    def _send_notice(self, *, is_for_remote: bool) -> None:
-        """Sends a heartbeat at once, or soon after the last such one.
-
-        Args:
-            is_for_remote: Whether it concerns other data centres too.
-        """
-        now_ms = self._clock.now_ms()
-        if self._notices.request(now_ms, is_for_remote=is_for_remote):
-            self._send_due_notice(now_ms)
-        else:
-            self._notice_due.set()
-
-    def _send_due_notice(self, now_ms: int) -> None:
-        """Sends the heartbeat that is due, to the peers that it concerns."""
-        receivers = self._peer_table.near_targets()
-        if self._notices.is_for_remote:
-            receivers = receivers + self._peer_table.remote_targets(
-                now_ms, is_follower=True
-            )
-        self._notices.record_sent(now_ms)
-        self._send_heartbeat(receivers)
-
-    async def _send_due_notices(self) -> None:
-        """Sends the heartbeats that were collected, until cancelled."""
-        while True:
-            await self._notice_due.wait()
-            self._notice_due = anyio.Event()
-            await pauses.sleep_ms(notice_schedule.NOTICE_INTERVAL_MS)
-            if self._notices.is_due:
-                self._send_due_notice(self._clock.now_ms())
-
-    def _send_to_seeds(self, now_ms: int) -> None:
-        """Sends a heartbeat to the seeds, while no peer is heard.
-
-        The host list may be empty, or out of reach with the store.
-        """
-        own_address = self._state.settings.peer_address
-        datagram = self._encode_next_heartbeat(now_ms)
-        for address in self._state.settings.seed_addresses:
-            if address != own_address:
-                self._send_datagram(datagram, address)
-
-    async def _send_leaving_heartbeat(self) -> None:
-        """Sends a heartbeat at once when this host starts to leave.
-
-        Another host of the data centre that is asked to stop then waits until
-        this one is back.
-        """
-        await self._state.leaving.wait()
-        self._send_heartbeat(self._peer_table.near_targets())
-
     def _publish_peer_reports(self, now_ms: int) -> None:
         """Sends the aggregated reports of peers to the packet task."""
         received = self._peer_table.live_heartbeats(now_ms)
@@ -301,65 +230,6 @@
             now_ms
         )
 
-    def _send_heartbeat(self, receivers: list[peer_data.Contact]) -> None:
-        """Sends one heartbeat to some peers."""
-        self._send_to(
-            receivers, self._encode_next_heartbeat(self._clock.now_ms())
-        )
-
-    def _encode_next_heartbeat(self, now_ms: int) -> bytes:
-        """Returns the datagram of this host's next heartbeat."""
-        reports = self._upstream_reports
-        if self._peer_table.is_large_fleet:
-            # In a small one, every host hears every other one itself.
-            reports = reports + self._unresponsive_reports.relayed(
-                reports, now_ms
-            )
-        failure_ms = self._state.last_store_failure_ms
-        era = max(self._state.era_by_scope.values(), default=0)
-        self._sequence += 1
-        return peer_messages.encode_heartbeat(
-            peer_data.Heartbeat(
-                contact=self._contact,
-                start_id=self._start_id,
-                sequence=self._sequence,
-                is_leaving=self._state.is_leaving,
-                revisions=self._state.newest_revisions(era),
-                store_failed_ms=None
-                if failure_ms is None
-                else now_ms - failure_ms,
-                follower_ages_ms=self._peer_table.followers.reported_ages_ms(
-                    now_ms, is_following=self._state.is_following_store
-                ),
-                upstreams=reports,
-                live_counts=self._peer_table.live_counts(now_ms),
-                outcomes=self._outcomes,
-                era=era,
-            )
-        )
-
-    def _send_to(
-        self, receivers: list[peer_data.Contact], datagram: bytes
-    ) -> None:
-        """Sends a datagram to some hosts; failures are logged only."""
-        for contact in receivers:
-            self._send_datagram(datagram, (contact.address, contact.port))
-
-    def _send_datagram(self, datagram: bytes, address: tuple[str, int]) -> None:
-        """Sends a datagram to an address; a failure is logged only."""
-        try:
-            self._socket.sendto(datagram, address)
-            self._state.peer_bytes_sent += len(datagram) + _HEAD_BYTES
-        except datagrams.SEND_ERRORS as error:
-            self._state.counts["beats_not_sent"] += 1
-            event_log.log(
-                _LOG,
-                logging.INFO,
-                "beat_not_sent",
-                address=f"{address[0]}:{address[1]}",
-                problem=repr(error),
-            )
-
     def _record_socket_error(self, error: OSError) -> None:
         """Counts and logs an error of the socket.
 
@@ -401,7 +271,7 @@
         if self._unresponsive_reports.record(heartbeat.upstreams, now_ms):
             self._publish_peer_reports(now_ms)
             if self._peer_table.is_large_fleet:
-                self._send_notice(is_for_remote=False)
+                self._sender.send_notice(is_for_remote=False)
         self._puller.record_revisions(
             heartbeat.revisions, now_ms, heartbeat.era
         )
@@ -432,4 +302,4 @@
             if not is_near or self._replies_left == 0:
                 return
             self._replies_left -= 1
-        self._send_to([heartbeat.contact], self._encode_next_heartbeat(now_ms))
+        self._sender.send([heartbeat.contact])
--- a/packages/node/sapphire_node/entry/peer_task_test.py
+++ b/packages/node/sapphire_node/entry/peer_task_test.py
@@ -43,7 +43,7 @@
             batches=batches,
             peer_reports=peer_reports,
         )
-        self.addCleanup(self.task._socket.close)
+        self.addCleanup(self.task._sender.socket.close)
         self.peer = datagrams.open_socket(ANY_ADDRESS)
         self.addCleanup(self.peer.close)
 
@@ -59,7 +59,7 @@
         self.state.leaving.set()
 
         async def main() -> bytes:
-            await self.task._send_leaving_heartbeat()
+            await self.task._sender.run_leaving()
             await anyio.wait_readable(self.peer)
             return self.peer.recv(peer_messages.MAX_HEARTBEAT_BYTES)
 
@@ -113,7 +113,7 @@
         self.state.settings = dataclasses.replace(
             self.state.settings, seed_addresses=(own_address, address)
         )
-        self.task._send_to_seeds(self.clock.now_ms())
+        self.task._sender.send_to_seeds(self.clock.now_ms())
         self.assertEqual(
             ["edge-1"], [each.contact.host for each in self.received()]
         )
