A host that starts behind a cut stays out of rotation

A heartbeat now says that its sender has found that it can reach no upstream. A host that starts and has heard no other data centre goes by a near peer that says so, if its own data centre has no eligible upstream; it does not tell that on, and it returns when it hears another data centre, when the peer does or is gone, or when its own upstreams are back. The report is one byte or two, and absent otherwise. A forged one holds back only hosts that have just started in an evacuated data centre.

reachability_test.StartBehindCutTest; before, such a host was in rotation from its start.

--- a/packages/core/sapphire_core/peers/data.py
+++ b/packages/core/sapphire_core/peers/data.py
@@ -100,6 +100,7 @@
             heartbeat was decoded; empty if nothing was.
         era: The era of the store that the revisions belong to. A scope that the
             sender knows in an older era only has revision 0.
+        is_cut_off: Whether the sender has found that it can reach no upstream.
     """
 
     contact: Contact
@@ -114,6 +115,7 @@
     outcomes: tuple[OutcomeReport, ...] = ()
     left_out: str = ""
     era: int = 0
+    is_cut_off: bool = False
 
     def position(
         self, scope: replication_data.Scope
--- a/packages/core/sapphire_core/peers/peer_table.py
+++ b/packages/core/sapphire_core/peers/peer_table.py
@@ -66,6 +66,7 @@
         self._counts = host_counts.HostCounts(own.data_centre)
         self.followers = store_followers.StoreFollowers(own.host)
         self._peers_by_host: dict[str, _Peer] = {}
+        self._has_heard_remote = False
         self._near_timeout_ms = PEER_TIMEOUT_MS
         # For how long a silent near peer is counted.
         self._count_timeout_ms = contact_ms
@@ -108,6 +109,8 @@
         host = heartbeat.contact.host
         if host == self._own.host:
             return False
+        if not self.is_same_data_centre(heartbeat.contact):
+            self._has_heard_remote = True
         peer = self._peers_by_host.get(host)
         previous = peer.heartbeat if peer is not None else None
         if (
@@ -220,6 +223,23 @@
         ]
         return now_ms - max(heard_ms) if heard_ms else None
 
+    def starts_cut_off(self, now_ms: int) -> bool:
+        """Whether this host has started where its peers can reach no upstream.
+
+        Args:
+            now_ms: The current time.
+
+        Returns:
+            Whether a live near peer says so and no host of another data centre
+            has been heard since the start.
+        """
+        if self._has_heard_remote:
+            return False
+        return any(
+            received.is_near and received.heartbeat.is_cut_off
+            for received in self.live_heartbeats(now_ms)
+        )
+
     def live_heartbeats(
         self, now_ms: int
     ) -> list[upstream_reports.ReceivedHeartbeat]:
--- a/packages/core/sapphire_core/tagged_flows/openings/reachability.py
+++ b/packages/core/sapphire_core/tagged_flows/openings/reachability.py
@@ -13,6 +13,11 @@
 
 Out of rotation it sees no openings, so it returns when one of the first two
 signs ends.
+
+A host that starts there has not seen the last two signs. If it came into
+rotation, the fabric would use all hosts of its data centre again, since fewer
+than half of them are in rotation. It therefore goes by a near peer that has
+seen them, until it hears a host of another data centre itself.
 """
 
 from sapphire_core.tagged_flows import upstream_table as upstream_table_lib
@@ -48,14 +53,29 @@
         self._failover_budget = failover_budget
         self._is_cut_off = False
 
-    def is_cut_off(self, remote_silence_ms: int | None, now_ms: int) -> bool:
+    @property
+    def has_found_cut(self) -> bool:
+        """Whether this host has found itself that it is cut off."""
+        return self._is_cut_off
+
+    def is_cut_off(
+        self,
+        remote_silence_ms: int | None,
+        now_ms: int,
+        *,
+        starts_cut_off: bool = False,
+    ) -> bool:
         """Whether this host can reach no upstream, though others may.
 
         Args:
             remote_silence_ms: How long no host of another data centre has been
                 heard; None if none is known.
             now_ms: The current time.
+            starts_cut_off: Whether a near peer is cut off and this host has
+                heard no other data centre since its start.
         """
+        if starts_cut_off and not self._has_near_upstream(now_ms):
+            return True
         if (
             remote_silence_ms is None
             or remote_silence_ms < MIN_REMOTE_SILENCE_MS
--- a/packages/core/sapphire_core/tagged_flows/openings/reachability_test.py
+++ b/packages/core/sapphire_core/tagged_flows/openings/reachability_test.py
@@ -1,7 +1,10 @@
 """Load pattern: a data centre that is out of rotation is cut off as well."""
 
+import random
+
 import testtools
 
+from sapphire_core.peers import peer_table
 from sapphire_core.tagged_flows import data
 from sapphire_core.tagged_flows.openings import answer_timeout
 from sapphire_core.tagged_flows.openings import reachability
@@ -96,3 +99,72 @@
         self.assertIsInstance(
             self.bench.open(self.number, self.now_ms), data.Forward
         )
+
+
+class StartBehindCutTest(testtools.TestCase):
+    """A host starts in a data centre that is out and cut off."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.peers = peer_table.PeerTable(
+            builders.heartbeat("edge-1").contact, random.Random(1), 5_000
+        )
+        bench = builders.SteeringBench(
+            builders.upstream("near-1"),
+            *(
+                builders.upstream(f"far-{n}", data_centre=REMOTE)
+                for n in range(6)
+            ),
+        )
+        self.table = bench.steering.upstream_table
+        self.table.set_out_of_rotation(builders.DATA_CENTRE, is_out=True)
+        self.reachability = bench.steering.reachability
+
+    def hear(self, host: str, now_ms: int, *, is_cut_off: bool) -> None:
+        data_centre = REMOTE if host == "far" else builders.DATA_CENTRE
+        heartbeat = builders.heartbeat(
+            host,
+            sequence=now_ms + 1,
+            data_centre=data_centre,
+            is_cut_off=is_cut_off,
+        )
+        self.peers.record_heartbeat(heartbeat, now_ms)
+
+    def is_cut_off(self, now_ms: int) -> bool:
+        return self.reachability.is_cut_off(
+            self.peers.remote_silence_ms(now_ms),
+            now_ms,
+            starts_cut_off=self.peers.starts_cut_off(now_ms),
+        )
+
+    def test_it_is_out_of_rotation_from_its_start(self) -> None:
+        self.hear("edge-2", 10, is_cut_off=True)
+        self.assertTrue(self.is_cut_off(10))
+        # What it goes by is not told on as its own finding.
+        self.assertFalse(self.reachability.has_found_cut)
+
+    def test_it_returns_when_its_peer_does(self) -> None:
+        self.hear("edge-2", 10, is_cut_off=True)
+        self.hear("edge-2", 260, is_cut_off=False)
+        self.assertFalse(self.is_cut_off(260))
+
+    def test_it_returns_when_the_peer_is_gone(self) -> None:
+        self.hear("edge-2", 10, is_cut_off=True)
+        self.assertFalse(
+            self.is_cut_off(11 + peer_table.PEER_TIMEOUT_MS),
+        )
+
+    def test_it_returns_when_it_hears_another_data_centre(self) -> None:
+        self.hear("edge-2", 10, is_cut_off=True)
+        self.hear("far", 20, is_cut_off=False)
+        self.hear("edge-2", 260, is_cut_off=True)
+        self.assertFalse(self.is_cut_off(260))
+
+    def test_what_another_data_centre_says_of_itself_is_no_sign(self) -> None:
+        self.hear("far", 10, is_cut_off=True)
+        self.assertFalse(self.is_cut_off(10))
+
+    def test_a_forged_sign_takes_no_host_with_upstreams_out(self) -> None:
+        self.table.set_out_of_rotation(builders.DATA_CENTRE, is_out=False)
+        self.hear("edge-2", 10, is_cut_off=True)
+        self.assertFalse(self.is_cut_off(10))
--- a/packages/lab/sapphire_lab/tagged_flows/builders.py
+++ b/packages/lab/sapphire_lab/tagged_flows/builders.py
@@ -194,6 +194,7 @@
     upstreams: tuple[peer_data.UpstreamReport, ...] = (),
     live_counts: dict[str, peer_data.LiveCount] | None = None,
     outcomes: tuple[peer_data.OutcomeReport, ...] = (),
+    is_cut_off: bool = False,
 ) -> peer_data.Heartbeat:
     """Returns a heartbeat of a host."""
     return peer_data.Heartbeat(
@@ -207,4 +208,5 @@
         upstreams=upstreams,
         live_counts=live_counts or {},
         outcomes=outcomes,
+        is_cut_off=is_cut_off,
     )
--- a/packages/node/sapphire_node/entry/heartbeat_sender.py
+++ b/packages/node/sapphire_node/entry/heartbeat_sender.py
@@ -180,6 +180,7 @@
                 live_counts=self._peer_table.live_counts(now_ms),
                 outcomes=self.outcomes,
                 era=era,
+                is_cut_off=self._state.has_found_cut,
             )
         )
 
--- a/packages/node/sapphire_node/entry/host_state.py
+++ b/packages/node/sapphire_node/entry/host_state.py
@@ -42,6 +42,7 @@
         settings: The settings in force.
         is_ready: Whether the host can select upstreams for new flows.
         is_cut_off: Whether the host can reach no upstream, though others may.
+        has_found_cut: Whether it has found that itself; its peers hear of it.
         leaving: Set when the host, after a request to stop, has withdrawn from
             rotation: its readiness check fails from then on.
         is_near_host_away: Whether another host of its data centre is leaving,
@@ -78,6 +79,7 @@
     settings: platform_interface.HostSettings
     is_ready: bool = False
     is_cut_off: bool = False
+    has_found_cut: bool = False
     leaving: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     is_near_host_away: bool = False
     last_packet_ms: int = 0
--- a/packages/node/sapphire_node/entry/messages.py
+++ b/packages/node/sapphire_node/entry/messages.py
@@ -161,6 +161,8 @@
             while upstreams are not due to be judged again.
         remote_silence_ms: How long no host of another data centre has been
             heard; None if none is known.
+        starts_cut_off: Whether a near peer can reach no upstream, and this host
+            has heard no other data centre since its start.
     """
 
     in_flight_by_tag: Mapping[int, float]
@@ -169,6 +171,7 @@
     has_membership_changed: bool
     evidence_by_tag: Mapping[int, outcome_reports.Evidence] | None
     remote_silence_ms: int | None
+    starts_cut_off: bool = False
 
 
 PacketTaskMessage = NewChanges | PeerReports | PeersAsked
--- a/packages/node/sapphire_node/entry/packet_task.py
+++ b/packages/node/sapphire_node/entry/packet_task.py
@@ -265,7 +265,7 @@
                     self._steering.ejection_control.update_own_reports()
                 else:
                     self._judge_upstreams(message.evidence_by_tag, now_ms)
-                self._update_reachability(message.remote_silence_ms, now_ms)
+                self._update_reachability(message, now_ms)
                 await self._send_own_reports(now_ms, is_urgent=False)
                 continue
             if isinstance(message, messages.PeersAsked):
@@ -278,19 +278,27 @@
             self._update_readiness(now_ms)
 
     def _update_reachability(
-        self, remote_silence_ms: int | None, now_ms: int
+        self, reports: messages.PeerReports, now_ms: int
     ) -> None:
         """Leaves the rotation while this host can reach no upstream."""
-        is_cut_off = self._steering.reachability.is_cut_off(
-            remote_silence_ms, now_ms
+        reachability = self._steering.reachability
+        is_cut_off = reachability.is_cut_off(
+            reports.remote_silence_ms,
+            now_ms,
+            starts_cut_off=reports.starts_cut_off,
         )
+        self._state.has_found_cut = reachability.has_found_cut
         if is_cut_off == self._state.is_cut_off:
             return
         self._state.is_cut_off = is_cut_off
         event = "cut_off" if is_cut_off else "not_cut_off"
         self._state.counts[event] += 1
         event_log.log(
-            _LOG, logging.INFO, event, remote_silence_ms=remote_silence_ms
+            _LOG,
+            logging.INFO,
+            event,
+            remote_silence_ms=reports.remote_silence_ms,
+            starts_cut_off=reports.starts_cut_off,
         )
 
     async def _send_own_reports(self, now_ms: int, *, is_urgent: bool) -> None:
--- a/packages/node/sapphire_node/entry/peer_task.py
+++ b/packages/node/sapphire_node/entry/peer_task.py
@@ -221,6 +221,7 @@
                 has_membership_changed,
                 evidence_by_tag,
                 self._peer_table.remote_silence_ms(now_ms),
+                self._peer_table.starts_cut_off(now_ms),
             )
         )
 
@@ -261,6 +262,13 @@
         now_ms = self._clock.now_ms()
         if self._peer_table.record_heartbeat(heartbeat, now_ms):
             self._handle_new_peer(heartbeat, now_ms)
+        if (
+            heartbeat.is_cut_off
+            and not self._state.is_cut_off
+            and self._peer_table.starts_cut_off(now_ms)
+        ):
+            # Before this host is ready: it has just started.
+            self._publish_peer_reports(now_ms)
         if heartbeat.is_leaving or self._state.is_near_host_away:
             self._update_near_host_away(now_ms)
         if heartbeat.store_failed_ms is not None:
--- a/packages/wire/idl/peers.thrift
+++ b/packages/wire/idl/peers.thrift
@@ -29,6 +29,7 @@
   22: optional list<i32> ended_badly,    // Those that hang included.
   23: optional list<i32> answered,       // Those whose response time is known.
   24: optional list<i32> time_percents,  // Mean time, of what is usual.
+  25: optional bool is_cut_off,          // It can reach no upstream.
 }
 
 struct ItemRecord {
--- a/packages/wire/sapphire_wire/gen/peers/ttypes.py
+++ b/packages/wire/sapphire_wire/gen/peers/ttypes.py
@@ -42,11 +42,12 @@
      - ended_badly
      - answered
      - time_percents
+     - is_cut_off
 
     """
 
 
-    def __init__(self, host=None, data_centre=None, address=None, port=None, start_id=None, sequence=None, is_leaving=None, revisions=None, store_failed_ms=None, followers=None, follower_ages_ms=None, upstream_tags=None, busy=None, silent_ms=None, data_centres=None, live_hosts=None, live_host_ages_ms=None, era=None, outcome_tags=None, ended_well=None, ended_badly=None, answered=None, time_percents=None,):
+    def __init__(self, host=None, data_centre=None, address=None, port=None, start_id=None, sequence=None, is_leaving=None, revisions=None, store_failed_ms=None, followers=None, follower_ages_ms=None, upstream_tags=None, busy=None, silent_ms=None, data_centres=None, live_hosts=None, live_host_ages_ms=None, era=None, outcome_tags=None, ended_well=None, ended_badly=None, answered=None, time_percents=None, is_cut_off=None,):
         self.host = host
         self.data_centre = data_centre
         self.address = address
@@ -70,6 +71,7 @@
         self.ended_badly = ended_badly
         self.answered = answered
         self.time_percents = time_percents
+        self.is_cut_off = is_cut_off
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -265,6 +267,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 25:
+                if ftype == TType.BOOL:
+                    self.is_cut_off = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -409,6 +416,10 @@
                 oprot.writeI32(iter97)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.is_cut_off is not None:
+            oprot.writeFieldBegin('is_cut_off', TType.BOOL, 25)
+            oprot.writeBool(self.is_cut_off)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -777,6 +788,7 @@
     (22, TType.LIST, 'ended_badly', (TType.I32, None, False), None, ),  # 22
     (23, TType.LIST, 'answered', (TType.I32, None, False), None, ),  # 23
     (24, TType.LIST, 'time_percents', (TType.I32, None, False), None, ),  # 24
+    (25, TType.BOOL, 'is_cut_off', None, None, ),  # 25
 )
 all_structs.append(ItemRecord)
 ItemRecord.thrift_spec = (
--- a/packages/wire/sapphire_wire/peer_messages.py
+++ b/packages/wire/sapphire_wire/peer_messages.py
@@ -60,6 +60,7 @@
             ],
             **({} if outcomes is None else dataclasses.asdict(outcomes)),
             era=heartbeat.era or None,
+            is_cut_off=heartbeat.is_cut_off or None,
         )
     )
 
@@ -156,6 +157,7 @@
         outcomes=outcomes,
         left_out=left_out,
         era=_decode_era(record.era),
+        is_cut_off=bool(record.is_cut_off),
     )
 
 
