explain: what a host says of its link and of cuts is in the timeline

The lines link_full, cut_off, not_cut_off, setting_ignored and stop_overdue of the hosts of a flow were left out, so a slow upload showed no cause.

--- a/packages/ctl/sapphire_ctl/commands/explain_test.py
+++ b/packages/ctl/sapphire_ctl/commands/explain_test.py
@@ -78,6 +78,22 @@
             _, answer = self.explain({"edge-1": log})
             self.assertIn(meaning, str(answer["verdict"]))
 
+    def test_what_a_host_says_of_itself_is_in_the_timeline(self) -> None:
+        log = (
+            line(0, "opened", flow=FLOW)
+            + line(5, "link_full", waiting=26)
+            + line(7, "cut_off")
+        )
+        _, answer = self.explain({"edge-1": log, "edge-2": line(6, "cut_off")})
+        self.assertEqual(
+            [
+                ("edge-1", "opened"),
+                ("edge-1", "link_full"),
+                ("edge-1", "cut_off"),
+            ],
+            self.events(answer),
+        )
+
     def test_host_is_taken_from_the_prefix_of_a_log_collector(self) -> None:
         log = "  0.2668 edge-7 " + line(0, "opened", flow=FLOW)
         _, answer = self.explain({"all": log})
