--- a/packages/wire/sapphire_wire/peer_messages_test.py
+++ b/packages/wire/sapphire_wire/peer_messages_test.py
@@ -23,6 +23,7 @@
         outcome_builders.report(4_294_967_295, 2, 3, time_ratio=4.25),
         outcome_builders.report(17, 0, 1),
     ),
+    is_cut_off=True,
 )
 
 
