A large service is selected from a sample of 128 upstreams

Of services with more than 128 eligible upstreams a host now considers 128, drawn anew for each opening, 32 of them of other data centres where there are as many. Nothing changes for smaller services, draw by draw. If the best of the sample is cold, silent or ejected, all are considered, so a single sound one is found.

LargeServiceTest: the load spreads as if all were considered, few flows leave the data centre, the only sound one is found.

--- a/packages/core/sapphire_core/tagged_flows/openings/upstream_selector.py
+++ b/packages/core/sapphire_core/tagged_flows/openings/upstream_selector.py
@@ -4,6 +4,7 @@
 """
 
 from collections.abc import Collection
+from collections.abc import Iterable
 from collections.abc import Iterator
 from collections.abc import Mapping
 import itertools
@@ -25,6 +26,10 @@
 # How many hosts are assumed to share the cold rate of an upstream until this
 # host knows their number: the largest fleet that the platform measures.
 INITIAL_HOST_COUNT = 300
+# How many upstreams of a service are considered for a new flow, and how many of
+# them are of other data centres if there are as many.
+MAX_CONSIDERED = 128
+MIN_REMOTE_CONSIDERED = 32
 # How many upstreams a heartbeat reports at most. A report takes 7 to 11 bytes,
 # so that they fill less than half of the largest heartbeat (8 KB).
 MAX_REPORTS = 350
@@ -183,12 +188,16 @@
         Returns:
             The upstream, None if none is eligible.
         """
-        selected = selection_policy.select(
-            self._candidates(service, now_ms),
-            self._data_centre,
-            excluded_ids,
-            self._rng,
-        )
+        near, remote = self._eligible(service, now_ms)
+        selected = None
+        if len(near) + len(remote) > MAX_CONSIDERED:
+            sample = self._sample(near, remote)
+            selected = self._select_among(sample, service, excluded_ids, now_ms)
+        if selected is None or not _is_sound(selected):
+            everyone = itertools.chain(near, remote)
+            selected = self._select_among(
+                everyone, service, excluded_ids, now_ms
+            )
         if selected is None:
             return None
         if selected.is_cold:
@@ -198,14 +207,10 @@
             )
         return selected.entry
 
-    def _candidates(
+    def _eligible(
         self, service: data.Service, now_ms: int
-    ) -> Iterator[selection_policy.Candidate]:
-        """Yields the candidates for a new flow, near ones first.
-
-        Open flows of this host whose callers pause between requests count with
-        what they bring on average.
-        """
+    ) -> tuple[list[upstream_table_lib.Entry], list[upstream_table_lib.Entry]]:
+        """Returns the eligible upstreams: near ones, and remote ones."""
         near: list[upstream_table_lib.Entry] = []
         remote: list[upstream_table_lib.Entry] = []
         for entry in self._upstream_table.eligible_upstreams(
@@ -213,12 +218,58 @@
         ):
             is_near = entry.upstream.data_centre == self._data_centre
             (near if is_near else remote).append(entry)
+        return near, remote
+
+    def _sample(
+        self,
+        near: list[upstream_table_lib.Entry],
+        remote: list[upstream_table_lib.Entry],
+    ) -> list[upstream_table_lib.Entry]:
+        """Draws the upstreams of a large service that are considered.
+
+        The least loaded of many random ones is hardly worse than that of all,
+        and hosts that know the same old loads do not all take the same one.
+        """
+        near_count = min(len(near), MAX_CONSIDERED - MIN_REMOTE_CONSIDERED)
+        if len(remote) < MIN_REMOTE_CONSIDERED:
+            near_count = min(len(near), MAX_CONSIDERED - len(remote))
+        remote_count = min(len(remote), MAX_CONSIDERED - near_count)
+        return self._rng.sample(near, near_count) + self._rng.sample(
+            remote, remote_count
+        )
+
+    def _select_among(
+        self,
+        entries: Iterable[upstream_table_lib.Entry],
+        service: data.Service,
+        excluded_ids: Collection[str],
+        now_ms: int,
+    ) -> selection_policy.Candidate | None:
+        """Selects the best of some upstreams; near ones come first."""
+        return selection_policy.select(
+            self._candidates(entries, service, now_ms),
+            self._data_centre,
+            excluded_ids,
+            self._rng,
+        )
+
+    def _candidates(
+        self,
+        entries: Iterable[upstream_table_lib.Entry],
+        service: data.Service,
+        now_ms: int,
+    ) -> Iterator[selection_policy.Candidate]:
+        """Yields the candidates for a new flow.
+
+        Open flows of this host whose callers pause between requests count with
+        what they bring on average.
+        """
         unanswered = self._passive_health.unanswered
         penalty = self.ejection.penalty
         pending = self._half_open_flows.pending
         in_flight = self._flow_table.load.at_least
         of_peers = self._peer_in_flight_by_tag.get
-        for entry in itertools.chain(near, remote):
+        for entry in entries:
             upstream_id = entry.upstream.upstream_id
             is_cold = now_ms < entry.cold_until_ms
             if is_cold and not self._slow_start_pacer.allows_flow(
@@ -317,3 +368,12 @@
         self.ejection.discard(upstream_id)
         self._passive_health.discard(upstream_id)
         self._slow_start_pacer.discard(upstream_id)
+
+
+def _is_sound(candidate: selection_policy.Candidate) -> bool:
+    """Whether nothing speaks against an upstream but its load."""
+    return (
+        candidate.consecutive_unanswered == 0
+        and not candidate.is_cold
+        and candidate.penalty == 0
+    )
--- a/packages/core/sapphire_core/tagged_flows/openings/upstream_selector_test.py
+++ b/packages/core/sapphire_core/tagged_flows/openings/upstream_selector_test.py
@@ -1,5 +1,6 @@
 import testtools
 
+from sapphire_core.tagged_flows import data
 from sapphire_core.tagged_flows.openings import upstream_selector
 from sapphire_lab.tagged_flows import builders
 from sapphire_wire import peer_messages
@@ -49,3 +50,57 @@
             for each in bench.decisions
         ]
         self.assertEqual([(0.0, -1), (1.5, 25)], logged)
+
+
+class LargeServiceTest(testtools.TestCase):
+    """A service of hundreds of upstreams, of which a host considers a part."""
+
+    def bench(self, near: int, remote: int) -> builders.SteeringBench:
+        return builders.SteeringBench(
+            *(builders.upstream(f"near-{n}") for n in range(near)),
+            *(
+                builders.upstream(f"far-{n}", data_centre="salem")
+                for n in range(remote)
+            ),
+        )
+
+    def loads(self, bench: builders.SteeringBench, flows: int) -> list[int]:
+        """Opens flows and returns the requests in flight at each upstream."""
+        for number in range(flows):
+            bench.answer(number, bench.open(number, 10), 10)
+        return sorted(
+            bench.steering.flow_table.in_flight(name)
+            for name in bench.steering.upstream_table.by_id
+        )
+
+    def test_the_load_spreads_as_if_all_were_considered(self) -> None:
+        for near, remote in ((1_000, 0), (300, 700), (20, 980)):
+            loads = self.loads(self.bench(near, remote), 2_000)
+            self.assertEqual(2_000, sum(loads))
+            # Two each, and hardly more anywhere.
+            self.assertLessEqual(loads[-1], 4)
+
+    def test_few_flows_stay_in_the_data_centre(self) -> None:
+        bench = self.bench(500, 500)
+        self.loads(bench, 400)
+        remote = sum(
+            bench.steering.flow_table.in_flight(f"far-{n}") for n in range(500)
+        )
+        self.assertEqual(0, remote)
+
+    def test_the_only_sound_one_is_found(self) -> None:
+        bench = self.bench(1_000, 0)
+        table = bench.steering.upstream_table
+        for number in range(999):
+            bench.steering.selector.record_unanswered(
+                table.by_id[f"near-{number}"], 5, 10
+            )
+        action = bench.open(1, 11)
+        assert isinstance(action, data.Forward)
+        self.assertEqual("near-999", action.upstream.upstream_id)
+
+    def test_a_small_service_is_considered_whole(self) -> None:
+        """Its decisions are those of before, draw by draw."""
+        size = upstream_selector.MAX_CONSIDERED
+        loads = self.loads(self.bench(size, 0), 3 * size)
+        self.assertEqual([3] * size, loads)
