link_queue: links of less than 0.5 Mbit/s keep their rate, and the queue has a bound in bytes

Found by reading: after each packet the debt was cut to what such a link carries in 25 ms, less than one packet, so that packets left at up to twice the rate; and one second of a link of 1 Gbit/s is 119 MB, which a host of 139 MB does not have. The burst is two full packets at least, the queue 8 MB at most. link_queue_test has widths from 0.1 Mbit/s to 1 Gbit/s.

--- a/packages/core/sapphire_core/tagged_flows/link_queue.py
+++ b/packages/core/sapphire_core/tagged_flows/link_queue.py
@@ -23,9 +23,13 @@
 # What may leave at once after a pause: less than the queue of a link holds, and
 # more than leaves between two ticks.
 BURST_MS = 25
+# Two full packets, for links that carry less in that time.
+MIN_BURST_BYTES = 2_600
 # What may be queued, in time of the link. Callers that wait for longer than
 # this have repeated all that they have in flight.
 MAX_QUEUED_MS = 1_000
+# Bounds the memory that the queue of a wide link can take.
+MAX_QUEUED_BYTES = 8_388_608
 # A flow that sends nothing long for this time has begun another request: the
 # longest time between two repetitions of a caller (1,600 ms, the protocol).
 REQUEST_PAUSE_MS = 2_000
@@ -99,7 +103,7 @@
         self._rate = None
         if bytes_per_ms is not None:
             self._rate = bytes_per_ms * USABLE_PART
-            self._budget = self._rate * BURST_MS
+            self._budget = _burst_bytes(self._rate)
 
     def record_sent(self, size_bytes: int) -> None:
         """Records what else this host has sent over the link.
@@ -126,7 +130,9 @@
             return Admission.SENT
         if packet.sequence in request.queued:
             return Admission.REPEATED
-        if self._queued_bytes >= self._rate * MAX_QUEUED_MS:
+        if self._queued_bytes >= min(
+            self._rate * MAX_QUEUED_MS, MAX_QUEUED_BYTES
+        ):
             return Admission.DROPPED
         request.queued[packet.sequence] = forward
         self._queued_packets += 1
@@ -224,13 +230,22 @@
 
         What leaves without waiting puts the others back by one burst at most.
         """
-        burst = rate * BURST_MS
+        burst = _burst_bytes(rate)
         if self._updated_ms is not None:
             self._budget += (now_ms - self._updated_ms) * rate
         self._updated_ms = now_ms
         self._budget = min(max(self._budget, -burst), burst)
 
 
+def _burst_bytes(rate: float) -> float:
+    """Returns what may leave at once over a link.
+
+    Args:
+        rate: What may leave on average, in bytes a millisecond.
+    """
+    return max(rate * BURST_MS, MIN_BURST_BYTES)
+
+
 def _size(packet: data.Packet) -> int:
     """Returns what a packet takes on the link, in bytes."""
     return HEAD_BYTES + packet.payload_bytes
--- a/packages/core/sapphire_core/tagged_flows/link_queue_test.py
+++ b/packages/core/sapphire_core/tagged_flows/link_queue_test.py
@@ -56,12 +56,25 @@
         ]
 
     def test_packets_leave_at_the_rate_of_the_link(self) -> None:
-        sent = self.fill(1, 200)
-        sent += len(self.released(200))
-        carried = BYTES_PER_MS * 200 / (FULL_BYTES + link_queue.HEAD_BYTES)
-        burst = BYTES_PER_MS * link_queue.BURST_MS / FULL_BYTES
-        self.assertLessEqual(sent, carried + burst)
-        self.assertGreaterEqual(sent, 0.9 * carried)
+        """Widths of 0.1 to 100 Mbit/s."""
+        size = FULL_BYTES + link_queue.HEAD_BYTES
+        for bytes_per_ms in (12.5, 62.5, 625.0, 12_500.0):
+            self.queue = link_queue.LinkQueue(bytes_per_ms)
+            # Twice what the link carries in the time, at once.
+            duration_ms = max(1_000, int(20 * size / bytes_per_ms))
+            carried = int(bytes_per_ms * duration_ms / size)
+            sent = self.fill(1, 2 * carried)
+            for now_ms in range(10, duration_ms + 1, 10):
+                sent += len(self.queue.release(now_ms))
+                # As much again arrives, since the queue is bounded.
+                sent += self.fill(
+                    now_ms, 1 + carried * 10 // duration_ms, now_ms
+                )
+            burst = max(
+                bytes_per_ms * link_queue.BURST_MS, link_queue.MIN_BURST_BYTES
+            )
+            self.assertLessEqual(sent, carried + burst / size + 1)
+            self.assertGreaterEqual(sent, 0.9 * carried)
 
     def test_what_is_short_does_not_wait(self) -> None:
         self.fill(1, 100)
@@ -119,6 +132,13 @@
             link_queue.Admission.DROPPED, self.admit(forward(1, 101), 5)
         )
 
+    def test_a_wide_link_does_not_queue_without_a_bound(self) -> None:
+        self.queue = link_queue.LinkQueue(125_000.0)
+        for number in range(100):
+            self.fill(number, 1_000)
+        bound = link_queue.MAX_QUEUED_BYTES / FULL_BYTES
+        self.assertLessEqual(len(self.queue), bound)
+
     def test_a_reset_gives_up_what_is_queued(self) -> None:
         self.fill(1, 100)
         self.assertEqual(SENT, self.admit(forward(1, is_reset=True), 5))
