--- /dev/null
+++ b/review/stand_ins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the platform, its clients and its targets."""
