--- a/review/stand_ins/world.py
+++ b/review/stand_ins/world.py
@@ -75,6 +75,7 @@
         self._next_client = 1
         self.routes: dict[int, str] = {}
         self.cold_rates: dict[str, float] = {}
+        self.objective_ms = 200
         self.network = self._choose_network()
         self.service_address = f"127.{self.network}.9.1"
         self.packet_port = 0
@@ -221,7 +222,7 @@
                         "prefix": f"/{port}/",
                         "type": "idempotent",
                         "timeoutMs": 3_000,
-                        "targetLatencyMs": 200,
+                        "targetLatencyMs": self.objective_ms,
                         "priority": 2,
                         "service": service,
                         "maxAttempts": 2,
