Claims of store followers age with the store's answers

Cause: a heartbeat claimed that its sender follows the store, with age 0, until the sender's own call failed, 1,700 ms later; relays renewed claims by the time that datagrams are under way, so that hosts dropped a follower 1,800 ms after the last of them, also one that had withdrawn; and who took over waited up to 1 s for an answer in each scope before other data centres heard from it.

Change: a claim carries when the store last answered, of the scopes the one answered longest ago, and counts for 1,800 ms from then. The time by the follower's own clock names a claim: of two copies the older one counts, and a withdrawal ends all claims up to the answer that it names. Hosts whose claim has run out are not waited for. The first call of a host that takes over does not wait, and its changes are told to all data centres.

--- a/packages/core/sapphire_core/peers/data.py
+++ b/packages/core/sapphire_core/peers/data.py
@@ -76,6 +76,22 @@
     age_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class FollowerClaim:
+    """That a host follows the store, and how well this is confirmed.
+
+    Attributes:
+        age_ms: How long ago the store last answered the host, of the scopes in
+            which it follows the store the one that was answered first.
+        answered_ms: When that was, by the clock of the host itself. It tells
+            claims of one host apart, however they reached the receiver. None
+            from hosts of earlier versions, whose own claims have no age.
+    """
+
+    age_ms: int
+    answered_ms: int | None = None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Heartbeat:
     """The regular datagram between hosts.
@@ -88,8 +104,8 @@
         revisions: The newest revision that the sender has of each scope.
         store_failed_ms: How long ago a call to the store last failed, as far
             as the sender knows; None if none has.
-        follower_ages_ms: The store followers that the sender knows, itself
-            included, and how long ago each of them confirmed that it is one.
+        followers: The claims of the store followers that the sender knows,
+            itself included, by host.
         upstreams: What the sender has observed of upstreams, or passes on of
             what its peers have reported.
         live_counts: How many hosts of each data centre are live, as far as the
@@ -101,6 +117,9 @@
         era: The era of the store that the revisions belong to. A scope that the
             sender knows in an older era only has revision 0.
         is_cut_off: Whether the sender has found that it can reach no upstream.
+        answered_ms: When the store last answered the sender, by the sender's
+            clock; its claims up to then have ended if it does not name itself
+            among the followers. None if the store has not.
     """
 
     contact: Contact
@@ -109,13 +128,14 @@
     is_leaving: bool
     revisions: Mapping[replication_data.Scope, int]
     store_failed_ms: int | None
-    follower_ages_ms: Mapping[str, int]
+    followers: Mapping[str, FollowerClaim]
     upstreams: tuple[UpstreamReport, ...]
     live_counts: Mapping[str, LiveCount]
     outcomes: tuple[OutcomeReport, ...] = ()
     left_out: str = ""
     era: int = 0
     is_cut_off: bool = False
+    answered_ms: int | None = None
 
     def position(
         self, scope: replication_data.Scope
--- a/packages/core/sapphire_core/peers/peer_table.py
+++ b/packages/core/sapphire_core/peers/peer_table.py
@@ -126,7 +126,7 @@
         if peer is None:
             self._update_near_timeout()
         self._counts.merge(heartbeat.live_counts, now_ms)
-        self.followers.merge(host, heartbeat.follower_ages_ms, now_ms)
+        self.followers.merge(heartbeat, now_ms)
         return previous is None or previous.start_id != heartbeat.start_id
 
     def evict_expired(self, now_ms: int, listed: frozenset[str]) -> None:
--- a/packages/core/sapphire_core/peers/peer_table_test.py
+++ b/packages/core/sapphire_core/peers/peer_table_test.py
@@ -2,6 +2,7 @@
 
 import testtools
 
+from sapphire_core.peers import data as peer_data
 from sapphire_core.peers import heartbeat_targets
 from sapphire_core.peers import peer_table as peer_table_lib
 from sapphire_core.peers import store_followers
@@ -49,11 +50,11 @@
         for name, own in self.peer_tables.items():
             if name in self.crashed:
                 continue
-            ages_ms = own.followers.ages_ms(self.now_ms)
+            claims = own.followers.claims(self.now_ms)
             if name in self.following:
-                ages_ms[name] = 0
+                claims[name] = peer_data.FollowerClaim(0, self.now_ms)
             heartbeat = builders.heartbeat(
-                name, sequence=self.sequence, followers=ages_ms
+                name, sequence=self.sequence, followers=claims
             )
             for receiver, peer_table in self.peer_tables.items():
                 if receiver != name:
@@ -228,9 +229,11 @@
     def test_followers_that_rank_first_are_named_and_the_sender(self) -> None:
         names = {f"h{number}": 10 * number for number in range(20)}
         self.peer_table.record_heartbeat(
-            builders.heartbeat("h0", followers=names), 0
+            builders.heartbeat("h0", followers=builders.claims(names)), 0
+        )
+        named = self.peer_table.followers.reported_claims(
+            0, peer_data.FollowerClaim(0, 1_000)
         )
-        named = self.peer_table.followers.reported_ages_ms(0, is_following=True)
         self.assertIn("own", named)
         self.assertLessEqual(
             len(named), store_followers.MAX_REPORTED_FOLLOWERS + 1
--- a/packages/core/sapphire_core/peers/store_followers.py
+++ b/packages/core/sapphire_core/peers/store_followers.py
@@ -6,18 +6,25 @@
 itself unless it knows two followers that rank before it. If the hosts' views
 differ, there are more followers for a while, but never fewer than one in each
 part of a partition.
+
+A follower claims no more than it knows: when the store last answered it. From
+the age of this answer other hosts conclude that the follower is cut off, while
+its own call is still waiting. Heartbeats pass claims on. The time of the answer
+by the follower's own clock names a claim, so a relay cannot renew it.
 """
 
 from collections.abc import Iterable
-from collections.abc import Mapping
+import dataclasses
 
 import xxhash
 
+from sapphire_core.peers import data
+
 # How many hosts follow the store. With two, the others get changes without
 # delay while the store rejects one follower, or its connection has stalled.
 TARGET_FOLLOWERS = 2
-# Another data centre learns of a follower within 1 s, and all hosts of a large
-# fleet learn of it within three more heartbeats, one each 250 ms.
+# After an answer, the next one arrives within about 1 s, and all hosts of a
+# large fleet know of it within three more heartbeats, one each 250 ms.
 FOLLOWER_TIMEOUT_MS = 1_800
 # While there are too few followers, one more host, in the order of the ranking,
 # takes over at each interval. A store that is down for all hosts is then not
@@ -25,9 +32,48 @@
 TAKEOVER_INTERVAL_MS = 200
 # Heartbeats name at most this many followers, those that rank first.
 MAX_REPORTED_FOLLOWERS = 4
+# For how long a claim that has timed out is known as such. Hosts of earlier
+# versions may still pass it on, without the time of its answer.
+CLAIM_RETENTION_MS = 60_000
 _RANK_COUNT = 2**64
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Claim:
+    """The claim of a store follower, in the time of this host.
+
+    Attributes:
+        confirmed_ms: When the store answered the follower.
+        answered_ms: The same by the follower's own clock; None if unknown.
+    """
+
+    confirmed_ms: int
+    answered_ms: int | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Withdrawal:
+    """A host has said itself that it does not follow the store.
+
+    Attributes:
+        received_ms: When it was heard.
+        answered_ms: When the store last answered the host, by the host's own
+            clock; None if unknown.
+    """
+
+    received_ms: int
+    answered_ms: int | None
+
+    def covers(self, claim: _Claim) -> bool:
+        """Whether a claim was made before the withdrawal.
+
+        Without the time of an answer, each claim may have been.
+        """
+        if claim.answered_ms is None or self.answered_ms is None:
+            return True
+        return claim.answered_ms <= self.answered_ms
+
+
 class StoreFollowers:
     """The store followers that a host knows, and whether it must be one.
 
@@ -37,73 +83,115 @@
 
     def __init__(self, own_host: str) -> None:
         self._own_host = own_host
-        # When each known store follower last confirmed that it is one.
-        self._confirmed_ms_by_host: dict[str, int] = {}
+        # The newest claim of each host, also of those that have timed out.
+        self._claims_by_host: dict[str, _Claim] = {}
+        # Withdrawals younger than the timeout of the claims that they cover.
+        self._withdrawals_by_host: dict[str, _Withdrawal] = {}
         # Since when too few followers rank before this host; None if enough do.
         self._too_few_since_ms: int | None = None
 
-    def merge(
-        self, sender: str, ages_ms: Mapping[str, int], now_ms: int
-    ) -> None:
-        """Merges the followers that a heartbeat names.
+    def merge(self, heartbeat: data.Heartbeat, now_ms: int) -> None:
+        """Merges the claims that a heartbeat carries.
 
         Args:
-            sender: The sender, which names itself if it follows the store.
-            ages_ms: How long ago each follower confirmed that it is one.
+            heartbeat: The heartbeat; newer than any other of its sender.
             now_ms: The current time.
         """
-        for host, age_ms in ages_ms.items():
-            confirmed_ms = now_ms - age_ms
-            known_ms = self._confirmed_ms_by_host.get(host, confirmed_ms)
-            self._confirmed_ms_by_host[host] = max(known_ms, confirmed_ms)
-        if sender not in ages_ms:
-            self._confirmed_ms_by_host.pop(sender, None)
+        sender = heartbeat.contact.host
+        if sender in heartbeat.followers:
+            self._withdrawals_by_host.pop(sender, None)
+        else:
+            self._claims_by_host.pop(sender, None)
+            self._withdrawals_by_host[sender] = _Withdrawal(
+                now_ms, heartbeat.answered_ms
+            )
+        for host, told in heartbeat.followers.items():
+            if host == self._own_host:
+                continue
+            claim = _Claim(now_ms - told.age_ms, told.answered_ms)
+            if host == sender or not self._is_outdated(host, claim, now_ms):
+                self._merge_claim(host, claim)
+
+    def _is_outdated(self, host: str, claim: _Claim, now_ms: int) -> bool:
+        """Whether a claim that a relay carries may have ended before."""
+        withdrawal = self._withdrawals_by_host.get(host)
+        if (
+            withdrawal is not None
+            and now_ms - withdrawal.received_ms <= FOLLOWER_TIMEOUT_MS
+            and withdrawal.covers(claim)
+        ):
+            return True
+        # A relay of an earlier version leaves out the time of the answer, so
+        # the claim may be as old as the known one.
+        known = self._claims_by_host.get(host)
+        return (
+            known is not None
+            and known.answered_ms is not None
+            and claim.answered_ms is None
+        )
+
+    def _merge_claim(self, host: str, claim: _Claim) -> None:
+        """Merges one claim of a peer.
+
+        Each datagram adds its time under way to the age of the answer, so of
+        two copies of a claim the one that looks older is right.
+        """
+        known = self._claims_by_host.get(host)
+        if known is None:
+            self._claims_by_host[host] = claim
+            return
+        is_copy = claim.answered_ms == known.answered_ms is not None
+        is_older = claim.confirmed_ms < known.confirmed_ms
+        if is_copy == is_older:
+            self._claims_by_host[host] = claim
 
     def evict_expired(self, now_ms: int) -> None:
-        """Evicts followers that have not confirmed it for too long.
+        """Evicts claims and withdrawals that no longer matter.
 
         Args:
             now_ms: The current time.
         """
-        for host, confirmed_ms in list(self._confirmed_ms_by_host.items()):
-            if now_ms - confirmed_ms > FOLLOWER_TIMEOUT_MS:
-                del self._confirmed_ms_by_host[host]
+        for host, claim in list(self._claims_by_host.items()):
+            if now_ms - claim.confirmed_ms > CLAIM_RETENTION_MS:
+                del self._claims_by_host[host]
+        for host, withdrawal in list(self._withdrawals_by_host.items()):
+            if now_ms - withdrawal.received_ms > FOLLOWER_TIMEOUT_MS:
+                del self._withdrawals_by_host[host]
 
-    def ages_ms(self, now_ms: int) -> dict[str, int]:
-        """Returns which peers follow the store, by name.
+    def claims(self, now_ms: int) -> dict[str, data.FollowerClaim]:
+        """Returns the claims of the peers that follow the store, by host.
 
         Args:
             now_ms: The current time.
-
-        Returns:
-            How long ago each of them confirmed that it follows the store.
         """
         return {
-            host: now_ms - confirmed_ms
-            for host, confirmed_ms in self._confirmed_ms_by_host.items()
-            if now_ms - confirmed_ms <= FOLLOWER_TIMEOUT_MS
-            and host != self._own_host
+            host: data.FollowerClaim(
+                now_ms - claim.confirmed_ms, claim.answered_ms
+            )
+            for host, claim in self._claims_by_host.items()
+            if now_ms - claim.confirmed_ms <= FOLLOWER_TIMEOUT_MS
         }
 
-    def reported_ages_ms(
-        self, now_ms: int, *, is_following: bool
-    ) -> dict[str, int]:
-        """Returns the followers that the next heartbeat names.
+    def reported_claims(
+        self, now_ms: int, own_claim: data.FollowerClaim | None
+    ) -> dict[str, data.FollowerClaim]:
+        """Returns the claims that the next heartbeat carries, by host.
 
         Those that rank first are enough: a host needs to know two before it.
 
         Args:
             now_ms: The current time.
-            is_following: Whether this host follows the store.
+            own_claim: The claim of this host; None if it does not follow the
+                store.
         """
-        ages_ms = self.ages_ms(now_ms)
-        if is_following:
-            ages_ms[self._own_host] = 0
-        first = sorted(ages_ms, key=rank)[:MAX_REPORTED_FOLLOWERS]
-        if is_following and self._own_host not in first:
+        claims = self.claims(now_ms)
+        if own_claim is not None:
+            claims[self._own_host] = own_claim
+        first = sorted(claims, key=rank)[:MAX_REPORTED_FOLLOWERS]
+        if own_claim is not None and self._own_host not in first:
             # Receivers take a sender that is not named for no follower.
             first.append(self._own_host)
-        return {host: ages_ms[host] for host in first}
+        return {host: claims[host] for host in first}
 
     @property
     def rank_fraction(self) -> float:
@@ -117,7 +205,7 @@
             candidates: The peers that may take over.
             now_ms: The current time.
         """
-        followers = self.ages_ms(now_ms)
+        followers = self.claims(now_ms)
         own_rank = rank(self._own_host)
         followers_before = sum(1 for host in followers if rank(host) < own_rank)
         if followers_before >= TARGET_FOLLOWERS:
@@ -128,10 +216,11 @@
         candidates_before = sum(
             1
             for host in candidates
-            if host not in followers and rank(host) < own_rank
+            if host not in self._claims_by_host and rank(host) < own_rank
         )
         # Hosts that rank before this one and do not follow the store yet get
-        # time to take over first.
+        # time to take over first. Those whose claim has timed out do not: the
+        # store has stopped answering them.
         wait_ms = (
             max(0, followers_before + candidates_before + 1 - TARGET_FOLLOWERS)
             * TAKEOVER_INTERVAL_MS
--- a/packages/lab/sapphire_lab/tagged_flows/builders.py
+++ b/packages/lab/sapphire_lab/tagged_flows/builders.py
@@ -181,6 +181,21 @@
     return replication_data.Batch(items, as_of, is_full, COPY_ERA)
 
 
+def claims(
+    ages_ms: dict[str, int], answered_ms: int | None = 1_000
+) -> dict[str, peer_data.FollowerClaim]:
+    """Returns claims of store followers by their ages.
+
+    Args:
+        ages_ms: How long ago the store answered each of them.
+        answered_ms: When that was, by the clock of each.
+    """
+    return {
+        host: peer_data.FollowerClaim(age_ms, answered_ms)
+        for host, age_ms in ages_ms.items()
+    }
+
+
 def heartbeat(
     host: str,
     *,
@@ -190,11 +205,12 @@
     is_leaving: bool = False,
     revision: int = 0,
     store_failed_ms: int | None = None,
-    followers: dict[str, int] | None = None,
+    followers: dict[str, peer_data.FollowerClaim] | None = None,
     upstreams: tuple[peer_data.UpstreamReport, ...] = (),
     live_counts: dict[str, peer_data.LiveCount] | None = None,
     outcomes: tuple[peer_data.OutcomeReport, ...] = (),
     is_cut_off: bool = False,
+    answered_ms: int | None = None,
 ) -> peer_data.Heartbeat:
     """Returns a heartbeat of a host."""
     return peer_data.Heartbeat(
@@ -204,9 +220,10 @@
         is_leaving=is_leaving,
         revisions=dict.fromkeys(replication_data.Scope, revision),
         store_failed_ms=store_failed_ms,
-        follower_ages_ms=followers or {},
+        followers=followers or {},
         upstreams=upstreams,
         live_counts=live_counts or {},
         outcomes=outcomes,
         is_cut_off=is_cut_off,
+        answered_ms=answered_ms,
     )
--- a/packages/lab/sapphire_lab/tagged_flows/heartbeat_simulation.py
+++ b/packages/lab/sapphire_lab/tagged_flows/heartbeat_simulation.py
@@ -11,6 +11,7 @@
 from sapphire_core.peers import peer_table as peer_table_lib
 from sapphire_core.peers import upstream_reports
 from sapphire_lab.tagged_flows import builders
+from sapphire_node.entry import heartbeat_sender
 
 DATA_CENTRES = 5
 # A heartbeat is read up to 20 ms after it has arrived.
@@ -19,7 +20,7 @@
 STEP_MS = 10
 
 
-class _Host:
+class Host:
     """A host with its peer table and the reports that it has received."""
 
     def __init__(self, number: int, rng: random.Random) -> None:
@@ -33,6 +34,7 @@
         self.phase_ms = rng.randrange(peer_table_lib.HEARTBEAT_INTERVAL_MS)
         self.is_dead = False
         self.is_following = False
+        self.revision = 0
 
 
 class HeartbeatSimulation:
@@ -43,6 +45,7 @@
         seed: Seeds all random choices.
 
     Attributes:
+        hosts: The hosts.
         near_datagrams: The heartbeats sent within data centres so far.
         remote_datagrams: Those sent between data centres.
         now_ms: The current time.
@@ -50,15 +53,15 @@
 
     def __init__(self, host_count: int, seed: int) -> None:
         rng = random.Random(seed)
-        self._hosts = [_Host(n, rng) for n in range(host_count)]
-        self._by_name = {host.contact.host: host for host in self._hosts}
+        self.hosts = [Host(n, rng) for n in range(host_count)]
+        self._by_name = {host.contact.host: host for host in self.hosts}
         self._in_transit: list[tuple[int, int, str, data.Heartbeat]] = []
         self._sent = 0
         self.near_datagrams = 0
         self.remote_datagrams = 0
         self.now_ms = 0
-        contacts = [host.contact for host in self._hosts]
-        for host in self._hosts:
+        contacts = [host.contact for host in self.hosts]
+        for host in self.hosts:
             host.table.set_host_list(contacts, 0)
 
     def run(self, duration_ms: int) -> None:
@@ -66,7 +69,8 @@
         end_ms = self.now_ms + duration_ms
         while self.now_ms < end_ms:
             self._deliver()
-            for host in self._hosts:
+            self.run_calls()
+            for host in self.hosts:
                 elapsed_ms = self.now_ms - host.phase_ms
                 if elapsed_ms % peer_table_lib.HEARTBEAT_INTERVAL_MS < STEP_MS:
                     self._send_regularly(host)
@@ -74,16 +78,16 @@
 
     def report_unresponsive(self, tag: int, avoid_ms: int) -> None:
         """Lets the first host report an upstream to its peers at once."""
-        host = self._hosts[0]
+        host = self.hosts[0]
         host.own_reports = (data.UpstreamReport(tag, 0.0, avoid_ms),)
-        self._send(host, host.table.near_targets())
+        self.send(host, host.table.near_targets())
 
     def near_share_with_report(self, tag: int) -> float:
         """Returns the share of the first data centre that avoids an upstream.
 
         The host that reports it does not count.
         """
-        near = self._hosts[DATA_CENTRES::DATA_CENTRES]
+        near = self.hosts[DATA_CENTRES::DATA_CENTRES]
         informed = [
             host
             for host in near
@@ -93,36 +97,58 @@
 
     def kill(self, number: int) -> None:
         """Stops a host, which then sends nothing."""
-        self._hosts[number].is_dead = True
+        self.hosts[number].is_dead = True
 
     def host_counts(self) -> list[int]:
         """Returns how many hosts each live host counts."""
         return [
             host.table.host_count(self.now_ms)
-            for host in self._hosts
+            for host in self.hosts
             if not host.is_dead
         ]
 
     def follower_count(self) -> int:
         """Returns how many hosts follow the store."""
-        return sum(host.is_following for host in self._hosts)
+        return sum(host.is_following for host in self.hosts)
 
-    def _send_regularly(self, host: _Host) -> None:
+    def run_calls(self) -> None:
+        """Lets the hosts call the store; here it answers each at once."""
+
+    def own_claim(self, host: Host) -> data.FollowerClaim | None:
+        """Returns the claim of a host to follow the store, if it does."""
+        if not host.is_following:
+            return None
+        return data.FollowerClaim(0, self.now_ms)
+
+    def set_must_follow(self, host: Host, *, must_follow: bool) -> None:
+        """Records whether a host has to follow the store."""
+        host.is_following = must_follow
+
+    def handle_revision(self, host: Host, heartbeat: data.Heartbeat) -> None:
+        """Acts on the revision that a peer of a host has."""
+
+    def _send_regularly(self, host: Host) -> None:
         if host.is_dead:
             return
-        host.is_following = host.table.must_follow(
-            self.now_ms, is_leaving=False
+        self.set_must_follow(
+            host,
+            must_follow=host.table.must_follow(self.now_ms, is_leaving=False),
         )
         receivers = host.table.near_targets()
-        if host.table.is_large_fleet or self.now_ms % 1_000 < (
+        is_follower = self.own_claim(host) is not None
+        interval_ms = heartbeat_sender.REMOTE_HEARTBEAT_INTERVAL_MS
+        if is_follower:
+            interval_ms = heartbeat_sender.REMOTE_FOLLOWER_INTERVAL_MS
+        if host.table.is_large_fleet or self.now_ms % interval_ms < (
             peer_table_lib.HEARTBEAT_INTERVAL_MS
         ):
             receivers = receivers + host.table.remote_targets(
-                self.now_ms, is_follower=host.is_following
+                self.now_ms, is_follower=is_follower
             )
-        self._send(host, receivers)
+        self.send(host, receivers)
 
-    def _send(self, host: _Host, receivers: list[data.Contact]) -> None:
+    def send(self, host: Host, receivers: list[data.Contact]) -> None:
+        """Sends a heartbeat of a host."""
         host.sequence += 1
         reports = host.own_reports + host.reports.relayed(
             host.own_reports, self.now_ms
@@ -131,8 +157,9 @@
             host.contact.host,
             data_centre=host.contact.data_centre,
             sequence=host.sequence,
-            followers=host.table.followers.reported_ages_ms(
-                self.now_ms, is_following=host.is_following
+            revision=host.revision,
+            followers=host.table.followers.reported_claims(
+                self.now_ms, self.own_claim(host)
             ),
             upstreams=reports,
             live_counts=host.table.live_counts(self.now_ms),
@@ -155,5 +182,6 @@
             if host.is_dead:
                 continue
             host.table.record_heartbeat(heartbeat, self.now_ms)
+            self.handle_revision(host, heartbeat)
             if host.reports.record(heartbeat.upstreams, self.now_ms):
-                self._send(host, host.table.near_targets())
+                self.send(host, host.table.near_targets())
--- a/packages/node/sapphire_node/entry/heartbeat_sender.py
+++ b/packages/node/sapphire_node/entry/heartbeat_sender.py
@@ -20,6 +20,9 @@
 # The interval of heartbeats to other data centres while nothing changes;
 # traffic between data centres is paid for by the byte.
 REMOTE_HEARTBEAT_INTERVAL_MS = 1_000
+# The same for a host that follows the store: its claim is up to 1 s old when it
+# is sent, and must not time out before the next one arrives.
+REMOTE_FOLLOWER_INTERVAL_MS = 500
 # The heads of IP and UDP.
 _HEAD_BYTES = 28
 
@@ -134,8 +137,11 @@
     def _due_remote_targets(self, now_ms: int) -> list[peer_data.Contact]:
         """Returns the remote peers that get a heartbeat in this interval."""
         if not self._peer_table.is_large_fleet:
+            interval_ms = REMOTE_HEARTBEAT_INTERVAL_MS
+            if self._state.is_following_store:
+                interval_ms = REMOTE_FOLLOWER_INTERVAL_MS
             elapsed_ms = now_ms - self._last_remote_heartbeat_ms
-            if elapsed_ms < REMOTE_HEARTBEAT_INTERVAL_MS:
+            if elapsed_ms < interval_ms:
                 return []
             self._last_remote_heartbeat_ms = now_ms
         return self._peer_table.remote_targets(
@@ -173,14 +179,15 @@
                 store_failed_ms=None
                 if failure_ms is None
                 else now_ms - failure_ms,
-                follower_ages_ms=self._peer_table.followers.reported_ages_ms(
-                    now_ms, is_following=self._state.is_following_store
+                followers=self._peer_table.followers.reported_claims(
+                    now_ms, self._state.follower_claim(now_ms)
                 ),
                 upstreams=reports,
                 live_counts=self._peer_table.live_counts(now_ms),
                 outcomes=self.outcomes,
                 era=era,
                 is_cut_off=self._state.has_found_cut,
+                answered_ms=self._state.answered_ms,
             )
         )
 
--- a/packages/node/sapphire_node/entry/host_state.py
+++ b/packages/node/sapphire_node/entry/host_state.py
@@ -5,6 +5,7 @@
 
 import anyio
 
+from sapphire_core.peers import data as peer_data
 from sapphire_core.replication import data as replication_data
 from sapphire_net import pauses
 from sapphire_node.entry import platform_interface
@@ -230,3 +231,26 @@
     def is_following_store(self) -> bool:
         """Whether this host is a store follower of all routing scopes."""
         return self.must_follow_store and self.followed_scopes >= ROUTING_SCOPES
+
+    @property
+    def answered_ms(self) -> int | None:
+        """When the store last answered for the scope it answered longest ago.
+
+        Of the routing scopes; None if it has not answered for each of them.
+        """
+        if not self.store_answer_ms_by_scope.keys() >= ROUTING_SCOPES:
+            return None
+        return min(
+            self.store_answer_ms_by_scope[scope] for scope in ROUTING_SCOPES
+        )
+
+    def follower_claim(self, now_ms: int) -> peer_data.FollowerClaim | None:
+        """Returns the claim of this host to follow the store, if it does.
+
+        Args:
+            now_ms: The current time.
+        """
+        answered_ms = self.answered_ms
+        if not self.is_following_store or answered_ms is None:
+            return None
+        return peer_data.FollowerClaim(now_ms - answered_ms, answered_ms)
--- a/packages/node/sapphire_node/entry/messages.py
+++ b/packages/node/sapphire_node/entry/messages.py
@@ -122,9 +122,11 @@
 
     Attributes:
         scope: The scope.
+        is_from_store: Whether the store itself has sent the changes.
     """
 
     scope: replication_data.Scope
+    is_from_store: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/node/sapphire_node/entry/peer_task.py
+++ b/packages/node/sapphire_node/entry/peer_task.py
@@ -154,12 +154,21 @@
                 )
                 self._startup_exchange.record_host_list(message.contacts)
             else:
-                # Only followers notify other data centres; the hosts there pass
-                # the notice on among themselves.
                 self._sender.send_notice(
-                    is_for_remote=self._state.is_following_store
+                    is_for_remote=self._must_notify_remote(message)
                 )
 
+    def _must_notify_remote(self, message: messages.ScopeUpdated) -> bool:
+        """Whether other data centres have to hear of changes from this host.
+
+        Only hosts that follow the store notify them; the hosts there pass the
+        notice on among themselves. A host that takes over may get changes
+        before the store has answered it for each scope.
+        """
+        if self._state.is_following_store:
+            return True
+        return self._state.must_follow_store and message.is_from_store
+
     async def _send_heartbeats(self) -> None:
         """Sends heartbeats and publishes the reports of peers at intervals."""
         await self._state.wait_for_startup()
@@ -188,12 +197,24 @@
                     * FOLLOW_DELAY_SPREAD_MS
                 )
             )
-        must_follow = self._peer_table.must_follow(
-            now_ms, is_leaving=self._state.is_leaving
-        )
-        self._state.set_must_follow_store(
-            must_follow and now_ms >= self._may_follow_from_ms
+        must_follow = (
+            self._peer_table.must_follow(
+                now_ms, is_leaving=self._state.is_leaving
+            )
+            and now_ms >= self._may_follow_from_ms
         )
+        if must_follow != self._state.must_follow_store:
+            claims = self._peer_table.followers.claims(now_ms)
+            event_log.log(
+                _LOG,
+                logging.INFO,
+                "store_taken_over" if must_follow else "store_handed_over",
+                followers=",".join(sorted(claims)),
+                ages_ms=",".join(
+                    str(claims[host].age_ms) for host in sorted(claims)
+                ),
+            )
+        self._state.set_must_follow_store(must_follow)
 
     def _publish_peer_reports(self, now_ms: int) -> None:
         """Sends the aggregated reports of peers to the packet task."""
--- a/packages/node/sapphire_node/entry/replica_task.py
+++ b/packages/node/sapphire_node/entry/replica_task.py
@@ -199,7 +199,9 @@
                 source,
             )
         )
-        await self._peers.send(messages.ScopeUpdated(scope))
+        await self._peers.send(
+            messages.ScopeUpdated(scope, is_from_store=source == messages.STORE)
+        )
 
     def _report_restore(
         self, scope: data.Scope, former_era: int, now_ms: int
--- a/packages/node/sapphire_node/entry/store_follower.py
+++ b/packages/node/sapphire_node/entry/store_follower.py
@@ -21,10 +21,9 @@
 
 _LOG = logging.getLogger(__name__)
 
-# A long poll without a response times out after this and the answer timeout.
-# The platform requires that a configuration is in force 3 s after it was
-# accepted, and the next connection takes part of that time.
-WATCH_WAIT_MS = 1_000
+# While nothing changes, the store answers for each scope at this interval. The
+# age of the last answer tells peers whether this host is cut off from it.
+ANSWER_INTERVAL_MS = 1_000
 # Changes of upstreams come in bursts; with a pause between calls, one call
 # returns several of them.
 REGISTRY_PAUSE_MS = 500
@@ -45,6 +44,29 @@
 ]
 
 
+def pause_ms(scope: data.Scope) -> int:
+    """Returns the pause between an answer for a scope and the next call.
+
+    Args:
+        scope: The scope.
+    """
+    return _PAUSE_MS_BY_SCOPE.get(scope, 0)
+
+
+def watch_wait_ms(scope: data.Scope, *, is_confirmed: bool) -> int:
+    """Returns how long the store may wait for changes before it answers.
+
+    Args:
+        scope: The scope.
+        is_confirmed: Whether it has answered the last call for the scope. If
+            not, changes may be overdue, and the claim to follow the store
+            needs an answer: it must not wait.
+    """
+    if not is_confirmed:
+        return 1
+    return ANSWER_INTERVAL_MS - pause_ms(scope)
+
+
 class StoreFollower:
     """Follows the changes of a scope of the store after the startup read.
 
@@ -105,10 +127,8 @@
             await self._batches.send(
                 messages.BatchReceived(self._scope, batch, messages.STORE)
             )
-            if self._scope in _PAUSE_MS_BY_SCOPE:
-                await self._state.eras.wait_for_restore(
-                    _PAUSE_MS_BY_SCOPE[self._scope]
-                )
+            if pause_ms(self._scope) > 0:
+                await self._state.eras.wait_for_restore(pause_ms(self._scope))
 
     def _position(self) -> data.Position:
         """Returns the position after which changes are missing.
@@ -135,8 +155,10 @@
             return await self._store.read_all_allow_stale(
                 self._scope, timeout_ms
             )
-        # After a failure, changes may be overdue: let the store answer at once.
-        wait_ms = 1 if self._backoff.consecutive_failures else WATCH_WAIT_MS
+        wait_ms = watch_wait_ms(
+            self._scope,
+            is_confirmed=self._scope in self._state.followed_scopes,
+        )
         return await self._store.wait_for_changes(
             self._scope, position.revision, wait_ms, timeout_ms
         )
--- a/packages/wire/idl/peers.thrift
+++ b/packages/wire/idl/peers.thrift
@@ -14,7 +14,7 @@
   8: required list<i64> revisions,       // Of each scope, by its number - 1.
   9: required i32 store_failed_ms,       // Age of the last failure; -1: none.
   10: required list<string> followers,   // Hosts that follow the store,
-  11: required list<i32> follower_ages_ms, // and how old that knowledge is.
+  11: required list<i32> follower_ages_ms, // and how long ago it answered them.
   12: required list<i64> upstream_tags,
   13: required list<i32> busy,           // Requests in progress, in hundredths.
   14: required list<i32> silent_ms,      // How much longer it is avoided.
@@ -30,6 +30,9 @@
   23: optional list<i32> answered,       // Those whose response time is known.
   24: optional list<i32> time_percents,  // Mean time, of what is usual.
   25: optional bool is_cut_off,          // It can reach no upstream.
+  // When the store last answered each follower, by the follower's own clock.
+  26: optional list<i64> follower_answered_ms,
+  27: optional i64 answered_ms,          // The same of the sender.
 }
 
 struct ItemRecord {
--- a/packages/wire/sapphire_wire/gen/peers/ttypes.py
+++ b/packages/wire/sapphire_wire/gen/peers/ttypes.py
@@ -43,11 +43,13 @@
      - answered
      - time_percents
      - is_cut_off
+     - follower_answered_ms
+     - answered_ms
 
     """
 
 
-    def __init__(self, host=None, data_centre=None, address=None, port=None, start_id=None, sequence=None, is_leaving=None, revisions=None, store_failed_ms=None, followers=None, follower_ages_ms=None, upstream_tags=None, busy=None, silent_ms=None, data_centres=None, live_hosts=None, live_host_ages_ms=None, era=None, outcome_tags=None, ended_well=None, ended_badly=None, answered=None, time_percents=None, is_cut_off=None,):
+    def __init__(self, host=None, data_centre=None, address=None, port=None, start_id=None, sequence=None, is_leaving=None, revisions=None, store_failed_ms=None, followers=None, follower_ages_ms=None, upstream_tags=None, busy=None, silent_ms=None, data_centres=None, live_hosts=None, live_host_ages_ms=None, era=None, outcome_tags=None, ended_well=None, ended_badly=None, answered=None, time_percents=None, is_cut_off=None, follower_answered_ms=None, answered_ms=None,):
         self.host = host
         self.data_centre = data_centre
         self.address = address
@@ -72,6 +74,8 @@
         self.answered = answered
         self.time_percents = time_percents
         self.is_cut_off = is_cut_off
+        self.follower_answered_ms = follower_answered_ms
+        self.answered_ms = answered_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -272,6 +276,21 @@
                     self.is_cut_off = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 26:
+                if ftype == TType.LIST:
+                    self.follower_answered_ms = []
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = iprot.readI64()
+                        self.follower_answered_ms.append(_elem89)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 27:
+                if ftype == TType.I64:
+                    self.answered_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -313,8 +332,8 @@
         if self.revisions is not None:
             oprot.writeFieldBegin('revisions', TType.LIST, 8)
             oprot.writeListBegin(TType.I64, len(self.revisions))
-            for iter84 in self.revisions:
-                oprot.writeI64(iter84)
+            for iter90 in self.revisions:
+                oprot.writeI64(iter90)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.store_failed_ms is not None:
@@ -324,57 +343,57 @@
         if self.followers is not None:
             oprot.writeFieldBegin('followers', TType.LIST, 10)
             oprot.writeListBegin(TType.STRING, len(self.followers))
-            for iter85 in self.followers:
-                oprot.writeString(iter85.encode('utf-8') if sys.version_info[0] == 2 else iter85)
+            for iter91 in self.followers:
+                oprot.writeString(iter91.encode('utf-8') if sys.version_info[0] == 2 else iter91)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.follower_ages_ms is not None:
             oprot.writeFieldBegin('follower_ages_ms', TType.LIST, 11)
             oprot.writeListBegin(TType.I32, len(self.follower_ages_ms))
-            for iter86 in self.follower_ages_ms:
-                oprot.writeI32(iter86)
+            for iter92 in self.follower_ages_ms:
+                oprot.writeI32(iter92)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.upstream_tags is not None:
             oprot.writeFieldBegin('upstream_tags', TType.LIST, 12)
             oprot.writeListBegin(TType.I64, len(self.upstream_tags))
-            for iter87 in self.upstream_tags:
-                oprot.writeI64(iter87)
+            for iter93 in self.upstream_tags:
+                oprot.writeI64(iter93)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.busy is not None:
             oprot.writeFieldBegin('busy', TType.LIST, 13)
             oprot.writeListBegin(TType.I32, len(self.busy))
-            for iter88 in self.busy:
-                oprot.writeI32(iter88)
+            for iter94 in self.busy:
+                oprot.writeI32(iter94)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.silent_ms is not None:
             oprot.writeFieldBegin('silent_ms', TType.LIST, 14)
             oprot.writeListBegin(TType.I32, len(self.silent_ms))
-            for iter89 in self.silent_ms:
-                oprot.writeI32(iter89)
+            for iter95 in self.silent_ms:
+                oprot.writeI32(iter95)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.data_centres is not None:
             oprot.writeFieldBegin('data_centres', TType.LIST, 15)
             oprot.writeListBegin(TType.STRING, len(self.data_centres))
-            for iter90 in self.data_centres:
-                oprot.writeString(iter90.encode('utf-8') if sys.version_info[0] == 2 else iter90)
+            for iter96 in self.data_centres:
+                oprot.writeString(iter96.encode('utf-8') if sys.version_info[0] == 2 else iter96)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.live_hosts is not None:
             oprot.writeFieldBegin('live_hosts', TType.LIST, 16)
             oprot.writeListBegin(TType.I32, len(self.live_hosts))
-            for iter91 in self.live_hosts:
-                oprot.writeI32(iter91)
+            for iter97 in self.live_hosts:
+                oprot.writeI32(iter97)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.live_host_ages_ms is not None:
             oprot.writeFieldBegin('live_host_ages_ms', TType.LIST, 17)
             oprot.writeListBegin(TType.I32, len(self.live_host_ages_ms))
-            for iter92 in self.live_host_ages_ms:
-                oprot.writeI32(iter92)
+            for iter98 in self.live_host_ages_ms:
+                oprot.writeI32(iter98)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.era is not None:
@@ -384,42 +403,53 @@
         if self.outcome_tags is not None:
             oprot.writeFieldBegin('outcome_tags', TType.LIST, 20)
             oprot.writeListBegin(TType.I64, len(self.outcome_tags))
-            for iter93 in self.outcome_tags:
-                oprot.writeI64(iter93)
+            for iter99 in self.outcome_tags:
+                oprot.writeI64(iter99)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.ended_well is not None:
             oprot.writeFieldBegin('ended_well', TType.LIST, 21)
             oprot.writeListBegin(TType.I32, len(self.ended_well))
-            for iter94 in self.ended_well:
-                oprot.writeI32(iter94)
+            for iter100 in self.ended_well:
+                oprot.writeI32(iter100)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.ended_badly is not None:
             oprot.writeFieldBegin('ended_badly', TType.LIST, 22)
             oprot.writeListBegin(TType.I32, len(self.ended_badly))
-            for iter95 in self.ended_badly:
-                oprot.writeI32(iter95)
+            for iter101 in self.ended_badly:
+                oprot.writeI32(iter101)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.answered is not None:
             oprot.writeFieldBegin('answered', TType.LIST, 23)
             oprot.writeListBegin(TType.I32, len(self.answered))
-            for iter96 in self.answered:
-                oprot.writeI32(iter96)
+            for iter102 in self.answered:
+                oprot.writeI32(iter102)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.time_percents is not None:
             oprot.writeFieldBegin('time_percents', TType.LIST, 24)
             oprot.writeListBegin(TType.I32, len(self.time_percents))
-            for iter97 in self.time_percents:
-                oprot.writeI32(iter97)
+            for iter103 in self.time_percents:
+                oprot.writeI32(iter103)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.is_cut_off is not None:
             oprot.writeFieldBegin('is_cut_off', TType.BOOL, 25)
             oprot.writeBool(self.is_cut_off)
             oprot.writeFieldEnd()
+        if self.follower_answered_ms is not None:
+            oprot.writeFieldBegin('follower_answered_ms', TType.LIST, 26)
+            oprot.writeListBegin(TType.I64, len(self.follower_answered_ms))
+            for iter104 in self.follower_answered_ms:
+                oprot.writeI64(iter104)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.answered_ms is not None:
+            oprot.writeFieldBegin('answered_ms', TType.I64, 27)
+            oprot.writeI64(self.answered_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -580,11 +610,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.items = []
-                    (_etype101, _size98) = iprot.readListBegin()
-                    for _i102 in range(_size98):
-                        _elem103 = ItemRecord()
-                        _elem103.read(iprot)
-                        self.items.append(_elem103)
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = ItemRecord()
+                        _elem110.read(iprot)
+                        self.items.append(_elem110)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -621,8 +651,8 @@
         if self.items is not None:
             oprot.writeFieldBegin('items', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.items))
-            for iter104 in self.items:
-                iter104.write(oprot)
+            for iter111 in self.items:
+                iter111.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.as_of is not None:
@@ -789,6 +819,8 @@
     (23, TType.LIST, 'answered', (TType.I32, None, False), None, ),  # 23
     (24, TType.LIST, 'time_percents', (TType.I32, None, False), None, ),  # 24
     (25, TType.BOOL, 'is_cut_off', None, None, ),  # 25
+    (26, TType.LIST, 'follower_answered_ms', (TType.I64, None, False), None, ),  # 26
+    (27, TType.I64, 'answered_ms', None, None, ),  # 27
 )
 all_structs.append(ItemRecord)
 ItemRecord.thrift_spec = (
--- a/packages/wire/sapphire_wire/peer_messages.py
+++ b/packages/wire/sapphire_wire/peer_messages.py
@@ -18,6 +18,8 @@
 # In-flight requests are sent as a number of hundredths.
 _BUSY_UNITS = 100
 _NEVER_FAILED = -1
+# The time of an answer that the claim of a follower does not name.
+_UNNAMED = -1
 # A greater number is sent as this one. Ages grow without bound, and an age of
 # 25 days in ms has more than 32 bits.
 _MAX_I32 = 2**31 - 1
@@ -42,8 +44,10 @@
             store_failed_ms=(
                 _NEVER_FAILED if failed_ms is None else _limit(failed_ms)
             ),
-            followers=list(heartbeat.follower_ages_ms),
-            follower_ages_ms=_limit_all(heartbeat.follower_ages_ms.values()),
+            followers=list(heartbeat.followers),
+            follower_ages_ms=_limit_all(
+                [claim.age_ms for claim in heartbeat.followers.values()]
+            ),
             upstream_tags=[report.tag for report in heartbeat.upstreams],
             busy=_limit_all(
                 [int(each.busy * _BUSY_UNITS) for each in heartbeat.upstreams]
@@ -61,6 +65,11 @@
             **({} if outcomes is None else dataclasses.asdict(outcomes)),
             era=heartbeat.era or None,
             is_cut_off=heartbeat.is_cut_off or None,
+            follower_answered_ms=[
+                _UNNAMED if claim.answered_ms is None else claim.answered_ms
+                for claim in heartbeat.followers.values()
+            ],
+            answered_ms=heartbeat.answered_ms,
         )
     )
 
@@ -115,10 +124,9 @@
         return failures.UnreadableInput(
             record.host, "upstream_tags, busy and silent_ms differ in length"
         )
-    if len(record.followers) != len(record.follower_ages_ms):
-        return failures.UnreadableInput(
-            record.host, "followers and follower_ages_ms differ in length"
-        )
+    followers = _decode_followers(record)
+    if isinstance(followers, failures.UnreadableInput):
+        return followers
     if len(record.revisions) != len(_SCOPES):
         return failures.UnreadableInput(
             record.host, "the number of revisions is not that of the scopes"
@@ -138,7 +146,6 @@
     reports = zip(
         record.upstream_tags, record.busy, record.silent_ms, strict=True
     )
-    ages = zip(record.followers, record.follower_ages_ms, strict=True)
     return data.Heartbeat(
         contact=contact,
         start_id=record.start_id,
@@ -146,7 +153,7 @@
         is_leaving=bool(record.is_leaving),
         revisions=dict(zip(_SCOPES, record.revisions, strict=True)),
         store_failed_ms=None if failed_ms < 0 else failed_ms,
-        follower_ages_ms={host: max(0, age_ms) for host, age_ms in ages},
+        followers=followers,
         upstreams=tuple(
             [
                 data.UpstreamReport(tag, busy / _BUSY_UNITS, silent_ms)
@@ -158,9 +165,36 @@
         left_out=left_out,
         era=_decode_era(record.era),
         is_cut_off=bool(record.is_cut_off),
+        answered_ms=record.answered_ms,
     )
 
 
+def _decode_followers(
+    record: ttypes.Beat,
+) -> dict[str, data.FollowerClaim] | failures.UnreadableInput:
+    """Returns the claims of the store followers.
+
+    Hosts of earlier versions do not send when the store answered them.
+    """
+    answered_ms = record.follower_answered_ms
+    if answered_ms is None:
+        answered_ms = [_UNNAMED] * len(record.followers)
+    lengths = {len(record.follower_ages_ms), len(answered_ms)}
+    if lengths != {len(record.followers)}:
+        return failures.UnreadableInput(
+            record.host, "followers, their ages and answers differ in length"
+        )
+    claims = zip(
+        record.followers, record.follower_ages_ms, answered_ms, strict=True
+    )
+    return {
+        host: data.FollowerClaim(
+            max(0, age_ms), None if at_ms == _UNNAMED else at_ms
+        )
+        for host, age_ms, at_ms in claims
+    }
+
+
 def _decode_era(era: int | None) -> int:
     """Returns the era of a message.
 
--- a/packages/wire/sapphire_wire/peer_messages_test.py
+++ b/packages/wire/sapphire_wire/peer_messages_test.py
@@ -17,16 +17,23 @@
     sequence=7,
     revision=530,
     store_failed_ms=1_200,
-    followers={"edge-1": 0, "edge-2": 340},
+    followers=builders.claims({"edge-1": 0, "edge-2": 340}),
     upstreams=(data.UpstreamReport(4_294_967_295, 2.25, 300),),
     outcomes=(
         outcome_builders.report(4_294_967_295, 2, 3, time_ratio=4.25),
         outcome_builders.report(17, 0, 1),
     ),
     is_cut_off=True,
+    answered_ms=2**40,
 )
 
 
+class FormerBeat(ttypes.Beat):  # type: ignore[misc]
+    """A heartbeat with the fields that hosts of 8db66d3 know."""
+
+    thrift_spec = ttypes.Beat.thrift_spec[:26]
+
+
 class PeerMessagesTest(testtools.TestCase):
     def test_heartbeat_survives_the_round_trip(self) -> None:
         for heartbeat in (HEARTBEAT, builders.heartbeat("edge-2")):
@@ -58,6 +65,7 @@
         for changes in (
             {"busy": [1, 2]},
             {"follower_ages_ms": [1]},
+            {"follower_answered_ms": [1]},
             {"revisions": [1]},
         ):
             record = thrift_codec.decode_or_failure(
@@ -97,7 +105,7 @@
         heartbeat = builders.heartbeat(
             "edge-1",
             store_failed_ms=too_large,
-            followers={"edge-2": too_large},
+            followers=builders.claims({"edge-2": too_large}),
             upstreams=(data.UpstreamReport(1, float(too_large), too_large),),
         )
         decoded = peer_messages.decode_heartbeat(
@@ -105,9 +113,35 @@
         )
         assert isinstance(decoded, data.Heartbeat)
         self.assertEqual(too_large - 1, decoded.store_failed_ms)
-        self.assertEqual({"edge-2": too_large - 1}, decoded.follower_ages_ms)
+        self.assertEqual(
+            builders.claims({"edge-2": too_large - 1}), decoded.followers
+        )
         self.assertEqual(too_large - 1, decoded.upstreams[0].silent_ms)
 
+    def test_a_host_of_8db66d3_reads_followers_and_their_ages(self) -> None:
+        record = thrift_codec.decode_or_failure(
+            FormerBeat, peer_messages.encode_heartbeat(HEARTBEAT)
+        )
+        assert isinstance(record, FormerBeat)
+        self.assertEqual(["edge-1", "edge-2"], record.followers)
+        self.assertEqual([0, 340], record.follower_ages_ms)
+        self.assertTrue(record.is_cut_off)
+        self.assertIsNone(record.answered_ms)
+
+    def test_claims_of_8db66d3_have_no_time_of_an_answer(self) -> None:
+        record = thrift_codec.decode_or_failure(
+            ttypes.Beat, peer_messages.encode_heartbeat(HEARTBEAT)
+        )
+        assert isinstance(record, ttypes.Beat)
+        record.follower_answered_ms = record.answered_ms = None
+        decoded = peer_messages.decode_heartbeat(thrift_codec.encode(record))
+        assert isinstance(decoded, data.Heartbeat)
+        self.assertEqual(
+            builders.claims({"edge-1": 0, "edge-2": 340}, None),
+            decoded.followers,
+        )
+        self.assertIsNone(decoded.answered_ms)
+
     def test_batch_survives_the_round_trip(self) -> None:
         batch = builders.batch(
             builders.item("a", 1, b"\x00\xff"),
