Hosts tell each other which upstream has an ambiguous flow

Cause: an opening packet goes to a second upstream after 40 ms. The one that does not get the flow repeats its answer for up to 9 s, and its tag is on the caller's packets meanwhile. The host with the flow's record keeps to the right upstream; any other host has only the tag.

Why it works: the first packet after the opening is the only one that is sure to carry the tag of the flow's upstream, and some host takes it; the others know of it before flows move, whatever moves them.

--- a/packages/core/sapphire_core/peers/data.py
+++ b/packages/core/sapphire_core/peers/data.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from sapphire_core.replication import data as replication_data
+from sapphire_core.tagged_flows import data as flow_data
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -120,6 +121,7 @@
         answered_ms: When the store last answered the sender, by the sender's
             clock; its claims up to then have ended if it does not name itself
             among the followers. None if the store has not.
+        flow_pins: The upstreams of flows that two may have answered.
     """
 
     contact: Contact
@@ -136,6 +138,7 @@
     era: int = 0
     is_cut_off: bool = False
     answered_ms: int | None = None
+    flow_pins: tuple[flow_data.FlowPin, ...] = ()
 
     def position(
         self, scope: replication_data.Scope
--- a/packages/core/sapphire_core/tagged_flows/data.py
+++ b/packages/core/sapphire_core/tagged_flows/data.py
@@ -36,6 +36,21 @@
         return (self.service_address, self.service_port)
 
 
+class FlowPin(NamedTuple):
+    """Which upstream has a flow whose opening packet went to several.
+
+    Attributes:
+        flow_id: The flow.
+        tag: The tag of the upstream; `NO_TAG` while it is not known.
+        acknowledged: What the caller had acknowledged when that was found, in
+            the numbers of this upstream; 0 while it is not known.
+    """
+
+    flow_id: FlowId
+    tag: int
+    acknowledged: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Packet:
     """One packet from a caller.
--- a/packages/core/sapphire_core/tagged_flows/open_flows.py
+++ b/packages/core/sapphire_core/tagged_flows/open_flows.py
@@ -8,6 +8,7 @@
 from sapphire_core.tagged_flows import decisions as decisions_lib
 from sapphire_core.tagged_flows import service_routing
 from sapphire_core.tagged_flows import upstream_table as upstream_table_lib
+from sapphire_core.tagged_flows.flows import flow_pins as flow_pins_lib
 from sapphire_core.tagged_flows.flows import flow_table as flow_table_lib
 from sapphire_core.tagged_flows.health import dead_upstreams
 from sapphire_core.tagged_flows.health import path_time as path_time_lib
@@ -32,6 +33,7 @@
     Args:
         upstream_table: The upstreams known to this host.
         flow_table: The records of open flows.
+        flow_pins: The upstreams of flows that two may have answered.
         half_open: The half-open flows of this host.
         deferred: The flows held until an upstream has a free slot.
         selector: Learns from answers that upstreams respond.
@@ -49,6 +51,7 @@
         *,
         upstream_table: upstream_table_lib.UpstreamTable,
         flow_table: flow_table_lib.FlowTable,
+        flow_pins: flow_pins_lib.FlowPins,
         half_open: half_open_flows.HalfOpenFlows,
         deferred: deferred_flows.DeferredFlows,
         selector: upstream_selector.UpstreamSelector,
@@ -62,6 +65,7 @@
     ) -> None:
         self._upstream_table = upstream_table
         self._flow_table = flow_table
+        self._flow_pins = flow_pins
         self._half_open = half_open
         self._deferred = deferred
         self._selector = selector
@@ -105,6 +109,7 @@
             and not record.is_second_answer_reported
         ):
             record.is_second_answer_reported = True
+            self._flow_pins.record_upstream(packet, entry.tag, now_ms)
             self._decisions.report(
                 data.Verdict.SECOND_ANSWER,
                 packet,
@@ -142,6 +147,24 @@
             self._report_stalled(data.Verdict.STALLED, packet, record, now_ms)
         return data.Forward(packet, entry.upstream, entry.tag)
 
+    def answer_peers(self, now_ms: int) -> None:
+        """Pins the flows that peers ask for, if this host has their records.
+
+        The next packet of a half-open flow may have come to this host, while
+        the one that took the opening packet tried further upstreams.
+
+        Args:
+            now_ms: The current time.
+        """
+        for flow_id in self._flow_pins.take_asked():
+            record = self._flow_table.get(flow_id)
+            if record is not None and record.acknowledged:
+                self._flow_pins.record_upstream(
+                    _last_acknowledgement(flow_id, record),
+                    record.entry.tag,
+                    now_ms,
+                )
+
     def reset_waiting_in_vain(self, now_ms: int) -> list[data.Action]:
         """Resets flows whose callers wait for a response of a dead upstream.
 
@@ -221,7 +244,9 @@
     def _record_flow(
         self, packet: data.Packet, now_ms: int
     ) -> flow_table_lib.FlowRecord | None:
-        """Adds a flow to the flow table, with the upstream of its tag.
+        """Adds a flow to the flow table, with its pinned upstream.
+
+        Without a pin, that is the upstream of its tag.
 
         Args:
             packet: The first packet after the opening packet that this host
@@ -232,7 +257,9 @@
             The record, None if the tag is unknown.
         """
         half_open = self._half_open.pop(packet.flow_id)
-        entry = self._upstream_table.by_tag(packet.tag)
+        pinned_tag = self._flow_pins.tag_of(packet)
+        tag = packet.tag if pinned_tag is None else pinned_tag
+        entry = self._upstream_table.by_tag(tag)
         if (
             entry is None
             and half_open is not None
@@ -260,6 +287,10 @@
                 waited_ms=answer_ms,
                 tries=len(half_open.tried_upstreams),
             )
+        if packet.tag == entry.tag and self._flow_pins.is_unresolved(
+            packet.flow_id
+        ):
+            self._flow_pins.record_upstream(packet, entry.tag, now_ms)
         return self._flow_table.add(packet.flow_id, entry, now_ms)
 
 
--- a/packages/core/sapphire_core/tagged_flows/openings/failovers.py
+++ b/packages/core/sapphire_core/tagged_flows/openings/failovers.py
@@ -3,6 +3,7 @@
 from sapphire_core.tagged_flows import data
 from sapphire_core.tagged_flows import decisions as decisions_lib
 from sapphire_core.tagged_flows import service_routing
+from sapphire_core.tagged_flows.flows import flow_pins as flow_pins_lib
 from sapphire_core.tagged_flows.openings import (
     answer_timeout as answer_timeout_lib,
 )
@@ -22,6 +23,7 @@
 
     Args:
         routing: The configuration in force.
+        flow_pins: The upstreams of flows that two may have answered.
         half_open: The half-open flows of this host.
         selector: Selects upstreams, from their load and health.
         answer_timeout: How long an upstream has to answer.
@@ -33,6 +35,7 @@
         self,
         *,
         routing: service_routing.ServiceRouting,
+        flow_pins: flow_pins_lib.FlowPins,
         half_open: half_open_flows.HalfOpenFlows,
         selector: upstream_selector.UpstreamSelector,
         answer_timeout: answer_timeout_lib.AnswerTimeout,
@@ -40,6 +43,7 @@
         decisions: decisions_lib.DecisionReporter,
     ) -> None:
         self._routing = routing
+        self._flow_pins = flow_pins
         self._half_open_flows = half_open
         self._selector = selector
         self._answer_timeout = answer_timeout
@@ -92,6 +96,7 @@
         if not is_retransmission and self._is_spared(half_open, now_ms):
             return None
         self._half_open_flows.record_attempt(half_open, entry, now_ms)
+        self._flow_pins.record_ambiguous(half_open.packet.flow_id, now_ms)
         self._decisions.report(
             data.Verdict.FAILED_OVER,
             half_open.packet,
--- a/packages/core/sapphire_core/tagged_flows/openings/openings.py
+++ b/packages/core/sapphire_core/tagged_flows/openings/openings.py
@@ -9,6 +9,7 @@
 from sapphire_core.tagged_flows import decisions as decisions_lib
 from sapphire_core.tagged_flows import service_routing
 from sapphire_core.tagged_flows import upstream_table
+from sapphire_core.tagged_flows.flows import flow_pins as flow_pins_lib
 from sapphire_core.tagged_flows.flows import flow_table as flow_table_lib
 from sapphire_core.tagged_flows.openings import (
     answer_timeout as answer_timeout_lib,
@@ -50,6 +51,7 @@
     Args:
         routing: The configuration in force.
         flow_table: The records of open flows.
+        flow_pins: The upstreams of flows that two may have answered.
         half_open: The half-open flows of this host.
         selector: Selects upstreams, from their load and health.
         answer_timeout: How long an upstream has to answer.
@@ -63,6 +65,7 @@
         *,
         routing: service_routing.ServiceRouting,
         flow_table: flow_table_lib.FlowTable,
+        flow_pins: flow_pins_lib.FlowPins,
         half_open: half_open_flows.HalfOpenFlows,
         selector: upstream_selector.UpstreamSelector,
         answer_timeout: answer_timeout_lib.AnswerTimeout,
@@ -72,6 +75,7 @@
     ) -> None:
         self._routing = routing
         self._flow_table = flow_table
+        self._flow_pins = flow_pins
         self.half_open = half_open
         self.deferred = deferred_flows.DeferredFlows()
         self._selector = selector
@@ -80,6 +84,7 @@
         self._load_shedding = load_shedding
         self._failovers = failovers_lib.Failovers(
             routing=routing,
+            flow_pins=flow_pins,
             half_open=half_open,
             selector=selector,
             answer_timeout=answer_timeout,
@@ -192,6 +197,11 @@
         if deferred is not None:
             deferred.packet = packet
             return data.Defer(packet)
+        if packet.acknowledged > 0:
+            # A peer may have forwarded an earlier copy, to another upstream.
+            self._flow_pins.record_ambiguous(packet.flow_id, now_ms)
+        else:
+            self._flow_pins.discard(packet.flow_id)
         route = self._routing.route_for(packet)
         service = self._routing.service_for(packet, route)
         if route is None or service is None:
--- a/packages/core/sapphire_core/tagged_flows/steering.py
+++ b/packages/core/sapphire_core/tagged_flows/steering.py
@@ -14,6 +14,7 @@
 from sapphire_core.tagged_flows import open_flows
 from sapphire_core.tagged_flows import service_routing
 from sapphire_core.tagged_flows import upstream_table
+from sapphire_core.tagged_flows.flows import flow_pins as flow_pins_lib
 from sapphire_core.tagged_flows.flows import flow_table
 from sapphire_core.tagged_flows.health import ejection_control
 from sapphire_core.tagged_flows.health import path_time as path_time_lib
@@ -41,6 +42,7 @@
     Attributes:
         upstream_table: The upstreams known to this host.
         flow_table: The records of open flows.
+        flow_pins: The upstreams of flows that two may have answered.
         selector: Selects upstreams, from their load and health.
         ejection_control: Ejects upstreams by what became of requests there.
         reachability: Whether this host can reach any upstream.
@@ -50,6 +52,7 @@
         rng: Breaks ties between equally loaded upstreams.
         on_decision: Called with each decision that changes the state of a
             flow.
+        flow_pins: The pins, if other tasks of the host share them.
     """
 
     def __init__(
@@ -57,6 +60,7 @@
         data_centre: str,
         rng: random.Random,
         on_decision: decisions_lib.DecisionCallback,
+        flow_pins: flow_pins_lib.FlowPins | None = None,
     ) -> None:
         decisions = decisions_lib.DecisionReporter(on_decision)
         half_open = half_open_flows.HalfOpenFlows()
@@ -67,6 +71,9 @@
         self._routing = service_routing.ServiceRouting()
         self.upstream_table = upstream_table.UpstreamTable()
         self.flow_table = flow_table.FlowTable()
+        if flow_pins is None:
+            flow_pins = flow_pins_lib.FlowPins()
+        self.flow_pins = flow_pins
         self.selector = upstream_selector.UpstreamSelector(
             data_centre, rng, self.upstream_table, self.flow_table, half_open
         )
@@ -82,6 +89,7 @@
         self._openings = openings.Openings(
             routing=self._routing,
             flow_table=self.flow_table,
+            flow_pins=flow_pins,
             half_open=half_open,
             selector=self.selector,
             answer_timeout=answer_timeout,
@@ -92,6 +100,7 @@
         self._open_flows = open_flows.OpenFlows(
             upstream_table=self.upstream_table,
             flow_table=self.flow_table,
+            flow_pins=flow_pins,
             half_open=half_open,
             deferred=self._openings.deferred,
             selector=self.selector,
@@ -241,6 +250,8 @@
         if self.configuration is not None:
             idle_timeout_ms = self.configuration.idle_timeout_ms
         self.flow_table.evict_expired(now_ms, idle_timeout_ms)
+        self._open_flows.answer_peers(now_ms)
+        self.flow_pins.evict_expired(now_ms)
         self.ejection_control.outcomes.sweep(now_ms)
         for upstream_id in self.upstream_table.evict_expired(now_ms):
             self.selector.discard(upstream_id)
--- a/packages/core/sapphire_core/tagged_flows/steering_test.py
+++ b/packages/core/sapphire_core/tagged_flows/steering_test.py
@@ -342,6 +342,7 @@
         other_host = builders.SteeringBench(
             builders.upstream("i-1"), builders.upstream("i-2")
         )
+        self.bench.tell_pins(other_host, TIMEOUT_MS + 10)
         packet = builders.packet(1, tag=second.tag, sequence=302)
         self.assertEqual(
             target(first), target(other_host.steering.handle(packet, 3_000))
@@ -354,7 +355,56 @@
     ) -> None:
         first = self.bench.open(1, 0)
         second = self.steering.tick(TIMEOUT_MS)[0]
+        assert isinstance(first, data.Forward)
         assert isinstance(second, data.Forward)
+        peer = builders.SteeringBench(
+            builders.upstream("i-1"), builders.upstream("i-2")
+        )
+        self.bench.tell_pins(peer, TIMEOUT_MS + 5)
+        peer.steering.handle(builders.packet(1, tag=first.tag), TIMEOUT_MS + 10)
+        peer.tell_pins(self.bench, TIMEOUT_MS + 15)
+        self.assertEqual(target(first), self.handle(second.tag, 300))
+
+    # As before, if the peer hears of it only after it has forwarded the packets
+    # that came first: the first host has tried a second upstream since.
+    def test_a_peer_tells_where_a_flow_is_that_became_ambiguous_later(
+        self,
+    ) -> None:
+        first = self.bench.open(1, 0)
+        assert isinstance(first, data.Forward)
+        peer = builders.SteeringBench(
+            builders.upstream("i-1"), builders.upstream("i-2")
+        )
+        peer.steering.handle(builders.packet(1, tag=first.tag), 5)
+        second = self.steering.tick(TIMEOUT_MS)[0]
+        assert isinstance(second, data.Forward)
+        self.bench.tell_pins(peer, TIMEOUT_MS + 5)
+        peer.steering.sweep(TIMEOUT_MS + 10)
+        self.assertTrue(peer.steering.flow_pins.has_news)
+        peer.tell_pins(self.bench, TIMEOUT_MS + 15)
+        self.assertEqual(target(first), self.handle(second.tag, 3_000))
+
+    # Guards against: the same, after a retransmission of the opening packet
+    # has reached another host, which has sent it to another upstream.
+    def test_a_retransmission_at_another_host_does_not_move_the_flow(
+        self,
+    ) -> None:
+        first = self.bench.open(1, 0)
+        assert isinstance(first, data.Forward)
+        other = next(
+            name
+            for name in ("i-1", "i-2")
+            if name != first.upstream.upstream_id
+        )
+        peer = builders.SteeringBench(builders.upstream(other))
+        second = peer.open(1, 200, retransmissions=1)
+        assert isinstance(second, data.Forward)
+        peer.steering.upstream_table.put(first.upstream, 2, 205)
+        packet = builders.packet(1, tag=first.tag)
+        self.assertEqual(
+            target(first), target(peer.steering.handle(packet, 210))
+        )
+        peer.tell_pins(self.bench, 215)
         self.assertEqual(target(first), self.handle(second.tag, 300))
 
     def test_a_flow_stays_with_the_first_of_two_upstreams_that_answer(
--- a/packages/lab/sapphire_lab/tagged_flows/builders.py
+++ b/packages/lab/sapphire_lab/tagged_flows/builders.py
@@ -152,6 +152,11 @@
         if isinstance(action, data.Forward):
             self.steering.handle(packet(number, tag=action.tag), now_ms)
 
+    def tell_pins(self, peer: "SteeringBench", now_ms: int) -> None:
+        """Tells a peer the flow pins that the next heartbeat carries."""
+        pins = self.steering.flow_pins.reported(now_ms, relays=False)
+        peer.steering.flow_pins.merge(pins, now_ms)
+
     def verdicts(self) -> list[data.Verdict]:
         """Returns the verdicts reported so far."""
         return [decision.verdict for decision in self.decisions]
@@ -211,6 +216,7 @@
     outcomes: tuple[peer_data.OutcomeReport, ...] = (),
     is_cut_off: bool = False,
     answered_ms: int | None = None,
+    flow_pins: tuple[data.FlowPin, ...] = (),
 ) -> peer_data.Heartbeat:
     """Returns a heartbeat of a host."""
     return peer_data.Heartbeat(
@@ -226,4 +232,5 @@
         outcomes=outcomes,
         is_cut_off=is_cut_off,
         answered_ms=answered_ms,
+        flow_pins=flow_pins,
     )
--- a/packages/node/sapphire_node/entry/heartbeat_sender.py
+++ b/packages/node/sapphire_node/entry/heartbeat_sender.py
@@ -188,6 +188,9 @@
                 era=era,
                 is_cut_off=self._state.has_found_cut,
                 answered_ms=self._state.answered_ms,
+                flow_pins=self._state.flow_pins.reported(
+                    now_ms, relays=self._peer_table.is_large_fleet
+                ),
             )
         )
 
--- a/packages/node/sapphire_node/entry/host_state.py
+++ b/packages/node/sapphire_node/entry/host_state.py
@@ -7,6 +7,7 @@
 
 from sapphire_core.peers import data as peer_data
 from sapphire_core.replication import data as replication_data
+from sapphire_core.tagged_flows.flows import flow_pins as flow_pins_lib
 from sapphire_net import pauses
 from sapphire_node.entry import platform_interface
 from sapphire_node.entry import store_eras
@@ -73,6 +74,7 @@
             what they carry from before.
         followed_scopes: The scopes that this host follows in the store and
             whose last call succeeded.
+        flow_pins: The upstreams of flows that two may have answered.
         counts: Counters by name, for metrics.
         durations_ms_by_name: Recent durations by name, for metrics.
     """
@@ -111,6 +113,9 @@
     followed_scopes: set[replication_data.Scope] = dataclasses.field(
         default_factory=set
     )
+    flow_pins: flow_pins_lib.FlowPins = dataclasses.field(
+        default_factory=flow_pins_lib.FlowPins
+    )
     counts: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
--- a/packages/node/sapphire_node/entry/packet_task.py
+++ b/packages/node/sapphire_node/entry/packet_task.py
@@ -78,7 +78,10 @@
         self._changes = changes
         self._reports = reports
         self._steering = steering_lib.Steering(
-            state.settings.data_centre, random.Random(), self._record_decision
+            state.settings.data_centre,
+            random.Random(),
+            self._record_decision,
+            state.flow_pins,
         )
         self._change_applier = change_applier.ChangeApplier(
             self._steering, state
@@ -142,7 +145,7 @@
     def _handle_packet(self, packet: data.Packet, now_ms: int) -> None:
         """Decides over a packet, sends the result and starts ticks if due."""
         self._send_action(self._steering.handle(packet, now_ms), now_ms)
-        if self._has_pending:
+        if self._has_pending or self._state.flow_pins.has_news:
             self._work_pending.set()
 
     @property
@@ -203,8 +206,11 @@
             self._release_queued(now_ms)
             for action in self._steering.tick(now_ms):
                 self._send_action(action, now_ms)
-            if self._steering.selector.has_urgent_report:
-                self._steering.selector.has_urgent_report = False
+            selector = self._steering.selector
+            flow_pins = self._state.flow_pins
+            if selector.has_urgent_report or flow_pins.has_news:
+                selector.has_urgent_report = False
+                flow_pins.has_news = False
                 await self._send_own_reports(now_ms, is_urgent=True)
             if now_ms - last_sweep_ms >= SWEEP_INTERVAL_MS:
                 last_sweep_ms = now_ms
--- a/packages/node/sapphire_node/entry/peer_requests.py
+++ b/packages/node/sapphire_node/entry/peer_requests.py
@@ -8,6 +8,8 @@
 _ITEMS = "items"
 _REMOVED = "removed"
 _CARRIED = "carried"
+# The path at which a host tells its flow pins.
+FLOW_PINS_PATH = "/flow_pins"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/node/sapphire_node/entry/peer_task.py
+++ b/packages/node/sapphire_node/entry/peer_task.py
@@ -116,6 +116,7 @@
         self._startup_exchange = startup_exchange.StartupExchange(
             contact,
             state,
+            clock,
             peer_table=self._peer_table,
             batches=batches,
             rng=rng,
@@ -292,6 +293,7 @@
             self._publish_peer_reports(now_ms)
         if heartbeat.is_leaving or self._state.is_near_host_away:
             self._update_near_host_away(now_ms)
+        self._state.flow_pins.merge(heartbeat.flow_pins, now_ms)
         if heartbeat.store_failed_ms is not None:
             failure_ms = now_ms - heartbeat.store_failed_ms
             known_ms = self._state.last_store_failure_ms
--- a/packages/node/sapphire_node/entry/peer_task_test.py
+++ b/packages/node/sapphire_node/entry/peer_task_test.py
@@ -5,6 +5,7 @@
 import testtools
 
 from sapphire_core.peers import data as peer_data
+from sapphire_core.tagged_flows import data as flow_data
 from sapphire_data import clock as clock_lib
 from sapphire_lab.tagged_flows import builders
 from sapphire_lab.tagged_flows import host_builders
@@ -68,6 +69,19 @@
         assert isinstance(heartbeat, peer_data.Heartbeat)
         self.assertTrue(heartbeat.is_leaving)
 
+    def test_flow_pins_of_peers_are_merged(self) -> None:
+        pin = flow_data.FlowPin(builders.flow(1), 7, 100)
+        heartbeat = builders.heartbeat("edge-2", flow_pins=(pin,))
+        self.task._handle_datagram(peer_messages.encode_heartbeat(heartbeat))
+        packet = builders.packet(1, tag=8)
+        self.assertEqual(7, self.state.flow_pins.tag_of(packet))
+        # It is told by the host that has made it, not again by this one.
+        told = peer_messages.decode_heartbeat(
+            self.task._sender._encode_next(1_000)
+        )
+        assert isinstance(told, peer_data.Heartbeat)
+        self.assertEqual((), told.flow_pins)
+
     def test_a_leaving_local_peer_is_away_at_once(self) -> None:
         heartbeat = builders.heartbeat("edge-2", is_leaving=True)
         self.task._handle_datagram(peer_messages.encode_heartbeat(heartbeat))
--- a/packages/node/sapphire_node/entry/replica_task.py
+++ b/packages/node/sapphire_node/entry/replica_task.py
@@ -26,6 +26,7 @@
 from sapphire_node.entry import peer_requests
 from sapphire_node.entry import platform_interface
 from sapphire_node.entry import restore_report
+from sapphire_wire import flow_pin_list
 from sapphire_wire import peer_messages
 
 _LOG = logging.getLogger(__name__)
@@ -350,7 +351,10 @@
         return tuple(contacts)
 
     async def _serve_peer(self, method: str, path: str) -> http1.Response:
-        """Serves the changes or the removed items of a scope to a peer."""
+        """Serves the items of a scope, or the flow pins, to a peer."""
+        if method == "GET" and path == peer_requests.FLOW_PINS_PATH:
+            pins = self._state.flow_pins.all_pins()
+            return http1.Response(http1.OK, flow_pin_list.encode(pins))
         request = peer_requests.parse_request_path(path)
         if method != "GET" or request is None:
             return http1.Response(http1.NOT_FOUND, b"")
--- a/packages/node/sapphire_node/entry/replica_task_test.py
+++ b/packages/node/sapphire_node/entry/replica_task_test.py
@@ -10,8 +10,10 @@
 from sapphire_lab.tagged_flows import host_builders
 from sapphire_net import event_log
 from sapphire_node.entry import messages
+from sapphire_node.entry import peer_requests
 from sapphire_node.entry import replica_task
 from sapphire_node.entry import restore_report
+from sapphire_wire import flow_pin_list
 from sapphire_wire import peer_messages
 
 REGISTRY = data.Scope.REGISTRY
@@ -109,6 +111,18 @@
         self.apply_full_batch("i-1", as_of=1)
         self.assertEqual([], self.receive_removed("i-2"))
 
+    def test_flow_pins_are_served_to_peers_before_any_scope_is_known(
+        self,
+    ) -> None:
+        packet = builders.packet(1, tag=7)
+        self.state.flow_pins.record_upstream(packet, 7, 0)
+        path = peer_requests.FLOW_PINS_PATH
+        response = anyio.run(self.task._serve_peer, "GET", path)
+        self.assertEqual(
+            (flow_data.FlowPin(packet.flow_id, 7, packet.acknowledged),),
+            flow_pin_list.decode(response.body),
+        )
+
     def test_removed_items_are_served_to_peers(self) -> None:
         self.apply_full_batch("i-1", "i-2", as_of=5)
         self.apply_full_batch("i-1", as_of=7)
--- a/packages/node/sapphire_node/entry/startup_exchange.py
+++ b/packages/node/sapphire_node/entry/startup_exchange.py
@@ -50,6 +50,7 @@
     Args:
         own: The contact of this host.
         state: The state of the process.
+        clock: The clock.
         peer_table: The peers, whose owner records their heartbeats.
         batches: The stream to which the answers are sent.
         rng: Selects the peers.
@@ -59,6 +60,7 @@
         self,
         own: peer_data.Contact,
         state: host_state.HostState,
+        clock: clock_lib.Clock,
         *,
         peer_table: peer_table_lib.PeerTable,
         batches: store_follower.BatchSender,
@@ -66,6 +68,7 @@
     ) -> None:
         self._own = own
         self._state = state
+        self._clock = clock
         self._peer_table = peer_table
         self._batches = batches
         self._rng = rng
@@ -101,9 +104,29 @@
     async def run(self) -> None:
         """Asks until enough peers have answered."""
         async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._ask_for_flow_pins)
             tasks.start_soon(self._check_copy)
             tasks.start_soon(self._ask_heard_peers)
 
+    async def _ask_for_flow_pins(self) -> None:
+        """Asks listed peers which upstreams have flows that may move here.
+
+        The fabric sends flows to this host once it is in rotation, which takes
+        longer than this. Peers may have just started themselves, so several
+        are asked.
+        """
+        while self._listed_by_host is None:
+            await pauses.sleep_ms(_POLL_MS)
+        async with anyio.create_task_group() as tasks:
+            for contact in self._candidates()[:CONCURRENT_ASKS]:
+                tasks.start_soon(self._ask_one_for_flow_pins, contact)
+
+    async def _ask_one_for_flow_pins(self, contact: peer_data.Contact) -> None:
+        """Asks one peer for its flow pins."""
+        pins = await peer_client.request_flow_pins(self._state, contact)
+        if pins is not None:
+            self._state.flow_pins.merge(pins, self._clock.now_ms())
+
     async def _check_copy(self) -> None:
         """Asks listed peers before the host is ready, if it has to."""
         while not self._state.knows_all_scopes or self._listed_by_host is None:
--- a/packages/node/sapphire_node/entry/startup_exchange_test.py
+++ b/packages/node/sapphire_node/entry/startup_exchange_test.py
@@ -8,11 +8,15 @@
 from sapphire_core.peers import data as peer_data
 from sapphire_core.peers import peer_table as peer_table_lib
 from sapphire_core.replication import data
+from sapphire_core.tagged_flows import data as flow_data
+from sapphire_data import clock as clock_lib
 from sapphire_lab.tagged_flows import builders
 from sapphire_lab.tagged_flows import host_builders
 from sapphire_net import http1
 from sapphire_node.entry import messages
+from sapphire_node.entry import peer_requests
 from sapphire_node.entry import startup_exchange
+from sapphire_wire import flow_pin_list
 from sapphire_wire import peer_messages
 
 LOOPBACK = "127.0.0.1"
@@ -27,8 +31,12 @@
         self.name = name
         self.paths: list[str] = []
         self._status = status
+        self.flow_pins: tuple[flow_data.FlowPin, ...] = ()
 
     async def answer(self, method: str, path: str) -> http1.Response:
+        if path == peer_requests.FLOW_PINS_PATH:
+            pins = flow_pin_list.encode(self.flow_pins)
+            return http1.Response(self._status, pins)
         self.paths.append(path)
         batch = builders.batch(builders.item("a", 4), as_of=9)
         return http1.Response(self._status, peer_messages.encode_batch(batch))
@@ -48,6 +56,7 @@
         self.exchange = startup_exchange.StartupExchange(
             own,
             self.state,
+            clock_lib.ManualClock(1_000),
             peer_table=self.table,
             batches=batches,
             rng=random.Random(1),
@@ -123,6 +132,24 @@
         self.assertEqual(["/removed/2"], peer.paths)
 
 
+class FlowPinsTest(StartupExchangeFixture):
+    """A new host asks which upstreams have flows that may move to it."""
+
+    def test_listed_peers_tell_their_pins(self) -> None:
+        """Guards against: a flow that moves to a host which has just started
+        is sent to the second of two upstreams that answered."""
+        self.know_all(ERA)
+        first, second, earlier = Peer("edge-2"), Peer("edge-3"), Peer("edge-4")
+        first.flow_pins = (flow_data.FlowPin(builders.flow(1), 7, 100),)
+        second.flow_pins = (flow_data.FlowPin(builders.flow(2), 8, 100),)
+        # Hosts of 8db66d3 do not know the path.
+        earlier._status = http1.NOT_FOUND
+        self.run_beside([first, second, earlier], [])
+        for number, tag in ((1, 7), (2, 8)):
+            packet = builders.packet(number, tag=9)
+            self.assertEqual(tag, self.state.flow_pins.tag_of(packet))
+
+
 class CarriedItemsTest(StartupExchangeFixture):
     """A new host asks for what counts in place of an older copy."""
 
--- a/packages/wire/idl/peers.thrift
+++ b/packages/wire/idl/peers.thrift
@@ -33,6 +33,7 @@
   // When the store last answered each follower, by the follower's own clock.
   26: optional list<i64> follower_answered_ms,
   27: optional i64 answered_ms,          // The same of the sender.
+  28: optional binary flow_pins,         // As `flow_pin_list` packs them.
 }
 
 struct ItemRecord {
--- a/packages/wire/sapphire_wire/gen/peers/ttypes.py
+++ b/packages/wire/sapphire_wire/gen/peers/ttypes.py
@@ -45,11 +45,12 @@
      - is_cut_off
      - follower_answered_ms
      - answered_ms
+     - flow_pins
 
     """
 
 
-    def __init__(self, host=None, data_centre=None, address=None, port=None, start_id=None, sequence=None, is_leaving=None, revisions=None, store_failed_ms=None, followers=None, follower_ages_ms=None, upstream_tags=None, busy=None, silent_ms=None, data_centres=None, live_hosts=None, live_host_ages_ms=None, era=None, outcome_tags=None, ended_well=None, ended_badly=None, answered=None, time_percents=None, is_cut_off=None, follower_answered_ms=None, answered_ms=None,):
+    def __init__(self, host=None, data_centre=None, address=None, port=None, start_id=None, sequence=None, is_leaving=None, revisions=None, store_failed_ms=None, followers=None, follower_ages_ms=None, upstream_tags=None, busy=None, silent_ms=None, data_centres=None, live_hosts=None, live_host_ages_ms=None, era=None, outcome_tags=None, ended_well=None, ended_badly=None, answered=None, time_percents=None, is_cut_off=None, follower_answered_ms=None, answered_ms=None, flow_pins=None,):
         self.host = host
         self.data_centre = data_centre
         self.address = address
@@ -76,6 +77,7 @@
         self.is_cut_off = is_cut_off
         self.follower_answered_ms = follower_answered_ms
         self.answered_ms = answered_ms
+        self.flow_pins = flow_pins
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -291,6 +293,11 @@
                     self.answered_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 28:
+                if ftype == TType.STRING:
+                    self.flow_pins = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -450,6 +457,10 @@
             oprot.writeFieldBegin('answered_ms', TType.I64, 27)
             oprot.writeI64(self.answered_ms)
             oprot.writeFieldEnd()
+        if self.flow_pins is not None:
+            oprot.writeFieldBegin('flow_pins', TType.STRING, 28)
+            oprot.writeBinary(self.flow_pins)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -821,6 +832,7 @@
     (25, TType.BOOL, 'is_cut_off', None, None, ),  # 25
     (26, TType.LIST, 'follower_answered_ms', (TType.I64, None, False), None, ),  # 26
     (27, TType.I64, 'answered_ms', None, None, ),  # 27
+    (28, TType.STRING, 'flow_pins', 'BINARY', None, ),  # 28
 )
 all_structs.append(ItemRecord)
 ItemRecord.thrift_spec = (
--- a/packages/wire/sapphire_wire/peer_messages.py
+++ b/packages/wire/sapphire_wire/peer_messages.py
@@ -8,6 +8,7 @@
 from sapphire_core.peers import data
 from sapphire_core.replication import data as replication_data
 from sapphire_data import failures
+from sapphire_wire import flow_pin_list
 from sapphire_wire import outcome_lists
 from sapphire_wire import thrift_codec
 from sapphire_wire.gen.peers import ttypes
@@ -70,6 +71,7 @@
                 for claim in heartbeat.followers.values()
             ],
             answered_ms=heartbeat.answered_ms,
+            flow_pins=flow_pin_list.encode(heartbeat.flow_pins) or None,
         )
     )
 
@@ -142,6 +144,10 @@
     if isinstance(outcomes, failures.UnreadableInput):
         left_out = outcomes.problem
         outcomes = ()
+    flow_pins = flow_pin_list.decode(record.flow_pins or b"")
+    if isinstance(flow_pins, failures.UnreadableInput):
+        left_out = flow_pins.problem
+        flow_pins = ()
     failed_ms = record.store_failed_ms
     reports = zip(
         record.upstream_tags, record.busy, record.silent_ms, strict=True
@@ -166,6 +172,7 @@
         era=_decode_era(record.era),
         is_cut_off=bool(record.is_cut_off),
         answered_ms=record.answered_ms,
+        flow_pins=flow_pins,
     )
 
 
--- a/packages/wire/sapphire_wire/peer_messages_test.py
+++ b/packages/wire/sapphire_wire/peer_messages_test.py
@@ -5,6 +5,7 @@
 
 from sapphire_core.peers import data
 from sapphire_core.replication import data as replication_data
+from sapphire_core.tagged_flows import data as flow_data
 from sapphire_data import failures
 from sapphire_lab.tagged_flows import builders
 from sapphire_lab.tagged_flows import outcome_builders
@@ -25,6 +26,7 @@
     ),
     is_cut_off=True,
     answered_ms=2**40,
+    flow_pins=(flow_data.FlowPin(builders.flow(3), 2**32 - 1, 2**32 - 1),),
 )
 
 
@@ -142,6 +144,17 @@
         )
         self.assertIsNone(decoded.answered_ms)
 
+    def test_flow_pins_that_are_cut_short_are_left_out_alone(self) -> None:
+        record = thrift_codec.decode_or_failure(
+            ttypes.Beat, peer_messages.encode_heartbeat(HEARTBEAT)
+        )
+        assert isinstance(record, ttypes.Beat)
+        record.flow_pins = record.flow_pins[:-1]
+        decoded = peer_messages.decode_heartbeat(thrift_codec.encode(record))
+        assert isinstance(decoded, data.Heartbeat)
+        self.assertEqual((), decoded.flow_pins)
+        self.assertIn("19 bytes", decoded.left_out)
+
     def test_batch_survives_the_round_trip(self) -> None:
         batch = builders.batch(
             builders.item("a", 1, b"\x00\xff"),
