A host that leaves makes no second tries

Cause: the grace period in which a missing packet is no sign of silence began when a peer joined or left, not when this host left itself.

Change: it lasts for as long as the host is leaving.

Test: test_a_leaving_host_takes_no_missing_packet_for_silence failed before (2 upstreams got the opening); beside it, a host that stays makes the second try.

--- a/packages/node/sapphire_node/entry/packet_task.py
+++ b/packages/node/sapphire_node/entry/packet_task.py
@@ -214,6 +214,10 @@
                 await self._send_own_reports(now_ms, is_urgent=True)
             if now_ms - last_sweep_ms >= SWEEP_INTERVAL_MS:
                 last_sweep_ms = now_ms
+                if self._state.is_leaving:
+                    # The caller's next packet may go to another host, so a
+                    # missing one is no sign of a silent upstream.
+                    self._steering.record_membership_change(now_ms)
                 for action in self._steering.sweep(now_ms):
                     self._send_action(action, now_ms)
                 self._follow_settings()
--- a/packages/node/sapphire_node/entry/packet_task_test.py
+++ b/packages/node/sapphire_node/entry/packet_task_test.py
@@ -134,6 +134,43 @@
         self.apply_configuration()
         self.assertEqual(0, self.received_count())
 
+    def tries_of_an_opening(self) -> int:
+        """Returns how many upstreams get an opening that none answers."""
+        second = datagrams.open_socket((LOOPBACK, 0))
+        self.addCleanup(second.close)
+        self.apply_configuration()
+        self.apply_upstream()
+        change = data.UpstreamChange(
+            builders.upstream("i-2", address=second.getsockname()[:2])
+        )
+        self.apply_changes(replication_data.Scope.REGISTRY, change)
+        # The grace period of the start.
+        self.clock.advance(openings.MEMBERSHIP_GRACE_MS)
+
+        async def main() -> int:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.task._run_ticks)
+                await anyio.sleep(0.15)
+                self.task._handle_datagram(b"opening")
+                for _ in range(30):
+                    self.clock.advance(packet_task.TICK_INTERVAL_MS)
+                    await anyio.sleep(0.015)
+                tasks.cancel_scope.cancel()
+            first_count = self.received_count()
+            self.upstream = second
+            return first_count + self.received_count()
+
+        return anyio.run(main)
+
+    def test_a_silent_upstream_costs_an_opening_a_second_try(self) -> None:
+        self.assertEqual(2, self.tries_of_an_opening())
+
+    def test_a_leaving_host_takes_no_missing_packet_for_silence(self) -> None:
+        """Guards against: the fabric sends the next packet of a flow to
+        another host, and this one opens the flow at a second upstream."""
+        self.state.leaving.set()
+        self.assertEqual(1, self.tries_of_an_opening())
+
     def test_an_empty_registry_delays_readiness(self) -> None:
         # The host starts when the store is available again, but the upstreams
         # have not registered again yet.
