An address is no evidence against an upstream that is registered

Cause: the entry with the later start gets an address, whoever wrote it, and two repetitions of a request to a "replaced" upstream were a reset, without the doubts that hold for removed ones.

Change: an address counts only once the former holder's entry has left the registry, and after a lapse while the store did not answer only after the time in which upstreams register again. The known service of an entry makes no difference: any service may be named later, or be named falsely.

Tests: a registered upstream keeps flows that repeat their data, for a known and an unknown service; an entry that lapsed is awaited. Both failed before.

--- a/packages/core/sapphire_core/tagged_flows/health/dead_upstreams.py
+++ b/packages/core/sapphire_core/tagged_flows/health/dead_upstreams.py
@@ -4,8 +4,10 @@
 until its deadline. It breaks the flow if the upstream is alive, and a host sees
 no packet from an upstream. Two independent signs are needed:
 
-- The registry: another upstream has the address, or the entry was removed, and
-  not because the registry failed.
+- The registry: the entry was removed, and not because the registry failed; or
+  it was removed and another upstream has the address. An address alone is no
+  sign while the entry stands: whoever can write there can name any address, and
+  an upstream that has died loses its entry soon.
 - The flow: its caller has sent its data three times, and nothing shows that the
   upstream has sent a packet since that data was first seen.
 
@@ -56,7 +58,8 @@
     """What the registry says of an upstream; the value is a field of logs.
 
     Attributes:
-        REPLACED: Another upstream has the address.
+        REPLACED: The upstream has left the registry, and another one has its
+            address.
         REMOVED: The upstream has left the registry.
     """
 
@@ -84,7 +87,7 @@
         return None
     if now_ms - record.last_new_data_ms < MIN_SILENCE_MS:
         return None
-    if entry.is_replaced:
+    if entry.is_replaced and _has_left(entry, now_ms):
         return Evidence.REPLACED
     if not _has_stopped(entry, now_ms):
         return None
@@ -165,6 +168,15 @@
     )
 
 
+def _has_left(entry: upstream_table.Entry, now_ms: int) -> bool:
+    """Whether an upstream has left the registry and is not expected back."""
+    if entry.removed_ms is None:
+        return False
+    if entry.removal_cause is not data.RemovalCause.REGISTRY_UNAVAILABLE:
+        return True
+    return now_ms - entry.removed_ms >= upstream_table.LAPSE_GRACE_MS
+
+
 def _has_stopped(entry: upstream_table.Entry, now_ms: int) -> bool:
     """Whether an upstream stopped and left the registry some time ago."""
     if entry.removed_ms is None:
--- a/packages/core/sapphire_core/tagged_flows/health/dead_upstreams_test.py
+++ b/packages/core/sapphire_core/tagged_flows/health/dead_upstreams_test.py
@@ -48,10 +48,10 @@
             "i-1", now_ms, data.RemovalCause.UPSTREAM_STOPPED
         )
 
-    def replace_upstream(self, now_ms: int) -> None:
+    def replace_upstream(self, now_ms: int, service: str = "board") -> None:
         """Another upstream registers at the address of the flow's."""
         address = builders.upstream("i-1").address
-        other = builders.upstream("i-9", address=address, started_ms=2)
+        other = builders.upstream("i-9", service, address=address, started_ms=2)
         self.steering.upstream_table.put(other, 9, now_ms)
 
     # Guards against resets of open flows of live upstreams on silence alone:
@@ -139,14 +139,42 @@
             action = self.send(1_000 * number, sequence=2 + 300 * number)
             self.assertIsInstance(action, data.Forward)
 
+    # Guards against the same while requests take longer than a caller waits
+    # before it repeats its data, also if a configured service is named.
+    def test_a_registered_upstream_keeps_flows_that_repeat_their_data(
+        self,
+    ) -> None:
+        for service in ("board", "unknown"):
+            self.replace_upstream(0, service)
+            for number in range(3):
+                for delay_ms in SEND_TIMES_MS:
+                    action = self.send(
+                        4_000 * number + delay_ms, sequence=2 + 300 * number
+                    )
+                    self.assertIsInstance(action, data.Forward)
+
     def test_the_second_retransmission_to_a_reused_address_is_reset(
         self,
     ) -> None:
         self.replace_upstream(0)
         self.assertIsInstance(self.send(1_000), data.Forward)
         self.assertIsInstance(self.send(1_200), data.Forward)
+        # No wait after the removal, unlike where the address is free.
+        self.remove_upstream(1_590)
         self.assertIsInstance(self.send(1_600), data.Reset)
 
+    def test_an_entry_that_lapsed_is_awaited_although_its_address_is_named(
+        self,
+    ) -> None:
+        self.replace_upstream(0)
+        self.steering.upstream_table.remove(
+            "i-1", 500, data.RemovalCause.REGISTRY_UNAVAILABLE
+        )
+        for delay_ms in SEND_TIMES_MS:
+            action = self.send(1_000 + delay_ms)
+            self.assertIsInstance(action, data.Forward)
+        self.assertIsInstance(self.send(4_200), data.Reset)
+
     # Guards against resets while the caller acknowledges parts of a response
     # on packets that repeat its data.
     def test_acknowledgements_on_repeated_data_show_life(self) -> None:
