An opening that a peer has pinned gets no further try

A host whose half-open flow has gone on at a peer took the missing packet for silence, recorded the upstream as unresponsive, and could send the opening to a third one, whose answers the caller gets for seconds.

Change: once a peer has pinned the flow, its half-open state ends here.

Test: test_an_opening_that_a_peer_has_pinned_gets_no_further_try failed before.

--- a/packages/core/sapphire_core/tagged_flows/flows/flow_pins.py
+++ b/packages/core/sapphire_core/tagged_flows/flows/flow_pins.py
@@ -93,6 +93,11 @@
         known = self._known_by_flow.get(flow_id)
         return known is not None and known.pin.tag == data.NO_TAG
 
+    def is_resolved(self, flow_id: data.FlowId) -> bool:
+        """Whether a flow is ambiguous and its upstream known."""
+        known = self._known_by_flow.get(flow_id)
+        return known is not None and known.pin.tag != data.NO_TAG
+
     def tag_of(self, packet: data.Packet) -> int | None:
         """Returns the tag of the upstream that has the flow of a packet.
 
--- a/packages/core/sapphire_core/tagged_flows/openings/failovers.py
+++ b/packages/core/sapphire_core/tagged_flows/openings/failovers.py
@@ -141,6 +141,10 @@
         for half_open in self._half_open_flows.timed_out(
             now_ms, self._answer_timeout.timeout_ms
         ):
+            if self._flow_pins.is_resolved(half_open.packet.flow_id):
+                # The caller has gone on at a peer.
+                self._half_open_flows.pop(half_open.packet.flow_id)
+                continue
             action = self.fail_over(half_open, now_ms, is_retransmission=False)
             if action is not None:
                 actions.append(action)
--- a/packages/core/sapphire_core/tagged_flows/steering_test.py
+++ b/packages/core/sapphire_core/tagged_flows/steering_test.py
@@ -384,6 +384,21 @@
         peer.tell_pins(self.bench, TIMEOUT_MS + 15)
         self.assertEqual(target(first), self.handle(second.tag, 3_000))
 
+    # Guards against: a third upstream gets the opening of a flow that has gone
+    # on at another host, and its answers reach the caller.
+    def test_an_opening_that_a_peer_has_pinned_gets_no_further_try(
+        self,
+    ) -> None:
+        first = self.bench.open(1, 0)
+        assert isinstance(first, data.Forward)
+        self.assertEqual(1, len(self.steering.tick(TIMEOUT_MS)))
+        pin = data.FlowPin(builders.flow(1), first.tag, 100)
+        self.steering.flow_pins.merge([pin], TIMEOUT_MS + 5)
+        self.steering.upstream_table.put(builders.upstream("i-3"), 3, 60)
+        for now_ms in range(TIMEOUT_MS + 10, 4 * TIMEOUT_MS, 10):
+            self.assertEqual([], self.steering.tick(now_ms))
+        self.assertFalse(self.steering.has_pending)
+
     # Guards against: the same, after a retransmission of the opening packet
     # has reached another host, which has sent it to another upstream.
     def test_a_retransmission_at_another_host_does_not_move_the_flow(
