soak: hosts of two builds side by side

FORMER=COMMIT exports that commit below build/, and each start of a host process draws which build it runs, so that old and new ones run together while hosts are killed, stopped and frozen. Without it the soak is as before, seed for seed.

--- a/Makefile
+++ b/Makefile
@@ -60,13 +60,20 @@
 	$(BENCH) hunt $(SITE) --days $(DAYS) --why "$(WHY)"
 
 # Real host processes under overlapping faults: SEEDS=1-50 FAULTS=20 HOSTS=4.
+# With FORMER=COMMIT, hosts run the code of that commit by turns.
 SEEDS ?= 1-5
 FAULTS ?= 20
 HOSTS ?= 4
+FORMER ?=
+FORMER_ROOT := build/former-$(FORMER)
 
 soak: $(STAMP)
+	test -z "$(FORMER)" || test -d $(FORMER_ROOT) || { \
+	  mkdir -p $(FORMER_ROOT) && \
+	  git archive $(FORMER) | tar -x -C $(FORMER_ROOT); }
 	cd platform && ../$(BIN)/python -m sapphire_platform_lab.soak.main \
-	  --seeds $(SEEDS) --faults $(FAULTS) --hosts $(HOSTS)
+	  --seeds $(SEEDS) --faults $(FAULTS) --hosts $(HOSTS) \
+	  $(if $(FORMER),--former ../$(FORMER_ROOT))
 
 check: $(STAMP)
 	$(BIN)/ruff format --check .
