In a large fleet flow pins wait for the next heartbeat

Cause, as far as shown: each pinned flow made a heartbeat at once to 16 near peers, up to ten a second from each host, and each of those holds what its sender relays. The test shows the notices; the share of the processor time that they took was not profiled.

Change: in a large fleet pins are told with the regular heartbeat, each 250 ms and relayed. A small fleet tells them at once, as before.

Test: test_new_pins_wait_for_the_next_heartbeat_in_a_large_fleet failed before for lack of the field; its pair holds that a small fleet tells them at once.

--- a/packages/node/sapphire_node/entry/messages.py
+++ b/packages/node/sapphire_node/entry/messages.py
@@ -138,11 +138,13 @@
             host or that it avoids as unresponsive.
         outcomes: What became of requests at upstreams that may do badly.
         is_urgent: Whether an upstream has just become unresponsive.
+        has_new_pins: Whether this host has pinned flows since the last message.
     """
 
     reports: tuple[peer_data.UpstreamReport, ...]
     outcomes: tuple[peer_data.OutcomeReport, ...]
     is_urgent: bool
+    has_new_pins: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/node/sapphire_node/entry/packet_task.py
+++ b/packages/node/sapphire_node/entry/packet_task.py
@@ -207,11 +207,10 @@
             for action in self._steering.tick(now_ms):
                 self._send_action(action, now_ms)
             selector = self._steering.selector
-            flow_pins = self._state.flow_pins
-            if selector.has_urgent_report or flow_pins.has_news:
+            if selector.has_urgent_report or self._state.flow_pins.has_news:
+                is_urgent = selector.has_urgent_report
                 selector.has_urgent_report = False
-                flow_pins.has_news = False
-                await self._send_own_reports(now_ms, is_urgent=True)
+                await self._send_own_reports(now_ms, is_urgent=is_urgent)
             if now_ms - last_sweep_ms >= SWEEP_INTERVAL_MS:
                 last_sweep_ms = now_ms
                 if self._state.is_leaving:
@@ -313,11 +312,14 @@
 
     async def _send_own_reports(self, now_ms: int, *, is_urgent: bool) -> None:
         """Sends what this host has observed of upstreams to its peer task."""
+        has_new_pins = self._state.flow_pins.has_news
+        self._state.flow_pins.has_news = False
         await self._reports.send(
             messages.OwnUpstreamReports(
                 self._steering.selector.upstream_reports(now_ms),
                 self._steering.ejection_control.own_reports,
                 is_urgent,
+                has_new_pins,
             )
         )
 
--- a/packages/node/sapphire_node/entry/peer_task.py
+++ b/packages/node/sapphire_node/entry/peer_task.py
@@ -146,7 +146,12 @@
             if isinstance(message, messages.OwnUpstreamReports):
                 self._sender.own_reports = message.reports
                 self._sender.outcomes = message.outcomes
-                if message.is_urgent:
+                # In a large fleet flow pins wait for the regular heartbeat:
+                # each of a hundred hosts would send and read several times as
+                # many.
+                if message.is_urgent or (
+                    message.has_new_pins and not self._peer_table.is_large_fleet
+                ):
                     self._sender.send_notice(is_for_remote=False)
             elif isinstance(message, messages.HostListChanged):
                 self._listed_hosts = frozenset(c.host for c in message.contacts)
--- a/packages/node/sapphire_node/entry/peer_task_test.py
+++ b/packages/node/sapphire_node/entry/peer_task_test.py
@@ -82,6 +82,40 @@
         assert isinstance(told, peer_data.Heartbeat)
         self.assertEqual((), told.flow_pins)
 
+    def count_notices_of_new_pins(self, peers: int) -> int:
+        """Returns how many heartbeats new pins cost, with some near peers."""
+        for number in range(peers):
+            heartbeat = builders.heartbeat(f"edge-{number + 2}")
+            self.task._peer_table.record_heartbeat(heartbeat, 1_000)
+        sent: list[bool] = []
+        self.patch(
+            self.task._sender,
+            "send_notice",
+            lambda *, is_for_remote: sent.append(is_for_remote),
+        )
+
+        async def main() -> None:
+            await self.inbox.send(
+                messages.OwnUpstreamReports(
+                    (), (), is_urgent=False, has_new_pins=True
+                )
+            )
+            with anyio.move_on_after(0.05):
+                await self.task._handle_messages()
+
+        anyio.run(main)
+        return len(sent)
+
+    def test_new_pins_are_told_at_once_in_a_small_fleet(self) -> None:
+        self.assertEqual(1, self.count_notices_of_new_pins(3))
+
+    def test_new_pins_wait_for_the_next_heartbeat_in_a_large_fleet(
+        self,
+    ) -> None:
+        """Guards against: under load, each of a hundred hosts sends and reads
+        several times as many heartbeats."""
+        self.assertEqual(0, self.count_notices_of_new_pins(40))
+
     def test_a_leaving_local_peer_is_away_at_once(self) -> None:
         heartbeat = builders.heartbeat("edge-2", is_leaving=True)
         self.task._handle_datagram(peer_messages.encode_heartbeat(heartbeat))
